--- /dev/null
+++ b/crates/core/src/bundle/check.rs
@@ -0,0 +1,181 @@
+//! Checks of a bundle that need more than one section.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::model::Bundle;
+use super::model::Kind;
+use super::model::Member;
+use super::model::Offer;
+use crate::layer::Range;
+use crate::name::Service;
+use crate::section::Fault;
+use crate::section::nearest;
+
+/// Returns everything that is wrong with a bundle that was read without fault.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::bundle;
+/// let text = "[bundle]\nserial = 1\n[service desk]\nkind = plain\n";
+/// let faults = bundle::check(&bundle::parse(text)?);
+/// assert_eq!(faults[0].to_string(), "[service desk] -: no backend server in use");
+/// # Ok::<(), Vec<bundle::Fault>>(())
+/// ```
+#[must_use]
+pub fn check(bundle: &Bundle) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    check_customers(bundle, &mut faults);
+    check_services(bundle, &mut faults);
+    check_servers(bundle, &mut faults);
+    check_links(bundle, &mut faults);
+    faults
+}
+
+fn check_customers(bundle: &Bundle, faults: &mut Vec<Fault>) {
+    let mut owners = BTreeMap::new();
+    for (name, tenant) in &bundle.customers {
+        let section = format!("customer {name}");
+        if tenant.weight == 0 {
+            faults.push(Fault::new(&section, "weight", "0: expected 1 or more"));
+        }
+        if tenant.max_in_flight == 0 {
+            faults.push(Fault::new(&section, "max-in-flight", "0: expected 1 or more"));
+        }
+        if tenant.keys.is_empty() {
+            faults.push(Fault::new(&section, "keys", "missing: expected SHA-256 digests in hex"));
+        }
+        for key in &tenant.keys {
+            if key.len() != 64 || !key.bytes().all(|b| b.is_ascii_hexdigit()) {
+                faults.push(Fault::new(&section, "keys", "expected SHA-256 digests in hex"));
+            }
+            if let Some(other) = owners.insert(key.clone(), name) {
+                let what = format!("the same key as customer {other}");
+                faults.push(Fault::new(&section, "keys", what));
+            }
+        }
+    }
+}
+
+fn check_services(bundle: &Bundle, faults: &mut Vec<Fault>) {
+    for (name, offer) in &bundle.services {
+        let section = format!("service {name}");
+        for customer in &offer.customers {
+            if !bundle.customers.contains_key(customer) {
+                let hint = nearest(&customer.0, bundle.customers.keys().map(|c| &*c.0));
+                let what = format!("unknown customer `{customer}`{hint}");
+                faults.push(Fault::new(&section, "customers", what));
+            }
+        }
+        if bundle.in_use(name).next().is_none() {
+            faults.push(Fault::new(&section, "-", "no backend server in use"));
+            continue;
+        }
+        if offer.kind == Kind::Model {
+            check_cover(bundle, name, offer, &section, faults);
+        }
+    }
+}
+
+/// Finds layers that no chain of backend servers covers.
+fn check_cover(
+    bundle: &Bundle,
+    name: &Service,
+    offer: &Offer,
+    section: &str,
+    faults: &mut Vec<Fault>,
+) {
+    if offer.layers == 0 {
+        faults.push(Fault::new(section, "layers", "0: expected 1 or more"));
+        return;
+    }
+    let mut covered = 0;
+    while covered < offer.layers {
+        let held = bundle.in_use(name).map(|(_, m)| m.layers);
+        let reach = held.filter(|r| r.start <= covered).map(|r| r.end).max();
+        match reach {
+            Some(end) if end > covered => covered = end,
+            _ => {
+                let what = format!("no backend server in use holds layer {covered}");
+                faults.push(Fault::new(section, "layers", what));
+                return;
+            }
+        }
+    }
+}
+
+fn check_servers(bundle: &Bundle, faults: &mut Vec<Fault>) {
+    let mut addresses = BTreeMap::new();
+    for (name, member) in &bundle.servers {
+        let section = format!("server {name}");
+        if member.address.parse::<SocketAddr>().is_err() {
+            let what = format!("`{}`: expected an IP number and port", member.address);
+            faults.push(Fault::new(&section, "address", what));
+        }
+        if let Some(other) = addresses.insert(member.address.clone(), name) {
+            let what = format!("the same address as server {other}");
+            faults.push(Fault::new(&section, "address", what));
+        }
+        if member.slots == 0 {
+            faults.push(Fault::new(&section, "slots", "0: expected 1 or more"));
+        }
+        match bundle.services.get(&member.service) {
+            Some(offer) => check_member(bundle, member, offer, &section, faults),
+            None => {
+                let hint = nearest(&member.service.0, bundle.services.keys().map(|s| &*s.0));
+                let what = format!("unknown service `{}`{hint}", member.service);
+                faults.push(Fault::new(&section, "service", what));
+            }
+        }
+    }
+}
+
+fn check_member(
+    bundle: &Bundle,
+    member: &Member,
+    offer: &Offer,
+    section: &str,
+    faults: &mut Vec<Fault>,
+) {
+    if offer.kind == Kind::Plain {
+        return;
+    }
+    if member.layers.is_empty() {
+        faults.push(Fault::new(section, "layers", "missing: expected `start-end`"));
+    }
+    if !Range::new(0, offer.layers).contains(member.layers) {
+        let what = format!("{}: the model has layers 0-{}", member.layers, offer.layers);
+        faults.push(Fault::new(section, "layers", what));
+    }
+    match bundle.accelerators.get(&member.accelerator) {
+        Some(capacity) if capacity.layer_tokens > 0 => {}
+        Some(_) => {
+            let header = format!("accelerator {}", member.accelerator);
+            faults.push(Fault::new(&header, "layer-tokens", "0: expected 1 or more"));
+        }
+        None => {
+            let known = bundle.accelerators.keys().map(|a| &*a.0);
+            let hint = nearest(&member.accelerator.0, known);
+            let what = format!("unknown accelerator `{}`{hint}", member.accelerator);
+            faults.push(Fault::new(section, "accelerator", what));
+        }
+    }
+}
+
+fn check_links(bundle: &Bundle, faults: &mut Vec<Fault>) {
+    let known = |zone| bundle.servers.values().any(|m| &m.zone == zone);
+    for ((one, other), link) in &bundle.links {
+        let section = format!("link {one} {other}");
+        if link.bytes == 0 {
+            faults.push(Fault::new(&section, "bytes", "0: expected 1 or more"));
+        }
+        for zone in [one, other] {
+            if !known(zone) {
+                let hint = nearest(&zone.0, bundle.servers.values().map(|m| &*m.zone.0));
+                let what = format!("no backend server is in `{zone}`{hint}");
+                faults.push(Fault::new(&section, "-", what));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/bundle/mod.rs
@@ -0,0 +1,30 @@
+//! The operators' bundle: its model, reading, checks, comparison and signatures.
+
+mod check;
+mod diff;
+mod model;
+mod parse;
+mod sign;
+
+pub use check::check;
+pub use diff::Change;
+pub use diff::Guard;
+pub use diff::guard;
+pub use diff::diff;
+pub use crate::section::Fault;
+pub use model::Bundle;
+pub use model::Capacity;
+pub use model::Kind;
+pub use model::Link;
+pub use model::Member;
+pub use model::Offer;
+pub use model::Tenant;
+pub use parse::parse;
+pub use sign::Digest;
+pub use sign::Signature;
+pub use sign::SignatureError;
+pub use sign::Signed;
+pub use sign::Trust;
+pub use sign::digest;
+pub use sign::digest_bytes;
+pub use sign::sign;
--- /dev/null
+++ b/crates/core/src/layer.rs
@@ -0,0 +1,81 @@
+//! Ranges of a model's layers.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Layers `start` up to and without `end`.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::layer::Range;
+/// let held: Range = "4-12".parse()?;
+/// assert!(held.contains("6-8".parse()?));
+/// assert_eq!(held.len(), 8);
+/// # Ok::<(), jujube_core::layer::BadRange>(())
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Range {
+    /// The first layer.
+    pub start: u32,
+    /// The layer after the last.
+    pub end: u32,
+}
+
+/// A text that is not a range of layers.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("expected `start-end` with start below end, such as `0-12`")]
+pub struct BadRange;
+
+impl Range {
+    /// Returns the range from `start` up to and without `end`.
+    #[must_use]
+    pub fn new(start: u32, end: u32) -> Self {
+        Self { start, end }
+    }
+
+    /// Returns the number of layers.
+    #[must_use]
+    pub fn len(self) -> u32 {
+        self.end.saturating_sub(self.start)
+    }
+
+    /// Tells whether there is no layer in the range.
+    #[must_use]
+    pub fn is_empty(self) -> bool {
+        self.len() == 0
+    }
+
+    /// Tells whether every layer of `other` lies in this range.
+    #[must_use]
+    pub fn contains(self, other: Self) -> bool {
+        self.start <= other.start && other.end <= self.end
+    }
+}
+
+impl fmt::Display for Range {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.start, self.end)
+    }
+}
+
+impl FromStr for Range {
+    type Err = BadRange;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (start, end) = text.split_once('-').ok_or(BadRange)?;
+        let range = Self {
+            start: start.trim().parse().map_err(|_| BadRange)?,
+            end: end.trim().parse().map_err(|_| BadRange)?,
+        };
+        if range.is_empty() {
+            return Err(BadRange);
+        }
+        Ok(range)
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/book.rs
@@ -0,0 +1,350 @@
+//! The ledger of all requests at one stage.
+
+use std::collections::BTreeMap;
+
+use super::entry::Entry;
+use super::message::Action;
+use super::message::Frame;
+use super::message::Lost;
+use super::message::Open;
+use super::message::Opened;
+use super::message::Received;
+use super::message::Refused;
+use super::message::Resume;
+use super::message::Run;
+use crate::name::Server;
+use crate::request::Epoch;
+use crate::request::Incarnation;
+use crate::request::Request;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// What the ledger allows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// How many requests it takes at a time.
+    pub slots: usize,
+    /// The longest run that the engine is given, in positions.
+    pub longest_run: usize,
+    /// How long an entry may be silent before its requests are freed.
+    pub lease: Span,
+    /// How long a request may stand still before it is freed and reported lost.
+    pub idle: Span,
+    /// How long a released request is remembered.
+    pub remember: Span,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            slots: 64,
+            longest_run: 64,
+            lease: Span(10_000),
+            idle: Span(120_000),
+            remember: Span(60_000),
+        }
+    }
+}
+
+/// The ledger.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::ledger::Ledger;
+/// # use jujube_core::ledger::Limits;
+/// let ledger = Ledger::new("stage-1".into(), Limits::default());
+/// assert_eq!(ledger.len(), 0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    server: Server,
+    limits: Limits,
+    entries: BTreeMap<Request, Entry>,
+    /// Released requests: up to which epoch, and when.
+    released: BTreeMap<Request, (Epoch, Instant)>,
+    leases: BTreeMap<Incarnation, Instant>,
+    last_run: Run,
+    draining: bool,
+}
+
+impl Ledger {
+    /// Returns an empty ledger of a backend server.
+    #[must_use]
+    pub fn new(server: Server, limits: Limits) -> Self {
+        Self {
+            server,
+            limits,
+            entries: BTreeMap::new(),
+            released: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            last_run: Run(0),
+            draining: false,
+        }
+    }
+
+    /// Returns how many requests are held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no request is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Refuses new requests from now on; those that are held go on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Sets how many requests are taken at a time.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.limits.slots = slots;
+    }
+
+    /// Takes a request, or moves it to a newer epoch, and tells how far this stage has run.
+    ///
+    /// A repeat of the same epoch is answered as the first was.
+    ///
+    /// # Errors
+    ///
+    /// See [`Refused`]; nothing has changed then.
+    pub fn open(
+        &mut self,
+        now: Instant,
+        open: Open,
+        actions: &mut Vec<Action>,
+    ) -> Result<Opened, Refused> {
+        let stage = open.route.stages.get(open.index);
+        if stage.is_none_or(|stage| stage.server != self.server) {
+            return Err(Refused::Misrouted);
+        }
+        self.check_released(&open)?;
+        let request = open.request;
+        if let Some(entry) = self.entries.get_mut(&request) {
+            let layers = open.route.stages[open.index].layers;
+            let held = entry.open.route.stages[entry.open.index].layers;
+            if open.epoch < entry.open.epoch {
+                return Err(Refused::Stale(entry.open.epoch));
+            }
+            if layers != held {
+                return Err(Refused::Misrouted);
+            }
+            entry.heard = now;
+            if open.epoch > entry.open.epoch {
+                entry.move_to(open);
+            }
+        } else {
+            if self.draining {
+                return Err(Refused::Draining);
+            }
+            if self.entries.len() >= self.limits.slots {
+                return Err(Refused::Busy);
+            }
+            self.leases.insert(request.entry, now);
+            self.entries.insert(request, Entry::new(now, open));
+        }
+        let count = self.entries[&request].count();
+        self.advance(request, actions);
+        Ok(Opened { count })
+    }
+
+    /// Refuses to open what was released.
+    ///
+    /// The release and a late copy of the open travel on different connections. Without the memory
+    /// the late copy would occupy a slot until the entry dies.
+    fn check_released(&self, open: &Open) -> Result<(), Refused> {
+        match self.released.get(&open.request) {
+            Some((epoch, _)) if open.epoch <= *epoch => Err(Refused::Stale(*epoch)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Starts sending to the successor under an epoch.
+    pub fn resume(&mut self, now: Instant, resume: Resume, actions: &mut Vec<Action>) -> Received {
+        let received = self.classify(resume.request, resume.epoch);
+        if received != Received::Accepted {
+            return received;
+        }
+        if let Some(entry) = self.entries.get_mut(&resume.request) {
+            entry.heard = now;
+            // A repeat of the word must not send everything again.
+            if entry.sent.is_none() {
+                entry.resume(resume);
+            }
+        }
+        self.advance(resume.request, actions);
+        received
+    }
+
+    /// Takes inputs.
+    pub fn frame(&mut self, now: Instant, frame: &Frame, actions: &mut Vec<Action>) -> Received {
+        let received = self.classify(frame.request, frame.epoch);
+        if received != Received::Accepted {
+            return received;
+        }
+        if let Some(entry) = self.entries.get_mut(&frame.request) {
+            entry.heard = now;
+            entry.take(frame);
+        }
+        self.advance(frame.request, actions);
+        received
+    }
+
+    fn classify(&self, request: Request, epoch: Epoch) -> Received {
+        if let Some((released, _)) = self.released.get(&request)
+            && epoch <= *released
+        {
+            return Received::Stale;
+        }
+        match self.entries.get(&request) {
+            Some(entry) if epoch == entry.open.epoch => Received::Accepted,
+            Some(entry) if epoch < entry.open.epoch => Received::Stale,
+            _ => Received::Unknown,
+        }
+    }
+
+    /// Books what the engine has run.
+    pub fn ran(
+        &mut self,
+        now: Instant,
+        request: Request,
+        run: Run,
+        outputs: &[u64],
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
+        let Some(running) = entry.running.filter(|running| running.run == run) else {
+            return;
+        };
+        if outputs.len() != running.count {
+            self.lose(request, actions);
+            return;
+        }
+        entry.heard = now;
+        entry.finish(outputs);
+        self.advance(request, actions);
+    }
+
+    /// Gives up a request whose engine failed: the engine's cache may be at any position.
+    pub fn failed(&mut self, request: Request, run: Run, actions: &mut Vec<Action>) {
+        let Some(entry) = self.entries.get(&request) else {
+            return;
+        };
+        if entry.running.is_some_and(|running| running.run == run) {
+            self.lose(request, actions);
+        }
+    }
+
+    /// Tells the entry that a successor does not know its request, or cannot be reached.
+    pub fn successor_lost(
+        &mut self,
+        request: Request,
+        epoch: Epoch,
+        server: &Server,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.entries.get(&request) else {
+            return;
+        };
+        if entry.open.epoch != epoch {
+            return;
+        }
+        actions.push(Action::Report {
+            to: entry.open.route.entry.clone(),
+            lost: Lost {
+                request,
+                epoch,
+                server: server.clone(),
+            },
+        });
+    }
+
+    fn lose(&mut self, request: Request, actions: &mut Vec<Action>) {
+        let Some(entry) = self.entries.remove(&request) else {
+            return;
+        };
+        actions.push(Action::Report {
+            to: entry.open.route.entry.clone(),
+            lost: Lost {
+                request,
+                epoch: entry.open.epoch,
+                server: self.server.clone(),
+            },
+        });
+        actions.push(Action::Free { request });
+    }
+
+    /// Frees a request up to an epoch, for good.
+    pub fn release(
+        &mut self,
+        now: Instant,
+        request: Request,
+        epoch: Epoch,
+        actions: &mut Vec<Action>,
+    ) {
+        let newer = |entry: &Entry| entry.open.epoch > epoch;
+        if self.entries.get(&request).is_some_and(newer) {
+            return;
+        }
+        self.released.insert(request, (epoch, now));
+        if self.entries.remove(&request).is_some() {
+            actions.push(Action::Free { request });
+        }
+    }
+
+    /// Takes or renews an entry's lease on its requests.
+    pub fn renew(&mut self, now: Instant, entry: Incarnation) {
+        self.leases.insert(entry, now);
+    }
+
+    /// Returns how many entries hold a lease.
+    #[must_use]
+    pub fn entries(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Frees what nobody asks for any more.
+    ///
+    /// An entry that dies releases nothing: without the lease its requests would hold cache memory
+    /// until the backend server restarts. A live entry renews with every heartbeat, so that a
+    /// lapsed lease means that nobody will read the answer from here.
+    pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let limits = self.limits;
+        let lapsed = |since: Instant, span: Span| now.since(since) > span;
+        self.released.retain(|_, (_, at)| !lapsed(*at, limits.remember));
+        let orphans = self.entries.iter().filter(|(request, _)| {
+            let renewed = self.leases.get(&request.entry);
+            renewed.is_none_or(|renewed| lapsed(*renewed, limits.lease))
+        });
+        let orphans: Vec<Request> = orphans.map(|(request, _)| *request).collect();
+        for request in orphans {
+            self.entries.remove(&request);
+            actions.push(Action::Free { request });
+        }
+        self.leases.retain(|_, renewed| !lapsed(*renewed, limits.lease));
+        let still = self.entries.iter().filter(|(_, e)| lapsed(e.heard, limits.idle));
+        let still: Vec<Request> = still.map(|(request, _)| *request).collect();
+        for request in still {
+            self.lose(request, actions);
+        }
+    }
+
+    /// Sends what can be sent and runs what can be run.
+    fn advance(&mut self, request: Request, actions: &mut Vec<Action>) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
+        actions.extend(entry.send());
+        let run = self.last_run.next();
+        if let Some(action) = entry.start(run, self.limits.longest_run) {
+            self.last_run = run;
+            actions.push(action);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/entry.rs
@@ -0,0 +1,160 @@
+//! One request at one stage.
+
+use std::collections::BTreeMap;
+
+use super::message::Action;
+use super::message::Frame;
+use super::message::Open;
+use super::message::Resume;
+use super::message::Run;
+use super::message::Tokens;
+use crate::request::Position;
+use crate::time::Instant;
+
+/// The inputs that an engine is running now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Running {
+    pub(super) run: Run,
+    pub(super) first: Position,
+    pub(super) count: usize,
+}
+
+/// The state of one request at one stage.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) open: Open,
+    /// Outputs by position: `outputs.len()` positions have run.
+    pub(super) outputs: Vec<u64>,
+    /// Inputs that wait for their turn.
+    pub(super) pending: BTreeMap<Position, u64>,
+    pub(super) running: Option<Running>,
+    /// The next output to send; `None` until the entry says from where.
+    pub(super) sent: Option<Position>,
+    pub(super) heard: Instant,
+}
+
+impl Entry {
+    pub(super) fn new(now: Instant, open: Open) -> Self {
+        Self {
+            sent: open.downstream,
+            open,
+            outputs: Vec::new(),
+            pending: BTreeMap::new(),
+            running: None,
+            heard: now,
+        }
+    }
+
+    /// Returns the position up to which this stage has run.
+    pub(super) fn count(&self) -> Position {
+        Position(self.outputs.len() as u64)
+    }
+
+    /// Moves to a newer epoch: what waited under the older one is forgotten.
+    ///
+    /// The predecessor may have been replaced, and its successor sends these inputs again from
+    /// `count`. Work that an engine has begun is not forgotten: its input came from tokens that
+    /// the entry gave out, which no epoch changes.
+    pub(super) fn move_to(&mut self, open: Open) {
+        self.pending.clear();
+        self.sent = open.downstream;
+        self.open = open;
+    }
+
+    pub(super) fn resume(&mut self, resume: Resume) {
+        self.sent = Some(resume.downstream);
+        self.open.rebuild_until = resume.rebuild_until;
+    }
+
+    /// Takes inputs; a position that has run, is running or waits already changes nothing.
+    ///
+    /// Links send a frame again after a silent connection, so repeats are ordinary. Running one
+    /// would extend the engine's cache twice at one position.
+    pub(super) fn take(&mut self, frame: &Frame) {
+        let busy_until = match self.running {
+            Some(running) => running.first.plus(running.count),
+            None => self.count(),
+        };
+        for (offset, value) in frame.values.iter().enumerate() {
+            let position = frame.first.plus(offset);
+            if position < busy_until || position >= self.open.limit {
+                continue;
+            }
+            self.pending.entry(position).or_insert(*value);
+        }
+    }
+
+    /// Starts the engine on the next inputs without a gap.
+    pub(super) fn start(&mut self, run: Run, longest: usize) -> Option<Action> {
+        if self.running.is_some() {
+            return None;
+        }
+        let first = self.count();
+        let rebuild = first < self.open.rebuild_until;
+        let mut inputs = Vec::new();
+        while inputs.len() < longest {
+            let position = first.plus(inputs.len());
+            if (position < self.open.rebuild_until) != rebuild {
+                break;
+            }
+            match self.pending.remove(&position) {
+                Some(value) => inputs.push(value),
+                None => break,
+            }
+        }
+        if inputs.is_empty() {
+            return None;
+        }
+        self.running = Some(Running {
+            run,
+            first,
+            count: inputs.len(),
+        });
+        Some(Action::Run {
+            run,
+            request: self.open.request,
+            layers: self.open.route.stages[self.open.index].layers,
+            first,
+            inputs,
+            rebuild,
+        })
+    }
+
+    /// Books the outputs of the run in progress.
+    pub(super) fn finish(&mut self, outputs: &[u64]) {
+        self.running = None;
+        self.outputs.extend_from_slice(outputs);
+    }
+
+    /// Sends what the successor lacks and this stage has.
+    pub(super) fn send(&mut self) -> Option<Action> {
+        let sent = self.sent?;
+        if sent >= self.count() {
+            return None;
+        }
+        self.sent = Some(self.count());
+        let values = self.outputs[sent.0 as usize..].to_vec();
+        let request = self.open.request;
+        let epoch = self.open.epoch;
+        let Some(next) = self.open.route.stages.get(self.open.index + 1) else {
+            let tokens = Tokens {
+                request,
+                epoch,
+                first: sent,
+                values,
+            };
+            let to = self.open.route.entry.clone();
+            return Some(Action::Deliver { to, tokens });
+        };
+        Some(Action::Send {
+            server: next.server.clone(),
+            to: next.address.clone(),
+            frame: Frame {
+                request,
+                epoch,
+                first: sent,
+                values,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/name.rs
@@ -0,0 +1,63 @@
+//! Names that a bundle gives to things.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+/// Declares newtypes over `Arc<str>`; see `number.rs` for why this is a macro.
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(from = "String", into = "String")]
+        pub struct $name(pub Arc<str>);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Infallible;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().into()
+            }
+        }
+    )*};
+}
+
+names! {
+    /// A customer, as the bundle names it.
+    Customer;
+    /// A service: a model or a plain service.
+    Service;
+    /// A backend server.
+    Server;
+    /// An availability zone.
+    Zone;
+    /// A kind of accelerator.
+    Accelerator;
+}
--- /dev/null
+++ b/crates/core/src/number.rs
@@ -0,0 +1,41 @@
+//! The one macro of the crate: newtypes over whole numbers.
+
+/// Declares newtypes over `u64` with `Display` and `FromStr`.
+///
+/// A function cannot declare types, and a dozen hand-written copies of the same two impls would
+/// drift apart; hence a macro.
+macro_rules! numbers {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    )*};
+}
+
+pub(crate) use numbers;
--- /dev/null
+++ b/crates/core/src/request.rs
@@ -0,0 +1,99 @@
+//! Identifiers of requests and of their steps.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::number::numbers;
+
+numbers! {
+    /// One run of a process; it differs after every start.
+    ///
+    /// State that a process kept in memory is gone after a restart. Without this number, "I do not
+    /// know that request" from a fresh process would be taken for "that request never ran".
+    Incarnation;
+    /// The number of one path of a request; it grows with every change of path.
+    ///
+    /// A stage that hears an older epoch refuses the step: without this, a stage that was paused
+    /// while it was replaced would extend a cache that nobody reads, and its late token could be
+    /// taken for the successor's. Epochs are given out by one entry only, so comparing numbers is
+    /// enough.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::request::Epoch;
+    /// let epoch: Epoch = "7".parse()?;
+    /// assert!(epoch < epoch.next());
+    /// # Ok::<(), std::num::ParseIntError>(())
+    /// ```
+    Epoch;
+    /// The place of a token in a request's sequence: prompt first, then the answer.
+    Position;
+}
+
+impl Position {
+    /// Returns the position `count` later.
+    #[must_use]
+    pub fn plus(self, count: usize) -> Self {
+        Self(self.0 + count as u64)
+    }
+
+    /// Returns how many positions lie from `earlier` up to this one; zero when there are none.
+    #[must_use]
+    pub fn distance(self, earlier: Self) -> usize {
+        self.0.saturating_sub(earlier.0) as usize
+    }
+}
+
+/// The identifier of a request: which run of which entry accepted it, and its number there.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::request::Request;
+/// let request: Request = "00000000000000ff-3".parse()?;
+/// assert_eq!(request.to_string(), "00000000000000ff-3");
+/// # Ok::<(), jujube_core::request::BadRequest>(())
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Request {
+    /// The run of the entry that accepted the request.
+    pub entry: Incarnation,
+    /// The number of the request in that run.
+    pub number: u64,
+}
+
+/// A text that is not a request identifier.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("expected 16 hex digits, a dash and a number")]
+pub struct BadRequest;
+
+impl From<ParseIntError> for BadRequest {
+    fn from(_: ParseIntError) -> Self {
+        Self
+    }
+}
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}-{}", self.entry.0, self.number)
+    }
+}
+
+impl FromStr for Request {
+    type Err = BadRequest;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (entry, number) = text.split_once('-').ok_or(BadRequest)?;
+        Ok(Self {
+            entry: Incarnation(u64::from_str_radix(entry, 16)?),
+            number: number.parse()?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,49 @@
+//! Time as the controllers see it: a number that is passed in.
+
+use crate::number::numbers;
+
+numbers! {
+    /// Milliseconds since an origin that the process chose.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::time::Instant;
+    /// # use jujube_core::time::Span;
+    /// let start: Instant = "100".parse()?;
+    /// assert_eq!(start.plus(Span(50)).since(start), Span(50));
+    /// # Ok::<(), std::num::ParseIntError>(())
+    /// ```
+    Instant;
+    /// A length of time in milliseconds.
+    Span;
+}
+
+impl Instant {
+    /// Returns the instant `span` later.
+    #[must_use]
+    pub fn plus(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+
+    /// Returns the time from `earlier` to this instant; zero when `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Span {
+    /// Returns the whole seconds, rounded up, at least 1: the unit of `Retry-After`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::time::Span;
+    /// assert_eq!(Span(1200).retry_after_seconds(), 2);
+    /// ```
+    #[must_use]
+    pub fn retry_after_seconds(self) -> u64 {
+        self.0.div_ceil(1000).max(1)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/kv/store.rs
@@ -0,0 +1,107 @@
+//! What the system needs of a key-value service.
+
+use std::fmt;
+use std::future::Future;
+
+/// The number of a change to the store; 0 stands for a key that is not there.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Revision(pub u64);
+
+/// The identifier of a lease.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Lease(pub i64);
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A key with its value.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Pair {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: String,
+    /// When it was last written.
+    pub revision: Revision,
+}
+
+/// A condition of a transaction: the key was last written at this revision.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Condition {
+    /// The key.
+    pub key: String,
+    /// Its revision; 0 when it must not be there.
+    pub revision: Revision,
+}
+
+/// A write of a transaction.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Write {
+    /// Sets a key; with a lease it goes when the lease does.
+    Put {
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        /// The lease, if any.
+        lease: Option<Lease>,
+    },
+    /// Removes a key.
+    Delete {
+        /// The key.
+        key: String,
+    },
+}
+
+/// Why the service gave no answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// Nothing was sent.
+    Down(String),
+    /// It was sent, and the answer is lost: a write may have taken effect.
+    Unknown(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Down(why) => write!(f, "key-value service cannot be reached: {why}"),
+            Self::Unknown(why) => write!(f, "key-value service gave no answer: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A key-value service.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Reads a key.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Pair>, Error>> + Send;
+
+    /// Reads all keys with a prefix, in order.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<Pair>, Error>> + Send;
+
+    /// Writes everything if every condition holds, else nothing; tells which.
+    fn swap(
+        &self,
+        conditions: &[Condition],
+        writes: &[Write],
+    ) -> impl Future<Output = Result<bool, Error>> + Send;
+
+    /// Takes a lease that ends after a time without renewal.
+    fn grant(&self, seconds: u64) -> impl Future<Output = Result<Lease, Error>> + Send;
+
+    /// Renews a lease; `false` when it has ended.
+    fn renew(&self, lease: Lease) -> impl Future<Output = Result<bool, Error>> + Send;
+
+    /// Waits until a key changes after a revision, and returns its new value. The wait has a bound
+    /// after which it returns `None`.
+    fn changed(
+        &self,
+        key: &str,
+        after: Revision,
+    ) -> impl Future<Output = Result<Option<Pair>, Error>> + Send;
+}
--- /dev/null
+++ b/crates/platform/src/orders.rs
@@ -0,0 +1,90 @@
+//! Who may give orders to engines: a lease in the key-value service, with a fencing number.
+
+use jujube_core::fence::Holder;
+use jujube_core::fence::Token;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+
+use crate::kv::Condition;
+use crate::kv::Error;
+use crate::kv::Lease;
+use crate::kv::Revision;
+use crate::kv::Store;
+use crate::kv::Write;
+
+/// The key of the current holder; it goes with the holder's lease.
+const HOLDER: &str = "jujube/orders/holder";
+/// The key of the last fencing number; it stays.
+const TOKEN: &str = "jujube/orders/token";
+
+/// How long the lease lasts without renewal.
+pub const TTL: Span = Span(9_000);
+
+/// Reads the current fencing number; 0 before the first holder.
+///
+/// # Errors
+///
+/// The service gives no answer, or the value is malformed.
+pub async fn current(store: &impl Store) -> Result<Token, Error> {
+    Ok(read(store).await?.0)
+}
+
+async fn read(store: &impl Store) -> Result<(Token, Revision), Error> {
+    let Some(pair) = store.get(TOKEN).await? else {
+        return Ok((Token(0), Revision(0)));
+    };
+    let token = pair.value.parse();
+    let token = token.map_err(|_| Error::Unknown("a malformed fencing number".into()))?;
+    Ok((token, pair.revision))
+}
+
+/// Tries to become the holder; `None` when somebody else is.
+///
+/// The number grows in the same transaction that takes the lease, so that no two holders ever share
+/// one.
+///
+/// # Errors
+///
+/// The service gives no answer. The lease may have been taken all the same; it then ends by itself,
+/// and its number is never used.
+pub async fn acquire(
+    store: &impl Store,
+    now: Instant,
+    name: &str,
+) -> Result<Option<(Holder, Lease)>, Error> {
+    let (token, revision) = read(store).await?;
+    if store.get(HOLDER).await?.is_some() {
+        return Ok(None);
+    }
+    let lease = store.grant(TTL.0 / 1000).await?;
+    let conditions = [
+        Condition {
+            key: HOLDER.into(),
+            revision: Revision(0),
+        },
+        Condition {
+            key: TOKEN.into(),
+            revision,
+        },
+    ];
+    let token = token.next();
+    let writes = [
+        Write::Put {
+            key: HOLDER.into(),
+            value: name.into(),
+            lease: Some(lease),
+        },
+        Write::Put {
+            key: TOKEN.into(),
+            value: token.to_string(),
+            lease: None,
+        },
+    ];
+    let won = store.swap(&conditions, &writes).await?;
+    let holder = Holder {
+        token,
+        renewed: now,
+        ttl: TTL,
+    };
+    Ok(won.then_some((holder, lease)))
+}
--- /dev/null
+++ b/crates/program/src/arguments.rs
@@ -0,0 +1,126 @@
+//! The command line that the daemons share.
+
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use anyhow::bail;
+use pico_args::Arguments;
+
+/// What a daemon was asked to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Command {
+    /// Print the help and exit 0.
+    Help,
+    /// Print the version and exit 0.
+    Version,
+    /// Check the settings and exit.
+    Check(PathBuf),
+    /// Run with these settings.
+    Run(PathBuf),
+}
+
+/// Reads a daemon's arguments.
+///
+/// # Errors
+///
+/// `--settings` is missing, or an argument is unknown.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_program::arguments::Command;
+/// # use jujube_program::arguments::daemon;
+/// let arguments = pico_args::Arguments::from_vec(vec!["--help".into()]);
+/// assert_eq!(daemon(arguments).unwrap(), Command::Help);
+/// ```
+pub fn daemon(mut arguments: Arguments) -> Result<Command> {
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Command::Help);
+    }
+    if arguments.contains(["-V", "--version"]) {
+        return Ok(Command::Version);
+    }
+    let check = arguments.contains("--check");
+    let settings: PathBuf = arguments.value_from_str("--settings")?;
+    finish(arguments)?;
+    Ok(if check {
+        Command::Check(settings)
+    } else {
+        Command::Run(settings)
+    })
+}
+
+/// A daemon's program: everything that differs from one to the next.
+pub struct Daemon<S> {
+    /// The program's name.
+    pub name: &'static str,
+    /// What `--help` prints.
+    pub help: &'static str,
+    /// What `--version` prints after the name.
+    pub version: &'static str,
+    /// Reads and checks the settings.
+    pub read: fn(&Path) -> Result<S>,
+    /// Runs until stopped.
+    pub run: fn(S) -> Result<()>,
+}
+
+/// The exit code of a program that could not start or run.
+pub const FAILED: u8 = 1;
+/// The exit code of wrong arguments or settings.
+pub const MISUSED: u8 = 2;
+
+impl<S> Daemon<S> {
+    /// Does what the command line asks, and returns the exit code.
+    pub fn main(&self) -> ExitCode {
+        let command = match daemon(Arguments::from_env()) {
+            Ok(command) => command,
+            Err(error) => return fail(self.name, MISUSED, &error),
+        };
+        let path = match &command {
+            Command::Help => {
+                print!("{}", self.help);
+                return ExitCode::SUCCESS;
+            }
+            Command::Version => {
+                println!("{} {}", self.name, self.version);
+                return ExitCode::SUCCESS;
+            }
+            Command::Check(path) | Command::Run(path) => path,
+        };
+        let settings = match (self.read)(path) {
+            Ok(settings) => settings,
+            Err(error) => return fail(self.name, MISUSED, &error),
+        };
+        if matches!(command, Command::Check(_)) {
+            println!("{}: ok", path.display());
+            return ExitCode::SUCCESS;
+        }
+        match (self.run)(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => fail(self.name, FAILED, &error),
+        }
+    }
+}
+
+/// Says on standard error what is wrong, and returns the exit code.
+pub fn fail(name: &str, code: u8, error: &anyhow::Error) -> ExitCode {
+    // With standard error closed, the exit code still tells.
+    let _best_effort = writeln!(std::io::stderr(), "{name}: {error:#}");
+    ExitCode::from(code)
+}
+
+/// Refuses what was not read.
+///
+/// # Errors
+///
+/// An argument is left.
+pub fn finish(arguments: Arguments) -> Result<()> {
+    let left = arguments.finish();
+    if let Some(first) = left.first() {
+        bail!("unknown argument `{}`; see --help", first.to_string_lossy());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/program/src/http.rs
@@ -0,0 +1,238 @@
+//! Plumbing around the HTTP library: one server loop, one client, JSON in and out.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::service::service_fn;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+
+use crate::shutdown::Signal;
+
+/// A body that is whole or streamed.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Returns a whole body.
+pub fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
+/// Returns a body that keeps a guard until it has been sent or its receiver is gone.
+pub fn held<B, G>(body: B, guard: G) -> Body
+where
+    B: hyper::body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    G: Send + 'static,
+{
+    let body = body.map_err(move |error| {
+        let _kept_by_this_closure = &guard;
+        io::Error::other(error)
+    });
+    body.boxed_unsync()
+}
+
+/// Returns a response with a JSON body.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(whole(bytes));
+    *response.status_mut() = status;
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// Returns a response with a text body.
+pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(whole(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// Serves HTTP/1.1 until told to stop; what is in flight then ends first.
+///
+/// # Errors
+///
+/// The listener fails for good.
+pub async fn serve<H, F>(listener: TcpListener, mut stop: Signal, handler: H) -> io::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.stopped() => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Too many open files: without the pause this loop would take a core.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _best_effort = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _caller_gone = connection.await;
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    Ok(())
+}
+
+/// Why a call got no answer.
+#[derive(Debug)]
+pub enum Error {
+    /// No connection: the request was not sent.
+    NotSent(String),
+    /// The request may have been sent.
+    Unknown(String),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotSent(why) => write!(f, "not sent: {why}"),
+            Self::Unknown(why) => write!(f, "no answer: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// An HTTP client with a pool of connections.
+#[derive(Clone)]
+pub struct Client {
+    inner: hyper_util::client::legacy::Client<HttpConnector, Body>,
+}
+
+impl Client {
+    /// Returns a client that gives up connecting after a while.
+    #[must_use]
+    pub fn new(connect: Duration) -> Self {
+        Self::with_idle(connect, true)
+    }
+
+    /// Returns a client that opens a connection for every request.
+    ///
+    /// A pooled connection may have gone silent while it idled; a request that may not be repeated
+    /// must not find that out.
+    #[must_use]
+    pub fn fresh(connect: Duration) -> Self {
+        Self::with_idle(connect, false)
+    }
+
+    fn with_idle(connect: Duration, keep: bool) -> Self {
+        const KEPT: usize = 512;
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect));
+        let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_max_idle_per_host(if keep { KEPT } else { 0 })
+            // The library's own retry cannot know what may be repeated.
+            .retry_canceled_requests(keep)
+            .build(connector);
+        Self { inner }
+    }
+
+    /// Sends a request and returns the response with its body still to come.
+    ///
+    /// # Errors
+    ///
+    /// No connection, or no answer on it.
+    pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, Error> {
+        self.inner.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                return Error::NotSent(describe(&error));
+            }
+            Error::Unknown(describe(&error))
+        })
+    }
+
+    /// Posts JSON and reads JSON, all within a time.
+    ///
+    /// # Errors
+    ///
+    /// No connection, no answer in time, another status than 200, or an answer of another form.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        url: &str,
+        body: &impl Serialize,
+        within: Duration,
+    ) -> Result<T, Error> {
+        let bytes = serde_json::to_vec(body).map_err(|e| Error::NotSent(e.to_string()))?;
+        let request = Request::post(url)
+            .header(CONTENT_TYPE, "application/json")
+            .body(whole(bytes))
+            .map_err(|e| Error::NotSent(e.to_string()))?;
+        self.exchange(request, within).await
+    }
+
+    /// Gets JSON within a time.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::post`].
+    pub async fn get<T: DeserializeOwned>(&self, url: &str, within: Duration) -> Result<T, Error> {
+        let request = Request::get(url).body(whole(""));
+        let request = request.map_err(|e| Error::NotSent(e.to_string()))?;
+        self.exchange(request, within).await
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        request: Request<Body>,
+        within: Duration,
+    ) -> Result<T, Error> {
+        let exchange = async {
+            let response = self.send(request).await?;
+            let status = response.status();
+            let body = response.into_body().collect().await;
+            let bytes = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
+            if status != StatusCode::OK {
+                let text = String::from_utf8_lossy(&bytes);
+                return Err(Error::Unknown(format!("status {status}: {text}")));
+            }
+            serde_json::from_slice(&bytes).map_err(|e| Error::Unknown(e.to_string()))
+        };
+        let answer = tokio::time::timeout(within, exchange).await;
+        answer.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())))
+    }
+}
+
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/program/src/shutdown.rs
@@ -0,0 +1,74 @@
+//! Graceful shutdown.
+
+use std::future::Future;
+
+use tokio::sync::watch;
+
+/// The side that asks for the stop.
+#[derive(Clone, Debug)]
+pub struct Trigger(watch::Sender<bool>);
+
+/// The side that waits for it.
+#[derive(Clone, Debug)]
+pub struct Signal(watch::Receiver<bool>);
+
+/// Returns a connected pair.
+#[must_use]
+pub fn pair() -> (Trigger, Signal) {
+    let (sender, receiver) = watch::channel(false);
+    (Trigger(sender), Signal(receiver))
+}
+
+impl Trigger {
+    /// Asks for the stop.
+    pub fn stop(&self) {
+        self.0.send_replace(true);
+    }
+}
+
+impl Signal {
+    /// Waits for the stop; a trigger that is gone never asks.
+    pub async fn stopped(&mut self) {
+        if self.0.wait_for(|stopped| *stopped).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Tells whether the stop was asked for.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        *self.0.borrow()
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// The handlers cannot be set.
+pub async fn terminated() -> std::io::Result<()> {
+    use tokio::signal::unix::SignalKind;
+    use tokio::signal::unix::signal;
+
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Runs a future on a named thread of its own: control state keeps moving however busy traffic is.
+///
+/// # Errors
+///
+/// The thread or its runtime cannot be had.
+pub fn on_control_thread<F>(future: F) -> std::io::Result<std::thread::JoinHandle<()>>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let thread = std::thread::Builder::new().name("control".into());
+    thread.spawn(move || runtime.block_on(future))
+}
--- /dev/null
+++ b/crates/sidecar/src/control.rs
@@ -0,0 +1,67 @@
+//! The control thread: time, health and the fencing number.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jujube_platform::kv::Etcd;
+use jujube_platform::kv::Store;
+use jujube_platform::orders;
+use jujube_program::clock;
+use jujube_program::shutdown::Signal;
+use tokio::runtime::Handle;
+
+use crate::perform::perform;
+use crate::state::State;
+
+const TICK: Duration = Duration::from_millis(500);
+
+/// Runs until told to stop. Actions are carried out on the traffic runtime.
+pub(crate) async fn run(state: State, traffic: Handle, mut stop: Signal) {
+    let mut fencing_known = state.settings.kv.is_empty();
+    if fencing_known {
+        // Without a key-value service nobody can hold the lease, and no order will come.
+        log::debug!("event=no-kv");
+    }
+    loop {
+        check_health(&state).await;
+        if !fencing_known {
+            fencing_known = learn(&state).await;
+        }
+        tick(&state, &traffic);
+        tokio::select! {
+            () = tokio::time::sleep(TICK) => {}
+            () = stop.stopped() => return,
+        }
+    }
+}
+
+async fn check_health(state: &State) {
+    let healthy = state.engine.healthy().await;
+    let was = state.healthy.swap(healthy, Ordering::Relaxed);
+    if was != healthy {
+        log::info!("event=backend healthy={healthy}");
+    }
+}
+
+/// Reads the current fencing number; until then no order is passed on.
+async fn learn(state: &State) -> bool {
+    let store = Etcd::new(&state.settings.kv);
+    let Ok(token) = current(&store).await else {
+        return false;
+    };
+    state.gate().learn(token);
+    true
+}
+
+async fn current(store: &impl Store) -> Result<jujube_core::fence::Token, ()> {
+    orders::current(store).await.map_err(|_| ())
+}
+
+fn tick(state: &State, traffic: &Handle) {
+    let now = clock::now();
+    let mut actions = Vec::new();
+    state.ledger().tick(now, &mut actions);
+    state.once().tick(now);
+    let _inside = traffic.enter();
+    perform(state, actions);
+}
--- /dev/null
+++ b/crates/sidecar/src/main.rs
@@ -0,0 +1,52 @@
+//! `jujube-sidecar`: see the help below.
+
+use std::process::ExitCode;
+
+use anyhow::Result;
+use jujube_program::arguments::Daemon;
+use jujube_program::logs;
+use jujube_program::shutdown;
+use jujube_sidecar::Settings;
+
+const HELP: &str = "\
+jujube-sidecar: the process beside each backend server
+
+USAGE:
+  jujube-sidecar --settings FILE [--check]
+  jujube-sidecar --help | --version
+
+OPTIONS:
+  --settings FILE  settings in INI; see docs/SETTINGS.md
+  --check          check the settings and exit
+
+EXIT CODES:
+  0  stopped as asked, nothing cut; or the settings hold
+  1  it could not start or run
+  2  wrong arguments or settings
+";
+
+fn main() -> ExitCode {
+    let daemon = Daemon {
+        name: "jujube-sidecar",
+        help: HELP,
+        version: env!("CARGO_PKG_VERSION"),
+        read: Settings::read,
+        run,
+    };
+    daemon.main()
+}
+
+fn run(settings: Settings) -> Result<()> {
+    logs::start("sidecar", &settings.telemetry.level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let handle = jujube_sidecar::start(settings).await?;
+        println!("sidecar {} http {}", handle.address, handle.http);
+        shutdown::terminated().await?;
+        handle.drain().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/sidecar/src/state.rs
@@ -0,0 +1,139 @@
+//! What the sidecar's tasks share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use jujube_core::fence::Gate;
+use jujube_core::head;
+use jujube_core::head::Config;
+use jujube_core::head::ConfigError;
+use jujube_core::head::Generation;
+use jujube_core::ledger::Ledger;
+use jujube_core::ledger::Limits;
+use jujube_core::once;
+use jujube_core::request::Incarnation;
+use jujube_program::clock;
+use jujube_program::counters::Counters;
+use jujube_wire::connection::Patience;
+use jujube_wire::outbox::Outboxes;
+
+use crate::engine::Engine;
+use crate::perform::ToEntry;
+use crate::perform::ToStage;
+use crate::settings::Settings;
+
+/// The state of a sidecar.
+#[derive(Clone)]
+pub(crate) struct State(Arc<Inner>);
+
+pub(crate) struct Inner {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) http: SocketAddr,
+    pub(crate) engine: Engine,
+    pub(crate) counters: Counters,
+    pub(crate) healthy: AtomicBool,
+    pub(crate) draining: AtomicBool,
+    ledger: Mutex<Ledger>,
+    once: Mutex<once::Ledger>,
+    gate: Mutex<Gate>,
+    config: Mutex<Option<Arc<Config>>>,
+    outboxes: Mutex<Option<(Outboxes<ToStage>, Outboxes<ToEntry>)>>,
+}
+
+impl std::ops::Deref for State {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.0
+    }
+}
+
+/// Slots until the first configuration is applied.
+const FIRST_SLOTS: usize = 64;
+
+impl State {
+    pub(crate) fn new(settings: Settings, http: SocketAddr, counters: Counters) -> Self {
+        let incarnation = clock::incarnation();
+        let limits = Limits::default();
+        let state = Self(Arc::new(Inner {
+            incarnation,
+            http,
+            engine: Engine::new(&settings.backend, settings.engine_patience),
+            counters,
+            healthy: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            ledger: Mutex::new(Ledger::new(settings.server.clone(), limits)),
+            once: Mutex::new(once::Ledger::new(incarnation, FIRST_SLOTS)),
+            gate: Mutex::default(),
+            config: Mutex::default(),
+            outboxes: Mutex::default(),
+            settings,
+        }));
+        let patience = Patience::default();
+        let stages = Outboxes::new(ToStage(state.clone()), patience);
+        let entries = Outboxes::new(ToEntry(state.clone()), patience);
+        *lock(&state.outboxes) = Some((stages, entries));
+        state
+    }
+
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.ledger)
+    }
+
+    pub(crate) fn once(&self) -> MutexGuard<'_, once::Ledger> {
+        lock(&self.once)
+    }
+
+    pub(crate) fn gate(&self) -> MutexGuard<'_, Gate> {
+        lock(&self.gate)
+    }
+
+    pub(crate) fn outboxes(&self) -> Option<(Outboxes<ToStage>, Outboxes<ToEntry>)> {
+        lock(&self.outboxes).clone()
+    }
+
+    pub(crate) fn config(&self) -> Option<Arc<Config>> {
+        lock(&self.config).clone()
+    }
+
+    pub(crate) fn generation(&self) -> Generation {
+        self.config().map_or(Generation(0), |config| config.head.generation)
+    }
+
+    /// Applies a configuration if it is newer and holds.
+    pub(crate) fn apply(&self, config: Config) -> Result<(), ConfigError> {
+        let mut in_force = lock(&self.config);
+        let generation = in_force.as_ref().map_or(Generation(0), |c| c.head.generation);
+        let bundle = head::accept(generation, &config, &self.settings.trust)?;
+        if let Some(member) = bundle.servers.get(&self.settings.server) {
+            self.ledger().set_slots(member.slots as usize);
+            self.once().set_slots(member.slots as usize);
+        }
+        log::info!("event=config generation={}", config.head.generation);
+        *in_force = Some(Arc::new(config));
+        Ok(())
+    }
+
+    /// Refuses new work from now on.
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.ledger().drain();
+        self.once().drain();
+    }
+
+    /// Tells whether nothing is in flight.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.ledger().is_empty() && self.once().busy() == 0
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A panic under one of these locks ends that call only; the ledgers change in whole steps.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
