--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -186,7 +186,10 @@
     fn predict(&self, share: &Share) -> Span {
         let own = self.lines.get(&share.customer);
         let ahead = own.map_or(0, |line| line.waiting.len() as u64) + 1;
-        let others = self.lines.iter().filter(|(c, l)| **c != share.customer && l.is_active());
+        let others = self
+            .lines
+            .iter()
+            .filter(|(c, l)| **c != share.customer && l.is_active());
         let weight = share.weight.max(1);
         let total: u64 = others.map(|(_, line)| line.weight).sum::<u64>() + weight;
         let micros = ahead * self.lasts * total / (weight * self.settings.slots.max(1));
@@ -222,7 +225,10 @@
         if self.running >= self.settings.slots {
             return None;
         }
-        let ready = self.lines.iter().filter(|(_, line)| !line.waiting.is_empty());
+        let ready = self
+            .lines
+            .iter()
+            .filter(|(_, line)| !line.waiting.is_empty());
         let ranked = ready.map(|(customer, line)| (self.rank(now, line), customer));
         let customer = ranked.min()?.1.clone();
         let first = self.lines.get_mut(&customer)?.waiting.pop_front()?;
--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -8,11 +8,11 @@
 use crate::bundle::Bundle;
 use crate::bundle::Kind;
 use crate::bundle::Member;
+use crate::bundle::Trust;
 use crate::head::Config;
 use crate::head::ConfigError;
 use crate::head::Generation;
 use crate::head::accept;
-use crate::bundle::Trust;
 use crate::membership::Membership;
 use crate::membership::Settings;
 use crate::name::Customer;
@@ -110,7 +110,9 @@
     /// Returns the generation in force; 0 before the first.
     #[must_use]
     pub fn generation(&self) -> Generation {
-        self.config.as_ref().map_or(Generation(0), |config| config.head.generation)
+        self.config
+            .as_ref()
+            .map_or(Generation(0), |config| config.head.generation)
     }
 
     /// Applies a configuration if it is newer and holds.
@@ -151,7 +153,8 @@
             }
             snapshot.usable.extend(usable);
         }
-        self.solved.retain(|service, _| bundle.services.contains_key(service));
+        self.solved
+            .retain(|service, _| bundle.services.contains_key(service));
         snapshot
     }
 
@@ -180,14 +183,15 @@
         {
             return Arc::new(solved.table.with_loads(held));
         }
-        let candidates = bundle.in_use(service).filter(|(server, _)| usable.contains(*server));
+        let candidates = bundle
+            .in_use(service)
+            .filter(|(server, _)| usable.contains(*server));
         let candidates = candidates.map(|(server, member)| {
             let others = held(server);
             candidate(bundle, server, member, others)
         });
         let table = Table::build(candidates.collect(), fleet(bundle, service));
-        // A flow that cannot be solved leaves an empty table: paths are then found by cover.
-        let table = Arc::new(table.unwrap_or_default());
+        let table = Arc::new(table);
         let solved = Solved {
             generation,
             usable: usable.clone(),
@@ -200,9 +204,8 @@
 
 fn index(bundle: &Bundle) -> BTreeMap<Arc<str>, Customer> {
     let customers = bundle.customers.iter();
-    let keys = customers.flat_map(|(name, tenant)| {
-        tenant.keys.iter().map(|key| (key.clone(), name.clone()))
-    });
+    let keys = customers
+        .flat_map(|(name, tenant)| tenant.keys.iter().map(|key| (key.clone(), name.clone())));
     keys.collect()
 }
 
--- a/crates/core/src/bundle/check.rs
+++ b/crates/core/src/bundle/check.rs
@@ -1,7 +1,7 @@
 //! Checks of a bundle that need more than one section.
 
+use core::net::SocketAddr;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use super::model::Bundle;
 use super::model::Kind;
@@ -41,14 +41,26 @@
             faults.push(Fault::new(&section, "weight", "0: expected 1 or more"));
         }
         if tenant.max_in_flight == 0 {
-            faults.push(Fault::new(&section, "max-in-flight", "0: expected 1 or more"));
+            faults.push(Fault::new(
+                &section,
+                "max-in-flight",
+                "0: expected 1 or more",
+            ));
         }
         if tenant.keys.is_empty() {
-            faults.push(Fault::new(&section, "keys", "missing: expected SHA-256 digests in hex"));
+            faults.push(Fault::new(
+                &section,
+                "keys",
+                "missing: expected SHA-256 digests in hex",
+            ));
         }
         for key in &tenant.keys {
             if key.len() != 64 || !key.bytes().all(|b| b.is_ascii_hexdigit()) {
-                faults.push(Fault::new(&section, "keys", "expected SHA-256 digests in hex"));
+                faults.push(Fault::new(
+                    &section,
+                    "keys",
+                    "expected SHA-256 digests in hex",
+                ));
             }
             if let Some(other) = owners.insert(key.clone(), name) {
                 let what = format!("the same key as customer {other}");
@@ -142,7 +154,11 @@
         return;
     }
     if member.layers.is_empty() {
-        faults.push(Fault::new(section, "layers", "missing: expected `start-end`"));
+        faults.push(Fault::new(
+            section,
+            "layers",
+            "missing: expected `start-end`",
+        ));
     }
     if !Range::new(0, offer.layers).contains(member.layers) {
         let what = format!("{}: the model has layers 0-{}", member.layers, offer.layers);
--- a/crates/core/src/bundle/diff.rs
+++ b/crates/core/src/bundle/diff.rs
@@ -48,10 +48,17 @@
     compare("customer", &older.customers, &newer.customers, &mut changes);
     compare("service", &older.services, &newer.services, &mut changes);
     compare("server", &older.servers, &newer.servers, &mut changes);
-    compare("accelerator", &older.accelerators, &newer.accelerators, &mut changes);
+    compare(
+        "accelerator",
+        &older.accelerators,
+        &newer.accelerators,
+        &mut changes,
+    );
     let named = |bundle: &Bundle| -> BTreeMap<String, super::Link> {
         let links = bundle.links.iter();
-        links.map(|((a, b), link)| (format!("{a} {b}"), *link)).collect()
+        links
+            .map(|((a, b), link)| (format!("{a} {b}"), *link))
+            .collect()
     };
     compare("link", &named(older), &named(newer), &mut changes);
     changes
--- a/crates/core/src/bundle/mod.rs
+++ b/crates/core/src/bundle/mod.rs
@@ -6,12 +6,12 @@
 mod parse;
 mod sign;
 
+pub use crate::section::Fault;
 pub use check::check;
 pub use diff::Change;
 pub use diff::Guard;
-pub use diff::guard;
 pub use diff::diff;
-pub use crate::section::Fault;
+pub use diff::guard;
 pub use model::Bundle;
 pub use model::Capacity;
 pub use model::Kind;
--- a/crates/core/src/bundle/parse.rs
+++ b/crates/core/src/bundle/parse.rs
@@ -99,7 +99,11 @@
                 latency_micros: reader.number("latency-micros", Some(0)),
             };
             let (one, other) = (Zone::from(*one), Zone::from(*other));
-            let pair = if one <= other { (one, other) } else { (other, one) };
+            let pair = if one <= other {
+                (one, other)
+            } else {
+                (other, one)
+            };
             bundle.links.insert(pair, link);
         }
         _ => reader.fault(
--- a/crates/core/src/bundle/sign.rs
+++ b/crates/core/src/bundle/sign.rs
@@ -127,7 +127,8 @@
         let bytes = decode::<64>(&signature.signature).ok_or_else(mismatch)?;
         let key = VerifyingKey::from_bytes(&key).map_err(|_| mismatch())?;
         let signature = ed25519_dalek::Signature::from_bytes(&bytes);
-        key.verify_strict(digest.0.as_bytes(), &signature).map_err(|_| mismatch())
+        key.verify_strict(digest.0.as_bytes(), &signature)
+            .map_err(|_| mismatch())
     }
 
     /// Checks that two different trusted people signed a bundle, and returns its digest.
--- a/crates/core/src/head.rs
+++ b/crates/core/src/head.rs
@@ -122,16 +122,16 @@
 /// # Errors
 ///
 /// It is not newer, not signed as it must be, or does not hold.
-pub fn accept(
-    in_force: Generation,
-    config: &Config,
-    trust: &Trust,
-) -> Result<Bundle, ConfigError> {
+pub fn accept(in_force: Generation, config: &Config, trust: &Trust) -> Result<Bundle, ConfigError> {
     let offered = config.head.generation;
     if offered <= in_force {
         return Err(ConfigError::NotNewer { offered, in_force });
     }
-    let signature = config.head.signature.as_ref().ok_or(ConfigError::Unsigned)?;
+    let signature = config
+        .head
+        .signature
+        .as_ref()
+        .ok_or(ConfigError::Unsigned)?;
     let head = config.head.digest();
     trust.verify(&head, signature).map_err(ConfigError::Head)?;
     let digest = trust.accept(&config.signed)?;
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -317,7 +317,8 @@
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let limits = self.limits;
         let lapsed = |since: Instant, span: Span| now.since(since) > span;
-        self.released.retain(|_, (_, at)| !lapsed(*at, limits.remember));
+        self.released
+            .retain(|_, (_, at)| !lapsed(*at, limits.remember));
         let orphans = self.entries.iter().filter(|(request, _)| {
             let renewed = self.leases.get(&request.entry);
             renewed.is_none_or(|renewed| lapsed(*renewed, limits.lease))
@@ -327,8 +328,12 @@
             self.entries.remove(&request);
             actions.push(Action::Free { request });
         }
-        self.leases.retain(|_, renewed| !lapsed(*renewed, limits.lease));
-        let still = self.entries.iter().filter(|(_, e)| lapsed(e.heard, limits.idle));
+        self.leases
+            .retain(|_, renewed| !lapsed(*renewed, limits.lease));
+        let still = self
+            .entries
+            .iter()
+            .filter(|(_, e)| lapsed(e.heard, limits.idle));
         let still: Vec<Request> = still.map(|(request, _)| *request).collect();
         for request in still {
             self.lose(request, actions);
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -180,7 +180,10 @@
     /// Returns how old the last heartbeat is.
     #[must_use]
     pub fn age(&self, now: Instant, server: &Server) -> Option<Span> {
-        self.servers.get(server)?.heard.map(|heard| now.since(heard))
+        self.servers
+            .get(server)?
+            .heard
+            .map(|heard| now.since(heard))
     }
 
     /// Returns one backend server's state.
@@ -214,7 +217,10 @@
     pub fn usable(&self, now: Instant, service: &[Server]) -> BTreeSet<Server> {
         let up = |server: &&Server| self.state(now, server) == State::Up;
         let usable: BTreeSet<Server> = service.iter().filter(up).cloned().collect();
-        let known = service.iter().filter(|server| self.last(server).is_some()).count();
+        let known = service
+            .iter()
+            .filter(|server| self.last(server).is_some())
+            .count();
         if usable.len() * 100 >= known * self.settings.floor_percent {
             return usable;
         }
--- a/crates/core/src/once.rs
+++ b/crates/core/src/once.rs
@@ -195,6 +195,7 @@
     pub fn tick(&mut self, now: Instant) {
         let in_flight = |state| matches!(state, State::Received | State::Handed);
         let recent = |record: &Record| now.since(record.at) <= REMEMBER;
-        self.records.retain(|_, record| in_flight(record.state) || recent(record));
+        self.records
+            .retain(|_, record| in_flight(record.state) || recent(record));
     }
 }
--- a/crates/core/src/path/bound.rs
+++ b/crates/core/src/path/bound.rs
@@ -128,7 +128,10 @@
 impl<'a> Program<'a> {
     fn new(fleet: &'a Fleet) -> Self {
         let zones: BTreeSet<&Zone> = fleet.groups.iter().map(|g| &g.zone).collect();
-        let ends = fleet.groups.iter().flat_map(|g| [g.layers.start, g.layers.end]);
+        let ends = fleet
+            .groups
+            .iter()
+            .flat_map(|g| [g.layers.start, g.layers.end]);
         let boundaries: BTreeSet<u32> = ends.chain([0, fleet.layers]).collect();
         Self {
             fleet,
@@ -217,7 +220,8 @@
                 memory.add(arc.variable, self.fleet.token_seconds);
             }
             let capacity = group.layer_tokens as f64;
-            self.problem.add_constraint(time, ComparisonOp::Le, capacity);
+            self.problem
+                .add_constraint(time, ComparisonOp::Le, capacity);
             if self.fleet.token_seconds > 0.0 {
                 let slots = group.slots as f64;
                 self.problem.add_constraint(memory, ComparisonOp::Le, slots);
@@ -237,7 +241,8 @@
             for arc in self.arcs.iter().filter(crosses) {
                 load.add(arc.variable, self.fleet.activation_bytes as f64);
             }
-            self.problem.add_constraint(load, ComparisonOp::Le, *bytes as f64);
+            self.problem
+                .add_constraint(load, ComparisonOp::Le, *bytes as f64);
         }
     }
 
@@ -245,7 +250,10 @@
         if self.arcs.is_empty() {
             return Ok(Bound::default());
         }
-        let outcome = self.problem.solve().map_err(|e| BoundError(e.to_string()))?;
+        let outcome = self
+            .problem
+            .solve()
+            .map_err(|e| BoundError(e.to_string()))?;
         let solution = outcome.solution();
         let solution = solution.ok_or_else(|| BoundError("stopped early".into()))?;
         for arc in &mut self.arcs {
@@ -261,7 +269,10 @@
         const NOTHING: f64 = 1e-6;
         let mut flows = Vec::new();
         while let Some(path) = self.widest(NOTHING) {
-            let rate = path.iter().map(|i| self.arcs[*i].rate).fold(f64::INFINITY, f64::min);
+            let rate = path
+                .iter()
+                .map(|i| self.arcs[*i].rate)
+                .fold(f64::INFINITY, f64::min);
             let mut steps = Vec::new();
             for index in path {
                 let arc = &mut self.arcs[index];
@@ -279,7 +290,9 @@
         let open = |arc: &Arc| arc.rate > nothing;
         let by_rate = |a: &usize, b: &usize| self.arcs[*a].rate.total_cmp(&self.arcs[*b].rate);
         let indices = || (0..self.arcs.len()).filter(|i| open(&self.arcs[*i]));
-        let first = indices().filter(|i| self.arcs[*i].from.0 == 0).max_by(by_rate)?;
+        let first = indices()
+            .filter(|i| self.arcs[*i].from.0 == 0)
+            .max_by(by_rate)?;
         let mut path = vec![first];
         let mut state = self.arcs[first].to;
         // A flow may run in a circle between zones at no gain; the bound on steps ends it.
--- a/crates/core/src/path/choose.rs
+++ b/crates/core/src/path/choose.rs
@@ -123,9 +123,8 @@
         excluded: &[Server],
         random: &mut impl Rng,
     ) -> Option<Vec<Stage>> {
-        let lost = |stage: &Stage| {
-            excluded.contains(&stage.server) || table.find(&stage.server).is_none()
-        };
+        let lost =
+            |stage: &Stage| excluded.contains(&stage.server) || table.find(&stage.server).is_none();
         let mut taken: Vec<Server> = excluded.to_vec();
         taken.extend(stages.iter().filter(|s| !lost(s)).map(|s| s.server.clone()));
         let mut repaired = Vec::new();
@@ -213,7 +212,9 @@
         }
         if compared > 0 && compared < members.len() {
             let drawn = (0..compared).map(|_| &members[random.random_range(0..members.len())]);
-            let best = drawn.filter(usable).min_by(|a, b| self.load(a).total_cmp(&self.load(b)));
+            let best = drawn
+                .filter(usable)
+                .min_by(|a, b| self.load(a).total_cmp(&self.load(b)));
             if best.is_some() {
                 return best;
             }
@@ -235,13 +236,20 @@
         excluded: &[Server],
         random: &mut impl Rng,
     ) -> Option<Vec<Stage>> {
+        if range.is_empty() {
+            return None;
+        }
         let mut stages: Vec<Stage> = Vec::new();
         let mut next = range.start;
         while next < range.end {
             let holds = |c: &&Candidate| c.layers.start <= next && next < c.layers.end;
             let usable = |c: &&Candidate| !excluded.contains(&c.server);
-            let able: Vec<&Candidate> =
-                table.candidates.iter().filter(holds).filter(usable).collect();
+            let able: Vec<&Candidate> = table
+                .candidates
+                .iter()
+                .filter(holds)
+                .filter(usable)
+                .collect();
             let chosen = self.pick(&able, range.end, random)?;
             let layers = Range::new(next, chosen.layers.end.min(range.end));
             next = layers.end;
@@ -263,12 +271,16 @@
         match self.settings.policy {
             Policy::Random => Some(able[random.random_range(0..able.len())]),
             Policy::RoundRobin => Some(able[self.turn % able.len()]),
-            Policy::LeastInFlight => {
-                able.iter().copied().min_by_key(|c| self.in_flight(&c.server))
-            }
+            Policy::LeastInFlight => able
+                .iter()
+                .copied()
+                .min_by_key(|c| self.in_flight(&c.server)),
             Policy::Flow => {
                 let reach = able.iter().map(|c| c.layers.end.min(end)).max()?;
-                let far = able.iter().copied().filter(|c| c.layers.end.min(end) == reach);
+                let far = able
+                    .iter()
+                    .copied()
+                    .filter(|c| c.layers.end.min(end) == reach);
                 far.min_by(|a, b| self.load(a).total_cmp(&self.load(b)))
             }
         }
--- a/crates/core/src/path/table.rs
+++ b/crates/core/src/path/table.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use super::bound::Bound;
-use super::bound::BoundError;
 use super::bound::Fleet;
 use super::bound::Flow;
 use super::bound::Group;
@@ -53,32 +52,29 @@
 impl Table {
     /// Groups candidates and solves for the best flow.
     ///
-    /// `fleet` gives everything but the groups.
-    ///
-    /// # Errors
-    ///
-    /// The solver fails.
+    /// `fleet` gives everything but the groups. When the solver fails there are no flows and the
+    /// rate is 0; the candidates are there all the same, and paths are then found by cover.
     ///
     /// # Examples
     ///
     /// ```
     /// # use jujube_core::path::Fleet;
     /// # use jujube_core::path::Table;
-    /// let table = Table::build(Vec::new(), Fleet::default())?;
+    /// let table = Table::build(Vec::new(), Fleet::default());
     /// assert_eq!(table.rate, 0.0);
-    /// # Ok::<(), jujube_core::path::BoundError>(())
     /// ```
-    pub fn build(candidates: Vec<Candidate>, mut fleet: Fleet) -> Result<Self, BoundError> {
+    #[must_use]
+    pub fn build(candidates: Vec<Candidate>, mut fleet: Fleet) -> Self {
         let (candidates, members, groups) = group(candidates);
         fleet.groups = groups;
-        let Bound { rate, flows } = bound(&fleet)?;
-        Ok(Self {
+        let Bound { rate, flows } = bound(&fleet).unwrap_or_default();
+        Self {
             layers: fleet.layers,
             candidates,
             members,
             flows,
             rate,
-        })
+        }
     }
 
     /// Returns the same table with fresh loads and the old flow: loads change with every heartbeat,
@@ -95,7 +91,9 @@
     /// Returns a candidate by name.
     #[must_use]
     pub fn find(&self, server: &Server) -> Option<&Candidate> {
-        self.candidates.iter().find(|candidate| &candidate.server == server)
+        self.candidates
+            .iter()
+            .find(|candidate| &candidate.server == server)
     }
 }
 
--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -1,11 +1,11 @@
 //! Reading INI sections so that every fault names section, key and what was expected.
 
+use core::net::Ipv4Addr;
+use core::net::SocketAddr;
+use core::net::SocketAddrV4;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::fmt::Write;
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
-use std::net::SocketAddrV4;
 use std::str::FromStr;
 use std::sync::Arc;
 
--- a/crates/core/src/session/call.rs
+++ b/crates/core/src/session/call.rs
@@ -130,7 +130,11 @@
         let Some(route) = route else {
             let out_of_patience = now.since(since) >= self.settings.patience;
             if !self.fed || out_of_patience {
-                self.fail(Reason::NoPath, "no path through live backend servers", actions);
+                self.fail(
+                    Reason::NoPath,
+                    "no path through live backend servers",
+                    actions,
+                );
             }
             return;
         };
@@ -141,7 +145,11 @@
 
     /// Frees the request at stages that the new route leaves out.
     fn release_leavers(&self, route: &Route, actions: &mut Vec<Action>) {
-        let leavers = self.route.stages.iter().filter(|stage| !route.stages.contains(stage));
+        let leavers = self
+            .route
+            .stages
+            .iter()
+            .filter(|stage| !route.stages.contains(stage));
         actions.extend(leavers.map(|stage| self.release(stage)));
     }
 
@@ -292,7 +300,13 @@
         }
         let room = self.spec.max_tokens - self.tokens.len();
         let known = next.distance(tokens.first);
-        let fresh: Vec<u64> = tokens.values.iter().skip(known).take(room).copied().collect();
+        let fresh: Vec<u64> = tokens
+            .values
+            .iter()
+            .skip(known)
+            .take(room)
+            .copied()
+            .collect();
         if fresh.is_empty() {
             return;
         }
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -157,9 +157,9 @@
     /// Returns running and waiting requests by service.
     pub(crate) fn depths(&self) -> Vec<(Service, u64, u64)> {
         let desks = lock(&self.desks);
-        let depths = desks.iter().map(|(service, desk)| {
-            (service.clone(), desk.queue.running(), desk.queue.waiting())
-        });
+        let depths = desks
+            .iter()
+            .map(|(service, desk)| (service.clone(), desk.queue.running(), desk.queue.waiting()));
         depths.collect()
     }
 
@@ -169,7 +169,9 @@
         table: &Table,
         excluded: &[Server],
     ) -> Option<Vec<Stage>> {
-        self.with(service, |desk| desk.chooser.choose(table, excluded, &mut desk.random))
+        self.with(service, |desk| {
+            desk.chooser.choose(table, excluded, &mut desk.random)
+        })
     }
 
     pub(crate) fn repair(
@@ -180,7 +182,8 @@
         excluded: &[Server],
     ) -> Option<Vec<Stage>> {
         self.with(service, |desk| {
-            desk.chooser.repair(table, stages, excluded, &mut desk.random)
+            desk.chooser
+                .repair(table, stages, excluded, &mut desk.random)
         })
     }
 
@@ -189,7 +192,9 @@
     }
 
     pub(crate) fn begin(&self, service: &Service, stage: &Stage) {
-        self.with(service, |desk| desk.chooser.begin(std::slice::from_ref(stage)));
+        self.with(service, |desk| {
+            desk.chooser.begin(std::slice::from_ref(stage))
+        });
     }
 
     /// Returns how many requests of this entry a backend server has in flight.
--- a/crates/entry/src/api/claimed.rs
+++ b/crates/entry/src/api/claimed.rs
@@ -42,7 +42,12 @@
     let Some(value) = headers.get(KEY) else {
         return Ok(None);
     };
-    let invalid = || Refusal::not_run(Reason::Invalid, "Idempotency-Key: expected 1 to 255 characters");
+    let invalid = || {
+        Refusal::not_run(
+            Reason::Invalid,
+            "Idempotency-Key: expected 1 to 255 characters",
+        )
+    };
     let text = value.to_str().map_err(|_| invalid())?.trim();
     if text.is_empty() || text.len() > LONGEST_KEY {
         return Err(invalid());
@@ -140,7 +145,10 @@
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let mut response = http::text(status, answer.body.unwrap_or_default());
     let headers = response.headers_mut();
-    if let Some(value) = answer.content_type.and_then(|text| HeaderValue::from_str(&text).ok()) {
+    if let Some(value) = answer
+        .content_type
+        .and_then(|text| HeaderValue::from_str(&text).ok())
+    {
         headers.insert(CONTENT_TYPE, value);
     }
     headers.insert(REPLAYED, HeaderValue::from_static("true"));
@@ -247,7 +255,9 @@
             let answer = kept(StatusCode::OK, Some(kind.into()), &body);
             held.finish(&state, answer);
             let mut response = http::text(StatusCode::OK, body);
-            response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+            response
+                .headers_mut()
+                .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
             Ok(response)
         }
         Err(refusal) => {
--- a/crates/entry/src/api/completions.rs
+++ b/crates/entry/src/api/completions.rs
@@ -18,9 +18,9 @@
 use hyper::header::HeaderMap;
 use hyper::header::HeaderValue;
 use jujube_core::admission::Share;
+use jujube_core::blackboard::Snapshot;
 use jujube_core::bundle::Kind;
 use jujube_core::bundle::Offer;
-use jujube_core::blackboard::Snapshot;
 use jujube_core::name::Customer;
 use jujube_core::name::Service;
 use jujube_core::refusal::Reason;
@@ -113,7 +113,9 @@
     let (parts, body) = request.into_parts();
     let customer = auth::customer(&snapshot, &parts.headers)?;
     let body = Limited::new(body, LONGEST_BODY).collect().await;
-    let body = body.map_err(|error| invalid(format!("body: {error}")))?.to_bytes();
+    let body = body
+        .map_err(|error| invalid(format!("body: {error}")))?
+        .to_bytes();
     let wanted: Wanted =
         serde_json::from_slice(&body).map_err(|error| invalid(format!("body: {error}")))?;
     let service = Service::from(wanted.model.as_str());
@@ -333,7 +335,10 @@
                 text
             }
             Output::Fail(refusal) => {
-                format!("event: error\ndata: {}\n\n", json!({"error": problem::json(refusal)}))
+                format!(
+                    "event: error\ndata: {}\n\n",
+                    json!({"error": problem::json(refusal)})
+                )
             }
         }
     }
--- a/crates/entry/src/api/plain.rs
+++ b/crates/entry/src/api/plain.rs
@@ -55,7 +55,10 @@
     let customer = auth::customer(&snapshot, &parts.headers)?;
     let (service, path) = split(&parts)?;
     let offer = auth::offer(&snapshot, &customer, &service, Kind::Plain)?;
-    let stricter = parts.headers.get(IDEMPOTENT).is_some_and(|value| value == "false");
+    let stricter = parts
+        .headers
+        .get(IDEMPOTENT)
+        .is_some_and(|value| value == "false");
     let idempotent = offer.idempotent.contains(parts.method.as_str()) && !stricter;
     let key = if idempotent {
         None
@@ -80,9 +83,16 @@
     let rest = parts.uri.path().trim_start_matches("/services/");
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
     if service.is_empty() {
-        return Err(Refusal::not_run(Reason::Unknown, "expected /services/SERVICE/PATH"));
+        return Err(Refusal::not_run(
+            Reason::Unknown,
+            "expected /services/SERVICE/PATH",
+        ));
     }
-    let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    let query = parts
+        .uri
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
     Ok((service.into(), format!("/{path}{query}")))
 }
 
@@ -93,7 +103,10 @@
 }
 
 async fn read(parts: &Parts, body: Incoming, keyed: bool) -> Result<Payload, Refusal> {
-    let length = parts.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let length = parts
+        .headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok());
     let length: Option<u64> = length.and_then(|text| text.parse().ok());
     let chunked = parts.headers.contains_key(hyper::header::TRANSFER_ENCODING);
     let short = length.map_or(!chunked, |length| length <= REPLAYABLE);
@@ -124,7 +137,9 @@
 
 impl Drop for Booked {
     fn drop(&mut self) {
-        self.state.admission.end(&self.service, std::slice::from_ref(&self.stage));
+        self.state
+            .admission
+            .end(&self.service, std::slice::from_ref(&self.stage));
     }
 }
 
@@ -188,7 +203,8 @@
             let came = dispatch(self.state, &target, call, self.idempotent, request).await;
             let (verdict, why) = match came {
                 Dispatched::Answered(response) => {
-                    self.state.budget(&self.service, jujube_core::retry::Budget::succeeded);
+                    self.state
+                        .budget(&self.service, jujube_core::retry::Budget::succeeded);
                     return self.pass_on(response, booked, held).await;
                 }
                 Dispatched::Failed(verdict, why) => (verdict, why),
@@ -213,17 +229,28 @@
     }
 
     fn may_try_again(&self) -> bool {
-        let allowed = self.state.budget(&self.service, jujube_core::retry::Budget::take);
-        let counter = if allowed { "retries" } else { "retries_over_budget" };
+        let allowed = self
+            .state
+            .budget(&self.service, jujube_core::retry::Budget::take);
+        let counter = if allowed {
+            "retries"
+        } else {
+            "retries_over_budget"
+        };
         self.state.counters.add(counter, 1);
         allowed
     }
 
     fn choose(&self, snapshot: &Snapshot) -> Option<Target> {
         let targets = snapshot.plain.get(&self.service)?;
-        let untried = targets.iter().filter(|target| !self.tried.contains(&target.server));
+        let untried = targets
+            .iter()
+            .filter(|target| !self.tried.contains(&target.server));
         let load = |target: &&Target| {
-            let own = self.state.admission.in_flight(&self.service, &target.server);
+            let own = self
+                .state
+                .admission
+                .in_flight(&self.service, &target.server);
             (own.max(target.held), own)
         };
         untried.min_by_key(load).cloned()
@@ -273,9 +300,15 @@
         let Some(held) = held else {
             return Ok(Response::from_parts(parts, http::held(body, booked)));
         };
-        let kind = parts.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let kind = parts
+            .headers
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok());
         let kind = kind.map(str::to_string);
-        let length = parts.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+        let length = parts
+            .headers
+            .get(CONTENT_LENGTH)
+            .and_then(|value| value.to_str().ok());
         let length: Option<usize> = length.and_then(|text| text.parse().ok());
         if length.is_none_or(|length| length > claimed::LONGEST_KEPT) {
             let mut answer = claimed::kept(parts.status, kind, &Bytes::new());
@@ -303,9 +336,7 @@
         let refusal = Refusal::not_run(Reason::BackendFailed, why).verdict(verdict);
         match verdict {
             Verdict::NotRun => refusal.retry_after(COME_BACK),
-            Verdict::MayHaveRun | Verdict::Ran if self.idempotent => {
-                refusal.retry_after(COME_BACK)
-            }
+            Verdict::MayHaveRun | Verdict::Ran if self.idempotent => refusal.retry_after(COME_BACK),
             Verdict::MayHaveRun | Verdict::Ran => refusal,
         }
     }
--- a/crates/entry/src/api/problem.rs
+++ b/crates/entry/src/api/problem.rs
@@ -32,13 +32,19 @@
     let status = StatusCode::from_u16(refusal.reason.status());
     let mut response = http::json(status.unwrap_or(StatusCode::BAD_GATEWAY), &json(refusal));
     let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    headers.insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
     let verdict = match refusal.verdict {
         jujube_core::verdict::Verdict::NotRun => "not-run",
         jujube_core::verdict::Verdict::MayHaveRun => "may-have-run",
         jujube_core::verdict::Verdict::Ran => "ran",
     };
-    headers.insert(HeaderName::from_static(VERDICT), HeaderValue::from_static(verdict));
+    headers.insert(
+        HeaderName::from_static(VERDICT),
+        HeaderValue::from_static(verdict),
+    );
     if let Some(span) = refusal.retry_after {
         headers.insert(RETRY_AFTER, HeaderValue::from(span.retry_after_seconds()));
     }
--- a/crates/entry/src/api/status.rs
+++ b/crates/entry/src/api/status.rs
@@ -20,9 +20,16 @@
         let value = json!({"bound_tokens_per_second": table.rate.round()});
         (service.to_string(), value)
     });
-    let queues = state.admission.depths().into_iter().map(|(service, running, waiting)| {
-        (service.to_string(), json!({"running": running, "waiting": waiting}))
-    });
+    let queues = state
+        .admission
+        .depths()
+        .into_iter()
+        .map(|(service, running, waiting)| {
+            (
+                service.to_string(),
+                json!({"running": running, "waiting": waiting}),
+            )
+        });
     let status = json!({
         "role": "entry",
         "incarnation": format!("{:016x}", state.incarnation.0),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -127,9 +127,13 @@
         self.states.retain(|server, _| named(server));
         // An address may have changed: connections are made anew.
         self.peers.clear();
-        let addresses: HashSet<Arc<str>> =
-            bundle.servers.values().map(|member| member.address.clone()).collect();
-        self.state.keep_sidecars(|address| addresses.contains(address));
+        let addresses: HashSet<Arc<str>> = bundle
+            .servers
+            .values()
+            .map(|member| member.address.clone())
+            .collect();
+        self.state
+            .keep_sidecars(|address| addresses.contains(address));
     }
 
     fn beat(&mut self, server: Server, answer: Result<Answer, Error>) {
@@ -198,7 +202,10 @@
             } else {
                 settings.idle_interval
             };
-            let due = self.asked.get(server).is_none_or(|asked| now.since(*asked) >= interval);
+            let due = self
+                .asked
+                .get(server)
+                .is_none_or(|asked| now.since(*asked) >= interval);
             if !due || !self.asking.insert(server.clone()) {
                 continue;
             }
@@ -305,7 +312,12 @@
 fn bottleneck(table: &Table) -> u64 {
     let slots = |layer: u32| -> u64 {
         let holds = |range: jujube_core::layer::Range| range.start <= layer && layer < range.end;
-        table.candidates.iter().filter(|c| holds(c.layers)).map(|c| c.slots).sum()
+        table
+            .candidates
+            .iter()
+            .filter(|c| holds(c.layers))
+            .map(|c| c.slots)
+            .sum()
     };
     (0..table.layers).map(slots).min().unwrap_or(0)
 }
@@ -364,8 +376,16 @@
 /// Returns the services of a snapshot that have no usable backend server; for the status page.
 pub(crate) fn unserved(state: &State) -> Vec<Service> {
     let snapshot = state.snapshot();
-    let models = snapshot.models.iter().filter(|(_, table)| table.rate <= 0.0);
-    let plain = snapshot.plain.iter().filter(|(_, targets)| targets.is_empty());
+    let models = snapshot
+        .models
+        .iter()
+        .filter(|(_, table)| table.rate <= 0.0);
+    let plain = snapshot
+        .plain
+        .iter()
+        .filter(|(_, targets)| targets.is_empty());
     let models = models.map(|(service, _)| service.clone());
-    models.chain(plain.map(|(service, _)| service.clone())).collect()
+    models
+        .chain(plain.map(|(service, _)| service.clone()))
+        .collect()
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -90,7 +90,10 @@
                 tokio::time::sleep(LOOK).await;
             }
         };
-        if tokio::time::timeout(self.state.settings.drain, idle).await.is_err() {
+        if tokio::time::timeout(self.state.settings.drain, idle)
+            .await
+            .is_err()
+        {
             log::warn!("event=drain-cut address={}", self.address);
         }
         tokio::time::sleep(LINGER).await;
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -106,9 +106,8 @@
         let snapshot = self.state.snapshot();
         let table = snapshot.models.get(&self.service);
         let admission = &self.state.admission;
-        let stages = table.and_then(|table| {
-            admission.repair(&self.service, table, &self.stages, excluded)
-        });
+        let stages =
+            table.and_then(|table| admission.repair(&self.service, table, &self.stages, excluded));
         self.route(stages);
     }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,1 @@
-//! x
+//! Load and experiments.
--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -162,11 +162,7 @@
     }
 }
 
-async fn group<S: Store>(
-    store: S,
-    grouping: Grouping,
-    mut receiver: mpsc::UnboundedReceiver<Job>,
-) {
+async fn group<S: Store>(store: S, grouping: Grouping, mut receiver: mpsc::UnboundedReceiver<Job>) {
     let mut lease: Option<(Lease, tokio::time::Instant)> = None;
     while let Some(first) = receiver.recv().await {
         let mut jobs = vec![first];
@@ -215,7 +211,8 @@
 /// Takes out jobs whose key stands in the group already: a transaction may write a key only once.
 fn split_repeats(jobs: Vec<Job>) -> (Vec<Job>, Vec<Job>) {
     let mut seen = HashSet::new();
-    jobs.into_iter().partition(|job| seen.insert(job.key.clone()))
+    jobs.into_iter()
+        .partition(|job| seen.insert(job.key.clone()))
 }
 
 async fn write_group<S: Store>(store: &S, lease: Lease, jobs: Vec<Job>) {
--- a/crates/platform/src/head.rs
+++ b/crates/platform/src/head.rs
@@ -137,7 +137,11 @@
             Ok(Some(pair)) => {
                 let winner: Head = parse(&pair)?;
                 let won = winner.nonce == ours.nonce;
-                return Ok(if won { Swapped::Won } else { Swapped::Lost(winner) });
+                return Ok(if won {
+                    Swapped::Won
+                } else {
+                    Swapped::Lost(winner)
+                });
             }
             Ok(None) => {}
             Err(error) => last = error,
--- a/crates/platform/src/kv/etcd.rs
+++ b/crates/platform/src/kv/etcd.rs
@@ -99,7 +99,11 @@
         let request = Request::post(format!("{}/v3/watch", self.base)).body(http::whole(body));
         let request = request.map_err(|e| Error::Down(e.to_string()))?;
         let unknown = |e: String| Error::Unknown(e);
-        let response = self.http.send(request).await.map_err(|e| unknown(e.to_string()))?;
+        let response = self
+            .http
+            .send(request)
+            .await
+            .map_err(|e| unknown(e.to_string()))?;
         let mut body = response.into_body();
         let mut buffer = Vec::new();
         while let Some(frame) = body.frame().await {
@@ -179,7 +183,10 @@
             ..LeaseRequest::default()
         };
         let response: LeaseResponse = self.post("/v3/lease/grant", &request).await?;
-        let id = response.id.parse().map_err(|_| Error::Unknown("no lease".into()))?;
+        let id = response
+            .id
+            .parse()
+            .map_err(|_| Error::Unknown("no lease".into()))?;
         Ok(Lease(id))
     }
 
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -50,7 +50,11 @@
 
 impl List for Http {
     async fn leaving(&self) -> Option<BTreeSet<Server>> {
-        let vms: Vec<Vm> = self.http.get(&self.url, Duration::from_secs(1)).await.ok()?;
+        let vms: Vec<Vm> = self
+            .http
+            .get(&self.url, Duration::from_secs(1))
+            .await
+            .ok()?;
         let leaving = vms.into_iter().filter(|vm| vm.leaving);
         Some(leaving.map(|vm| vm.server.into()).collect())
     }
--- a/crates/program/src/counters.rs
+++ b/crates/program/src/counters.rs
@@ -72,6 +72,9 @@
     /// Returns all sums since the start.
     #[must_use]
     pub fn snapshot(&self) -> BTreeMap<&'static str, u64> {
-        self.sums.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.sums
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 }
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -31,7 +31,9 @@
 
 /// Returns a whole body.
 pub fn whole(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
+    Full::new(bytes.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
 }
 
 /// Returns a body that keeps a guard until it has been sent or its receiver is gone.
--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -21,7 +21,9 @@
         .format(move |out, message, record| {
             let time = clock::unix_millis();
             let level = record.level();
-            out.finish(format_args!("time={time} level={level} role={role} {message}"));
+            out.finish(format_args!(
+                "time={time} level={level} role={role} {message}"
+            ));
         })
         .level(LevelFilter::Warn)
         .level_for("jujube_entry", level)
--- a/crates/program/src/settings.rs
+++ b/crates/program/src/settings.rs
@@ -83,7 +83,10 @@
         if self.faults.is_empty() {
             return Ok(());
         }
-        let lines = self.faults.iter().map(|fault| format!("{}: {fault}", self.name));
+        let lines = self
+            .faults
+            .iter()
+            .map(|fault| format!("{}: {fault}", self.name));
         bail!(lines.collect::<Vec<_>>().join("\n"))
     }
 }
--- a/crates/program/src/shutdown.rs
+++ b/crates/program/src/shutdown.rs
@@ -68,7 +68,9 @@
 where
     F: Future<Output = ()> + Send + 'static,
 {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let thread = std::thread::Builder::new().name("control".into());
     thread.spawn(move || runtime.block_on(future))
 }
--- a/crates/entry/src/main.rs
+++ b/crates/programs/src/bin/jujube-entry.rs
@@ -3,10 +3,10 @@
 use std::process::ExitCode;
 
 use anyhow::Result;
+use jujube_entry::Settings;
 use jujube_program::arguments::Daemon;
 use jujube_program::logs;
 use jujube_program::shutdown;
-use jujube_entry::Settings;
 
 const HELP: &str = "\
 jujube-entry: the process between callers and sidecars
--- /dev/null
+++ b/crates/programs/src/bin/jujube-local.rs
@@ -0,0 +1,88 @@
+//! `jujube-local`: see the help below.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use jujube_local::cluster::Cluster;
+use jujube_local::cluster::Plan;
+use jujube_local::trial;
+use jujube_program::arguments;
+use jujube_program::arguments::FAILED;
+use jujube_program::arguments::MISUSED;
+use jujube_program::logs;
+use jujube_program::shutdown;
+use pico_args::Arguments;
+
+const HELP: &str = "\
+jujube-local: every role and stand-in in one process, on loopback
+
+USAGE:
+  jujube-local [--port N]   serve the bundle of examples/hoshizaki until stopped
+  jujube-local --once       serve one completion and one plain request, check both, and exit
+  jujube-local --help | --version
+
+OPTIONS:
+  --port N   where the entry listens; 8080 if not given, any free port with --once
+
+The trial API key is `jj-trial`; the services are survey-writer and register-desk. The page
+/services/register-desk/counter tells how often each idempotency key ran.
+
+EXIT CODES:
+  0  all as expected, or stopped as asked
+  1  something failed
+  2  wrong arguments
+";
+
+const BUNDLE: &str = include_str!("../../../../examples/hoshizaki/bundle.ini");
+const DEFAULT_PORT: u16 = 8080;
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("jujube-local {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let (once, port) = match read(arguments) {
+        Ok(read) => read,
+        Err(error) => return arguments::fail("jujube-local", MISUSED, &error),
+    };
+    match run(once, port) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => arguments::fail("jujube-local", FAILED, &error),
+    }
+}
+
+fn read(mut arguments: Arguments) -> Result<(bool, u16)> {
+    let once = arguments.contains("--once");
+    let port = arguments.opt_value_from_str("--port")?;
+    arguments::finish(arguments)?;
+    Ok((once, port.unwrap_or(if once { 0 } else { DEFAULT_PORT })))
+}
+
+fn run(once: bool, port: u16) -> Result<()> {
+    logs::start("local", if once { "warn" } else { "info" })?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let plan = Plan {
+            bundle: BUNDLE.into(),
+            listen: SocketAddr::from(([127, 0, 0, 1], port)),
+            ..Plan::default()
+        };
+        let cluster = Cluster::start(plan).await?;
+        println!("entry {}", cluster.url(0));
+        if once {
+            trial::once(&cluster).await?;
+        } else {
+            shutdown::terminated().await?;
+        }
+        cluster.drain().await;
+        Ok(())
+    })
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -61,7 +61,10 @@
 
     let traffic = tokio::runtime::Handle::current();
     shutdown::on_control_thread(control::run(state.clone(), traffic, stop))?;
-    log::info!("event=started server={} address={address}", state.settings.server);
+    log::info!(
+        "event=started server={} address={address}",
+        state.settings.server
+    );
     Ok(Handle {
         address,
         http,
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -82,19 +82,28 @@
         let free = Free {
             request: request.to_string(),
         };
-        let _done: bool = self.http.post(&self.url("/v1/free"), &free, self.patience).await?;
+        let _done: bool = self
+            .http
+            .post(&self.url("/v1/free"), &free, self.patience)
+            .await?;
         Ok(())
     }
 
     pub(crate) async fn order(&self, token: Token, layers: Range) -> Result<(), http::Error> {
         let order = Order { token, layers };
-        let _done: bool = self.http.post(&self.url("/v1/order"), &order, self.patience).await?;
+        let _done: bool = self
+            .http
+            .post(&self.url("/v1/order"), &order, self.patience)
+            .await?;
         Ok(())
     }
 
     pub(crate) async fn healthy(&self) -> bool {
         let url = self.url("/healthz");
-        let answer = self.http.get::<bool>(&url, Duration::from_millis(500)).await;
+        let answer = self
+            .http
+            .get::<bool>(&url, Duration::from_millis(500))
+            .await;
         answer.unwrap_or(false)
     }
 }
--- a/crates/sidecar/src/handler.rs
+++ b/crates/sidecar/src/handler.rs
@@ -66,7 +66,10 @@
 
     async fn resume(self, _: Context, resume: step::Resume) -> bool {
         let mut actions = Vec::new();
-        let received = self.0.ledger().resume(clock::now(), resume.into(), &mut actions);
+        let received = self
+            .0
+            .ledger()
+            .resume(clock::now(), resume.into(), &mut actions);
         perform(&self.0, actions);
         received != ledger::Received::Unknown
     }
--- a/crates/sidecar/src/perform.rs
+++ b/crates/sidecar/src/perform.rs
@@ -44,11 +44,7 @@
     type Message = StageMessage;
     type Client = SidecarClient;
 
-    async fn send(
-        &self,
-        peer: &Peer<SidecarClient>,
-        batch: &[StageMessage],
-    ) -> Result<(), Error> {
+    async fn send(&self, peer: &Peer<SidecarClient>, batch: &[StageMessage]) -> Result<(), Error> {
         let frames: Vec<step::Frame> = batch.iter().map(|m| m.frame.clone()).collect();
         let call = |client: SidecarClient, context| {
             let frames = frames.clone();
@@ -173,13 +169,19 @@
         inputs: &inputs,
         rebuild,
     };
-    let counter = if rebuild { "positions_rebuilt" } else { "positions_run" };
+    let counter = if rebuild {
+        "positions_rebuilt"
+    } else {
+        "positions_run"
+    };
     let answer = state.engine.run(&work).await;
     let mut actions = Vec::new();
     match answer {
         Ok(outputs) => {
             state.counters.add(counter, outputs.len() as u64);
-            state.ledger().ran(clock::now(), request, run, &outputs, &mut actions);
+            state
+                .ledger()
+                .ran(clock::now(), request, run, &outputs, &mut actions);
         }
         Err(error) => {
             state.counters.add("engine_failures", 1);
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -74,20 +74,28 @@
     let request = match rewrite(&state, request) {
         Ok(request) => request,
         Err(why) => {
-            state.once().advance(clock::now(), call, once::State::Closed);
+            state
+                .once()
+                .advance(clock::now(), call, once::State::Closed);
             return refusal(Verdict::NotRun, &why);
         }
     };
     // From here on the service may act; the record says so before the first byte is sent.
-    state.once().advance(clock::now(), call, once::State::Handed);
+    state
+        .once()
+        .advance(clock::now(), call, once::State::Handed);
     match client.send(request).await {
         Ok(response) => {
             let status = response.status().as_u16();
-            state.once().advance(clock::now(), call, once::State::Answered(status));
+            state
+                .once()
+                .advance(clock::now(), call, once::State::Answered(status));
             pass_on(response, slot)
         }
         Err(http::Error::NotSent(why)) => {
-            state.once().advance(clock::now(), call, once::State::Closed);
+            state
+                .once()
+                .advance(clock::now(), call, once::State::Closed);
             refusal(Verdict::NotRun, &why)
         }
         Err(http::Error::Unknown(why)) => refusal(Verdict::MayHaveRun, &why),
@@ -105,7 +113,9 @@
     let (mut parts, body) = request.into_parts();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let base = state.settings.backend.trim_end_matches('/');
-    let uri: Uri = format!("{base}{path}").parse().map_err(|_| "no such path".to_string())?;
+    let uri: Uri = format!("{base}{path}")
+        .parse()
+        .map_err(|_| "no such path".to_string())?;
     parts.uri = uri;
     for name in [plain::CALL, plain::SIDECAR] {
         parts.headers.remove(name);
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -65,7 +65,9 @@
             http: section.address("http"),
             backend: section.text("backend", "a URL", None),
             kv: section.text("kv", "a URL", Some("")),
-            engine_patience: Duration::from_millis(section.number("engine-patience-ms", Some(5_000))),
+            engine_patience: Duration::from_millis(
+                section.number("engine-patience-ms", Some(5_000)),
+            ),
             drain: Duration::from_secs(section.number("drain-seconds", Some(600))),
             ..Self::default()
         });
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -103,13 +103,16 @@
     }
 
     pub(crate) fn generation(&self) -> Generation {
-        self.config().map_or(Generation(0), |config| config.head.generation)
+        self.config()
+            .map_or(Generation(0), |config| config.head.generation)
     }
 
     /// Applies a configuration if it is newer and holds.
     pub(crate) fn apply(&self, config: Config) -> Result<(), ConfigError> {
         let mut in_force = lock(&self.config);
-        let generation = in_force.as_ref().map_or(Generation(0), |c| c.head.generation);
+        let generation = in_force
+            .as_ref()
+            .map_or(Generation(0), |c| c.head.generation);
         let bundle = head::accept(generation, &config, &self.settings.trust)?;
         if let Some(member) = bundle.servers.get(&self.settings.server) {
             self.ledger().set_slots(member.slots as usize);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -207,7 +207,10 @@
     }
 
     fn takes(&self, batch: &[Job]) -> Duration {
-        let deepest = batch.iter().map(|job| u64::from(job.step.layers.len())).max();
+        let deepest = batch
+            .iter()
+            .map(|job| u64::from(job.step.layers.len()))
+            .max();
         let work = batch.iter().map(|job| {
             let tokens = job.step.inputs.len() as u64;
             u64::from(job.step.layers.len()) * tokens
@@ -227,7 +230,10 @@
             return None;
         }
         sequence.layers = Some(step.layers);
-        let outputs = step.inputs.iter().map(|input| self.position(sequence, step, *input));
+        let outputs = step
+            .inputs
+            .iter()
+            .map(|input| self.position(sequence, step, *input));
         let outputs: Vec<u64> = outputs.collect();
         let work = u64::from(step.layers.len()) * outputs.len() as u64;
         if step.rebuild {
@@ -267,7 +273,11 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let (parts, body) = request.into_parts();
-        let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+        let body = body
+            .collect()
+            .await
+            .map(|body| body.to_bytes())
+            .unwrap_or_default();
         if parts.uri.path() == "/faults" {
             return set_faults(&self.switch, &body);
         }
@@ -303,7 +313,10 @@
         let _batch_loop_lives_as_long_as_the_engine = self.jobs.send(Job { step, answer });
         match stepped.await {
             Ok(Some(stepped)) => http::json(StatusCode::OK, &stepped),
-            _ => http::text(StatusCode::CONFLICT, "position or layers do not fit the cache"),
+            _ => http::text(
+                StatusCode::CONFLICT,
+                "position or layers do not fit the cache",
+            ),
         }
     }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -36,7 +36,10 @@
     /// Returns the faults.
     #[must_use]
     pub fn get(&self) -> Fault {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Waits as long as calls are delayed; `false` when they fail.
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -170,11 +170,16 @@
         inner.expire();
         let key = decode(&request.key).unwrap_or_default();
         let end = decode(&request.range_end).filter(|end| !end.is_empty());
-        let found = inner.values.range(key.clone()..).take_while(|(k, _)| match &end {
-            Some(end) => *k < end,
-            None => **k == key,
-        });
-        let kvs = found.map(|(key, value)| Inner::key_value(key, value)).collect();
+        let found = inner
+            .values
+            .range(key.clone()..)
+            .take_while(|(k, _)| match &end {
+                Some(end) => *k < end,
+                None => **k == key,
+            });
+        let kvs = found
+            .map(|(key, value)| Inner::key_value(key, value))
+            .collect();
         RangeResponse { kvs }
     }
 
@@ -251,21 +256,25 @@
         let key = decode(&create.key).unwrap_or_default();
         let next: u64 = create.start_revision.parse().unwrap_or(0);
         let state = (self.clone(), self.changed.subscribe(), key, next);
-        let lines = futures::stream::unfold(state, |(service, mut changed, key, next)| async move {
-            loop {
-                if let Some((line, seen)) = service.change(&key, next) {
-                    return Some((line, (service, changed, key, seen + 1)));
+        let lines =
+            futures::stream::unfold(state, |(service, mut changed, key, next)| async move {
+                loop {
+                    if let Some((line, seen)) = service.change(&key, next) {
+                        return Some((line, (service, changed, key, seen + 1)));
+                    }
+                    changed.changed().await.ok()?;
                 }
-                changed.changed().await.ok()?;
-            }
-        });
+            });
         let frames = lines.map(|line| Ok::<_, io::Error>(Frame::data(Bytes::from(line))));
         Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)))
     }
 
     fn change(&self, key: &str, from: u64) -> Option<(String, u64)> {
         let inner = self.lock();
-        let value = inner.values.get(key).filter(|value| value.revision >= from)?;
+        let value = inner
+            .values
+            .get(key)
+            .filter(|value| value.revision >= from)?;
         let event = Event {
             kind: String::new(),
             kv: Inner::key_value(key, value),
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -35,7 +35,10 @@
     /// Returns how often each idempotency key ran; requests without one count under `-`.
     #[must_use]
     pub fn runs(&self) -> BTreeMap<String, u64> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Serves until told to stop.
@@ -92,7 +95,9 @@
 }
 
 fn delay(query: &str) -> Duration {
-    let value = query.split('&').find_map(|pair| pair.strip_prefix("delay="));
+    let value = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("delay="));
     let millis = value.and_then(|value| value.parse().ok()).unwrap_or(0);
     Duration::from_millis(millis)
 }
--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -58,10 +58,16 @@
         window.1 += 1;
         if window.1 > self.a_second {
             let mut response = http::text(StatusCode::TOO_MANY_REQUESTS, "slower");
-            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+            response
+                .headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from_static("1"));
             return response;
         }
-        let name = request.uri().path().trim_start_matches("/weights/").to_string();
+        let name = request
+            .uri()
+            .path()
+            .trim_start_matches("/weights/")
+            .to_string();
         http::text(StatusCode::OK, format!("weights of {name}"))
     }
 }
--- a/crates/wire/src/outbox.rs
+++ b/crates/wire/src/outbox.rs
@@ -39,9 +39,12 @@
 pub struct Outboxes<D: Deliver> {
     deliver: D,
     patience: Patience,
-    senders: Arc<Mutex<HashMap<Arc<str>, mpsc::UnboundedSender<D::Message>>>>,
+    senders: Arc<Mutex<Senders<D>>>,
 }
 
+/// By address.
+type Senders<D> = HashMap<Arc<str>, mpsc::UnboundedSender<<D as Deliver>::Message>>;
+
 /// The most messages in one call.
 const LARGEST_BATCH: usize = 512;
 
