--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -29,6 +29,9 @@
     /// How long an entry may be silent before its requests are freed.
     pub lease: Span,
     /// How long a request may stand still before it is freed and reported lost.
+    ///
+    /// A release can be lost. The entry of a request that goes on touches every stage at least once
+    /// in its stall time (3 s), so that five times as long without a touch means that nobody waits.
     pub idle: Span,
     /// How long a released request is remembered.
     pub remember: Span,
@@ -40,7 +43,7 @@
             slots: 64,
             longest_run: 64,
             lease: Span(10_000),
-            idle: Span(120_000),
+            idle: Span(15_000),
             remember: Span(60_000),
         }
     }
@@ -147,9 +150,13 @@
             self.leases.insert(request.entry, now);
             self.entries.insert(request, Entry::new(now, open));
         }
-        let count = self.entries[&request].count();
+        let entry = &self.entries[&request];
+        let opened = Opened {
+            count: entry.count(),
+            reached: entry.reached,
+        };
         self.advance(request, actions);
-        Ok(Opened { count })
+        Ok(opened)
     }
 
     /// Refuses to open what was released.
--- a/crates/core/src/ledger/entry.rs
+++ b/crates/core/src/ledger/entry.rs
@@ -30,6 +30,8 @@
     pub(super) running: Option<Running>,
     /// The next output to send; `None` until the entry says from where.
     pub(super) sent: Option<Position>,
+    /// The position up to which inputs have come.
+    pub(super) reached: Position,
     pub(super) heard: Instant,
 }
 
@@ -41,6 +43,7 @@
             outputs: Vec::new(),
             pending: BTreeMap::new(),
             running: None,
+            reached: Position(0),
             heard: now,
         }
     }
@@ -75,6 +78,7 @@
             Some(running) => running.first.plus(running.count),
             None => self.count(),
         };
+        self.reached = self.reached.max(frame.first.plus(frame.values.len()));
         for (offset, value) in frame.values.iter().enumerate() {
             let position = frame.first.plus(offset);
             if position < busy_until || position >= self.open.limit {
@@ -85,8 +89,11 @@
     }
 
     /// Starts the engine on the next inputs without a gap.
+    ///
+    /// Under a new epoch it waits for the entry's word on what is a rebuild: inputs that overtake
+    /// the word would be run as if for the first time.
     pub(super) fn start(&mut self, run: Run, longest: usize) -> Option<Action> {
-        if self.running.is_some() {
+        if self.running.is_some() || self.sent.is_none() {
             return None;
         }
         let first = self.count();
--- a/crates/core/src/ledger/message.rs
+++ b/crates/core/src/ledger/message.rs
@@ -42,6 +42,9 @@
 pub struct Opened {
     /// The position up to which this stage has run.
     pub count: Position,
+    /// The position up to which it has had inputs: its predecessors have run these, even where it
+    /// has not itself.
+    pub reached: Position,
 }
 
 /// Why a stage did not take a request. Nothing of it was run under the refused epoch.
--- a/crates/core/src/session/call.rs
+++ b/crates/core/src/session/call.rs
@@ -9,6 +9,7 @@
 use crate::ledger::Frame;
 use crate::ledger::Lost;
 use crate::ledger::Open;
+use crate::ledger::Opened;
 use crate::ledger::Resume;
 use crate::ledger::Tokens;
 use crate::name::Server;
@@ -28,7 +29,7 @@
     /// Waits for a route since the given time; asked for it last at the second.
     Choosing { since: Instant, asked: Instant },
     /// Waits for the stages' answers.
-    Opening { counts: Vec<Option<Position>> },
+    Opening { answers: Vec<Option<Opened>> },
     /// Tokens are on their way.
     Running,
     /// The caller has had the last word.
@@ -171,7 +172,7 @@
         self.progress = now;
         let stages = &self.route.stages;
         self.phase = Phase::Opening {
-            counts: vec![None; stages.len()],
+            answers: vec![None; stages.len()],
         };
         for (index, stage) in stages.iter().enumerate() {
             let last = index + 1 == stages.len();
@@ -215,7 +216,7 @@
         now: Instant,
         server: &Server,
         epoch: Epoch,
-        count: Position,
+        opened: Opened,
         actions: &mut Vec<Action>,
     ) {
         if epoch != self.epoch {
@@ -224,37 +225,40 @@
         let Some(index) = self.route.index_of(server) else {
             return;
         };
-        let Phase::Opening { counts } = &mut self.phase else {
+        let Phase::Opening { answers } = &mut self.phase else {
             return;
         };
-        counts[index] = Some(count);
-        let counts: Option<Vec<Position>> = counts.iter().copied().collect();
-        if let Some(counts) = counts {
-            self.run(now, &counts, actions);
+        answers[index] = Some(opened);
+        let answers: Option<Vec<Opened>> = answers.iter().copied().collect();
+        if let Some(answers) = answers {
+            self.run(now, &answers, actions);
         }
     }
 
     /// Tells each stage from where its successor lacks outputs, and feeds the first.
-    fn run(&mut self, now: Instant, counts: &[Position], actions: &mut Vec<Action>) {
+    fn run(&mut self, now: Instant, answers: &[Opened], actions: &mut Vec<Action>) {
         self.phase = Phase::Running;
         self.progress = now;
         if self.fed {
-            self.resume(counts, actions);
+            self.resume(answers, actions);
         }
         self.fed = true;
-        self.feed(counts[0], actions);
+        self.feed(answers[0].count, actions);
     }
 
-    fn resume(&self, counts: &[Position], actions: &mut Vec<Action>) {
+    /// A replacement rebuilds every position that some later stage has had inputs of, or whose token
+    /// is out: its predecessor in these layers has run them.
+    fn resume(&self, answers: &[Opened], actions: &mut Vec<Action>) {
         let answered = if self.tokens.is_empty() {
             Position(0)
         } else {
             self.answered()
         };
         for (index, stage) in self.route.stages.iter().enumerate() {
-            let after = &counts[index + 1..];
-            let downstream = after.first().copied().unwrap_or(self.answered());
-            let rebuild_until = after.iter().copied().chain([answered]).max();
+            let after = &answers[index + 1..];
+            let downstream = after.first().map_or(self.answered(), |next| next.count);
+            let reached = after.iter().map(|opened| opened.reached);
+            let rebuild_until = reached.chain([answered]).max();
             let resume = Resume {
                 request: self.spec.request,
                 epoch: self.epoch,
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -84,8 +84,8 @@
     fn take(&mut self, event: Event, actions: &mut Vec<Action>) {
         let now = clock::now();
         match event {
-            Event::Opened(server, epoch, count) => {
-                self.session.opened(now, &server, epoch, count, actions);
+            Event::Opened(server, epoch, opened) => {
+                self.session.opened(now, &server, epoch, opened, actions);
             }
             Event::Lost(lost) => self.session.lost(now, &lost, actions),
             Event::Tokens(tokens) => self.session.tokens_came(now, &tokens, actions),
@@ -169,7 +169,7 @@
     };
     match state.sidecar(&stage.address).call(call).await {
         Ok(Ok(opened)) => {
-            state.tell(request, Event::Opened(stage.server, epoch, opened.count));
+            state.tell(request, Event::Opened(stage.server, epoch, opened.into()));
         }
         Ok(Err(_)) => {
             state.counters.add("opens_refused", 1);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,11 +12,11 @@
 use jujube_core::blackboard::Snapshot;
 use jujube_core::head::Config;
 use jujube_core::ledger::Lost;
+use jujube_core::ledger::Opened;
 use jujube_core::ledger::Tokens;
 use jujube_core::name::Server;
 use jujube_core::request::Epoch;
 use jujube_core::request::Incarnation;
-use jujube_core::request::Position;
 use jujube_core::request::Request;
 use jujube_core::retry::Budget;
 use jujube_platform::claims::Claims;
@@ -38,7 +38,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Event {
     /// A stage answered an open.
-    Opened(Server, Epoch, Position),
+    Opened(Server, Epoch, Opened),
     /// A stage is gone, or did not open.
     Lost(Lost),
     /// Tokens came.
--- a/crates/wire/src/step.rs
+++ b/crates/wire/src/step.rs
@@ -54,6 +54,8 @@
 pub struct Opened {
     /// The position up to which the stage has run.
     pub count: Position,
+    /// The position up to which it has had inputs.
+    pub reached: Position,
 }
 
 /// See [`ledger::Refused`].
@@ -192,6 +194,16 @@
     fn from(opened: ledger::Opened) -> Self {
         Self {
             count: opened.count,
+            reached: opened.reached,
+        }
+    }
+}
+
+impl From<Opened> for ledger::Opened {
+    fn from(opened: Opened) -> Self {
+        Self {
+            count: opened.count,
+            reached: opened.reached,
         }
     }
 }
