--- a/crates/core/tests/support/model.rs
+++ b/crates/core/tests/support/model.rs
@@ -32,9 +32,7 @@
         for number in layers.start..layers.end {
             value = layer(number, value, &mut caches[number as usize]);
         }
-        let Some(next) = sequence.get(position + 1) else {
-            return None;
-        };
+        let next = sequence.get(position + 1)?;
         if position + 1 >= prompt.len() && next / DRAWN != value % 1000 {
             return Some(position + 1 - prompt.len());
         }
