Decide calls to plain services in the core, and fault separate processes

Cause: the retry loop of plain requests stood in the entry's shell, where no fault could be put between two of its steps. Ruled out: keeping the claim only for the first dispatch; whoever takes the claim over would ask the wrong sidecar, and be told "not run" while the second dispatch runs. Change: core::call drives choice, claim, dispatch, settlement and the last word; the entry carries its actions out. Matrix of calls (two entries at once, a third later) and eleven tests of separate processes with signals, a relay that goes silent, outages and races. The frozen-entry test found that the shell gave the answer before it had seen the order to keep it, so that a claim was never finished; mended.

A second run of the process tests found one more: the frozen stage's free overtook its last engine run, 2 steps were refused by the engine. The ledger now frees after the run, and takes a request back only after the free; tests/ledger.rs shows it.

--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -67,6 +67,8 @@
     /// Released requests: up to which epoch, and when.
     released: BTreeMap<Request, (Epoch, Instant)>,
     leases: BTreeMap<Incarnation, Instant>,
+    /// Requests that are gone and whose cache is not freed yet; with the run that still goes on.
+    leaving: BTreeMap<Request, Option<Run>>,
     last_run: Run,
     draining: bool,
 }
@@ -81,6 +83,7 @@
             entries: BTreeMap::new(),
             released: BTreeMap::new(),
             leases: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             last_run: Run(0),
             draining: false,
         }
@@ -144,6 +147,10 @@
             if self.draining {
                 return Err(Refused::Draining);
             }
+            if self.leaving.contains_key(&request) {
+                // The engine still has the cache of the earlier stay: positions would not fit it.
+                return Err(Refused::Busy);
+            }
             if self.entries.len() >= self.limits.slots {
                 return Err(Refused::Busy);
             }
@@ -223,6 +230,7 @@
         outputs: &[u64],
         actions: &mut Vec<Action>,
     ) {
+        self.run_ended(request, run, actions);
         let Some(entry) = self.entries.get_mut(&request) else {
             return;
         };
@@ -230,6 +238,7 @@
             return;
         };
         if outputs.len() != running.count {
+            self.end_run(request);
             self.lose(request, actions);
             return;
         }
@@ -240,10 +249,12 @@
 
     /// Gives up a request whose engine failed: the engine's cache may be at any position.
     pub fn failed(&mut self, request: Request, run: Run, actions: &mut Vec<Action>) {
+        self.run_ended(request, run, actions);
         let Some(entry) = self.entries.get(&request) else {
             return;
         };
         if entry.running.is_some_and(|running| running.run == run) {
+            self.end_run(request);
             self.lose(request, actions);
         }
     }
@@ -273,7 +284,7 @@
     }
 
     fn lose(&mut self, request: Request, actions: &mut Vec<Action>) {
-        let Some(entry) = self.entries.remove(&request) else {
+        let Some(entry) = self.entries.get(&request) else {
             return;
         };
         actions.push(Action::Report {
@@ -284,7 +295,40 @@
                 server: self.server.clone(),
             },
         });
-        actions.push(Action::Free { request });
+        self.remove(request, actions);
+    }
+
+    /// Takes a request out, and has its cache freed when no run uses it.
+    ///
+    /// A free that overtakes a run has the engine begin a new cache in the middle of a sequence, and
+    /// nobody frees that one.
+    fn remove(&mut self, request: Request, actions: &mut Vec<Action>) {
+        let Some(entry) = self.entries.remove(&request) else {
+            return;
+        };
+        let running = entry.running.map(|running| running.run);
+        self.leaving.insert(request, running);
+        if running.is_none() {
+            actions.push(Action::Free { request });
+        }
+    }
+
+    fn end_run(&mut self, request: Request) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.running = None;
+        }
+    }
+
+    fn run_ended(&mut self, request: Request, run: Run, actions: &mut Vec<Action>) {
+        if self.leaving.get(&request) == Some(&Some(run)) {
+            self.leaving.insert(request, None);
+            actions.push(Action::Free { request });
+        }
+    }
+
+    /// Books that the engine has freed a request's cache, or cannot be asked to.
+    pub fn freed(&mut self, request: Request) {
+        self.leaving.remove(&request);
     }
 
     /// Frees a request up to an epoch, for good.
@@ -300,9 +344,7 @@
             return;
         }
         self.released.insert(request, (epoch, now));
-        if self.entries.remove(&request).is_some() {
-            actions.push(Action::Free { request });
-        }
+        self.remove(request, actions);
     }
 
     /// Takes or renews an entry's lease on its requests.
@@ -332,8 +374,7 @@
         });
         let orphans: Vec<Request> = orphans.map(|(request, _)| *request).collect();
         for request in orphans {
-            self.entries.remove(&request);
-            actions.push(Action::Free { request });
+            self.remove(request, actions);
         }
         self.leases
             .retain(|_, renewed| !lapsed(*renewed, limits.lease));
--- a/crates/core/src/ledger/message.rs
+++ b/crates/core/src/ledger/message.rs
@@ -166,7 +166,7 @@
         /// Which.
         lost: Lost,
     },
-    /// Have the engine free a request's cache.
+    /// Have the engine free a request's cache, and report it with `freed`.
     Free {
         /// Which request.
         request: Request,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod admission;
 pub mod blackboard;
 pub mod bundle;
+pub mod call;
 pub mod claim;
 pub mod fence;
 pub mod head;
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -8,6 +8,7 @@
     reason = "a fixture that fails must panic"
 )]
 
+pub mod calls;
 pub mod model;
 pub mod observer;
 pub mod world;
--- a/crates/entry/src/api/dispatch.rs
+++ b/crates/entry/src/api/dispatch.rs
@@ -37,23 +37,25 @@
 }
 
 /// What came of a dispatch.
-pub(crate) enum Dispatched {
+pub(crate) enum Sent {
     /// The service answered.
     Answered(Response<Incoming>),
-    /// It did not; this is known of the call.
-    Failed(Verdict, Arc<str>),
+    /// It did not, and this is known of the call.
+    Refused(Verdict),
+    /// Nothing is known.
+    Unclear,
 }
 
 /// Sends a call to a backend server's sidecar.
-pub(crate) async fn dispatch(
+pub(crate) async fn send(
     state: &State,
     target: &Target,
     call: Call,
     idempotent: bool,
     request: Request<Body>,
-) -> Dispatched {
+) -> Sent {
     let Some(request) = address(target, call, request) else {
-        return Dispatched::Failed(Verdict::NotRun, "the path cannot be sent on".into());
+        return Sent::Refused(Verdict::NotRun);
     };
     // A kept connection may have gone silent; only what may be repeated takes that risk.
     let client = if idempotent {
@@ -61,14 +63,12 @@
     } else {
         &state.sender.fresh
     };
-    let answer = client.send(request).await;
-    match answer {
+    match client.send(request).await {
         Ok(response) => judge(response),
-        Err(http::Error::NotSent(why)) => Dispatched::Failed(Verdict::NotRun, why.into()),
-        Err(http::Error::Unknown(why)) => {
+        Err(http::Error::NotSent(_)) => Sent::Refused(Verdict::NotRun),
+        Err(http::Error::Unknown(_)) => {
             state.counters.add("dispatches_unclear", 1);
-            let verdict = settle(state, &target.address, call, target.sidecar).await;
-            Dispatched::Failed(verdict, why.into())
+            Sent::Unclear
         }
     }
 }
@@ -85,13 +85,12 @@
 }
 
 /// Tells the sidecar's own refusals from the service's answers: only the former carry a verdict.
-fn judge(mut response: Response<Incoming>) -> Dispatched {
+fn judge(mut response: Response<Incoming>) -> Sent {
     let Some(verdict) = response.headers_mut().remove(plain::VERDICT) else {
-        return Dispatched::Answered(response);
+        return Sent::Answered(response);
     };
     let verdict = verdict.to_str().ok().and_then(|text| text.parse().ok());
-    let verdict = verdict.unwrap_or(Verdict::MayHaveRun);
-    Dispatched::Failed(verdict, "the backend server did not answer".into())
+    Sent::Refused(verdict.unwrap_or(Verdict::MayHaveRun))
 }
 
 /// Asks a sidecar what became of a call; `may-have-run` when it cannot be asked.
--- a/crates/local/src/caller.rs
+++ b/crates/local/src/caller.rs
@@ -10,7 +10,9 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use jujube_core::bundle::Bundle;
 use jujube_core::name::Service;
@@ -40,6 +42,24 @@
     }
 }
 
+/// How long a whole answer may take.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+async fn read(
+    response: impl Future<Output = Result<Response<Incoming>, http::Error>>,
+) -> Result<Answer> {
+    let (parts, body) = response.await?.into_parts();
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body
+            .collect()
+            .await
+            .context("the answer was cut")?
+            .to_bytes(),
+    })
+}
+
 /// A caller with an API key.
 #[derive(Clone)]
 pub struct Caller {
@@ -83,17 +103,10 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let response = self.http.send(request.body(http::whole(body))?).await?;
-        let (parts, body) = response.into_parts();
-        Ok(Answer {
-            status: parts.status,
-            headers: parts.headers,
-            body: body
-                .collect()
-                .await
-                .context("the answer was cut")?
-                .to_bytes(),
-        })
+        let answer = read(self.http.send(request.body(http::whole(body))?));
+        tokio::time::timeout(PATIENCE, answer)
+            .await
+            .context("no whole answer in time")?
     }
 
     /// Streams a completion and returns its text.
--- a/crates/sidecar/src/perform.rs
+++ b/crates/sidecar/src/perform.rs
@@ -198,6 +198,7 @@
     if state.engine.free(request).await.is_err() {
         state.counters.add("engine_free_failures", 1);
     }
+    state.ledger().freed(request);
 }
 
 /// Turns what became of a frame into the answer to its sender.
