--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -78,6 +78,8 @@
     /// The customer's virtual time: service received over weight.
     virtual_time: u64,
     waiting: VecDeque<Waiting>,
+    /// When a request of this customer last started.
+    served: Instant,
 }
 
 /// Weight one pays this much virtual time for a request.
@@ -160,7 +162,7 @@
             return overloaded("the customer's limit is reached", Span(self.lasts / 1000));
         }
         if free {
-            self.start(&share.customer);
+            self.start(now, &share.customer);
             return Decision::Start;
         }
         if predicted > share.max_wait {
@@ -196,12 +198,13 @@
         Span(micros / 1000)
     }
 
-    fn start(&mut self, customer: &Customer) {
+    fn start(&mut self, now: Instant, customer: &Customer) {
         self.running += 1;
         let Some(line) = self.lines.get_mut(customer) else {
             return;
         };
         line.running += 1;
+        line.served = now;
         line.virtual_time = line.virtual_time.max(self.virtual_now);
         self.virtual_now = line.virtual_time;
         line.virtual_time += VIRTUAL_UNIT / line.weight;
@@ -233,15 +236,19 @@
         let customer = ranked.min()?.1.clone();
         let first = self.lines.get_mut(&customer)?.waiting.pop_front()?;
         self.waiting -= 1;
-        self.start(&customer);
+        self.start(now, &customer);
         Some(first.ticket)
     }
 
     /// Ranks a line: priority less age, then virtual time. Smaller goes first.
+    ///
+    /// Age counts from when the customer was last served. Were it to count from the arrival, a flood
+    /// would age while it waits for itself, and outrank customers who send a request now and then.
     fn rank(&self, now: Instant, line: &Line) -> (u64, u64) {
         let first = line.waiting.front();
         let lifted = first.map_or(u64::MAX, |waiting| {
-            let steps = now.since(waiting.since).0 / self.settings.age_step.0.max(1);
+            let unserved = now.since(waiting.since.max(line.served));
+            let steps = unserved.0 / self.settings.age_step.0.max(1);
             waiting.priority.saturating_sub(steps)
         });
         (lifted, line.virtual_time)
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -73,8 +73,8 @@
         Self {
             busy_interval: Span(100),
             idle_interval: Span(500),
-            suspect_after: Span(250),
-            down_after: Span(400),
+            suspect_after: Span(150),
+            down_after: Span(300),
             floor_percent: 40,
         }
     }
--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -26,6 +26,8 @@
             ));
         })
         .level(LevelFilter::Warn)
+        // Deadlines that pass are counted; the library would write a line for each.
+        .level_for("tarpc", LevelFilter::Off)
         .level_for("jujube_entry", level)
         .level_for("jujube_sidecar", level)
         .level_for("jujube_platform", level)
--- a/crates/programs/tests/support/mod.rs
+++ b/crates/programs/tests/support/mod.rs
@@ -67,6 +67,26 @@
         assert!(sent.success());
     }
 
+    /// Returns the processor time used so far, in clock ticks of 10 ms.
+    pub fn ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let after_name = stat.rsplit(')').next().unwrap();
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        // User and system time are the 14th and 15th field; the name is the second.
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    }
+
+    /// Returns the resident memory, in KiB.
+    pub fn resident(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status
+            .lines()
+            .find(|line| line.starts_with("VmRSS"))
+            .unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// Waits for the process to end by itself.
     pub fn ended(&mut self) -> ExitStatus {
         let start = Instant::now();
@@ -134,6 +154,7 @@
     pub entries: Vec<Process>,
     pub bundle: Bundle,
     pub text: String,
+    base_micros: u64,
     http: http::Client,
 }
 
@@ -239,6 +260,7 @@
             backends,
             entries,
             directory,
+            base_micros: layout.base_micros,
             http: http::Client::new(Duration::from_secs(2)),
         };
         let text = fleet.text.clone();
@@ -308,6 +330,47 @@
             .unwrap_or_default()
     }
 
+    /// Starts a model's backend server again, at the addresses that it had.
+    pub fn revive(&mut self, name: &str) {
+        let file = self.path(&format!("{name}.ini"));
+        let old = self.backends.remove(name).expect("a backend server");
+        let Backend {
+            engine,
+            sidecar,
+            url,
+        } = old;
+        let member = &self.bundle.servers[&name.into()];
+        let held = member.layers.to_string();
+        let listen = url.trim_start_matches("http://").to_string();
+        let (address, http) = (sidecar.line[1].clone(), sidecar.line[3].clone());
+        drop((engine, sidecar));
+        let settings = std::fs::read_to_string(&file).unwrap();
+        let settings = settings.replace("listen = 127.0.0.1:0", &format!("listen = {address}"));
+        let settings = settings.replace("http = 127.0.0.1:0", &format!("http = {http}"));
+        std::fs::write(&file, settings).unwrap();
+        let layers = self.bundle.services[&MODEL.into()].layers.to_string();
+        let base = self.base_micros.to_string();
+        let arguments = [
+            "engine",
+            "--listen",
+            &listen,
+            "--layers",
+            &layers,
+            "--held",
+            &held,
+            "--base-micros",
+            &base,
+        ];
+        let engine = Process::start(bin("standin"), &arguments);
+        let sidecar = Process::start(bin("sidecar"), &["--settings", &file]);
+        let backend = Backend {
+            engine,
+            sidecar,
+            url,
+        };
+        self.backends.insert(name.into(), backend);
+    }
+
     /// Starts one more entry.
     pub fn add_entry(&mut self, settings: &str) {
         self.entries
--- a/crates/programs/tests/support/wire.rs
+++ b/crates/programs/tests/support/wire.rs
@@ -15,6 +15,8 @@
     /// Connections of an earlier number are silent.
     silent_before: Arc<AtomicU64>,
     accepted: Arc<AtomicU64>,
+    /// Bytes passed on, both ways.
+    pub bytes: Arc<AtomicU64>,
 }
 
 impl Relay {
@@ -27,7 +29,9 @@
             address,
             silent_before: silent_before.clone(),
             accepted: accepted.clone(),
+            bytes: Arc::default(),
         };
+        let bytes = relay.bytes.clone();
         tokio::spawn(async move {
             while let Ok((inner, _)) = listener.accept().await {
                 let number = accepted.fetch_add(1, Ordering::SeqCst);
@@ -35,7 +39,8 @@
                     continue;
                 };
                 let silent = silent_before.clone();
-                tokio::spawn(pair(inner, outer, number, silent));
+                let bytes = bytes.clone();
+                tokio::spawn(pair(inner, outer, number, silent, bytes));
             }
         });
         relay
@@ -48,11 +53,17 @@
     }
 }
 
-async fn pair(inner: TcpStream, outer: TcpStream, number: u64, silent: Arc<AtomicU64>) {
+async fn pair(
+    inner: TcpStream,
+    outer: TcpStream,
+    number: u64,
+    silent: Arc<AtomicU64>,
+    bytes: Arc<AtomicU64>,
+) {
     let (from_inner, to_inner) = inner.into_split();
     let (from_outer, to_outer) = outer.into_split();
-    let there = copy(from_inner, to_outer, number, silent.clone());
-    let back = copy(from_outer, to_inner, number, silent);
+    let there = copy(from_inner, to_outer, number, silent.clone(), bytes.clone());
+    let back = copy(from_outer, to_inner, number, silent, bytes);
     tokio::join!(there, back);
 }
 
@@ -61,6 +72,7 @@
     mut to: tokio::net::tcp::OwnedWriteHalf,
     number: u64,
     silent: Arc<AtomicU64>,
+    bytes: Arc<AtomicU64>,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
@@ -74,6 +86,7 @@
             }
             continue;
         }
+        bytes.fetch_add(count as u64, Ordering::SeqCst);
         if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -80,7 +80,7 @@
     fn default() -> Self {
         Self {
             connect: Duration::from_millis(150),
-            answer: Duration::from_millis(200),
+            answer: Duration::from_millis(150),
             tries: 2,
         }
     }
