Give each entry a share of the backend servers, and read the large files as a newcomer

Ruled out: slower heartbeats for all; at 7 KB/s and 11,000 that is one in five minutes. Change: core::subset draws a few of each group of like backend servers in the zones near an entry; a flow is solved again only when its own part of the fleet has changed; finishing a claim shares the hour's lease (one write less for each). control, plain, ledger and session are split by concept.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -23,6 +23,8 @@
 use crate::path::Fleet;
 use crate::path::Table;
 use crate::request::Incarnation;
+use crate::subset;
+use crate::subset::subset;
 use crate::time::Instant;
 
 /// Where a plain service's backend server takes calls.
@@ -66,8 +68,12 @@
     pub history: History,
     /// Its content.
     pub bundle: Arc<Bundle>,
+    /// The backend servers of the bundle that this entry speaks to.
+    pub members: Arc<BTreeMap<Server, Member>>,
     /// Who is there.
     pub membership: Membership,
+    entry: Incarnation,
+    subset: subset::Settings,
     keys: Arc<BTreeMap<Arc<str>, Customer>>,
     solved: BTreeMap<Service, Solved>,
 }
@@ -75,8 +81,8 @@
 /// A solved flow and what it was solved for.
 #[derive(Debug)]
 struct Solved {
-    generation: Generation,
-    usable: BTreeSet<Server>,
+    candidates: Vec<Candidate>,
+    fleet: Fleet,
     table: Arc<Table>,
 }
 
@@ -93,16 +99,26 @@
     /// # use jujube_core::bundle::Trust;
     /// # use jujube_core::head::Generation;
     /// # use jujube_core::membership::Settings;
-    /// let board = Blackboard::new(Trust::default(), Settings::default());
+    /// # use jujube_core::request::Incarnation;
+    /// let subset = jujube_core::subset::Settings::default();
+    /// let board = Blackboard::new(Trust::default(), Settings::default(), Incarnation(1), subset);
     /// assert_eq!(board.generation(), Generation(0));
     /// ```
     #[must_use]
-    pub fn new(trust: Trust, settings: Settings) -> Self {
+    pub fn new(
+        trust: Trust,
+        settings: Settings,
+        entry: Incarnation,
+        subset: subset::Settings,
+    ) -> Self {
         Self {
             trust,
             history: History::default(),
             bundle: Arc::default(),
+            members: Arc::default(),
             membership: Membership::new(settings),
+            entry,
+            subset,
             keys: Arc::default(),
             solved: BTreeMap::new(),
         }
@@ -121,7 +137,8 @@
     /// See [`ConfigError`]; what is in force stays.
     pub fn apply(&mut self, config: Config) -> Result<(), ConfigError> {
         let bundle = accept(self.generation(), &config, &self.trust)?;
-        self.membership.set_servers(bundle.servers.keys().cloned());
+        self.members = Arc::new(subset(&bundle, self.entry, &self.subset));
+        self.membership.set_servers(self.members.keys().cloned());
         self.keys = Arc::new(index(&bundle));
         self.bundle = Arc::new(bundle);
         self.history.push(Arc::new(config));
@@ -138,7 +155,10 @@
         };
         let bundle = self.bundle.clone();
         for (service, offer) in &bundle.services {
-            let servers: Vec<Server> = bundle.in_use(service).map(|(s, _)| s.clone()).collect();
+            let own =
+                |(_, member): &(&Server, &Member)| member.in_use && &member.service == service;
+            let servers = self.members.iter().filter(own);
+            let servers: Vec<Server> = servers.map(|(server, _)| server.clone()).collect();
             let usable = self.membership.usable(now, &servers);
             match offer.kind {
                 Kind::Plain => {
@@ -146,7 +166,7 @@
                     snapshot.plain.insert(service.clone(), targets.collect());
                 }
                 Kind::Model => {
-                    let table = self.table(&bundle, service, &usable);
+                    let table = self.table(service, &usable);
                     snapshot.models.insert(service.clone(), table);
                 }
             }
@@ -168,36 +188,30 @@
         })
     }
 
-    fn table(
-        &mut self,
-        bundle: &Bundle,
-        service: &Service,
-        usable: &BTreeSet<Server>,
-    ) -> Arc<Table> {
-        let generation = self.generation();
-        let held = |server: &Server| self.membership.last(server).map_or(0, |beat| beat.held);
-        if let Some(solved) = self.solved.get(service)
-            && solved.generation == generation
-            && &solved.usable == usable
-        {
-            return Arc::new(solved.table.with_loads(held));
-        }
-        let candidates = bundle
-            .in_use(service)
+    /// Returns a model's table; it is solved again only when its own part of the fleet has changed,
+    /// not for every generation.
+    fn table(&mut self, service: &Service, usable: &BTreeSet<Server>) -> Arc<Table> {
+        let members = self
+            .members
+            .iter()
             .filter(|(server, _)| usable.contains(*server));
-        let candidates = candidates.map(|(server, member)| {
-            let others = held(server);
-            candidate(bundle, server, member, others)
-        });
-        let table = Table::build(candidates.collect(), fleet(bundle, service));
-        let table = Arc::new(table);
+        let candidates = members.map(|(server, member)| candidate(&self.bundle, server, member, 0));
+        let candidates: Vec<Candidate> = candidates.collect();
+        let fleet = fleet(&self.bundle, service);
+        let solved = self.solved.get(service);
+        let same = solved.filter(|s| s.candidates == candidates && s.fleet == fleet);
+        let table = match same {
+            Some(solved) => solved.table.clone(),
+            None => Arc::new(Table::build(candidates.clone(), fleet.clone())),
+        };
         let solved = Solved {
-            generation,
-            usable: usable.clone(),
+            candidates,
+            fleet,
             table: table.clone(),
         };
         self.solved.insert(service.clone(), solved);
-        table
+        let held = |server: &Server| self.membership.last(server).map_or(0, |beat| beat.held);
+        Arc::new(table.with_loads(held))
     }
 }
 
--- a/crates/core/src/bundle/check.rs
+++ b/crates/core/src/bundle/check.rs
@@ -7,6 +7,7 @@
 use super::model::Kind;
 use super::model::Member;
 use super::model::Offer;
+use crate::layer;
 use crate::layer::Range;
 use crate::name::Service;
 use crate::section::Fault;
@@ -102,18 +103,13 @@
         faults.push(Fault::new(section, "layers", "0: expected 1 or more"));
         return;
     }
-    let mut covered = 0;
-    while covered < offer.layers {
-        let held = bundle.in_use(name).map(|(_, m)| m.layers);
-        let reach = held.filter(|r| r.start <= covered).map(|r| r.end).max();
-        match reach {
-            Some(end) if end > covered => covered = end,
-            _ => {
-                let what = format!("no backend server in use holds layer {covered}");
-                faults.push(Fault::new(section, "layers", what));
-                return;
-            }
-        }
+    let held: Vec<Range> = bundle
+        .in_use(name)
+        .map(|(_, member)| member.layers)
+        .collect();
+    if let Some(layer) = layer::first_gap(offer.layers, &held) {
+        let what = format!("no backend server in use holds layer {layer}");
+        faults.push(Fault::new(section, "layers", what));
     }
 }
 
--- a/crates/core/src/layer.rs
+++ b/crates/core/src/layer.rs
@@ -79,3 +79,29 @@
         Ok(range)
     }
 }
+
+/// Returns the first layer of a model that no chain of ranges reaches; `None` when all are covered.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::layer::Range;
+/// # use jujube_core::layer::first_gap;
+/// assert_eq!(first_gap(8, &[Range::new(0, 5), Range::new(4, 8)]), None);
+/// assert_eq!(first_gap(8, &[Range::new(0, 5), Range::new(6, 8)]), Some(5));
+/// ```
+#[must_use]
+pub fn first_gap(layers: u32, held: &[Range]) -> Option<u32> {
+    let mut covered = 0;
+    while covered < layers {
+        let reach = held
+            .iter()
+            .filter(|range| range.start <= covered)
+            .map(|range| range.end);
+        match reach.max() {
+            Some(end) if end > covered => covered = end,
+            _ => return Some(covered),
+        }
+    }
+    None
+}
--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -7,10 +7,11 @@
 
 mod book;
 mod entry;
+mod limits;
 mod message;
 
 pub use book::Ledger;
-pub use book::Limits;
+pub use limits::Limits;
 pub use message::Action;
 pub use message::Frame;
 pub use message::Lost;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod retry;
 pub mod section;
 pub mod session;
+pub mod subset;
 pub mod time;
 pub mod verdict;
--- a/crates/core/src/path/bound.rs
+++ b/crates/core/src/path/bound.rs
@@ -35,7 +35,7 @@
 }
 
 /// What the bound is computed of: one model's backend servers and links.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fleet {
     /// The model's layers.
     pub layers: u32,
--- a/crates/core/src/session/call.rs
+++ b/crates/core/src/session/call.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use super::answer::Answer;
 use super::message::Action;
 use super::message::Settings;
 use super::message::Spec;
@@ -59,9 +60,8 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Session {
-    spec: Spec,
+    answer: Answer,
     settings: Settings,
-    tokens: Vec<u64>,
     epoch: Epoch,
     route: Arc<Route>,
     phase: Phase,
@@ -78,9 +78,8 @@
     pub fn new(spec: Spec, settings: Settings) -> Self {
         let zero = Instant::default();
         Self {
-            spec,
+            answer: Answer::new(spec),
             settings,
-            tokens: Vec::new(),
             epoch: Epoch(0),
             route: Arc::default(),
             phase: Phase::Choosing {
@@ -96,7 +95,7 @@
     /// Returns the request's identifier.
     #[must_use]
     pub fn request(&self) -> Request {
-        self.spec.request
+        self.answer.spec.request
     }
 
     /// Returns the current epoch.
@@ -114,7 +113,7 @@
     /// Returns the tokens given out so far.
     #[must_use]
     pub fn tokens(&self) -> &[u64] {
-        &self.tokens
+        &self.answer.tokens
     }
 
     /// Tells whether the caller has had the last word.
@@ -157,7 +156,7 @@
     fn release(&self, stage: &Stage) -> Action {
         Action::Release {
             stage: stage.clone(),
-            request: self.spec.request,
+            request: self.answer.spec.request,
             epoch: self.epoch,
         }
     }
@@ -177,13 +176,13 @@
         for (index, stage) in stages.iter().enumerate() {
             let last = index + 1 == stages.len();
             let open = Open {
-                request: self.spec.request,
+                request: self.answer.spec.request,
                 epoch: self.epoch,
                 route: self.route.clone(),
                 index,
                 downstream: self.first_downstream(last),
                 rebuild_until: Position(0),
-                limit: self.limit(),
+                limit: self.answer.limit(),
             };
             actions.push(Action::Open {
                 stage: stage.clone(),
@@ -197,17 +196,11 @@
         if self.fed {
             return None;
         }
-        Some(if last { self.answered() } else { Position(0) })
-    }
-
-    /// Returns the position whose run gives the next token.
-    fn answered(&self) -> Position {
-        Position((self.spec.prompt.len() + self.tokens.len()) as u64 - 1)
-    }
-
-    /// Returns the number of positions to run in all: the last token is not an input.
-    fn limit(&self) -> Position {
-        Position((self.spec.prompt.len() + self.spec.max_tokens) as u64 - 1)
+        Some(if last {
+            self.answer.next()
+        } else {
+            Position(0)
+        })
     }
 
     /// Books a stage's answer to an open.
@@ -249,18 +242,13 @@
     /// A replacement rebuilds every position that some later stage has had inputs of, or whose token
     /// is out: its predecessor in these layers has run them.
     fn resume(&self, answers: &[Opened], actions: &mut Vec<Action>) {
-        let answered = if self.tokens.is_empty() {
-            Position(0)
-        } else {
-            self.answered()
-        };
         for (index, stage) in self.route.stages.iter().enumerate() {
             let after = &answers[index + 1..];
-            let downstream = after.first().map_or(self.answered(), |next| next.count);
+            let downstream = after.first().map_or(self.answer.next(), |next| next.count);
             let reached = after.iter().map(|opened| opened.reached);
-            let rebuild_until = reached.chain([answered]).max();
+            let rebuild_until = reached.chain([self.answer.proved()]).max();
             let resume = Resume {
-                request: self.spec.request,
+                request: self.answer.spec.request,
                 epoch: self.epoch,
                 downstream,
                 rebuild_until: rebuild_until.unwrap_or_default(),
@@ -274,15 +262,14 @@
 
     /// Sends the first stage its inputs from a position on.
     fn feed(&self, from: Position, actions: &mut Vec<Action>) {
-        let known = self.spec.prompt.iter().chain(&self.tokens).copied();
-        let values: Vec<u64> = known.skip(from.0 as usize).collect();
+        let values = self.answer.inputs(from);
         if values.is_empty() {
             return;
         }
         actions.push(Action::Feed {
             stage: self.route.stages[0].clone(),
             frame: Frame {
-                request: self.spec.request,
+                request: self.answer.spec.request,
                 epoch: self.epoch,
                 first: from,
                 values,
@@ -298,35 +285,23 @@
         if tokens.epoch != self.epoch || self.phase != Phase::Running {
             return;
         }
-        let next = self.answered();
-        if tokens.first > next {
-            return;
-        }
-        let room = self.spec.max_tokens - self.tokens.len();
-        let known = next.distance(tokens.first);
-        let fresh: Vec<u64> = tokens
-            .values
-            .iter()
-            .skip(known)
-            .take(room)
-            .copied()
-            .collect();
+        let first = self.answer.tokens.len();
+        let fresh = self.answer.take(tokens);
         if fresh.is_empty() {
             return;
         }
-        let first = self.tokens.len();
         self.progress = now;
-        self.tokens.extend_from_slice(&fresh);
         actions.push(Action::Emit {
             first,
             tokens: fresh,
         });
-        if self.tokens.len() == self.spec.max_tokens {
+        if self.answer.is_whole() {
             self.close(actions);
             actions.push(Action::Finish);
             return;
         }
-        self.feed(Position((self.spec.prompt.len() + first) as u64), actions);
+        let given_before = self.answer.spec.prompt.len() + first;
+        self.feed(Position(given_before as u64), actions);
     }
 
     /// Takes word that a stage is gone under an epoch, or did not open.
--- a/crates/core/src/session/mod.rs
+++ b/crates/core/src/session/mod.rs
@@ -6,6 +6,7 @@
 //! therefore one move, whatever has died: a new route under a new epoch, each stage asked how far
 //! it has run, and each told from where its successor lacks outputs.
 
+mod answer;
 mod call;
 mod message;
 
--- a/crates/entry/src/api/claimed.rs
+++ b/crates/entry/src/api/claimed.rs
@@ -167,14 +167,14 @@
     }
     let stream = call.stream;
     match call.collect().await {
-        Ok(value) => {
+        Ok(json) => {
             let (kind, text) = if stream {
                 (
                     "text/event-stream",
-                    format!("data: {value}\n\ndata: [DONE]\n\n"),
+                    format!("data: {json}\n\ndata: [DONE]\n\n"),
                 )
             } else {
-                ("application/json", value.to_string())
+                ("application/json", json)
             };
             let body = Bytes::from(text);
             place.finish(record, kept(StatusCode::OK, Some(kind.into()), &body));
--- a/crates/entry/src/api/completions.rs
+++ b/crates/entry/src/api/completions.rs
@@ -31,6 +31,7 @@
 use jujube_program::http;
 use jujube_program::http::Body;
 use serde::Deserialize;
+use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -75,9 +76,45 @@
     Many(Vec<String>),
 }
 
+/// A completion, or a part of one, as callers read it.
+#[derive(Serialize)]
+pub(crate) struct Chunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: Vec<Choice<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    text: &'a str,
+    logprobs: Option<()>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Serialize)]
+struct Usage {
+    prompt_tokens: usize,
+    completion_tokens: usize,
+    total_tokens: usize,
+}
+
+/// Returns a part as a server-sent event.
+fn event(chunk: &Chunk<'_>) -> String {
+    // Plain structs of texts and numbers always have a JSON form.
+    let json = serde_json::to_string(chunk).unwrap_or_default();
+    format!("data: {json}\n\n")
+}
+
 /// A completion under way, and how it is described to the caller.
 struct Job {
     id: RequestId,
+    /// The identifier that callers see.
+    name: String,
     service: Service,
     created: u64,
     prompt_tokens: usize,
@@ -167,6 +204,7 @@
     let id = state.next_request();
     let job = Job {
         id,
+        name: format!("cmpl-{id}"),
         service,
         created: clock::unix_millis() / 1000,
         prompt_tokens: prompt.len(),
@@ -207,11 +245,11 @@
         Ok(http::json(StatusCode::OK, &job.whole(&text)))
     }
 
-    /// Runs the completion and returns the whole text with its JSON form.
-    pub(crate) async fn collect(self) -> Result<Value, Refusal> {
+    /// Runs the completion and returns the whole answer as JSON.
+    pub(crate) async fn collect(self) -> Result<String, Refusal> {
         let (job, first, outputs) = self.begin().await?;
         let text = job.collect(first, outputs).await?;
-        Ok(job.whole(&text))
+        Ok(serde_json::to_string(&job.whole(&text)).unwrap_or_default())
     }
 
     /// Waits for admission and for the first output: until then a refusal has a status of its own.
@@ -254,28 +292,35 @@
 }
 
 impl Job {
-    fn usage(&self, completion: usize) -> Value {
-        json!({
-            "prompt_tokens": self.prompt_tokens,
-            "completion_tokens": completion,
-            "total_tokens": self.prompt_tokens + completion,
-        })
+    fn usage(&self, completion: usize) -> Usage {
+        Usage {
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens: completion,
+            total_tokens: self.prompt_tokens + completion,
+        }
     }
 
-    fn chunk(&self, text: &str, finish: Option<&str>) -> Value {
-        json!({
-            "id": format!("cmpl-{}", self.id),
-            "object": "text_completion",
-            "created": self.created,
-            "model": self.service,
-            "choices": [{"index": 0, "text": text, "logprobs": null, "finish_reason": finish}],
-        })
+    fn chunk<'a>(&'a self, text: &'a str, finish: Option<&'static str>) -> Chunk<'a> {
+        Chunk {
+            id: &self.name,
+            object: "text_completion",
+            created: self.created,
+            model: &self.service.0,
+            choices: vec![Choice {
+                index: 0,
+                text,
+                logprobs: None,
+                finish_reason: finish,
+            }],
+            usage: None,
+        }
     }
 
-    fn whole(&self, text: &str) -> Value {
-        let mut value = self.chunk(text, Some("length"));
-        value["usage"] = self.usage(self.max_tokens);
-        value
+    fn whole<'a>(&'a self, text: &'a str) -> Chunk<'a> {
+        Chunk {
+            usage: Some(self.usage(self.max_tokens)),
+            ..self.chunk(text, Some("length"))
+        }
     }
 
     async fn collect(
@@ -320,16 +365,15 @@
         match output {
             Output::Tokens(tokens) => {
                 let text: String = tokens.iter().map(|token| Words.decode(*token)).collect();
-                format!("data: {}\n\n", self.chunk(&text, None))
+                event(&self.chunk(&text, None))
             }
             Output::Finish => {
-                let last = self.chunk("", Some("length"));
-                let mut text = format!("data: {last}\n\n");
+                let mut text = event(&self.chunk("", Some("length")));
                 if self.usage {
-                    let mut usage = self.chunk("", None);
-                    usage["choices"] = json!([]);
-                    usage["usage"] = self.usage(self.max_tokens);
-                    text.push_str(&format!("data: {usage}\n\n"));
+                    text.push_str(&event(&Chunk {
+                        choices: Vec::new(),
+                        ..self.whole("")
+                    }));
                 }
                 text.push_str("data: [DONE]\n\n");
                 text
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: membership, configuration and snapshots.
 
-use std::collections::BTreeSet;
+mod tasks;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -16,16 +17,9 @@
 use jujube_core::name::Service;
 use jujube_core::path::Table;
 use jujube_core::time::Instant;
-use jujube_platform::head;
-use jujube_platform::kv::Etcd;
-use jujube_platform::kv::Revision;
-use jujube_platform::kv::Store;
-use jujube_platform::vms;
-use jujube_platform::vms::List;
 use jujube_program::clock;
 use jujube_program::shutdown::Signal;
 use jujube_wire::connection::Error;
-use jujube_wire::connection::Patience;
 use jujube_wire::connection::Peer;
 use jujube_wire::heartbeat::Answer;
 use jujube_wire::heartbeat::Ask;
@@ -35,28 +29,20 @@
 
 use crate::state::State;
 use crate::state::lock;
-
-/// Something that the control thread hears of.
-enum News {
-    Beat(Server, Result<Answer, Error>),
-    Config(Config),
-    Delta(Delta),
-    Vms(BTreeSet<Server>),
-}
+use tasks::News;
+use tasks::PATIENCE;
 
 const TICK: Duration = Duration::from_millis(25);
 /// How often loads are published when nothing else changes.
 const LOADS: u64 = 100;
-const VMS: Duration = Duration::from_secs(1);
-const RETRY: Duration = Duration::from_millis(500);
 
 /// Runs until told to stop.
 pub(crate) async fn run(state: State, mut stop: Signal) {
     let (news, mut received) = mpsc::unbounded_channel();
-    tokio::spawn(follow(state.clone(), news.clone()));
-    tokio::spawn(ask_seeds(state.clone(), news.clone()));
+    tokio::spawn(tasks::follow(state.clone(), news.clone()));
+    tokio::spawn(tasks::ask_seeds(state.clone(), news.clone()));
     if !state.settings.vms.is_empty() {
-        tokio::spawn(list_vms(state.settings.vms.clone(), news.clone()));
+        tokio::spawn(tasks::list_vms(state.settings.vms.clone(), news.clone()));
     }
     let mut control = Control::new(state, news);
     let mut tick = tokio::time::interval(TICK);
@@ -87,7 +73,9 @@
 impl Control {
     fn new(state: State, news: mpsc::UnboundedSender<News>) -> Self {
         let trust = state.settings.trust.clone();
-        let board = Blackboard::new(trust, state.settings.membership);
+        let subset = state.settings.subset.clone();
+        let entry = state.incarnation;
+        let board = Blackboard::new(trust, state.settings.membership, entry, subset);
         Self {
             state,
             board,
@@ -132,7 +120,8 @@
 
     fn forget_unnamed(&mut self) {
         let bundle = self.board.bundle.clone();
-        let named = |server: &Server| bundle.servers.contains_key(server);
+        let members = self.board.members.clone();
+        let named = |server: &Server| members.contains_key(server);
         self.asked.retain(|server, _| named(server));
         self.states.retain(|server, _| named(server));
         // An address may have changed: connections are made anew.
@@ -172,13 +161,13 @@
             return;
         };
         if theirs > ours {
-            tokio::spawn(pull(peer, ours, self.news.clone()));
+            tokio::spawn(tasks::pull(peer, ours, self.news.clone()));
         } else if theirs < ours
             && let Some(config) = self.board.history.last().cloned()
         {
             let delta = self.board.history.since(theirs);
             let state = self.state.clone();
-            tokio::spawn(push(state, peer, delta, config));
+            tokio::spawn(tasks::push(state, peer, delta, config));
         }
     }
 
@@ -197,7 +186,7 @@
 
     /// Returns how many entries share the backend servers, by what these say.
     fn entries(&self) -> u64 {
-        let servers = self.board.bundle.servers.keys();
+        let servers = self.board.members.keys();
         let beats = servers.filter_map(|server| self.board.membership.last(server));
         beats.map(|beat| beat.entries).max().unwrap_or(1).max(1)
     }
@@ -205,8 +194,8 @@
     /// Asks those sidecars whose turn it is.
     fn ask(&mut self, now: Instant) {
         let settings = self.state.settings.membership;
-        let bundle = self.board.bundle.clone();
-        for (server, member) in &bundle.servers {
+        let members = self.board.members.clone();
+        for (server, member) in members.iter() {
             let busy = self.state.admission.in_flight(&member.service, server) > 0;
             let trouble = self.states.get(server) == Some(&membership::State::Suspect);
             let interval = if busy || trouble {
@@ -229,13 +218,18 @@
                 entry: self.state.incarnation,
                 generation: self.board.generation(),
             };
-            tokio::spawn(heartbeat(peer, server.clone(), ask, self.news.clone()));
+            tokio::spawn(tasks::heartbeat(
+                peer,
+                server.clone(),
+                ask,
+                self.news.clone(),
+            ));
         }
     }
 
     /// Compares each backend server's state with what it was.
     fn notice(&mut self, now: Instant) {
-        let servers: Vec<Server> = self.board.bundle.servers.keys().cloned().collect();
+        let servers: Vec<Server> = self.board.members.keys().cloned().collect();
         for server in servers {
             let is = self.board.membership.state(now, &server);
             let was = self.states.insert(server.clone(), is);
@@ -265,7 +259,7 @@
     }
 
     fn describe(&self, now: Instant) -> serde_json::Value {
-        let servers = self.board.bundle.servers.iter().map(|(server, member)| {
+        let servers = self.board.members.iter().map(|(server, member)| {
             let beat = self.board.membership.last(server);
             let state = self.board.membership.state(now, server);
             json!({
@@ -284,69 +278,6 @@
     }
 }
 
-const PATIENCE: Patience = Patience {
-    connect: Duration::from_millis(120),
-    answer: Duration::from_millis(120),
-    tries: 2,
-};
-
-async fn heartbeat(
-    peer: Peer<SidecarClient>,
-    server: Server,
-    ask: Ask,
-    news: mpsc::UnboundedSender<News>,
-) {
-    let call = |client: SidecarClient, context| async move { client.heartbeat(context, ask).await };
-    let answer = peer.call(call).await;
-    let _stopping = news.send(News::Beat(server, answer));
-}
-
-/// Asks for what is missing since a generation; whole, when that is too long ago.
-async fn pull(peer: Peer<SidecarClient>, since: Generation, news: mpsc::UnboundedSender<News>) {
-    let call = |client: SidecarClient, context| async move { client.delta(context, since).await };
-    if let Ok(Some(delta)) = peer.call(call).await
-        && let Ok(delta) = delta.try_into()
-    {
-        let _stopping = news.send(News::Delta(delta));
-        return;
-    }
-    let call = |client: SidecarClient, context| async move { client.config(context).await };
-    let Ok(Some(config)) = peer.call(call).await else {
-        return;
-    };
-    if let Ok(config) = config.try_into() {
-        let _stopping = news.send(News::Config(config));
-    }
-}
-
-/// Offers what a sidecar lacks; whole, when the difference is not enough. The next heartbeat shows
-/// whether it arrived.
-async fn push(state: State, peer: Peer<SidecarClient>, delta: Option<Delta>, config: Arc<Config>) {
-    let target = config.head.generation;
-    if let Some(delta) = delta {
-        let delta = jujube_wire::config::Delta::from(&delta);
-        let call = |client: SidecarClient, context| {
-            let delta = delta.clone();
-            async move { client.offer_delta(context, delta).await }
-        };
-        state.counters.add("configs_offered_as_delta", 1);
-        if peer
-            .call(call)
-            .await
-            .is_ok_and(|generation| generation >= target.0)
-        {
-            return;
-        }
-    }
-    let config = jujube_wire::config::Config::from(&*config);
-    let call = |client: SidecarClient, context| {
-        let config = config.clone();
-        async move { client.offer(context, config).await }
-    };
-    state.counters.add("configs_offered_whole", 1);
-    let _seen_by_heartbeat = peer.call(call).await;
-}
-
 /// Returns how many requests the scarcest layer of a model can hold.
 fn bottleneck(table: &Table) -> u64 {
     let slots = |layer: u32| -> u64 {
@@ -361,62 +292,6 @@
     (0..table.layers).map(slots).min().unwrap_or(0)
 }
 
-/// Follows the head in the key-value service.
-async fn follow(state: State, news: mpsc::UnboundedSender<News>) {
-    let store = Etcd::new(&state.settings.kv);
-    let mut seen = Revision(0);
-    loop {
-        match head::config(&store).await {
-            Ok(Some((config, revision))) if revision > seen => {
-                seen = revision;
-                if news.send(News::Config(config)).is_err() {
-                    return;
-                }
-            }
-            Ok(_) => {}
-            Err(_) => {
-                state.counters.add("kv_failures", 1);
-                tokio::time::sleep(RETRY).await;
-                continue;
-            }
-        }
-        if !state.settings.watch && state.snapshot().generation.0 > 0 {
-            return;
-        }
-        // The watch only wakes: what is applied is read above, with its bundle.
-        if store.changed(head::HEAD, seen).await.is_err() {
-            tokio::time::sleep(RETRY).await;
-        }
-    }
-}
-
-/// Asks sidecars for the configuration until there is one: the key-value service may be away.
-async fn ask_seeds(state: State, news: mpsc::UnboundedSender<News>) {
-    while state.snapshot().generation.0 == 0 {
-        for seed in &state.settings.seeds {
-            pull(
-                Peer::new(seed.as_str(), PATIENCE),
-                Generation(0),
-                news.clone(),
-            )
-            .await;
-        }
-        tokio::time::sleep(RETRY).await;
-    }
-}
-
-async fn list_vms(base: String, news: mpsc::UnboundedSender<News>) {
-    let list = vms::Http::new(&base);
-    loop {
-        if let Some(leaving) = list.leaving().await
-            && news.send(News::Vms(leaving)).is_err()
-        {
-            return;
-        }
-        tokio::time::sleep(VMS).await;
-    }
-}
-
 /// Returns the services of a snapshot that have no usable backend server; for the status page.
 pub(crate) fn unserved(state: &State) -> Vec<Service> {
     let snapshot = state.snapshot();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,8 +7,10 @@
 use anyhow::Result;
 use jujube_core::bundle::Trust;
 use jujube_core::membership;
+use jujube_core::name::Zone;
 use jujube_core::path;
 use jujube_core::session;
+use jujube_core::subset;
 use jujube_core::time::Span;
 use jujube_platform::claims::Grouping;
 use jujube_program::settings;
@@ -39,6 +41,8 @@
     pub threads: usize,
     /// How claims are grouped.
     pub grouping: Grouping,
+    /// Which backend servers this entry speaks to.
+    pub subset: subset::Settings,
     /// When silence counts.
     pub membership: membership::Settings,
     /// How sessions bear with trouble.
@@ -65,6 +69,7 @@
             drain: Duration::from_secs(600),
             threads: 2,
             grouping: Grouping::default(),
+            subset: subset::Settings::default(),
             membership: membership::Settings::default(),
             session: session::Settings::default(),
             path: path::Settings::default(),
@@ -102,6 +107,10 @@
             delay: Duration::from_millis(section.number("delay-ms", Some(2))),
             most: section.number("most", Some(64)) as usize,
         });
+        settings.subset = file.section("subset", |section| subset::Settings {
+            zones: section.list("zones").into_iter().map(Zone).collect(),
+            each: section.number("each", Some(0)) as usize,
+        });
         settings.membership = read_membership(&mut file);
         settings.session = read_session(&mut file);
         settings.path = read_path(&mut file);
--- a/crates/load/src/slopes/control.rs
+++ b/crates/load/src/slopes/control.rs
@@ -72,14 +72,42 @@
 }
 
 pub(super) fn measure() -> Result<Vec<Slope>> {
-    Ok(vec![solve(), solve_by_zones(), choose(), loads(), notice()])
+    Ok(vec![
+        solve_all(),
+        solve(),
+        solve_by_zones(),
+        choose(),
+        loads(),
+        notice(),
+    ])
+}
+
+/// All models of the aim, each with its share of the backend servers in four zones.
+fn solve_all() -> Slope {
+    const MODELS: usize = 22;
+    let points = SIZES.map(|size| {
+        let each = candidates(size / MODELS, 4);
+        let took = shortest(3, || {
+            for _ in 0..MODELS {
+                let _table = Table::build(each.clone(), fleet(4));
+            }
+        });
+        (size as f64, micros(took) / 1000.0)
+    });
+    Slope {
+        what: "flow of 22 models in 4 zones each, solved",
+        size: "backend servers in all",
+        unit: "ms",
+        points: points.into(),
+    }
 }
 
 /// 500 backend servers of one model in four zones are a twenty-second part of the aim.
 fn solve() -> Slope {
     let points = SIZES.map(|size| {
+        let candidates = candidates(size, 4);
         let took = shortest(3, || {
-            let _table = Table::build(candidates(size, 4), fleet(4));
+            let _table = Table::build(candidates.clone(), fleet(4));
         });
         (size as f64, micros(took) / 1000.0)
     });
--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -1,14 +1,17 @@
 //! Claims in the key-value service, many in one transaction.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use jujube_core::bundle;
 use jujube_core::claim::Outcome;
 use jujube_core::claim::Record;
 use jujube_core::name::Customer;
+use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::kv::Condition;
 use crate::kv::Error;
@@ -63,16 +66,45 @@
 /// The claims of one entry.
 #[derive(Clone)]
 pub struct Claims<S> {
-    store: S,
+    leased: Leased<S>,
     jobs: mpsc::UnboundedSender<Job>,
 }
 
+/// A store with a lease that the claims of an hour share: one for each would double the writes.
+#[derive(Clone)]
+struct Leased<S> {
+    store: S,
+    kept: Arc<Mutex<Option<(Lease, Instant)>>>,
+}
+
+impl<S: Store> Leased<S> {
+    async fn lease(&self) -> Result<Lease, Error> {
+        const SHARED_FOR: Duration = Duration::from_secs(3_600);
+        let mut kept = self.kept.lock().await;
+        if let Some((lease, since)) = *kept
+            && since.elapsed() < SHARED_FOR
+        {
+            return Ok(lease);
+        }
+        let lease = self
+            .store
+            .grant(KEPT_SECONDS + SHARED_FOR.as_secs())
+            .await?;
+        *kept = Some((lease, Instant::now()));
+        Ok(lease)
+    }
+}
+
 impl<S: Store> Claims<S> {
     /// Starts the grouping task. Must be called inside a runtime.
     pub fn start(store: S, grouping: Grouping) -> Self {
         let (jobs, receiver) = mpsc::unbounded_channel();
-        tokio::spawn(group(store.clone(), grouping, receiver));
-        Self { store, jobs }
+        let leased = Leased {
+            store,
+            kept: Arc::default(),
+        };
+        tokio::spawn(group(leased.clone(), grouping, receiver));
+        Self { leased, jobs }
     }
 
     /// Writes a record if there is none.
@@ -91,7 +123,7 @@
 
     /// Reads a record.
     pub async fn read(&self, key: &str) -> Outcome {
-        match self.store.get(key).await {
+        match self.leased.store.get(key).await {
             Ok(found) => outcome(found.as_ref()),
             Err(_) => Outcome::Unknown,
         }
@@ -99,7 +131,7 @@
 
     /// Replaces exactly the record `before`; anything else that is there stays.
     pub async fn replace(&self, key: &str, before: &Record, record: &Record) -> Outcome {
-        let found = match self.store.get(key).await {
+        let found = match self.leased.store.get(key).await {
             Ok(Some(found)) => found,
             Ok(None) => return Outcome::Absent,
             Err(_) => return Outcome::Unknown,
@@ -122,18 +154,18 @@
             key: key.into(),
             revision,
         };
-        let lease = self.store.grant(KEPT_SECONDS).await?;
+        let lease = self.leased.lease().await?;
         let write = Write::Put {
             key: key.into(),
             value,
             lease: Some(lease),
         };
-        self.store.swap(&[condition], &[write]).await
+        self.leased.store.swap(&[condition], &[write]).await
     }
 
     /// Removes exactly this record: a release must not clear a successor's claim.
     pub async fn remove(&self, key: &str, record: &Record) {
-        let Ok(Some(found)) = self.store.get(key).await else {
+        let Ok(Some(found)) = self.leased.store.get(key).await else {
             return;
         };
         if outcome(Some(&found)) != Outcome::Found(record.clone()) {
@@ -144,7 +176,7 @@
             revision: found.revision,
         };
         let write = Write::Delete { key: key.into() };
-        let _left_to_its_lease = self.store.swap(&[condition], &[write]).await;
+        let _left_to_its_lease = self.leased.store.swap(&[condition], &[write]).await;
     }
 }
 
@@ -162,46 +194,33 @@
     }
 }
 
-async fn group<S: Store>(store: S, grouping: Grouping, mut receiver: mpsc::UnboundedReceiver<Job>) {
-    let mut lease: Option<(Lease, tokio::time::Instant)> = None;
+async fn group<S: Store>(
+    leased: Leased<S>,
+    grouping: Grouping,
+    mut receiver: mpsc::UnboundedReceiver<Job>,
+) {
     while let Some(first) = receiver.recv().await {
         let mut jobs = vec![first];
-        let end = tokio::time::Instant::now() + grouping.delay;
+        let end = Instant::now() + grouping.delay;
         while jobs.len() < grouping.most {
             match tokio::time::timeout_at(end, receiver.recv()).await {
                 Ok(Some(job)) => jobs.push(job),
                 Ok(None) | Err(_) => break,
             }
         }
-        let lease = shared_lease(&store, &mut lease).await;
         // The next group gathers while this one is on its way.
-        tokio::spawn(write(store.clone(), lease, jobs));
-    }
-}
-
-/// Returns a lease for claims of the next hour: one for each claim would double the writes.
-async fn shared_lease<S: Store>(
-    store: &S,
-    kept: &mut Option<(Lease, tokio::time::Instant)>,
-) -> Result<Lease, Error> {
-    const SHARED_FOR: Duration = Duration::from_secs(3_600);
-    if let Some((lease, since)) = kept
-        && since.elapsed() < SHARED_FOR
-    {
-        return Ok(*lease);
+        tokio::spawn(write(leased.clone(), jobs));
     }
-    let lease = store.grant(KEPT_SECONDS + SHARED_FOR.as_secs()).await?;
-    *kept = Some((lease, tokio::time::Instant::now()));
-    Ok(lease)
 }
 
 /// Writes a group in one transaction; when one of its keys is taken, each by itself.
-async fn write<S: Store>(store: S, lease: Result<Lease, Error>, jobs: Vec<Job>) {
-    let lease = match lease {
+async fn write<S: Store>(leased: Leased<S>, jobs: Vec<Job>) {
+    let lease = match leased.lease().await {
         Ok(lease) => lease,
         Err(_) => return answer_all(jobs, &Outcome::Down),
     };
     let (jobs, repeats) = split_repeats(jobs);
+    let store = leased.store;
     write_group(&store, lease, jobs).await;
     for job in repeats {
         write_alone(store.clone(), lease, job).await;
--- a/crates/sidecar/src/handler.rs
+++ b/crates/sidecar/src/handler.rs
@@ -33,10 +33,8 @@
 /// Answers the calls of one connection.
 pub(crate) async fn connection(stream: TcpStream, state: State) {
     let requests = server::channel(stream).execute(Handler(state).serve());
-    let each = requests.for_each(|request| async {
-        tokio::spawn(request);
-    });
-    each.await;
+    // In this task: nearly every answer is at hand, and a task for each would cost more than it.
+    requests.for_each_concurrent(None, |request| request).await;
 }
 
 impl Sidecar for Handler {
