--- a/crates/load/src/bound.rs
+++ b/crates/load/src/bound.rs
@@ -7,6 +7,7 @@
 use jujube_core::bundle::Bundle;
 use jujube_core::bundle::Kind;
 use jujube_core::name::Service;
+use jujube_core::path::Fleet;
 use jujube_core::path::Table;
 
 /// Returns a model's table with all backend servers in use.
@@ -18,6 +19,19 @@
     Table::build(candidates.collect(), blackboard::fleet(bundle, service))
 }
 
+/// Returns the rate that the engines alone allow, whatever slots are held for.
+#[must_use]
+pub fn engines(bundle: &Bundle, service: &Service) -> f64 {
+    let members = bundle.in_use(service);
+    let candidates =
+        members.map(|(server, member)| blackboard::candidate(bundle, server, member, 0));
+    let fleet = Fleet {
+        token_seconds: 0.0,
+        ..blackboard::fleet(bundle, service)
+    };
+    Table::build(candidates.collect(), fleet).rate
+}
+
 /// Describes the bound of each model of a bundle, and the paths that reach it.
 ///
 /// # Errors
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -18,7 +18,7 @@
 pub struct Point {
     /// Streams at a time.
     pub streams: usize,
-    /// Tokens a second.
+    /// Positions a second, of prompts and answers.
     pub rate: f64,
     /// The bound.
     pub bound: f64,
@@ -41,7 +41,10 @@
     pub length: Duration,
 }
 
-/// Keeps a number of streams running through a policy and returns the token rate.
+/// Keeps a number of streams running through a policy and returns the rate of positions.
+///
+/// Counted at the engines between two moments in full stride: counting whole answers would take the
+/// ramp and the slowest stream's end for a lower rate.
 ///
 /// # Errors
 ///
@@ -57,37 +60,56 @@
         ..path::Settings::default()
     };
     let cluster = Cluster::start(plan).await?;
-    let table = bound::table(&cluster.bundle, &Service::from(load.model.as_str()));
-    let start = Instant::now();
-    let end = start + load.length;
+    let bound = bound::engines(&cluster.bundle, &Service::from(load.model.as_str()));
+    let end = Instant::now() + WARM_UP + load.length;
     let streams = (0..load.streams).map(|number| {
         let caller = Caller::new(&cluster.url(0), &load.key);
         let load = load.clone();
         tokio::spawn(async move { keep(caller, load, number, end).await })
     });
     let streams: Vec<_> = streams.collect();
-    let mut tokens = 0;
+    tokio::time::sleep(WARM_UP).await;
+    let before = ran(&cluster);
+    tokio::time::sleep(load.length).await;
+    let layers = model_layers(&cluster, load);
+    let rate = (ran(&cluster) - before) as f64 / layers / load.length.as_secs_f64();
     for stream in streams {
-        tokens += stream.await??;
+        stream.await??;
     }
-    let rate = tokens as f64 / start.elapsed().as_secs_f64();
     cluster.drain().await;
     Ok(Point {
         streams: load.streams,
         rate,
-        bound: table.rate,
+        bound,
     })
 }
 
-async fn keep(caller: Caller, load: Load, number: usize, end: Instant) -> Result<usize> {
-    let mut tokens = 0;
+/// Until every stream has got into its stride.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// Returns how many layer-positions all engines have run for the first time.
+fn ran(cluster: &Cluster) -> u64 {
+    let engines = cluster
+        .backends
+        .values()
+        .filter_map(|backend| backend.engine.as_ref());
+    engines.map(|engine| engine.state().ran).sum()
+}
+
+fn model_layers(cluster: &Cluster, load: &Load) -> f64 {
+    let offer = cluster
+        .bundle
+        .services
+        .get(&Service::from(load.model.as_str()));
+    offer.map_or(1.0, |offer| f64::from(offer.layers))
+}
+
+async fn keep(caller: Caller, load: Load, number: usize, end: Instant) -> Result<()> {
     let mut turn = 0;
     while Instant::now() < end {
         let prompt = format!("stream {number} turn {turn}");
         caller.stream(&load.model, &prompt, load.max_tokens).await?;
-        // Prompt positions cost the engines as much as tokens do.
-        tokens += load.max_tokens + prompt.split(' ').count() - 1;
         turn += 1;
     }
-    Ok(tokens)
+    Ok(())
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -188,21 +188,29 @@
     /// Runs what has gathered in one batch after the other.
     async fn batch(self, mut receiver: mpsc::UnboundedReceiver<Job>) {
         const LARGEST: usize = 64;
-        const GRAIN: Duration = Duration::from_millis(1);
-        let mut debt = Duration::ZERO;
+        const GRAIN_MICROS: i64 = 1_000;
+        const IDLE: Duration = Duration::from_micros(200);
+        let mut debt = 0;
         let mut batch = Vec::new();
+        let mut waiting_since = tokio::time::Instant::now();
         while receiver.recv_many(&mut batch, LARGEST).await > 0 {
-            debt += self.takes(&batch);
+            // Time that a timer overslept counts for the next batch, but not across an idle spell:
+            // a busy engine would else lose up to a millisecond in each batch.
+            if waiting_since.elapsed() > IDLE {
+                debt = debt.max(0);
+            }
+            debt += self.takes(&batch).as_micros() as i64;
             // The timer's grain is a millisecond: shorter steps are saved up.
-            if debt >= GRAIN {
+            if debt >= GRAIN_MICROS {
                 let start = tokio::time::Instant::now();
-                tokio::time::sleep(debt).await;
-                debt = debt.saturating_sub(start.elapsed());
+                tokio::time::sleep(Duration::from_micros(debt.unsigned_abs())).await;
+                debt -= start.elapsed().as_micros() as i64;
             }
             for job in batch.drain(..) {
                 let stepped = self.run(&job.step);
                 let _caller_gone = job.answer.send(stepped);
             }
+            waiting_since = tokio::time::Instant::now();
         }
     }
 
