--- a/crates/program/src/arguments.rs
+++ b/crates/program/src/arguments.rs
@@ -68,9 +68,9 @@
 }
 
 /// The exit code of a program that could not start or run.
-pub const FAILED: u8 = 1;
+const FAILED: u8 = 1;
 /// The exit code of wrong arguments or settings.
-pub const MISUSED: u8 = 2;
+const MISUSED: u8 = 2;
 
 impl<S> Daemon<S> {
     /// Does what the command line asks, and returns the exit code.
@@ -105,8 +105,45 @@
     }
 }
 
+/// A tool's program: everything that differs from one to the next.
+pub struct Tool<C> {
+    /// The program's name.
+    pub name: &'static str,
+    /// What `--help` prints.
+    pub help: &'static str,
+    /// What `--version` prints after the name.
+    pub version: &'static str,
+    /// Reads the command line.
+    pub read: fn(Arguments) -> Result<C>,
+    /// Does what it asks.
+    pub run: fn(C) -> Result<()>,
+}
+
+impl<C> Tool<C> {
+    /// Does what the command line asks, and returns the exit code.
+    pub fn main(&self) -> ExitCode {
+        let mut arguments = Arguments::from_env();
+        if arguments.contains(["-h", "--help"]) {
+            print!("{}", self.help);
+            return ExitCode::SUCCESS;
+        }
+        if arguments.contains(["-V", "--version"]) {
+            println!("{} {}", self.name, self.version);
+            return ExitCode::SUCCESS;
+        }
+        let command = match (self.read)(arguments) {
+            Ok(command) => command,
+            Err(error) => return fail(self.name, MISUSED, &error),
+        };
+        match (self.run)(command) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => fail(self.name, FAILED, &error),
+        }
+    }
+}
+
 /// Says on standard error what is wrong, and returns the exit code.
-pub fn fail(name: &str, code: u8, error: &anyhow::Error) -> ExitCode {
+fn fail(name: &str, code: u8, error: &anyhow::Error) -> ExitCode {
     // With standard error closed, the exit code still tells.
     let _best_effort = writeln!(std::io::stderr(), "{name}: {error:#}");
     ExitCode::from(code)
--- a/crates/programs/src/bin/jujube-ctl.rs
+++ b/crates/programs/src/bin/jujube-ctl.rs
@@ -17,8 +17,7 @@
 use jujube_platform::head;
 use jujube_platform::kv::Etcd;
 use jujube_program::arguments;
-use jujube_program::arguments::FAILED;
-use jujube_program::arguments::MISUSED;
+use jujube_program::arguments::Tool;
 use pico_args::Arguments;
 
 const HELP: &str = "\
@@ -43,23 +42,14 @@
 ";
 
 fn main() -> ExitCode {
-    let mut arguments = Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return ExitCode::SUCCESS;
-    }
-    if arguments.contains(["-V", "--version"]) {
-        println!("jujube-ctl {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let command = match Command::read(arguments) {
-        Ok(command) => command,
-        Err(error) => return arguments::fail("jujube-ctl", MISUSED, &error),
+    let tool = Tool {
+        name: "jujube-ctl",
+        help: HELP,
+        version: env!("CARGO_PKG_VERSION"),
+        read: Command::read,
+        run: Command::run,
     };
-    match command.run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => arguments::fail("jujube-ctl", FAILED, &error),
-    }
+    tool.main()
 }
 
 enum Command {
--- a/crates/programs/src/bin/jujube-load.rs
+++ b/crates/programs/src/bin/jujube-load.rs
@@ -18,8 +18,7 @@
 use jujube_load::result::Outcome;
 use jujube_load::slopes;
 use jujube_program::arguments;
-use jujube_program::arguments::FAILED;
-use jujube_program::arguments::MISUSED;
+use jujube_program::arguments::Tool;
 use pico_args::Arguments;
 
 const HELP: &str = "\
@@ -41,23 +40,14 @@
 ";
 
 fn main() -> ExitCode {
-    let mut arguments = Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return ExitCode::SUCCESS;
-    }
-    if arguments.contains(["-V", "--version"]) {
-        println!("jujube-load {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let command = match Command::read(arguments) {
-        Ok(command) => command,
-        Err(error) => return arguments::fail("jujube-load", MISUSED, &error),
+    let tool = Tool {
+        name: "jujube-load",
+        help: HELP,
+        version: env!("CARGO_PKG_VERSION"),
+        read: Command::read,
+        run: Command::run,
     };
-    match command.run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => arguments::fail("jujube-load", FAILED, &error),
-    }
+    tool.main()
 }
 
 enum Command {
--- a/crates/programs/src/bin/jujube-local.rs
+++ b/crates/programs/src/bin/jujube-local.rs
@@ -8,8 +8,7 @@
 use jujube_local::cluster::Plan;
 use jujube_local::trial;
 use jujube_program::arguments;
-use jujube_program::arguments::FAILED;
-use jujube_program::arguments::MISUSED;
+use jujube_program::arguments::Tool;
 use jujube_program::logs;
 use jujube_program::shutdown;
 use pico_args::Arguments;
@@ -38,23 +37,14 @@
 const DEFAULT_PORT: u16 = 8080;
 
 fn main() -> ExitCode {
-    let mut arguments = Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return ExitCode::SUCCESS;
-    }
-    if arguments.contains(["-V", "--version"]) {
-        println!("jujube-local {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let (once, port) = match read(arguments) {
-        Ok(read) => read,
-        Err(error) => return arguments::fail("jujube-local", MISUSED, &error),
+    let tool = Tool {
+        name: "jujube-local",
+        help: HELP,
+        version: env!("CARGO_PKG_VERSION"),
+        read,
+        run,
     };
-    match run(once, port) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => arguments::fail("jujube-local", FAILED, &error),
-    }
+    tool.main()
 }
 
 fn read(mut arguments: Arguments) -> Result<(bool, u16)> {
@@ -64,7 +54,7 @@
     Ok((once, port.unwrap_or(if once { 0 } else { DEFAULT_PORT })))
 }
 
-fn run(once: bool, port: u16) -> Result<()> {
+fn run((once, port): (bool, u16)) -> Result<()> {
     logs::start("local", if once { "warn" } else { "info" })?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/programs/src/bin/jujube-standin.rs
+++ b/crates/programs/src/bin/jujube-standin.rs
@@ -8,8 +8,7 @@
 use anyhow::bail;
 use jujube_core::layer::Range;
 use jujube_program::arguments;
-use jujube_program::arguments::FAILED;
-use jujube_program::arguments::MISUSED;
+use jujube_program::arguments::Tool;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
 use jujube_standin::engine;
@@ -43,23 +42,14 @@
 ";
 
 fn main() -> ExitCode {
-    let mut arguments = Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return ExitCode::SUCCESS;
-    }
-    if arguments.contains(["-V", "--version"]) {
-        println!("jujube-standin {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let (role, listen) = match read(arguments) {
-        Ok(read) => read,
-        Err(error) => return arguments::fail("jujube-standin", MISUSED, &error),
+    let tool = Tool {
+        name: "jujube-standin",
+        help: HELP,
+        version: env!("CARGO_PKG_VERSION"),
+        read,
+        run,
     };
-    match run(role, listen) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => arguments::fail("jujube-standin", FAILED, &error),
-    }
+    tool.main()
 }
 
 enum Role {
@@ -103,7 +93,7 @@
     })
 }
 
-fn run(role: Role, listen: SocketAddr) -> Result<()> {
+fn run((role, listen): (Role, SocketAddr)) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(1)
         .enable_all()
--- a/crates/programs/tests/support/mod.rs
+++ b/crates/programs/tests/support/mod.rs
@@ -7,6 +7,7 @@
     reason = "a fixture that fails must panic"
 )]
 
+pub mod streams;
 pub mod wire;
 
 use std::collections::BTreeMap;
