--- a/crates/programs/tests/path.rs
+++ b/crates/programs/tests/path.rs
@@ -125,3 +125,34 @@
     assert_eq!(fleet.runs("order-7").await, 1);
     assert_eq!(echoed.body, long);
 }
+
+/// Each process tells what it knows, and the operators' tool shows it.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_process_has_a_status() {
+    let fleet = Fleet::start(Layout::default()).await;
+    let sidecar = &fleet.backends["d1"].sidecar;
+    for entry in 0..2 {
+        fleet
+            .until(entry, "all heard of generation 1", |status| {
+                let servers = status["servers"].as_array().cloned().unwrap_or_default();
+                servers.iter().all(|server| server["generation"] == 1)
+            })
+            .await;
+    }
+
+    let page = fleet
+        .page(&format!("http://{}/status", sidecar.line[3]))
+        .await;
+    let entry = fleet.status(0).await;
+    let shown = support::ctl(&["status", "--settings", &fleet.path("ctl.ini")]).unwrap();
+
+    assert_eq!(page["role"], "sidecar");
+    assert_eq!(page["server"], "d1");
+    assert_eq!(page["generation"], 1);
+    assert_eq!(entry["role"], "entry");
+    assert_eq!(
+        shown.matches("generation 1").count(),
+        2 + 2 * fleet.backends.len()
+    );
+    assert!(shown.contains("bound"), "{shown}");
+}
--- a/crates/sidecar/src/handler.rs
+++ b/crates/sidecar/src/handler.rs
@@ -5,7 +5,6 @@
 use futures::StreamExt;
 use jujube_core::head::Generation;
 use jujube_core::ledger;
-use jujube_core::once;
 use jujube_core::verdict::Verdict;
 use jujube_program::clock;
 use jujube_wire::config::Config;
@@ -139,8 +138,4 @@
         let answer = self.0.engine.order(order.token, layers).await;
         answer.map_err(|error| OrderError::Engine(error.to_string()))
     }
-
-    async fn inspect(self, _: Context, settle: Settle) -> Option<once::State> {
-        self.0.once().state(settle.call)
-    }
 }
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -1,6 +1,7 @@
 //! Calls to the plain service beside the sidecar, at most once each.
 
 use std::io;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -21,6 +22,7 @@
 use jujube_program::http;
 use jujube_program::http::Body;
 use jujube_wire::plain;
+use serde_json::json;
 
 use crate::state::State;
 
@@ -32,12 +34,35 @@
     http::Client::fresh(Duration::from_millis(500))
 }
 
+/// Where operators read what the sidecar knows; calls from entries carry their number and go on to
+/// the service, whatever their path.
+const STATUS: &str = "/status";
+
+fn status(state: &State) -> Response<Body> {
+    let status = json!({
+        "role": "sidecar",
+        "server": state.settings.server,
+        "incarnation": format!("{:016x}", state.incarnation.0),
+        "generation": state.generation(),
+        "draining": state.draining.load(Ordering::Relaxed),
+        "healthy": state.healthy.load(Ordering::Relaxed),
+        "requests": state.ledger().len(),
+        "calls": state.once().busy(),
+        "entries": state.ledger().entries(),
+        "counters": state.counters.snapshot(),
+    });
+    http::json(StatusCode::OK, &status)
+}
+
 /// Answers one call from an entry.
 pub(crate) async fn answer(
     state: State,
     client: http::Client,
     request: Request<Incoming>,
 ) -> Response<Body> {
+    if request.uri().path() == STATUS && !request.headers().contains_key(plain::CALL) {
+        return status(&state);
+    }
     let Some((call, meant_for)) = identify(request.headers()) else {
         return refusal(Verdict::NotRun, "no call identifier");
     };
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -1,7 +1,6 @@
 //! The two services: what a sidecar answers, and what an entry answers.
 
 use jujube_core::head::Generation;
-use jujube_core::once;
 use jujube_core::verdict::Verdict;
 
 use crate::config::Config;
@@ -46,8 +45,6 @@
     async fn settle(settle: Settle) -> Verdict;
     /// Passes an order to the engine.
     async fn order(order: Order) -> Result<(), OrderError>;
-    /// Says how far a call to a plain service has come, without closing it; for people.
-    async fn inspect(settle: Settle) -> Option<once::State>;
 }
 
 /// Spoken to entries, by sidecars and by other entries.
