--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -1,17 +1,22 @@
 //! Ways of choosing paths, side by side, on the same cluster and the same load.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Result;
+use anyhow::anyhow;
 use jujube_core::name::Service;
 use jujube_core::path;
 use jujube_core::path::Policy;
-use jujube_local::caller::Caller;
 use jujube_local::cluster::Cluster;
 use jujube_local::cluster::Plan;
+use jujube_program::http;
 use tokio::time::Instant;
 
 use crate::bound;
+use crate::drive;
+use crate::experiment::Experiment;
+use crate::result::Recorder;
 
 /// One measured point.
 #[derive(Clone, Copy, Debug, Default)]
@@ -22,6 +27,8 @@
     pub rate: f64,
     /// The bound.
     pub bound: f64,
+    /// Milliseconds between tokens, for 95 in 100.
+    pub between_p95: f64,
 }
 
 /// What is compared on.
@@ -61,29 +68,38 @@
     };
     let cluster = Cluster::start(plan).await?;
     let bound = bound::engines(&cluster.bundle, &Service::from(load.model.as_str()));
-    let end = Instant::now() + WARM_UP + load.length;
-    let streams = (0..load.streams).map(|number| {
-        let caller = Caller::new(&cluster.url(0), &load.key);
-        let load = load.clone();
-        tokio::spawn(async move { keep(caller, load, number, end).await })
+    let experiment = Arc::new(Experiment {
+        entries: vec![cluster.url(0)],
+        key: load.key.clone(),
+        model: load.model.clone(),
+        prompt_words: 4,
+        max_tokens: load.max_tokens,
+        ..Experiment::default()
     });
+    let end = Instant::now() + WARM_UP + load.length;
+    let streams =
+        (0..load.streams).map(|number| tokio::spawn(keep(experiment.clone(), number, end)));
     let streams: Vec<_> = streams.collect();
     tokio::time::sleep(WARM_UP).await;
     let before = ran(&cluster);
     tokio::time::sleep(load.length).await;
     let layers = model_layers(&cluster, load);
     let rate = (ran(&cluster) - before) as f64 / layers / load.length.as_secs_f64();
+    let mut between = Recorder::default();
     for stream in streams {
-        stream.await??;
+        between.add(&stream.await??);
     }
     cluster.drain().await;
     Ok(Point {
         streams: load.streams,
         rate,
         bound,
+        between_p95: between.millis(0.95),
     })
 }
 
+const CONNECT: Duration = Duration::from_secs(2);
+
 /// Until every stream has got into its stride.
 const WARM_UP: Duration = Duration::from_secs(2);
 
@@ -104,12 +120,18 @@
     offer.map_or(1.0, |offer| f64::from(offer.layers))
 }
 
-async fn keep(caller: Caller, load: Load, number: usize, end: Instant) -> Result<()> {
-    let mut turn = 0;
+async fn keep(experiment: Arc<Experiment>, number: usize, end: Instant) -> Result<Recorder> {
+    let client = http::Client::new(CONNECT);
+    let mut between = Recorder::default();
     while Instant::now() < end {
-        let prompt = format!("stream {number} turn {turn}");
-        caller.stream(&load.model, &prompt, load.max_tokens).await?;
-        turn += 1;
+        let now = Instant::now();
+        let sample = drive::stream(experiment.clone(), client.clone(), number, now).await;
+        sample
+            .ended
+            .map_err(|why| anyhow!("a stream failed: {why}"))?;
+        for gap in sample.between {
+            between.record(gap);
+        }
     }
-    Ok(())
+    Ok(between)
 }
--- a/crates/load/src/drive.rs
+++ b/crates/load/src/drive.rs
@@ -70,10 +70,10 @@
 }
 
 /// What one request gave.
-struct Sample {
-    ended: Result<(), String>,
+pub(crate) struct Sample {
+    pub(crate) ended: Result<(), String>,
     first: Option<Duration>,
-    between: Vec<Duration>,
+    pub(crate) between: Vec<Duration>,
 }
 
 impl Sums {
@@ -106,7 +106,8 @@
     }
 }
 
-async fn stream(
+/// Sends one request and reads its answer.
+pub(crate) async fn stream(
     experiment: Arc<Experiment>,
     client: http::Client,
     number: usize,
--- a/crates/programs/src/bin/jujube-load.rs
+++ b/crates/programs/src/bin/jujube-load.rs
@@ -137,13 +137,14 @@
         ("round-robin", Policy::RoundRobin),
         ("random", Policy::Random),
     ];
-    println!("| policy | streams | positions a second | bound | share |");
-    println!("|---|---|---|---|---|");
+    println!("| policy | streams | positions a second | bound | share | between tokens p95 |");
+    println!("|---|---|---|---|---|---|");
     for (name, policy) in policies {
         let point = compare::run(load, policy).await?;
         let share = 100.0 * point.rate / point.bound;
         let (streams, rate, bound) = (point.streams, point.rate, point.bound);
-        println!("| {name} | {streams} | {rate:.0} | {bound:.0} | {share:.0}% |");
+        let between = point.between_p95;
+        println!("| {name} | {streams} | {rate:.0} | {bound:.0} | {share:.0}% | {between:.0} ms |");
     }
     Ok(())
 }
--- a/crates/programs/tests/configs.rs
+++ b/crates/programs/tests/configs.rs
@@ -15,6 +15,9 @@
 use support::MODEL;
 use support::ctl;
 use support::streams::PROMPT;
+use support::streams::begin;
+use support::streams::end;
+use support::streams::slow;
 
 /// One operator wins, the other is told who did; a lost answer is found out.
 ///
@@ -162,3 +165,32 @@
 
     assert_eq!(text, expected(&fleet.bundle, MODEL, PROMPT, 5));
 }
+
+/// Nobody's answer is cut by a roll-out, and what it takes out of use gets nothing new.
+///
+/// While eight streams run, a bundle takes a stage that many of them use out of use. They end on it;
+/// later requests go elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn roll_out_under_load_cuts_nothing() {
+    let mut fleet = Fleet::start(slow()).await;
+    let running = begin(&fleet, 8).await;
+    let text = fleet
+        .text
+        .replace("[server b1]\n", "[server b1]\nin-use = false\n");
+
+    let text = text.replace("[bundle]\n", "[bundle]\nconsent = shrink:writer\n");
+    fleet.roll_out("live.ini", &text).unwrap();
+    for entry in 0..2 {
+        fleet
+            .until(entry, "generation 2", |status| status["generation"] == 2)
+            .await;
+    }
+
+    end(&fleet, running).await;
+    let state = format!("{}/v1/state", fleet.backends["b1"].url);
+    let before = fleet.page(&state).await["ran"].clone();
+    for _ in 0..6 {
+        fleet.caller(0).stream(MODEL, PROMPT, 2).await.unwrap();
+    }
+    assert_eq!(fleet.page(&state).await["ran"], before);
+}
