Admit calls to plain services as well

Cause: a plain request asked no queue, so that a customer's limit and fair share held for models only; a flood of approvals by one customer took slots from all. Ruled out: giving the slot back when the headers are there; a drain and the limit must count a body that is still on its way. Change: admission owns its place and goes with the answer's body; plain services have the slots of their backend servers, divided by the entries. Conclusion: fairness and refusal at once hold for both kinds of service.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -24,6 +24,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::oneshot;
 
+use crate::state::State;
 use crate::state::lock;
 
 type Wait = oneshot::Sender<Result<(), Arc<Refusal>>>;
@@ -43,8 +44,8 @@
 }
 
 /// A request that was admitted; its slot is free again when this is dropped.
-pub(crate) struct Admitted<'a> {
-    admission: &'a Admission,
+pub(crate) struct Admitted {
+    state: State,
     service: Service,
     customer: Customer,
     since: Instant,
@@ -80,36 +81,6 @@
         work(desk)
     }
 
-    /// Admits a request, now or after a wait, or refuses it at once.
-    pub(crate) async fn admit<'a>(
-        &'a self,
-        service: &'a Service,
-        share: &'a Share,
-    ) -> Result<Admitted<'a>, Arc<Refusal>> {
-        let (ticket, decision, wait) = self.with(service, |desk| {
-            desk.tickets = desk.tickets.next();
-            let ticket = desk.tickets;
-            let decision = desk.queue.arrive(clock::now(), ticket, share);
-            let (sender, receiver) = oneshot::channel();
-            if decision == Decision::Wait {
-                desk.waits.insert(ticket, sender);
-            }
-            (ticket, decision, receiver)
-        });
-        match decision {
-            Decision::Start => {}
-            Decision::Refuse(refusal) => return Err(refusal),
-            Decision::Wait => self.wait(service, &share.customer, ticket, wait).await?,
-        }
-        Ok(Admitted {
-            admission: self,
-            service: service.clone(),
-            customer: share.customer.clone(),
-            since: clock::now(),
-            well: false,
-        })
-    }
-
     async fn wait(
         &self,
         service: &Service,
@@ -215,17 +186,54 @@
     }
 }
 
-impl Admitted<'_> {
+/// Admits a request, now or after a wait, or refuses it at once.
+pub(crate) async fn admit(
+    state: &State,
+    service: &Service,
+    share: &Share,
+) -> Result<Admitted, Arc<Refusal>> {
+    let admission = &state.admission;
+    let (ticket, decision, wait) = admission.with(service, |desk| {
+        desk.tickets = desk.tickets.next();
+        let ticket = desk.tickets;
+        let decision = desk.queue.arrive(clock::now(), ticket, share);
+        let (sender, receiver) = oneshot::channel();
+        if decision == Decision::Wait {
+            desk.waits.insert(ticket, sender);
+        }
+        (ticket, decision, receiver)
+    });
+    match decision {
+        Decision::Start => {}
+        Decision::Refuse(refusal) => return Err(refusal),
+        Decision::Wait => {
+            admission
+                .wait(service, &share.customer, ticket, wait)
+                .await?
+        }
+    }
+    Ok(Admitted {
+        state: state.clone(),
+        service: service.clone(),
+        customer: share.customer.clone(),
+        since: clock::now(),
+        well: false,
+    })
+}
+
+impl Admitted {
     /// Books that the request ended well; how long it lasted then counts for predictions.
     pub(crate) fn ended_well(&mut self) {
         self.well = true;
     }
 }
 
-impl Drop for Admitted<'_> {
+impl Drop for Admitted {
     fn drop(&mut self) {
         let lasted = self.well.then(|| clock::now().since(self.since));
-        self.admission.finish(&self.service, &self.customer, lasted);
+        self.state
+            .admission
+            .finish(&self.service, &self.customer, lasted);
     }
 }
 
--- a/crates/entry/src/api/completions.rs
+++ b/crates/entry/src/api/completions.rs
@@ -39,6 +39,7 @@
 use super::auth;
 use super::claimed;
 use super::problem;
+use crate::admit::admit;
 use crate::drive::Output;
 use crate::drive::drive;
 use crate::state::State;
@@ -267,7 +268,7 @@
             let admission = state.clone();
             let (ready, admitted) = tokio::sync::oneshot::channel();
             tokio::spawn(async move {
-                let mut held = match admission.admission.admit(&service, &share).await {
+                let mut held = match admit(&admission, &service, &share).await {
                     Ok(held) => held,
                     Err(refusal) => {
                         let _caller_gone = sender.send(Output::Fail(refusal));
--- a/crates/entry/src/api/plain/mod.rs
+++ b/crates/entry/src/api/plain/mod.rs
@@ -17,12 +17,15 @@
 use jujube_core::name::Service;
 use jujube_core::refusal::Reason;
 use jujube_core::refusal::Refusal;
+use jujube_program::http;
 use jujube_program::http::Body;
 
+use crate::admit::admit;
 use crate::api::auth;
 use crate::api::claimed;
 use crate::api::claimed::Place;
 use crate::api::completions::LONGEST_BODY;
+use crate::api::completions::share;
 use crate::state::State;
 use caller::Caller;
 use caller::IDEMPOTENT;
@@ -52,6 +55,9 @@
         claimed::key(&parts.headers)?
     };
     let body = read(&parts, body, key.is_some()).await?;
+    let share = share(&snapshot, &customer, offer);
+    let admitted = admit(state, &service, &share).await;
+    let mut admitted = admitted.map_err(|refusal| (*refusal).clone())?;
     let place = key.as_ref().map(|key| Place::new(state, &customer, key));
     let caller = Caller {
         state,
@@ -79,7 +85,10 @@
         target: None,
         response: None,
     };
-    driver.run().await
+    let response = driver.run().await?;
+    admitted.ended_well();
+    let (parts, body) = response.into_parts();
+    Ok(Response::from_parts(parts, http::held(body, admitted)))
 }
 
 /// Splits the path into service and what follows.
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use jujube_core::blackboard::Blackboard;
+use jujube_core::blackboard::Snapshot;
 use jujube_core::delta::Delta;
 use jujube_core::head::Config;
 use jujube_core::head::Generation;
@@ -179,8 +180,11 @@
         let snapshot = self.state.snapshot();
         let entries = self.entries();
         self.state.admission.tick(|service| {
-            let table = snapshot.models.get(service)?;
-            Some((bottleneck(table) / entries).max(1))
+            let all = match snapshot.models.get(service) {
+                Some(table) => bottleneck(table),
+                None => plain_slots(&snapshot, service)?,
+            };
+            Some((all / entries).max(1))
         });
     }
 
@@ -278,6 +282,15 @@
     }
 }
 
+/// Returns how many requests the backend servers of a plain service can hold.
+fn plain_slots(snapshot: &Snapshot, service: &Service) -> Option<u64> {
+    let targets = snapshot.plain.get(service)?;
+    let members = targets
+        .iter()
+        .filter_map(|target| snapshot.bundle.servers.get(&target.server));
+    Some(members.map(|member| member.slots).sum())
+}
+
 /// Returns how many requests the scarcest layer of a model can hold.
 fn bottleneck(table: &Table) -> u64 {
     let slots = |layer: u32| -> u64 {
--- a/crates/programs/tests/calls.rs
+++ b/crates/programs/tests/calls.rs
@@ -88,7 +88,7 @@
         .unwrap();
     fleet.entries[0].signal("CONT");
     let first = first.await.unwrap().unwrap();
-    let third = until_answered(&fleet, &path, "order-5").await;
+    let third = until_answered(&fleet, 1, &path, "order-5").await;
 
     assert_eq!(second.status, StatusCode::CONFLICT);
     assert_eq!(second.headers["jujube-verdict"], "may-have-run");
@@ -107,12 +107,12 @@
 }
 
 /// Asks again until the first request's answer is there.
-async fn until_answered(fleet: &Fleet, path: &str, key: &str) -> Answer {
+async fn until_answered(fleet: &Fleet, entry: usize, path: &str, key: &str) -> Answer {
     let start = Instant::now();
     loop {
         let headers = [("idempotency-key", key)];
         let answer = fleet
-            .caller(1)
+            .caller(entry)
             .send(Method::POST, path, &headers, "yes")
             .await
             .unwrap();
@@ -151,3 +151,41 @@
     assert_eq!(answer.headers["jujube-verdict"], "may-have-run");
     assert!(!ran_at(other).await);
 }
+
+/// The caller over its limit is told so at once, and its request truly does not run.
+///
+/// The customer may have one request in flight at an entry. While a slow approval runs, a second is
+/// refused with when to come back; when the first has ended, there is room again.
+#[tokio::test(flavor = "multi_thread")]
+async fn customers_keep_to_their_limit_at_plain_services() {
+    let mut fleet = Fleet::start(Layout::default()).await;
+    let text = fleet
+        .text
+        .replace("max-in-flight = 500", "max-in-flight = 1");
+    fleet.roll_out("limit.ini", &text).unwrap();
+    fleet
+        .until(0, "generation 2", |status| status["generation"] == 2)
+        .await;
+    let path = format!("/services/{DESK}/approvals?delay=1000");
+    let (first, second) = ([("idempotency-key", "one")], [("idempotency-key", "two")]);
+    let caller = fleet.caller(0);
+    let slow = path.clone();
+    let slow = tokio::spawn(async move { caller.send(Method::POST, &slow, &first, "yes").await });
+    until_run(&fleet, "one").await;
+
+    let refused = fleet
+        .caller(0)
+        .send(Method::POST, &path, &second, "yes")
+        .await
+        .unwrap();
+    let slow = slow.await.unwrap().unwrap();
+    let runs_of_the_refused = fleet.runs("two").await;
+    let after = until_answered(&fleet, 0, &path, "two").await;
+
+    assert_eq!(refused.status, StatusCode::TOO_MANY_REQUESTS);
+    assert_eq!(refused.headers["jujube-verdict"], "not-run");
+    assert!(refused.headers.contains_key("retry-after"));
+    assert_eq!(runs_of_the_refused, 0);
+    assert_eq!(slow.status, StatusCode::OK);
+    assert_eq!(after.status, StatusCode::OK);
+}
