Mend what one more reading of the whole change found

Cause: the bound's page built its candidates twice over; the recovery benchmark repeated the fixture's own stages; each publication, ten a second, stored an unchanged flow again; the sidecar's control thread had a wrapper and a branch that did nothing; a queue took a time that it never read. Ruled out: a change of behaviour. The tests keep every assertion; two calls lost that argument. Change: one function solves a bundle's model, a flow is stored when it was solved, the rest is gone. Figures: none; nothing was measured again.

--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -107,7 +107,7 @@
 /// };
 /// assert_eq!(queue.arrive(Instant(0), Ticket(1), &share), Decision::Start);
 /// assert_eq!(queue.arrive(Instant(0), Ticket(2), &share), Decision::Wait);
-/// queue.finish(Instant(10), &share.customer, Some(Span(10)));
+/// queue.finish(&share.customer, Some(Span(10)));
 /// assert_eq!(queue.pop(Instant(10)), Some(Ticket(2)));
 /// ```
 #[derive(Clone, Debug)]
@@ -211,7 +211,7 @@
     }
 
     /// Books the end of a running request; how long it lasted, if it ended well.
-    pub fn finish(&mut self, _now: Instant, customer: &Customer, lasted: Option<Span>) {
+    pub fn finish(&mut self, customer: &Customer, lasted: Option<Span>) {
         const SMOOTHING: u64 = 8;
         self.running = self.running.saturating_sub(1);
         if let Some(lasted) = lasted {
--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -202,16 +202,21 @@
         let same = solved.filter(|s| s.candidates == candidates && s.fleet == fleet);
         let table = match same {
             Some(solved) => solved.table.clone(),
-            None => Arc::new(Table::build(candidates.clone(), fleet.clone())),
+            None => self.solve(service, candidates, fleet),
         };
+        let held = |server: &Server| self.membership.last(server).map_or(0, |beat| beat.held);
+        Arc::new(table.with_loads(held))
+    }
+
+    fn solve(&mut self, service: &Service, candidates: Vec<Candidate>, fleet: Fleet) -> Arc<Table> {
+        let table = Arc::new(Table::build(candidates.clone(), fleet.clone()));
         let solved = Solved {
             candidates,
             fleet,
             table: table.clone(),
         };
         self.solved.insert(service.clone(), solved);
-        let held = |server: &Server| self.membership.last(server).map_or(0, |beat| beat.held);
-        Arc::new(table.with_loads(held))
+        table
     }
 }
 
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -46,7 +46,7 @@
     let mut next = 0;
     for now in 0..last {
         for index in running.remove(&now).unwrap_or_default() {
-            queue.finish(Instant(now), &arrivals[index].1.customer, Some(Span(LASTS)));
+            queue.finish(&arrivals[index].1.customer, Some(Span(LASTS)));
         }
         for (ticket, _) in queue.expire(Instant(now)) {
             waits[ticket.0 as usize] = None;
@@ -159,7 +159,7 @@
 
     let first = queue.arrive(Instant(0), Ticket(0), &small);
     let second = queue.arrive(Instant(0), Ticket(1), &small);
-    queue.finish(Instant(10), &small.customer, Some(Span(10)));
+    queue.finish(&small.customer, Some(Span(10)));
     let third = queue.arrive(Instant(10), Ticket(2), &small);
 
     assert_eq!(first, Decision::Start);
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -104,7 +104,7 @@
     fn finish(&self, service: &Service, customer: &Customer, lasted: Option<Span>) {
         self.with(service, |desk| {
             let now = clock::now();
-            desk.queue.finish(now, customer, lasted);
+            desk.queue.finish(customer, lasted);
             desk.start_all(now);
         });
     }
--- a/crates/load/src/bound.rs
+++ b/crates/load/src/bound.rs
@@ -13,23 +13,24 @@
 /// Returns a model's table with all backend servers in use.
 #[must_use]
 pub fn table(bundle: &Bundle, service: &Service) -> Table {
-    let members = bundle.in_use(service);
-    let candidates =
-        members.map(|(server, member)| blackboard::candidate(bundle, server, member, 0));
-    Table::build(candidates.collect(), blackboard::fleet(bundle, service))
+    solve(bundle, service, blackboard::fleet(bundle, service))
 }
 
 /// Returns the rate that the engines alone allow, whatever slots are held for.
 #[must_use]
 pub fn engines(bundle: &Bundle, service: &Service) -> f64 {
-    let members = bundle.in_use(service);
-    let candidates =
-        members.map(|(server, member)| blackboard::candidate(bundle, server, member, 0));
     let fleet = Fleet {
         token_seconds: 0.0,
         ..blackboard::fleet(bundle, service)
     };
-    Table::build(candidates.collect(), fleet).rate
+    solve(bundle, service, fleet).rate
+}
+
+fn solve(bundle: &Bundle, service: &Service, fleet: Fleet) -> Table {
+    let members = bundle.in_use(service);
+    let candidates =
+        members.map(|(server, member)| blackboard::candidate(bundle, server, member, 0));
+    Table::build(candidates.collect(), fleet)
 }
 
 /// Describes the bound of each model of a bundle, and the paths that reach it.
--- a/crates/programs/benches/recovery.rs
+++ b/crates/programs/benches/recovery.rs
@@ -39,14 +39,6 @@
 
 fn layout() -> Layout {
     Layout {
-        stages: vec![
-            ("a1", "large", "0-4"),
-            ("a2", "large", "0-4"),
-            ("b1", "mid", "4-8"),
-            ("b2", "mid", "4-8"),
-            ("c1", "small", "8-12"),
-            ("c2", "small", "8-12"),
-        ],
         desks: Vec::new(),
         entries: 1,
         base_micros: 500,
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use jujube_platform::kv::Etcd;
-use jujube_platform::kv::Store;
 use jujube_platform::orders;
 use jujube_program::clock;
 use jujube_program::shutdown::Signal;
@@ -17,11 +16,8 @@
 
 /// Runs until told to stop. Actions are carried out on the traffic runtime.
 pub(crate) async fn run(state: State, traffic: Handle, mut stop: Signal) {
+    // Without a key-value service nobody can hold the lease, and no order will come.
     let mut fencing_known = state.settings.kv.is_empty();
-    if fencing_known {
-        // Without a key-value service nobody can hold the lease, and no order will come.
-        log::debug!("event=no-kv");
-    }
     loop {
         check_health(&state).await;
         if !fencing_known {
@@ -46,17 +42,13 @@
 /// Reads the current fencing number; until then no order is passed on.
 async fn learn(state: &State) -> bool {
     let store = Etcd::new(&state.settings.kv);
-    let Ok(token) = current(&store).await else {
+    let Ok(token) = orders::current(&store).await else {
         return false;
     };
     state.gate().learn(token);
     true
 }
 
-async fn current(store: &impl Store) -> Result<jujube_core::fence::Token, ()> {
-    orders::current(store).await.map_err(|_| ())
-}
-
 fn tick(state: &State, traffic: &Handle) {
     let now = clock::now();
     let mut actions = Vec::new();
