--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 mod number;
 pub mod once;
 pub mod path;
+pub mod pipeline;
 pub mod refusal;
 pub mod request;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/pipeline/chooser.rs
@@ -0,0 +1,352 @@
+//! The choice of a path through the layers that backend servers hold.
+//!
+//! A part may run any layers inside what its server holds, so a path is a walk over the positions
+//! where held ranges begin and end. The choice is the walk that is predicted to end soonest, found
+//! by dynamic programming over these positions.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::layer::Range;
+use crate::name::Server;
+use crate::name::Zone;
+use crate::pipeline::engine::Engine;
+use crate::pipeline::engine::Kind;
+use crate::pipeline::load::Load;
+use crate::pipeline::path::MOST_PARTS;
+use crate::pipeline::path::Part;
+use crate::pipeline::path::Path;
+use crate::pipeline::suspicion::Suspicion;
+
+/// A backend server as the choice sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its name.
+    pub server: Server,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The layers that it holds.
+    pub held: Range,
+    /// Its accelerator.
+    pub kind: Kind,
+    /// Its room for requests, in tokens times layers.
+    pub room: f64,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Tokens of the prompt.
+    pub prompt: f64,
+    /// Tokens of the answer, as estimated.
+    pub answer: f64,
+}
+
+impl Need {
+    /// Returns the tokens to keep in memory by the end.
+    #[must_use]
+    pub fn tokens(&self) -> f64 {
+        self.prompt + self.answer
+    }
+}
+
+/// The backend servers of one model.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// The model.
+    pub engine: Arc<Engine>,
+    /// Its servers that hold layers.
+    pub nodes: Vec<Node>,
+    zones: BTreeSet<Zone>,
+}
+
+/// How long one token takes from a part to the next in the same availability zone, in
+/// milliseconds; the users' figure for a link inside one.
+const HOP_MS: f64 = 0.2;
+/// The same between availability zones, raised far over the link's 0.75 ms: activations there go
+/// through a pipe that all share and that is paid by the byte.
+const FAR_HOP_MS: f64 = 20.0;
+/// How much longer a token takes at a server whose memory is all in use; passes there carry more
+/// requests. Set so that a slow accelerator gets work before a fast one is full.
+const CROWDING: f64 = 3.0;
+/// What a part on a server without room costs over its time, in milliseconds: it is taken only
+/// where there is no other.
+const NO_ROOM_MS: f64 = 1e7;
+/// What a suspected server costs, in milliseconds: only where nothing else completes the path.
+const SUSPECT_MS: f64 = 1e9;
+/// What a path in another availability zone than the entry's costs, in milliseconds: each event
+/// crosses the link once more, which shows in nothing but the bytes between zones.
+const AWAY_MS: f64 = 60.0;
+
+/// What a part that stays in a path costs of its price as a new one: it has read the tokens so far,
+/// and its memory is taken already.
+const STAYS: f64 = 0.3;
+
+/// What the choice may look at besides the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// What is in flight.
+    pub load: &'a Load,
+    /// The number of entries that send about as much as this one to the same servers.
+    pub sharers: f64,
+    /// Who is suspected.
+    pub suspicion: &'a Suspicion,
+    /// Who refused this request.
+    pub avoid: &'a [Server],
+    /// The entry's availability zone.
+    pub home: &'a Zone,
+}
+
+impl View<'_> {
+    fn shuns(&self, server: &Server) -> bool {
+        self.suspicion.holds(server) || self.avoid.contains(server)
+    }
+}
+
+/// A path and what is predicted for it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The path.
+    pub path: Path,
+    /// The predicted time, in milliseconds; over [`Choice::is_forced`]'s bound it was the last
+    /// resort.
+    pub cost_ms: f64,
+}
+
+impl Choice {
+    /// Tells whether the path goes through a server that has no room.
+    #[must_use]
+    pub fn lacks_room(&self) -> bool {
+        self.cost_ms >= NO_ROOM_MS
+    }
+
+    /// Tells whether the path goes through a suspected server.
+    #[must_use]
+    pub fn is_forced(&self) -> bool {
+        self.cost_ms >= SUSPECT_MS
+    }
+}
+
+impl Fleet {
+    /// Returns the fleet of a model.
+    #[must_use]
+    pub fn new(engine: Arc<Engine>, nodes: Vec<Node>) -> Self {
+        let zones = nodes.iter().map(|node| node.zone.clone()).collect();
+        Self {
+            engine,
+            nodes,
+            zones,
+        }
+    }
+
+    /// Chooses the path that is predicted to end soonest.
+    ///
+    /// Paths inside one availability zone come first: activations between zones share one pipe.
+    pub fn choose(&self, need: Need, view: &View<'_>) -> Option<Choice> {
+        let mut best: Option<Choice> = None;
+        for zone in &self.zones {
+            let nodes = self.nodes.iter().filter(|node| node.zone == *zone);
+            let Some(mut choice) = self.walk(nodes, need, view, None) else {
+                continue;
+            };
+            if zone != view.home {
+                choice.cost_ms += AWAY_MS;
+            }
+            if best.as_ref().is_none_or(|best| choice.cost_ms < best.cost_ms) {
+                best = Some(choice);
+            }
+        }
+        if best.as_ref().is_some_and(|best| !best.is_forced()) {
+            return best;
+        }
+        let across = self.walk(self.nodes.iter(), need, view, None);
+        match (best, across) {
+            (Some(best), Some(across)) if across.cost_ms < best.cost_ms => Some(across),
+            (None, across) => across,
+            (best, _) => best,
+        }
+    }
+
+    /// Chooses another path for a request that is under way on `old`.
+    ///
+    /// The first part stays as it is: the engine there holds the stream. Parts that stay keep what
+    /// they have read, the others read all tokens again.
+    pub fn repair(&self, need: Need, view: &View<'_>, old: &Path) -> Option<Choice> {
+        let first = old.first()?;
+        let zone = self.nodes.iter().find(|node| node.server == first.server);
+        let zone = zone.map(|node| &node.zone)?;
+        let near = self.nodes.iter().filter(|node| node.zone == *zone);
+        let near = self.walk(near, need, view, Some(old));
+        if near.as_ref().is_some_and(|choice| !choice.is_forced()) {
+            return near;
+        }
+        let across = self.walk(self.nodes.iter(), need, view, Some(old));
+        across.filter(|choice| !choice.is_forced())
+    }
+
+    /// Finds the cheapest walk over some of the nodes.
+    ///
+    /// The walk keeps one best way to each position. A server may stand in a path once only, so a
+    /// step that would use one again is left out; on rare occasions that misses a better walk.
+    fn walk<'a>(
+        &self,
+        nodes: impl Iterator<Item = &'a Node>,
+        need: Need,
+        view: &View<'_>,
+        old: Option<&Path>,
+    ) -> Option<Choice> {
+        let nodes: Vec<Priced<'a>> = nodes.map(|node| self.price(node, need, view)).collect();
+        let first = old.and_then(Path::first);
+        let positions = self.positions(&nodes, first);
+        let mut reached: Vec<Option<Step>> = vec![None; positions.len()];
+        for to in 1..positions.len() {
+            reached[to] = (0..to)
+                .filter(|from| *from == 0 || reached[*from].is_some())
+                .flat_map(|from| (0..nodes.len()).map(move |node| (from, node)))
+                .filter(|(from, node)| {
+                    let layers = Range::new(positions[*from], positions[to]);
+                    let node_ = nodes[*node].node;
+                    let fixed = |f: &Part| f.server == node_.server && f.layers == layers;
+                    node_.held.contains(layers)
+                        && (*from > 0 || first.is_none_or(fixed))
+                        && !uses(&reached, *from, *node)
+                })
+                .map(|(from, node)| {
+                    let layers = Range::new(positions[from], positions[to]);
+                    step(&reached, &nodes, old, (from, node, layers), need)
+                })
+                .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        }
+        self.trace(&nodes, &positions, &reached)
+    }
+
+    fn price<'a>(&self, node: &'a Node, need: Need, view: &View<'_>) -> Priced<'a> {
+        let engine = &self.engine;
+        let layers = f64::from(engine.layers.max(1));
+        let used = view.load.tokens(&node.server) * view.sharers;
+        let full = if node.room > 0.0 {
+            used / node.room
+        } else {
+            1.0
+        };
+        let read_ms = need.prompt / engine.read_per_second.max(1.0) * 1e3 * node.kind.read_pace;
+        let write_ms = need.answer * engine.step_ms * node.kind.pace;
+        let crowded = 1.0 + CROWDING * full * full;
+        Priced {
+            node,
+            per_layer_ms: (read_ms + write_ms) / layers * crowded,
+            once_ms: if view.shuns(&node.server) {
+                SUSPECT_MS
+            } else {
+                0.0
+            },
+            left: node.room - used,
+        }
+    }
+
+    fn positions(&self, nodes: &[Priced<'_>], first: Option<&Part>) -> Vec<u32> {
+        let ends = nodes.iter().flat_map(|p| [p.node.held.start, p.node.held.end]);
+        let mut positions: BTreeSet<u32> = ends.collect();
+        positions.insert(0);
+        positions.insert(self.engine.layers);
+        positions.extend(first.map(|part| part.layers.end));
+        positions.into_iter().collect()
+    }
+
+    fn trace(
+        &self,
+        nodes: &[Priced<'_>],
+        positions: &[u32],
+        reached: &[Option<Step>],
+    ) -> Option<Choice> {
+        let last = (*reached.last()?)?;
+        let mut parts = Vec::new();
+        let mut at = positions.len() - 1;
+        while at > 0 {
+            let step = reached[at]?;
+            let node = nodes[step.node].node;
+            parts.push(Part {
+                server: node.server.clone(),
+                address: node.address,
+                layers: Range::new(positions[step.from], positions[at]),
+            });
+            at = step.from;
+        }
+        parts.reverse();
+        let path = Path::new(self.engine.layers, parts).ok()?;
+        Some(Choice {
+            path,
+            cost_ms: last.cost_ms,
+        })
+    }
+}
+
+/// A node and what its work costs this request.
+struct Priced<'a> {
+    node: &'a Node,
+    per_layer_ms: f64,
+    once_ms: f64,
+    /// Room that is left, in tokens times layers.
+    left: f64,
+}
+
+/// The best way to a position: from where, by which node, at what cost.
+#[derive(Clone, Copy)]
+struct Step {
+    from: usize,
+    node: usize,
+    parts: usize,
+    cost_ms: f64,
+}
+
+fn step(
+    reached: &[Option<Step>],
+    nodes: &[Priced<'_>],
+    old: Option<&Path>,
+    (from, node, layers): (usize, usize, Range),
+    need: Need,
+) -> Step {
+    let priced = &nodes[node];
+    let count = f64::from(layers.len());
+    let stays = |part: &Part| part.server == priced.node.server && part.layers == layers;
+    let stays = old.is_some_and(|path| path.parts().iter().any(stays));
+    let mut cost_ms = priced.per_layer_ms * count + priced.once_ms;
+    if stays {
+        cost_ms *= STAYS;
+    } else if need.tokens() * count > priced.left {
+        cost_ms += NO_ROOM_MS;
+    }
+    let mut parts = 1;
+    if let Some(before) = reached[from].filter(|_| from > 0) {
+        let same = nodes[before.node].node.zone == priced.node.zone;
+        let hop_ms = if same { HOP_MS } else { FAR_HOP_MS };
+        cost_ms += before.cost_ms + hop_ms * need.tokens();
+        parts = before.parts + 1;
+    }
+    if parts > MOST_PARTS {
+        cost_ms = f64::INFINITY;
+    }
+    Step {
+        from,
+        node,
+        parts,
+        cost_ms,
+    }
+}
+
+/// Tells whether the best way to a position uses a node.
+fn uses(reached: &[Option<Step>], mut at: usize, node: usize) -> bool {
+    while at > 0 {
+        let Some(step) = reached[at] else {
+            return false;
+        };
+        if step.node == node {
+            return true;
+        }
+        at = step.from;
+    }
+    false
+}
--- /dev/null
+++ b/crates/core/src/pipeline/engine.rs
@@ -0,0 +1,74 @@
+//! What is known of a model and of the accelerators that run it.
+
+use std::collections::BTreeMap;
+
+use crate::name::Accelerator;
+
+/// One kind of accelerator.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Kind {
+    /// Its memory, in megabytes.
+    pub memory_mb: f64,
+    /// How many times the model's step time it takes for a token, for all layers.
+    pub pace: f64,
+    /// How many times the model's time it takes to read a prompt.
+    pub read_pace: f64,
+}
+
+/// A model spread by layers over backend servers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Engine {
+    /// How many layers the model has.
+    pub layers: u32,
+    /// The memory of one layer's weights, in megabytes.
+    pub layer_mb: f64,
+    /// The memory of one token in all layers, in bytes.
+    pub token_bytes: f64,
+    /// The time of one token on an accelerator of pace 1, all layers, in milliseconds.
+    pub step_ms: f64,
+    /// Prompt tokens read in a second at reading pace 1.
+    pub read_per_second: f64,
+    /// How long loading all layers takes, in seconds.
+    pub load_seconds: f64,
+    /// Mean prompt tokens of a request.
+    pub usual_prompt: f64,
+    /// Mean answer tokens of a request.
+    pub usual_answer: f64,
+    /// The accelerators.
+    pub kinds: BTreeMap<Accelerator, Kind>,
+}
+
+const BYTES_PER_MB: f64 = 1e6;
+
+impl Engine {
+    /// Returns how many layers fit into an accelerator when `share` of its memory may hold weights.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::engine::Engine;
+    /// # use jujube_core::pipeline::engine::Kind;
+    /// let engine = Engine { layers: 80, layer_mb: 1750.0, ..Engine::default() };
+    /// let kind = Kind { memory_mb: 21_600.0, pace: 16.0, read_pace: 8.2 };
+    /// assert_eq!(engine.fits(kind, 1.0), 12);
+    /// ```
+    #[must_use]
+    pub fn fits(&self, kind: Kind, share: f64) -> u32 {
+        let layers = kind.memory_mb * share / self.layer_mb.max(1.0);
+        (layers.max(0.0) as u32).min(self.layers)
+    }
+
+    /// Returns the memory left for requests beside `held` layers, in tokens times layers.
+    #[must_use]
+    pub fn room(&self, kind: Kind, held: u32) -> f64 {
+        let left_mb = kind.memory_mb - f64::from(held) * self.layer_mb;
+        let per_token_and_layer = self.token_bytes / f64::from(self.layers.max(1));
+        (left_mb * BYTES_PER_MB / per_token_and_layer.max(1.0)).max(0.0)
+    }
+
+    /// Returns the kind of an accelerator, if the model names it.
+    #[must_use]
+    pub fn kind(&self, accelerator: Option<&Accelerator>) -> Option<Kind> {
+        self.kinds.get(accelerator?).copied()
+    }
+}
--- /dev/null
+++ b/crates/core/src/pipeline/mod.rs
@@ -0,0 +1,18 @@
+//! Engines that forward along a path that the request names.
+//!
+//! These engines pass activations among themselves: a request carries its whole path, and every
+//! engine runs its part of it. The router decides what each backend server holds ([`placement`]),
+//! which path a request takes ([`chooser`]), who may be trusted with work ([`roster`],
+//! [`suspicion`]), and what a caller sees when a part of the path dies ([`relay`]).
+
+pub mod allowance;
+pub mod chooser;
+pub mod document;
+pub mod engine;
+pub mod load;
+pub mod path;
+pub mod placement;
+pub mod relay;
+pub mod roster;
+pub mod server;
+pub mod suspicion;
--- /dev/null
+++ b/crates/core/src/pipeline/placement.rs
@@ -0,0 +1,267 @@
+//! Which layers each backend server is to hold.
+//!
+//! The plan is a pure function of what the servers hold and have been ordered to hold. A planner
+//! that knows nothing therefore goes on where the one before it stopped.
+
+use std::collections::BTreeMap;
+
+use crate::layer::Range;
+use crate::name::Server;
+use crate::name::Zone;
+use crate::pipeline::engine::Engine;
+use crate::pipeline::engine::Kind;
+
+/// A backend server as the plan sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holder {
+    /// Its name.
+    pub server: Server,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its accelerator.
+    pub kind: Kind,
+    /// The layers that it holds, or that it was last ordered to hold.
+    pub held: Range,
+}
+
+/// An order to hold layers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// To whom.
+    pub server: Server,
+    /// What it is to hold.
+    pub layers: Range,
+}
+
+/// The share of a group's memory that complete copies of the model may take; the rest holds
+/// requests. At 0.86 each availability zone of the users' deployments has two copies and room for
+/// about twice the requests of a calm day.
+const COPIES_SHARE: f64 = 0.86;
+/// The most of one server's memory that weights may take when it is placed beside others.
+const PART_SHARE: f64 = 0.95;
+/// The most of one server's memory that weights take when it fills a gap that nobody else fills.
+const GAP_SHARE: f64 = 0.97;
+/// The share of memory that weights take on a server that joins a running group.
+const JOIN_SHARE: f64 = 0.8;
+
+/// Returns the orders that bring the holders nearer to a good placement; none when it is good.
+///
+/// A group is an availability zone with memory for a copy of the model; zones without are put
+/// together in one group.
+#[must_use]
+pub fn plan(engine: &Engine, holders: &[Holder]) -> Vec<Order> {
+    if engine.layers == 0 {
+        return Vec::new();
+    }
+    let mut orders = Vec::new();
+    for group in groups(engine, holders) {
+        if group.iter().all(|holder| holder.held.is_empty()) {
+            orders.extend(rows(engine, &group));
+        } else {
+            orders.extend(mend(engine, &group));
+        }
+    }
+    orders.retain(|order| is_safe(engine, holders, order));
+    orders
+}
+
+/// Tells whether a server has the memory for what it is ordered to hold.
+///
+/// A server that is ordered to hold more crashes with all requests on it.
+fn is_safe(engine: &Engine, holders: &[Holder], order: &Order) -> bool {
+    let holder = holders.iter().find(|holder| holder.server == order.server);
+    let fits = holder.map_or(0, |holder| engine.fits(holder.kind, GAP_SHARE));
+    !order.layers.is_empty() && order.layers.end <= engine.layers && order.layers.len() <= fits
+}
+
+fn groups(engine: &Engine, holders: &[Holder]) -> Vec<Vec<Holder>> {
+    let mut zones: BTreeMap<Zone, Vec<Holder>> = BTreeMap::new();
+    for holder in holders {
+        let zone = zones.entry(holder.zone.clone()).or_default();
+        zone.push(holder.clone());
+    }
+    let complete = |group: &[Holder]| -> bool {
+        let fits = group.iter().map(|h| engine.fits(h.kind, PART_SHARE));
+        fits.sum::<u32>() >= engine.layers
+    };
+    let (whole, partial): (Vec<_>, Vec<_>) = zones.into_values().partition(|g| complete(g));
+    let rest: Vec<Holder> = partial.into_iter().flatten().collect();
+    let mut groups = whole;
+    if complete(&rest) {
+        groups.push(rest);
+    }
+    groups
+}
+
+/// Places a group whose servers are all empty: several rows, each a complete copy of the model.
+///
+/// In a row, layers go to servers by memory, so that all parts of a path run out of room together.
+fn rows(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let memory: f64 = group.iter().map(|holder| holder.kind.memory_mb).sum();
+    let copy_mb = f64::from(engine.layers) * engine.layer_mb;
+    let wanted = (memory * COPIES_SHARE / copy_mb).floor().max(1.0) as usize;
+    for count in (1..=wanted).rev() {
+        let rows: Option<Vec<Vec<Order>>> = deal(group, count)
+            .iter()
+            .map(|row| row_orders(engine, row))
+            .collect();
+        if let Some(rows) = rows {
+            return rows.into_iter().flatten().collect();
+        }
+    }
+    Vec::new()
+}
+
+/// Deals holders to rows of about the same memory, the largest first.
+fn deal(group: &[Holder], count: usize) -> Vec<Vec<Holder>> {
+    let mut sorted = group.to_vec();
+    sorted.sort_by(|a, b| {
+        let by_memory = b.kind.memory_mb.total_cmp(&a.kind.memory_mb);
+        by_memory.then_with(|| a.server.cmp(&b.server))
+    });
+    let mut rows: Vec<Vec<Holder>> = vec![Vec::new(); count];
+    let mut sums = vec![0.0; count];
+    for holder in sorted {
+        let smallest = (0..count).min_by(|a, b| f64::total_cmp(&sums[*a], &sums[*b]));
+        let row = smallest.unwrap_or(0);
+        sums[row] += holder.kind.memory_mb;
+        rows[row].push(holder);
+    }
+    rows
+}
+
+/// Divides all layers over a row by memory; `None` when the row cannot hold them.
+fn row_orders(engine: &Engine, row: &[Holder]) -> Option<Vec<Order>> {
+    let most: Vec<u32> = row
+        .iter()
+        .map(|holder| engine.fits(holder.kind, PART_SHARE))
+        .collect();
+    if most.iter().sum::<u32>() < engine.layers {
+        return None;
+    }
+    let memory: f64 = row.iter().map(|holder| holder.kind.memory_mb).sum();
+    let exact = |index: usize| f64::from(engine.layers) * row[index].kind.memory_mb / memory;
+    let mut counts: Vec<u32> = (0..row.len())
+        .map(|index| (exact(index) as u32).min(most[index]))
+        .collect();
+    while counts.iter().sum::<u32>() < engine.layers {
+        let short = |index: &usize| exact(*index) - f64::from(counts[*index]);
+        let next = (0..row.len())
+            .filter(|index| counts[*index] < most[*index])
+            .max_by(|a, b| short(a).total_cmp(&short(b)))?;
+        counts[next] += 1;
+    }
+    let mut start = 0;
+    let mut orders = Vec::new();
+    for (holder, count) in row.iter().zip(counts).filter(|(_, count)| *count > 0) {
+        orders.push(Order {
+            server: holder.server.clone(),
+            layers: Range::new(start, start + count),
+        });
+        start += count;
+    }
+    Some(orders)
+}
+
+/// Gives layers to the empty servers of a running group, and fills what no server holds.
+fn mend(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let mut group = group.to_vec();
+    let mut orders = Vec::new();
+    let mut empty: Vec<usize> = (0..group.len())
+        .filter(|index| group[*index].held.is_empty())
+        .collect();
+    empty.sort_by(|a, b| {
+        let memory = |index: &usize| group[*index].kind.memory_mb;
+        memory(b).total_cmp(&memory(a))
+    });
+    for index in empty {
+        let count = engine.fits(group[index].kind, JOIN_SHARE).max(1);
+        let layers = neediest(&cover(engine, &group), count);
+        order(&mut group, &mut orders, index, layers);
+    }
+    while let Some(gap) = gap(engine, &group) {
+        let Some((index, layers)) = filler(engine, &group, gap) else {
+            break;
+        };
+        order(&mut group, &mut orders, index, layers);
+    }
+    orders
+}
+
+fn order(group: &mut [Holder], orders: &mut Vec<Order>, index: usize, layers: Range) {
+    group[index].held = layers;
+    let server = group[index].server.clone();
+    orders.retain(|order| order.server != server);
+    orders.push(Order { server, layers });
+}
+
+/// Returns how many servers hold each layer.
+fn cover(engine: &Engine, group: &[Holder]) -> Vec<u32> {
+    let mut cover = vec![0; engine.layers as usize];
+    for holder in group {
+        for layer in holder.held.start..holder.held.end.min(engine.layers) {
+            cover[layer as usize] += 1;
+        }
+    }
+    cover
+}
+
+/// Returns the `count` layers in a row that are held by the fewest.
+///
+/// A layer that nobody holds stops all paths, one with a single holder stops them with its death;
+/// each further holder is worth a tenth of the one before.
+fn neediest(cover: &[u32], count: u32) -> Range {
+    let count = (count as usize).min(cover.len());
+    let worth = |held: &u32| 0.1_f64.powi((*held).min(6) as i32);
+    let best = (0..=cover.len() - count).max_by(|a, b| {
+        let sum = |start: &usize| -> f64 { cover[*start..*start + count].iter().map(worth).sum() };
+        // Of equals the first is taken.
+        sum(a).total_cmp(&sum(b)).then(b.cmp(a))
+    });
+    let start = best.unwrap_or(0) as u32;
+    Range::new(start, start + count as u32)
+}
+
+/// Returns the first run of layers that no server holds.
+fn gap(engine: &Engine, group: &[Holder]) -> Option<Range> {
+    let cover = cover(engine, group);
+    let start = cover.iter().position(|held| *held == 0)?;
+    let length = cover[start..].iter().take_while(|held| **held == 0).count();
+    Some(Range::new(start as u32, (start + length) as u32))
+}
+
+/// Chooses who fills a gap: a neighbour that keeps what it holds, else one that others can replace.
+fn filler(engine: &Engine, group: &[Holder], gap: Range) -> Option<(usize, Range)> {
+    let extended = |holder: &Holder| -> Option<Range> {
+        let fits = engine.fits(holder.kind, GAP_SHARE);
+        let spare = fits.checked_sub(holder.held.len()).filter(|spare| *spare > 0)?;
+        if holder.held.end == gap.start {
+            return Some(Range::new(holder.held.start, gap.end.min(gap.start + spare)));
+        }
+        if holder.held.start == gap.end {
+            let start = gap.start.max(gap.end.saturating_sub(spare));
+            return Some(Range::new(start, holder.held.end));
+        }
+        None
+    };
+    let neighbours = (0..group.len()).filter_map(|index| {
+        let range = extended(&group[index])?;
+        Some((index, range))
+    });
+    let longest = neighbours.max_by_key(|(index, range)| range.len() - group[*index].held.len());
+    longest.or_else(|| replaceable(engine, group, gap))
+}
+
+/// Chooses a server whose layers are all held by others as well.
+fn replaceable(engine: &Engine, group: &[Holder], gap: Range) -> Option<(usize, Range)> {
+    let cover = cover(engine, group);
+    let spare = |holder: &Holder| {
+        let held = holder.held.start as usize..holder.held.end.min(engine.layers) as usize;
+        cover[held].iter().all(|held| *held > 1)
+    };
+    let candidates = (0..group.len()).filter(|index| spare(&group[*index]));
+    let index = candidates.max_by_key(|index| engine.fits(group[*index].kind, JOIN_SHARE))?;
+    let fits = engine.fits(group[index].kind, JOIN_SHARE).max(1);
+    let end = gap.end.min(gap.start + fits);
+    Some((index, Range::new(gap.start, end)))
+}
--- /dev/null
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -0,0 +1,91 @@
+//! Backend servers that failed and have not shown themselves alive since.
+
+use std::collections::BTreeMap;
+
+use crate::name::Server;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// The first pause before a suspect is asked again.
+///
+/// A crashed backend server registers anew under another name, so waiting costs only those that
+/// are alive; a few hundred milliseconds keep a server that reset one connection in use.
+const FIRST_PAUSE: Span = Span(200);
+/// The longest pause; a suspect that left is taken off the list by its registration.
+const LONGEST_PAUSE: Span = Span(1_600);
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    since: Instant,
+    ask_at: Instant,
+    pause: Span,
+}
+
+/// Who is suspected.
+///
+/// The registrations lag by seconds: a crashed server stays listed for three heartbeats. A request
+/// that finds a server dead therefore books it here, and the next ones go elsewhere until the
+/// server has answered a question.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::suspicion::Suspicion;
+/// # use jujube_core::time::Instant;
+/// let mut suspicion = Suspicion::default();
+/// assert!(suspicion.accuse(Instant(0), &"a".into()));
+/// assert!(suspicion.holds(&"a".into()));
+/// assert_eq!(suspicion.due(Instant(200)), vec!["a".into()]);
+/// suspicion.clear(&"a".into());
+/// assert!(!suspicion.holds(&"a".into()));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Suspicion {
+    suspects: BTreeMap<Server, Suspect>,
+}
+
+impl Suspicion {
+    /// Books a failure; `true` when the server was not suspected before.
+    pub fn accuse(&mut self, now: Instant, server: &Server) -> bool {
+        if self.suspects.contains_key(server) {
+            return false;
+        }
+        let suspect = Suspect {
+            since: now,
+            ask_at: now.plus(FIRST_PAUSE),
+            pause: FIRST_PAUSE,
+        };
+        self.suspects.insert(server.clone(), suspect);
+        true
+    }
+
+    /// Tells whether a server is suspected.
+    #[must_use]
+    pub fn holds(&self, server: &Server) -> bool {
+        self.suspects.contains_key(server)
+    }
+
+    /// Returns the suspects to ask now; each is due again after a longer pause.
+    pub fn due(&mut self, now: Instant) -> Vec<Server> {
+        let mut due = Vec::new();
+        for (server, suspect) in &mut self.suspects {
+            if suspect.ask_at > now {
+                continue;
+            }
+            suspect.pause = Span((suspect.pause.0 * 2).min(LONGEST_PAUSE.0));
+            suspect.ask_at = now.plus(suspect.pause);
+            due.push(server.clone());
+        }
+        due
+    }
+
+    /// Takes a server that answered off the list; returns how long it was on it.
+    pub fn clear(&mut self, server: &Server) -> Option<Instant> {
+        self.suspects.remove(server).map(|suspect| suspect.since)
+    }
+
+    /// Keeps only the servers that are still registered.
+    pub fn retain(&mut self, keep: impl Fn(&Server) -> bool) {
+        self.suspects.retain(|server, _| keep(server));
+    }
+}
--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -16,17 +16,18 @@
 use jujube_core::bundle::digest;
 use jujube_core::bundle::sign;
 use jujube_core::head::Generation;
+use jujube_core::time::Span;
 use jujube_ctl::keys;
 use jujube_ctl::roll;
 use jujube_ctl::roll::Operator;
-use jujube_platform::head;
-use jujube_platform::kv::Condition;
-use jujube_platform::kv::Error;
-use jujube_platform::kv::Lease;
-use jujube_platform::kv::Pair;
-use jujube_platform::kv::Revision;
-use jujube_platform::kv::Store;
-use jujube_platform::kv::Write;
+use jujube_store::head;
+use jujube_store::kv::Condition;
+use jujube_store::kv::Error;
+use jujube_store::kv::Lease;
+use jujube_store::kv::Pair;
+use jujube_store::kv::Revision;
+use jujube_store::kv::Store;
+use jujube_store::kv::Write;
 
 const SECRETS: [keys::Secret; 2] = [[1; 32], [2; 32]];
 
@@ -157,7 +158,7 @@
         Self::answer(lost, holds)
     }
 
-    async fn grant(&self, _: u64) -> Result<Lease, Error> {
+    async fn grant(&self, _: Span) -> Result<Lease, Error> {
         Ok(Lease(1))
     }
 
--- a/crates/entry/src/api/claimed.rs
+++ b/crates/entry/src/api/claimed.rs
@@ -21,7 +21,7 @@
 use jujube_core::refusal::Refusal;
 use jujube_core::request::Incarnation;
 use jujube_core::verdict::Verdict;
-use jujube_platform::claims;
+use jujube_store::claims;
 use jujube_program::clock;
 use jujube_program::http;
 use jujube_program::http::Body;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -12,7 +12,7 @@
 use jujube_core::session;
 use jujube_core::subset;
 use jujube_core::time::Span;
-use jujube_platform::claims::Grouping;
+use jujube_store::claims::Grouping;
 use jujube_program::settings;
 use jujube_program::settings::File;
 use jujube_program::settings::Telemetry;
--- /dev/null
+++ b/crates/front/src/daemon.rs
@@ -0,0 +1,145 @@
+//! Starting and stopping an entry.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use jujube_core::time::Span;
+use jujube_program::logs;
+use jujube_program::shutdown;
+use jujube_program::shutdown::Signal;
+use jujube_store::kv::Feed;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+
+use crate::dialect::Dialect;
+use crate::follow;
+use crate::planner;
+use crate::pool;
+use crate::probe;
+use crate::ready;
+use crate::request;
+use crate::settings::Settings;
+use crate::state::Phase;
+use crate::state::State;
+use crate::watchdog;
+
+/// How long after the request to stop new requests are still served. The platform asks every second
+/// and sends nobody after two refusals; requests in flight need the rest of the time.
+const LEAVING: Duration = Duration::from_millis(3_000);
+/// How long before the process is killed it ends by itself.
+const BEFORE_KILL: Duration = Duration::from_millis(400);
+/// How often a stop looks whether requests are still in flight.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// It cannot start: a socket or a signal handler cannot be had.
+pub fn run<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
+    logs::to_stdout("entry", &settings.telemetry.level)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, serve::<D, F>(settings, store))
+}
+
+async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
+    let callers = bind(settings.listen).await?;
+    let asked = bind(settings.ready).await?;
+    let metrics = bind(settings.metrics).await?;
+    log::info!(
+        "event=started name={} zone={} listen={} store={}",
+        settings.name,
+        settings.zone,
+        settings.listen,
+        settings.store
+    );
+    let state = Rc::new(State::<D>::new(settings));
+    tokio::task::spawn_local(ready::serve(state.clone(), asked));
+    tokio::task::spawn_local(ready::serve(state.clone(), metrics));
+    tokio::task::spawn_local(follow::run(state.clone(), store.clone()));
+    tokio::task::spawn_local(follow::tidy(state.clone()));
+    tokio::task::spawn_local(planner::run(state.clone(), store));
+    tokio::task::spawn_local(probe::follow_suspects(state.clone()));
+    tokio::task::spawn_local(watchdog::run(state.clone()));
+    let (trigger, leaving) = shutdown::pair();
+    tokio::task::spawn_local(accept(state.clone(), callers, leaving));
+    shutdown::terminated().await?;
+    log::info!("event=stopping in_flight={}", state.in_flight.get());
+    state.phase.set(Phase::Leaving);
+    trigger.stop();
+    drain(&state).await;
+    log::info!("event=stopped in_flight={}", state.in_flight.get());
+    logs::flush();
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.with_context(|| format!("listen on {address}"))
+}
+
+async fn drain<D: Dialect>(state: &State<D>) {
+    let stop = state.settings.stop.saturating_sub(BEFORE_KILL);
+    let ended = tokio::time::sleep(stop);
+    let idle = async {
+        tokio::time::sleep(LEAVING).await;
+        state.phase.set(Phase::Closing);
+        while state.in_flight.get() > 0 {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    tokio::select! {
+        () = ended => log::warn!("event=stop-cut in_flight={}", state.in_flight.get()),
+        () = idle => {}
+    }
+}
+
+async fn accept<D: Dialect>(state: Rc<State<D>>, listener: TcpListener, leaving: Signal) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Too many open files: without the pause this loop would take the processor.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        state.metrics.count("connections");
+        tokio::task::spawn_local(connection(state.clone(), stream, leaving.clone()));
+    }
+}
+
+async fn connection<D: Dialect>(state: Rc<State<D>>, stream: TcpStream, mut leaving: Signal) {
+    let set_up = stream.set_nodelay(true).and_then(|()| pool::watch(&stream));
+    if set_up.is_err() {
+        // The caller has left already.
+        return;
+    }
+    let idle = state.table().map_or(Span(15_000), |t| t.document.limits.idle);
+    let service = service_fn(move |request| {
+        let answer = request::serve(state.clone(), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(idle.0));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let _caller_gone = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = leaving.stopped() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+}
--- /dev/null
+++ b/crates/front/src/follow.rs
@@ -0,0 +1,202 @@
+//! Follows the configuration and the registrations in the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujube_core::pipeline::document::Document;
+use jujube_core::pipeline::document::Table;
+use jujube_core::pipeline::roster::Effect;
+use jujube_core::time::Span;
+use jujube_program::clock;
+use jujube_store::kv::Error;
+use jujube_store::kv::Feed;
+use jujube_store::kv::News;
+use jujube_store::kv::Revision;
+use jujube_store::orders;
+
+use crate::dialect::Dialect;
+use crate::dialect::Record;
+use crate::fleet;
+use crate::state::State;
+
+/// Everything: one waiting call hears of configuration, registrations and the planner's lease.
+const ALL: &str = "";
+/// How long one call waits for changes. A connection that went silent is found out by its probes;
+/// this bounds the rest, and an idle store is asked six times a minute.
+const WAIT: Span = Span(10_000);
+/// The shortest and longest pause before a store that failed is asked again; a random one between
+/// them keeps the entries from asking together.
+const PAUSE_MS: std::ops::Range<u64> = 100..300;
+
+/// Follows the store until the process ends.
+pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F) {
+    let mut after: Option<Revision> = None;
+    let mut is_lost = false;
+    loop {
+        let step = match after {
+            None => read(&state, &store).await,
+            Some(revision) => follow(&state, &store, revision).await,
+        };
+        match step {
+            Ok(next) => {
+                after = next;
+                if is_lost {
+                    is_lost = false;
+                    state.roster.borrow_mut().store_returned(clock::now());
+                    log::info!("event=store-regained");
+                }
+            }
+            Err(error) => {
+                state.metrics.count("store_failures");
+                if !is_lost {
+                    is_lost = true;
+                    state.roster.borrow_mut().store_lost();
+                    log::warn!("event=store-lost cause={}", error.to_string().replace(' ', "-"));
+                }
+                let pause = rand::random_range(PAUSE_MS);
+                tokio::time::sleep(Duration::from_millis(pause)).await;
+            }
+        }
+    }
+}
+
+/// Reads everything; returns the revision to follow from.
+async fn read<D: Dialect, F: Feed>(
+    state: &State<D>,
+    store: &F,
+) -> Result<Option<Revision>, Error> {
+    state.metrics.count("store_reads");
+    let (pairs, revision) = store.snapshot(ALL).await?;
+    // What came back after an outage is judged by when it came back, not by when it was lost.
+    state.roster.borrow_mut().store_returned(clock::now());
+    let mut servers = Vec::new();
+    let mut is_held = false;
+    for pair in &pairs {
+        is_held |= pair.key == orders::HOLDER;
+        match D::record(&pair.key, Some(&pair.value)) {
+            Ok(Record::Configuration(document)) => take(state, document),
+            Ok(Record::Server(server)) => servers.push(server),
+            Ok(Record::Removed(_) | Record::Other) => {}
+            Err(error) => malformed(&pair.key, &error),
+        }
+    }
+    let effects = state.roster.borrow_mut().replace(clock::now(), servers);
+    for (server, effect) in &effects {
+        log::info!("event=registration server={server} effect={effect:?} revision={revision}");
+    }
+    state.registered.set(true);
+    state.leadership.heard(is_held);
+    rebuild(state);
+    Ok(Some(revision))
+}
+
+/// Waits for changes; returns the revision to follow from, `None` to read everything.
+async fn follow<D: Dialect, F: Feed>(
+    state: &State<D>,
+    store: &F,
+    after: Revision,
+) -> Result<Option<Revision>, Error> {
+    state.metrics.count("store_watches");
+    let (changes, revision) = match store.follow(ALL, after, WAIT).await? {
+        News::Forgotten => {
+            log::info!("event=history-lost revision={after}");
+            return Ok(None);
+        }
+        News::Changes(changes, revision) => (changes, revision),
+    };
+    // Registrations that vanish in the first answer after an outage lapsed in it.
+    state.roster.borrow_mut().store_returned(clock::now());
+    let mut is_changed = false;
+    for change in &changes {
+        if change.key == orders::HOLDER {
+            state.leadership.heard(change.value.is_some());
+        }
+        match D::record(&change.key, change.value.as_deref()) {
+            Ok(Record::Configuration(document)) => take(state, document),
+            Ok(Record::Server(server)) => {
+                let name = server.name.clone();
+                let held = server.held;
+                let effect = state.roster.borrow_mut().seen(server);
+                is_changed |= effect != Effect::None;
+                if effect != Effect::None {
+                    log::info!(
+                        "event=registration server={name} effect={effect:?} held={held} \
+                         revision={}",
+                        change.revision
+                    );
+                }
+            }
+            Ok(Record::Removed(name)) => {
+                let effect = state.roster.borrow_mut().removed(clock::now(), &name);
+                is_changed |= effect != Effect::None;
+                log::info!(
+                    "event=registration server={name} effect={effect:?} revision={}",
+                    change.revision
+                );
+            }
+            Ok(Record::Other) => {}
+            Err(error) => malformed(&change.key, &error),
+        }
+    }
+    if is_changed {
+        rebuild(state);
+    }
+    Ok(Some(revision))
+}
+
+fn malformed(key: &str, error: &anyhow::Error) {
+    let cause = format!("{error:#}").replace(' ', "-");
+    log::error!("event=malformed key={key} cause={cause}");
+}
+
+/// Takes a configuration, unless one that is newer is in force.
+///
+/// A read may be older than what a watch has shown; going back to it would route by a configuration
+/// that was replaced.
+fn take<D: Dialect>(state: &State<D>, document: Document) {
+    let version = document.version;
+    let known = state.table().map(|table| table.document.version);
+    if known.is_some_and(|known| known >= version) {
+        return;
+    }
+    log::info!(
+        "event=configuration version={version} routes={} services={} customers={}",
+        document.routes.len(),
+        document.services.len(),
+        document.accounts.len()
+    );
+    state.metrics.count("configurations");
+    *state.table.borrow_mut() = Some(Rc::new(Table::new(document)));
+    rebuild(state);
+}
+
+/// Rebuilds what is derived from configuration and registrations.
+pub fn rebuild<D>(state: &State<D>) {
+    let Some(table) = state.table() else {
+        return;
+    };
+    let roster = state.roster.borrow();
+    *state.fleets.borrow_mut() = fleet::build(&table, &roster);
+    let is_known = |server: &jujube_core::name::Server| roster.get(server).is_some();
+    state.suspicion.borrow_mut().retain(is_known);
+    state.roster_changed.notify_waiters();
+}
+
+/// How often lapsed registrations and idle connections are looked through.
+const TIDY: Duration = Duration::from_millis(250);
+
+/// Drops what has run out until the process ends.
+pub async fn tidy<D: Dialect>(state: Rc<State<D>>) {
+    loop {
+        tokio::time::sleep(TIDY).await;
+        let gone = state.roster.borrow_mut().expire(clock::now());
+        for server in &gone {
+            log::info!("event=registration server={server} effect=GraceOver");
+        }
+        if !gone.is_empty() {
+            rebuild(&state);
+        }
+        let roster = state.roster.borrow();
+        state.pool.expire(|server| roster.get(server).is_some());
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,29 @@
+//! The entry before engines that forward along a path of their own.
+//!
+//! This crate is for the shell: callers' HTTP in, the decisions of `jujube_core::pipeline` driven
+//! by events, and their outcome out. It follows the configuration and the registrations in a
+//! store, and one of the entries at a time places the model's layers. What the wire calls things
+//! is said by a [`dialect::Dialect`]; this crate is not for that, nor for decisions.
+
+mod answer;
+mod body;
+mod daemon;
+pub mod dialect;
+mod follow;
+mod fleet;
+mod head;
+mod metrics;
+mod planner;
+mod pool;
+mod probe;
+mod ready;
+mod request;
+mod settings;
+mod state;
+mod stream;
+mod upstream;
+mod watchdog;
+mod whole;
+
+pub use daemon::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/front/src/probe.rs
@@ -0,0 +1,129 @@
+//! Questions to backend servers: are you there, and what do you hold.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::HOST;
+use jujube_core::name::Server;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+use jujube_program::clock;
+
+use crate::dialect::Dialect;
+use crate::dialect::Report;
+use crate::state::State;
+
+/// How long a server may take to answer; its report needs no slot, and the way there and back takes
+/// two milliseconds. A packet lost on the way costs one answer, which the caller asks for again.
+const ANSWER: Duration = Duration::from_millis(150);
+/// How long an answer stands for the next one who asks. A dying server stalls many streams at once;
+/// they need one question, not one each.
+const STANDS: Span = Span(250);
+
+#[derive(Clone, Copy)]
+struct Known {
+    at: Instant,
+    is_alive: bool,
+}
+
+/// Recent answers.
+#[derive(Default)]
+pub struct Probes {
+    known: RefCell<HashMap<Server, Known>>,
+}
+
+/// Asks a server for its report.
+///
+/// # Errors
+///
+/// It does not answer in time, or not with a report.
+pub async fn report<D: Dialect>(
+    state: &State<D>,
+    server: &Server,
+    address: SocketAddr,
+) -> anyhow::Result<Report> {
+    let asked = ask::<D>(state, server, address);
+    let body = tokio::time::timeout(ANSWER, asked).await??;
+    D::report(&body)
+}
+
+async fn ask<D: Dialect>(
+    state: &State<D>,
+    server: &Server,
+    address: SocketAddr,
+) -> anyhow::Result<Bytes> {
+    let mut lease = state.pool.fresh(server, address).await?;
+    let request = Request::get(D::REPORT)
+        .header(HOST, address.to_string())
+        .body(Full::default())?;
+    let response = lease.sender.send_request(request).await?;
+    let (parts, body) = response.into_parts();
+    let bytes = body.collect().await?.to_bytes();
+    if !parts.status.is_success() {
+        anyhow::bail!("status {}", parts.status);
+    }
+    lease.keep(&parts.headers);
+    Ok(bytes)
+}
+
+/// Tells whether a server answers; a dead one is suspected from now on.
+pub async fn is_alive<D: Dialect>(
+    state: &Rc<State<D>>,
+    server: &Server,
+    address: SocketAddr,
+) -> bool {
+    let known = state.probes.known.borrow().get(server).copied();
+    if let Some(known) = known.filter(|known| clock::now().since(known.at) <= STANDS) {
+        return known.is_alive;
+    }
+    state.metrics.count("probes");
+    let answer = report(state, server, address).await;
+    let known = Known {
+        at: clock::now(),
+        is_alive: answer.is_ok(),
+    };
+    state.probes.known.borrow_mut().insert(server.clone(), known);
+    if let Err(error) = answer {
+        state.accuse(server, &format!("{error:#}").replace(' ', "-"));
+    }
+    known.is_alive
+}
+
+/// How often the suspects are looked through.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Asks the suspects again until they answer or are no longer registered.
+pub async fn follow_suspects<D: Dialect>(state: Rc<State<D>>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let due = state.suspicion.borrow_mut().due(clock::now());
+        for server in due {
+            let address = state.roster.borrow().get(&server).map(|known| known.address);
+            let Some(address) = address else {
+                state.suspicion.borrow_mut().clear(&server);
+                continue;
+            };
+            tokio::task::spawn_local(ask_suspect(state.clone(), server, address));
+        }
+    }
+}
+
+async fn ask_suspect<D: Dialect>(state: Rc<State<D>>, server: Server, address: SocketAddr) {
+    state.metrics.count("probes");
+    if report(&state, &server, address).await.is_err() {
+        return;
+    }
+    let since = state.suspicion.borrow_mut().clear(&server);
+    state.probes.known.borrow_mut().remove(&server);
+    if let Some(since) = since {
+        let span = clock::now().since(since);
+        log::info!("event=trusted server={server} suspected_ms={span}");
+    }
+}
--- /dev/null
+++ b/crates/front/src/ready.rs
@@ -0,0 +1,59 @@
+//! The addresses for the platform's question whether callers may be sent here, and for metrics.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::body::Body;
+use crate::dialect::Dialect;
+use crate::state::State;
+
+/// The path of the metrics.
+const METRICS: &str = "/metrics";
+
+/// Answers on one listener until the process ends.
+pub async fn serve<D: Dialect>(state: Rc<State<D>>, listener: TcpListener) {
+    loop {
+        // An accept that fails concerns one connection; the next one may succeed.
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            continue;
+        };
+        tokio::task::spawn_local(connection(state.clone(), stream));
+    }
+}
+
+async fn connection<D: Dialect>(state: Rc<State<D>>, stream: TcpStream) {
+    let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+        let response = answer(&state, request.uri().path());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let _asker_gone = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+fn answer<D: Dialect>(state: &State<D>, path: &str) -> Response<Body<D>> {
+    if path == METRICS {
+        let gauges = [
+            ("in_flight", state.in_flight.get() as f64),
+            ("streams", state.streams.len() as f64),
+            ("ready", f64::from(u8::from(state.is_ready()))),
+        ];
+        return Response::new(Body::text(state.metrics.text(&gauges)));
+    }
+    let mut response = Response::new(Body::text(""));
+    *response.status_mut() = match (path == D::READY, state.is_ready()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    response
+}
--- /dev/null
+++ b/crates/front/src/state.rs
@@ -0,0 +1,149 @@
+//! What the tasks of an entry share; all run on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::marker::PhantomData;
+use std::rc::Rc;
+
+use jujube_core::name::Server as Name;
+use jujube_core::name::Service;
+use jujube_core::pipeline::allowance::Allowance;
+use jujube_core::pipeline::chooser::Fleet;
+use jujube_core::pipeline::document::Table;
+use jujube_core::pipeline::load::Load;
+use jujube_core::pipeline::roster::Roster;
+use jujube_core::pipeline::suspicion::Suspicion;
+use jujube_core::time::Instant;
+use jujube_program::clock;
+
+use crate::metrics::Metrics;
+use crate::planner::Leadership;
+use crate::pool::Pool;
+use crate::probe::Probes;
+use crate::settings::Settings;
+use crate::watchdog::Streams;
+
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Phase {
+    /// Callers are served.
+    #[default]
+    Serving,
+    /// The platform is told to send no more callers; those that come are served.
+    Leaving,
+    /// New requests would not end before the process is killed; they are turned away.
+    Closing,
+}
+
+/// What the tasks of an entry share.
+pub struct State<D> {
+    /// What the platform calls things; its functions need no value.
+    pub dialect: PhantomData<D>,
+    /// The settings.
+    pub settings: Settings,
+    /// The configuration in force.
+    pub table: RefCell<Option<Rc<Table>>>,
+    /// The backend servers.
+    pub roster: RefCell<Roster>,
+    /// Whether the registrations were ever read.
+    pub registered: Cell<bool>,
+    /// The servers of each model, as path choice sees them.
+    pub fleets: RefCell<BTreeMap<Service, Rc<Fleet>>>,
+    /// What is in flight.
+    pub load: RefCell<Load>,
+    /// Who is suspected.
+    pub suspicion: RefCell<Suspicion>,
+    /// The share of retries, by service.
+    pub allowances: RefCell<BTreeMap<Service, Allowance>>,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// Questions to backend servers that are under way.
+    pub probes: Probes,
+    /// Streams in flight.
+    pub streams: Streams,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// How far a stop has come.
+    pub phase: Cell<Phase>,
+    /// Whether there is a planner.
+    pub leadership: Leadership,
+    /// Requests in flight.
+    pub in_flight: Cell<u64>,
+    /// Told whenever placement may have to change.
+    pub roster_changed: tokio::sync::Notify,
+}
+
+impl<D> State<D> {
+    /// Returns the state of an entry that knows nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            dialect: PhantomData,
+            settings,
+            table: RefCell::default(),
+            roster: RefCell::default(),
+            registered: Cell::new(false),
+            fleets: RefCell::default(),
+            load: RefCell::default(),
+            suspicion: RefCell::default(),
+            allowances: RefCell::default(),
+            pool: Pool::default(),
+            probes: Probes::default(),
+            streams: Streams::default(),
+            metrics: Metrics::default(),
+            phase: Cell::default(),
+            leadership: Leadership::default(),
+            in_flight: Cell::new(0),
+            roster_changed: tokio::sync::Notify::new(),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Tells whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        let known = self.table.borrow().is_some() && self.registered.get();
+        known && self.phase.get() == Phase::Serving
+    }
+
+    /// Takes one retry out of this entry's share; `false` when it is used up.
+    pub fn take_retry(&self, service: &Service) -> bool {
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances.entry(service.clone()).or_default();
+        let taken = allowance.take(clock::now(), &self.settings.retry);
+        if !taken {
+            self.metrics.count("retries_denied");
+        }
+        taken
+    }
+
+    /// Books a request to a service.
+    pub fn book_request(&self, service: &Service) {
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances.entry(service.clone()).or_default();
+        allowance.request(clock::now(), &self.settings.retry);
+    }
+
+    /// Suspects a backend server.
+    pub fn accuse(&self, server: &Name, cause: &str) {
+        let fresh = self.suspicion.borrow_mut().accuse(clock::now(), server);
+        self.pool.forget(server);
+        if fresh {
+            self.metrics.count("servers_suspected");
+            log::info!("event=suspected server={server} cause={cause}");
+        }
+    }
+
+    /// Tells whether a backend server is suspected.
+    pub fn suspects(&self, server: &Name) -> bool {
+        self.suspicion.borrow().holds(server)
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Instant {
+        clock::now()
+    }
+}
--- /dev/null
+++ b/crates/front/src/watchdog.rs
@@ -0,0 +1,207 @@
+//! Looks after streams that have fallen silent.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use jujube_core::pipeline::path::Part;
+use jujube_core::pipeline::path::Path;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+use jujube_program::clock;
+
+use crate::dialect::Dialect;
+use crate::probe;
+use crate::state::State;
+use crate::stream;
+use crate::stream::Stream;
+
+/// Streams in flight.
+#[derive(Default)]
+pub struct Streams {
+    listed: RefCell<BTreeMap<u64, Rc<Stream>>>,
+    next: Cell<u64>,
+}
+
+impl Streams {
+    /// Lists a stream; returns its number.
+    pub fn add(&self, stream: &Rc<Stream>) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.listed.borrow_mut().insert(number, stream.clone());
+        number
+    }
+
+    /// Takes a stream off the list.
+    pub fn remove(&self, number: u64) {
+        self.listed.borrow_mut().remove(&number);
+    }
+
+    /// Returns how many there are.
+    pub fn len(&self) -> usize {
+        self.listed.borrow().len()
+    }
+}
+
+/// How often the streams are looked through.
+const LOOK: Duration = Duration::from_millis(40);
+/// How long a stream may be silent before its path is looked at: a pause of 200 ms makes an answer
+/// late, and an event usually takes under 50 ms.
+const SILENT: Span = Span(120);
+/// The same as a multiple of the stream's own pace.
+const SILENT_PACES: f64 = 4.0;
+/// The share of the target that the first event may take before the path is looked at.
+const FIRST_SHARE: f64 = 0.7;
+/// How long a path that was found alive is left alone.
+const LEFT_ALONE: Span = Span(400);
+/// How long the order to change a path may take.
+const REPAIR: Duration = Duration::from_millis(400);
+/// How many paths are tried before the stream is continued elsewhere.
+const MOST_REPAIRS: usize = 3;
+
+/// Looks after streams until the process ends.
+pub async fn run<D: Dialect>(state: Rc<State<D>>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now = clock::now();
+        let listed = state.streams.listed.borrow();
+        for stream in listed.values() {
+            if now >= stream.deadline {
+                stream.expire();
+                continue;
+            }
+            if is_silent(stream, now) {
+                stream.is_checked.set(true);
+                tokio::task::spawn_local(look_after(state.clone(), stream.clone()));
+            }
+        }
+    }
+}
+
+fn is_silent(stream: &Stream, now: Instant) -> bool {
+    if stream.is_checked.get() || now < stream.check_at.get() {
+        return false;
+    }
+    let limit = if stream.events.get() == 0 {
+        stream.route.target.0 as f64 * FIRST_SHARE
+    } else {
+        (stream.pace_ms.get() * SILENT_PACES).max(SILENT.0 as f64)
+    };
+    now.since(stream.heard.get()).0 as f64 > limit
+}
+
+/// Finds out whether a part of a silent stream's path is dead, and goes around it.
+async fn look_after<D: Dialect>(state: Rc<State<D>>, stream: Rc<Stream>) {
+    let path = stream.path.borrow().clone();
+    if let Some(path) = path {
+        check(&state, &stream, path).await;
+    }
+    stream.check_at.set(clock::now().plus(LEFT_ALONE));
+    stream.is_checked.set(false);
+}
+
+async fn check<D: Dialect>(state: &Rc<State<D>>, stream: &Rc<Stream>, path: Path) {
+    let heard = stream.heard.get();
+    let dead = dead_parts(state, &path).await;
+    if dead.is_empty() || stream.heard.get() != heard {
+        return;
+    }
+    let first_is_dead = path
+        .first()
+        .is_none_or(|first| dead.iter().any(|part| part.server == first.server));
+    if first_is_dead {
+        stream.abandon();
+        return;
+    }
+    for _ in 0..MOST_REPAIRS {
+        match repair(state, stream, &path).await {
+            Repaired::Done => return,
+            Repaired::Again => {}
+            Repaired::Impossible => break,
+        }
+    }
+    stream.abandon();
+}
+
+async fn dead_parts<D: Dialect>(state: &Rc<State<D>>, path: &Path) -> Vec<Part> {
+    let asked = path.parts().iter().map(|part| async move {
+        let is_alive = probe::is_alive(state, &part.server, part.address).await;
+        (part.clone(), is_alive)
+    });
+    let answers = join_all(asked).await;
+    let dead = answers.into_iter().filter(|(_, is_alive)| !is_alive);
+    dead.map(|(part, _)| part).collect()
+}
+
+/// What became of an order to change a path.
+enum Repaired {
+    Done,
+    Again,
+    Impossible,
+}
+
+async fn repair<D: Dialect>(state: &Rc<State<D>>, stream: &Rc<Stream>, old: &Path) -> Repaired {
+    let need = stream.need();
+    let choice = stream::choose_with(state, &stream.service, &[], |fleet, view| {
+        fleet.repair(need, view, old)
+    });
+    let (Some(choice), Some(first)) = (choice.flatten(), old.first()) else {
+        return Repaired::Impossible;
+    };
+    let body = D::repath(&stream.id, &choice.path);
+    let asked = order::<D>(state, first, body);
+    let answer = tokio::time::timeout(REPAIR, asked).await;
+    let status = match answer {
+        Ok(Ok(status)) => status,
+        Ok(Err(error)) => {
+            log::info!("event=repair-failed request={} cause={error}", stream.id);
+            return Repaired::Impossible;
+        }
+        Err(_) => return Repaired::Impossible,
+    };
+    log::info!(
+        "event=repaired request={} status={} events={} from={old} to={}",
+        stream.id,
+        status.as_u16(),
+        stream.events.get(),
+        choice.path
+    );
+    if status.is_success() {
+        state.metrics.count("streams_repaired");
+        stream::take_path(state, stream, Some(choice.path));
+        return Repaired::Done;
+    }
+    if status == StatusCode::CONFLICT {
+        // A part of the new path is dead or has no room; asking them finds out which is dead.
+        dead_parts(state, &choice.path).await;
+        return Repaired::Again;
+    }
+    Repaired::Impossible
+}
+
+async fn order<D: Dialect>(
+    state: &Rc<State<D>>,
+    first: &Part,
+    body: Bytes,
+) -> anyhow::Result<StatusCode> {
+    let mut lease = state.pool.lease(&first.server, first.address).await?;
+    let request = Request::post(D::ORDER)
+        .header(HOST, first.address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(body))?;
+    let response = lease.sender.send_request(request).await?;
+    let (parts, body) = response.into_parts();
+    body.collect().await?;
+    lease.keep(&parts.headers);
+    Ok(parts.status)
+}
--- /dev/null
+++ b/crates/front/src/whole.rs
@@ -0,0 +1,280 @@
+//! Requests to plain services: one whole answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::http::response::Parts;
+use jujube_core::name::Server as Name;
+use jujube_core::pipeline::server::Server;
+use jujube_core::time::Span;
+use jujube_program::clock;
+
+use crate::answer;
+use crate::answer::Reason;
+use crate::body::Body;
+use crate::dialect::Dialect;
+use crate::head;
+use crate::request;
+use crate::request::Admitted;
+use crate::state::State;
+use crate::upstream;
+use crate::upstream::Failure;
+
+/// The share of the target after which an idempotent request is sent to a second server as well: a
+/// usual answer has come by then, and a second one can still be in time.
+const SECOND_AFTER: f64 = 0.55;
+/// How many servers may say that they have not run a request before it is given up.
+const MOST_REFUSALS: u32 = 4;
+/// When to come back after every server refused; about one answer's time.
+const REFUSED: Span = Span(60);
+/// When to come back when no server is there.
+const NO_SERVER: Span = Span(500);
+/// How long before the caller's patience ends a request that may have run is answered, so that the
+/// answer still arrives.
+const MARGIN: Span = Span(10);
+
+/// A whole answer.
+struct Answer {
+    parts: Parts,
+    body: Bytes,
+}
+
+/// How one try ended.
+type Outcome = (Server, Result<Answer, Failure>);
+
+/// Serves one request.
+pub async fn serve<D: Dialect>(state: &Rc<State<D>>, request: Admitted) -> Response<Body<D>> {
+    let arrived = request.arrived;
+    let left = request.deadline.since(clock::now()).0.saturating_sub(MARGIN.0);
+    let tries = Tries {
+        state,
+        request: &request,
+        avoid: Vec::new(),
+        may_have_run: false,
+        sent: 0,
+        refusals: 0,
+        cause: String::from("-"),
+    };
+    let outcome = tokio::time::timeout(Duration::from_millis(left), tries.run()).await;
+    let (reason, cause, retry_after) = match outcome {
+        Ok(Ok(answer)) => return pass(state, &request, answer),
+        Ok(Err(given_up)) => given_up,
+        // A request that no server was sent would have been refused before.
+        Err(_late) => (Reason::Late, String::from("deadline"), None),
+    };
+    request::done(state, &request.id, &request.route.name, reason, arrived, &cause);
+    answer::own(reason, retry_after)
+}
+
+fn pass<D: Dialect>(state: &State<D>, request: &Admitted, answer: Answer) -> Response<Body<D>> {
+    let took = clock::now().since(request.arrived);
+    state.metrics.observe("answer", took);
+    state.metrics.count("requests_answered");
+    log::debug!(
+        "event=answered request={} status={} took_ms={took}",
+        request.id,
+        answer.parts.status.as_u16()
+    );
+    let mut parts = answer.parts;
+    head::strip(&mut parts.headers);
+    Response::from_parts(parts, Body::whole(answer.body))
+}
+
+type GivenUp = (Reason, String, Option<Span>);
+
+/// The tries of one request.
+struct Tries<'a, D> {
+    state: &'a Rc<State<D>>,
+    request: &'a Admitted,
+    avoid: Vec<Name>,
+    may_have_run: bool,
+    /// How many servers it was sent to that did not refuse it.
+    sent: u64,
+    refusals: u32,
+    cause: String,
+}
+
+impl<D: Dialect> Tries<'_, D> {
+    async fn run(mut self) -> Result<Answer, GivenUp> {
+        let mut running = FuturesUnordered::new();
+        let first = self.pick().ok_or_else(|| self.no_server())?;
+        self.sent += 1;
+        running.push(attempt(self.state, self.request, first));
+        let second_after = self.request.route.target.0 as f64 * SECOND_AFTER;
+        let second_at = tokio::time::sleep(Duration::from_millis(second_after as u64)).fuse();
+        let mut second_at = Box::pin(second_at);
+        loop {
+            let ended: Option<Outcome> = futures::select! {
+                ended = running.next() => ended,
+                () = second_at => {
+                    if let Some(server) = self.another() {
+                        running.push(attempt(self.state, self.request, server));
+                    }
+                    continue;
+                }
+            };
+            let Some((server, result)) = ended else {
+                return Err(self.given_up());
+            };
+            match self.judge(&server, result) {
+                Some(answer) => return Ok(answer),
+                None if running.is_empty() => {
+                    let next = self.another().ok_or_else(|| self.given_up())?;
+                    running.push(attempt(self.state, self.request, next));
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Returns the answer to pass on, or books why there is none.
+    fn judge(&mut self, server: &Server, result: Result<Answer, Failure>) -> Option<Answer> {
+        let failure = match result {
+            Ok(answer) => {
+                let failed = answer.parts.status.is_server_error();
+                let again = failed && self.request.route.may_repeat() && self.can_send();
+                if !again {
+                    return Some(answer);
+                }
+                self.state.metrics.count("answers_failed");
+                self.avoid.push(server.name.clone());
+                return if self.peek().is_some() { None } else { Some(answer) };
+            }
+            Err(failure) => failure,
+        };
+        self.avoid.push(server.name.clone());
+        self.cause = failure.to_string().replace(' ', "-");
+        log::info!(
+            "event=try-failed request={} server={} cause={}",
+            self.request.id,
+            server.name,
+            self.cause
+        );
+        match failure {
+            Failure::NotSent(_) => {
+                self.sent -= 1;
+                self.state.accuse(&server.name, "not-sent");
+            }
+            Failure::NotRun { .. } => {
+                self.sent -= 1;
+                self.refusals += 1;
+            }
+            Failure::Unknown(_) => self.may_have_run = true,
+        }
+        None
+    }
+
+    fn can_send(&self) -> bool {
+        let route = &self.request.route;
+        let repeats = !self.may_have_run || route.may_repeat();
+        // A request that may not be repeated has one server at a time, whatever the limit says.
+        let limit = if route.may_repeat() { route.attempts } else { 1 };
+        repeats && self.sent < limit && self.refusals < MOST_REFUSALS
+    }
+
+    /// Returns the server for one more try, if there may be one.
+    fn another(&mut self) -> Option<Server> {
+        if !self.can_send() {
+            return None;
+        }
+        let server = self.pick()?;
+        if !self.state.take_retry(&self.request.service) {
+            return None;
+        }
+        self.sent += 1;
+        self.state.metrics.count("retries");
+        Some(server)
+    }
+
+    fn peek(&self) -> Option<Server> {
+        self.pick()
+    }
+
+    /// Returns the server with the least in flight, of the own availability zone where equal.
+    fn pick(&self) -> Option<Server> {
+        let roster = self.state.roster.borrow();
+        let load = self.state.load.borrow();
+        let suspicion = self.state.suspicion.borrow();
+        let home = &self.state.settings.zone;
+        let of_service = roster
+            .usable()
+            .filter(|server| server.service == self.request.service)
+            .filter(|server| !self.avoid.contains(&server.name));
+        let ranked = of_service.min_by_key(|server| {
+            let suspected = suspicion.holds(&server.name);
+            (suspected, load.requests(&server.name), server.zone != *home)
+        });
+        ranked.cloned()
+    }
+
+    fn no_server(&self) -> GivenUp {
+        (Reason::NoServer, "no-server".into(), Some(NO_SERVER))
+    }
+
+    fn given_up(&self) -> GivenUp {
+        if self.may_have_run {
+            return (Reason::Failed, self.cause.clone(), None);
+        }
+        (Reason::Refused, self.cause.clone(), Some(REFUSED))
+    }
+}
+
+/// Sends the request to one server and reads its whole answer.
+///
+/// A body that breaks off is found out here, while another try is possible; callers of plain
+/// services get at most some kilobytes.
+async fn attempt<D: Dialect>(
+    state: &Rc<State<D>>,
+    request: &Admitted,
+    server: Server,
+) -> Outcome {
+    let booked = Booked::new(state, &server.name);
+    let mut outgoing = request.outgoing.clone();
+    let left = request.deadline.since(clock::now());
+    head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
+    let sent = upstream::send::<D>(&state.pool, &server.name, server.address, &outgoing).await;
+    let result = match sent {
+        Ok(incomplete) => {
+            let (parts, body) = incomplete.response.into_parts();
+            match body.collect().await {
+                Ok(body) => {
+                    incomplete.lease.keep(&parts.headers);
+                    let body = body.to_bytes();
+                    Ok(Answer { parts, body })
+                }
+                Err(error) => Err(Failure::Unknown(error.to_string())),
+            }
+        }
+        Err(failure) => Err(failure),
+    };
+    drop(booked);
+    (server, result)
+}
+
+/// Books a request at a server until it is dropped.
+struct Booked<'a, D> {
+    state: &'a Rc<State<D>>,
+    server: Name,
+}
+
+impl<'a, D> Booked<'a, D> {
+    fn new(state: &'a Rc<State<D>>, server: &Name) -> Self {
+        state.load.borrow_mut().open(server, 0.0);
+        Self {
+            state,
+            server: server.clone(),
+        }
+    }
+}
+
+impl<D> Drop for Booked<'_, D> {
+    fn drop(&mut self) {
+        self.state.load.borrow_mut().close(&self.server, 0.0);
+    }
+}
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -22,7 +22,7 @@
 use jujube_ctl::keys::Secret;
 use jujube_ctl::roll;
 use jujube_ctl::roll::Operator;
-use jujube_platform::kv::Etcd;
+use jujube_store::kv::Etcd;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Trigger;
 use jujube_standin::engine;
--- a/crates/program/src/arguments.rs
+++ b/crates/program/src/arguments.rs
@@ -36,7 +36,12 @@
 /// let arguments = pico_args::Arguments::from_vec(vec!["--help".into()]);
 /// assert_eq!(daemon(arguments).unwrap(), Command::Help);
 /// ```
-pub fn daemon(mut arguments: Arguments) -> Result<Command> {
+pub fn daemon(arguments: Arguments) -> Result<Command> {
+    daemon_or(arguments, None)
+}
+
+/// Reads a daemon's arguments; a variable of the environment may name the settings instead.
+fn daemon_or(mut arguments: Arguments, variable: Option<&str>) -> Result<Command> {
     if arguments.contains(["-h", "--help"]) {
         return Ok(Command::Help);
     }
@@ -44,8 +49,12 @@
         return Ok(Command::Version);
     }
     let check = arguments.contains("--check");
-    let settings: PathBuf = arguments.value_from_str("--settings")?;
+    let named: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
     finish(arguments)?;
+    let from_variable = || variable.and_then(std::env::var_os).map(PathBuf::from);
+    let Some(settings) = named.or_else(from_variable) else {
+        bail!("--settings is missing; see --help");
+    };
     Ok(if check {
         Command::Check(settings)
     } else {
@@ -61,6 +70,8 @@
     pub help: &'static str,
     /// What `--version` prints after the name.
     pub version: &'static str,
+    /// A variable of the environment that may name the settings.
+    pub variable: Option<&'static str>,
     /// Reads and checks the settings.
     pub read: fn(&Path) -> Result<S>,
     /// Runs until stopped.
@@ -75,7 +86,7 @@
 impl<S> Daemon<S> {
     /// Does what the command line asks, and returns the exit code.
     pub fn main(&self) -> ExitCode {
-        let command = match daemon(Arguments::from_env()) {
+        let command = match daemon_or(Arguments::from_env(), self.variable) {
             Ok(command) => command,
             Err(error) => return fail(self.name, MISUSED, &error),
         };
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -151,9 +151,16 @@
 
     fn with_idle(connect: Duration, keep: bool) -> Self {
         const KEPT: usize = 512;
+        // Something between the two ends may lose track of a connection: it then stays silent for
+        // good. Probes after a second of silence show that within two more.
+        const PROBE_AFTER: Duration = Duration::from_secs(1);
+        const PROBES: u32 = 2;
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect));
+        connector.set_keepalive(Some(PROBE_AFTER));
+        connector.set_keepalive_interval(Some(PROBE_AFTER));
+        connector.set_keepalive_retries(Some(PROBES));
         let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(30))
@@ -213,16 +220,30 @@
         request: Request<Body>,
         within: Duration,
     ) -> Result<T, Error> {
+        let (status, bytes) = self.fetch(request, within).await?;
+        if status != StatusCode::OK {
+            let text = String::from_utf8_lossy(&bytes);
+            return Err(Error::Unknown(format!("status {status}: {text}")));
+        }
+        serde_json::from_slice(&bytes).map_err(|e| Error::Unknown(e.to_string()))
+    }
+
+    /// Sends a request and returns the status and the whole body, all within a time.
+    ///
+    /// # Errors
+    ///
+    /// No connection, or no whole answer in time.
+    pub async fn fetch(
+        &self,
+        request: Request<Body>,
+        within: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
         let exchange = async {
             let response = self.send(request).await?;
             let status = response.status();
             let body = response.into_body().collect().await;
             let bytes = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
-            if status != StatusCode::OK {
-                let text = String::from_utf8_lossy(&bytes);
-                return Err(Error::Unknown(format!("status {status}: {text}")));
-            }
-            serde_json::from_slice(&bytes).map_err(|e| Error::Unknown(e.to_string()))
+            Ok((status, bytes))
         };
         let answer = tokio::time::timeout(within, exchange).await;
         answer.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())))
--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -1,6 +1,13 @@
-//! Structured log lines on standard error, one for each change of state.
+//! Structured log lines, one for each change of state.
 
+use std::io;
+use std::io::Write;
 use std::str::FromStr;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::SyncSender;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -8,7 +15,7 @@
 
 use crate::clock;
 
-/// Starts logging as `time=... level=... target=... message`.
+/// Starts logging to standard error, as `time=... level=... target=... message`.
 ///
 /// A second call in the same process changes nothing: the local program starts many roles.
 ///
@@ -30,9 +37,108 @@
         .level_for("tarpc", LevelFilter::Off)
         .level_for("jujube_entry", level)
         .level_for("jujube_sidecar", level)
-        .level_for("jujube_platform", level)
+        .level_for("jujube_store", level)
         .level_for("jujube_standin", level)
-        .chain(std::io::stderr());
+        .chain(io::stderr());
     let _already_started = dispatch.apply();
     Ok(())
 }
+
+/// How many lines may wait for standard output. At some 200 bytes a line that is 400 kB; a reader
+/// that stalls longer than it takes to fill loses lines, which are counted.
+const WAITING: usize = 2_048;
+
+static QUEUE: OnceLock<SyncSender<Message>> = OnceLock::new();
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+enum Message {
+    Line(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+/// Hands whole lines to the thread that writes them.
+#[derive(Default)]
+struct Queue(Vec<u8>);
+
+impl Write for Queue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let line = std::mem::take(&mut self.0);
+        let Some(queue) = QUEUE.get() else {
+            return Ok(());
+        };
+        if queue.try_send(Message::Line(line)).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+}
+
+/// Starts logging to standard output without ever waiting for its reader.
+///
+/// A thread of its own writes the lines: a reader that stalls would otherwise stop every request.
+/// Lines that find the queue full are dropped, and their number is logged.
+///
+/// # Errors
+///
+/// The level is none, or the thread cannot be had.
+pub fn to_stdout(role: &'static str, level: &str) -> Result<()> {
+    let level = LevelFilter::from_str(level).context("log level")?;
+    let (sender, receiver) = mpsc::sync_channel(WAITING);
+    if QUEUE.set(sender).is_err() {
+        return Ok(());
+    }
+    std::thread::Builder::new()
+        .name("logs".into())
+        .spawn(move || write_lines(&receiver))?;
+    let dispatch = fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let time = clock::unix_millis();
+            let level = record.level();
+            out.finish(format_args!(
+                "time={time} level={level} role={role} {message}"
+            ));
+        })
+        .level(LevelFilter::Warn)
+        .level_for("jujube_front", level)
+        .level_for("jujube_store", level)
+        .chain(Box::new(Queue::default()) as Box<dyn Write + Send>);
+    let _already_started = dispatch.apply();
+    Ok(())
+}
+
+fn write_lines(receiver: &mpsc::Receiver<Message>) {
+    let mut output = io::stdout();
+    while let Ok(message) = receiver.recv() {
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            // A standard output that is closed leaves nowhere to say so.
+            let _nowhere_to_say = writeln!(output, "event=log-lines-dropped count={dropped}");
+        }
+        match message {
+            Message::Line(line) => {
+                let _nowhere_to_say = output.write_all(&line);
+            }
+            Message::Flush(done) => {
+                let _nowhere_to_say = output.flush();
+                let _nobody_waits = done.try_send(());
+            }
+        }
+    }
+}
+
+/// Waits until the lines so far are written, for a second at most.
+pub fn flush() {
+    const LONGEST: std::time::Duration = std::time::Duration::from_secs(1);
+    let Some(queue) = QUEUE.get() else {
+        return;
+    };
+    let (done, written) = mpsc::sync_channel(1);
+    if queue.try_send(Message::Flush(done)).is_ok() {
+        let _in_vain = written.recv_timeout(LONGEST);
+    }
+}
--- a/crates/programs/src/bin/jujube-entry.rs
+++ b/crates/programs/src/bin/jujube-entry.rs
@@ -30,6 +30,7 @@
         name: "jujube-entry",
         help: HELP,
         version: env!("CARGO_PKG_VERSION"),
+        variable: None,
         read: Settings::read,
         run,
     };
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -3,8 +3,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use jujube_platform::kv::Etcd;
-use jujube_platform::orders;
+use jujube_store::kv::Etcd;
+use jujube_store::orders;
 use jujube_program::clock;
 use jujube_program::shutdown::Signal;
 use tokio::runtime::Handle;
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -18,20 +18,20 @@
 use hyper::StatusCode;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use jujube_platform::kv::Compare;
-use jujube_platform::kv::Event;
-use jujube_platform::kv::KeyValue;
-use jujube_platform::kv::LeaseRequest;
-use jujube_platform::kv::LeaseResponse;
-use jujube_platform::kv::RangeRequest;
-use jujube_platform::kv::RangeResponse;
-use jujube_platform::kv::RequestOp;
-use jujube_platform::kv::TxnRequest;
-use jujube_platform::kv::TxnResponse;
-use jujube_platform::kv::WatchRequest;
-use jujube_platform::kv::WatchResponse;
-use jujube_platform::kv::WatchResult;
-use jujube_platform::kv::decode;
+use jujube_store::kv::Compare;
+use jujube_store::kv::Event;
+use jujube_store::kv::KeyValue;
+use jujube_store::kv::LeaseRequest;
+use jujube_store::kv::LeaseResponse;
+use jujube_store::kv::RangeRequest;
+use jujube_store::kv::RangeResponse;
+use jujube_store::kv::RequestOp;
+use jujube_store::kv::TxnRequest;
+use jujube_store::kv::TxnResponse;
+use jujube_store::kv::WatchRequest;
+use jujube_store::kv::WatchResponse;
+use jujube_store::kv::WatchResult;
+use jujube_store::kv::decode;
 use jujube_program::http;
 use jujube_program::http::Body;
 use jujube_program::shutdown::Signal;
@@ -115,7 +115,7 @@
 
     fn key_value(key: &str, value: &Value) -> KeyValue {
         KeyValue {
-            key: jujube_platform::kv::encode(key),
+            key: jujube_store::kv::encode(key),
             value: value.value.clone(),
             mod_revision: value.revision.to_string(),
         }
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -11,7 +11,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use jujube_platform::vms::Vm;
+use jujube_store::vms::Vm;
 use jujube_program::http;
 use jujube_program::http::Body;
 use jujube_program::shutdown::Signal;
--- a/crates/platform/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -8,6 +8,7 @@
 use jujube_core::claim::Outcome;
 use jujube_core::claim::Record;
 use jujube_core::name::Customer;
+use jujube_core::time::Span;
 use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -29,7 +30,7 @@
 /// # Examples
 ///
 /// ```
-/// # use jujube_platform::claims::key;
+/// # use jujube_store::claims::key;
 /// assert_ne!(key(&"a".into(), "1"), key(&"b".into(), "1"));
 /// ```
 #[must_use]
@@ -88,7 +89,7 @@
         }
         let lease = self
             .store
-            .grant(KEPT_SECONDS + SHARED_FOR.as_secs())
+            .grant(Span((KEPT_SECONDS + SHARED_FOR.as_secs()) * 1000))
             .await?;
         *kept = Some((lease, Instant::now()));
         Ok(lease)
--- a/crates/platform/src/kv/etcd.rs
+++ b/crates/store/src/kv/etcd.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::Request;
+use jujube_core::time::Span;
 use jujube_program::http;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -52,7 +53,7 @@
     /// # Examples
     ///
     /// ```
-    /// let _store = jujube_platform::kv::Etcd::new("http://127.0.0.1:2379");
+    /// let _store = jujube_store::kv::Etcd::new("http://127.0.0.1:2379");
     /// ```
     #[must_use]
     pub fn new(base: &str) -> Self {
@@ -177,7 +178,8 @@
         Ok(response.succeeded)
     }
 
-    async fn grant(&self, seconds: u64) -> Result<Lease, Error> {
+    async fn grant(&self, ttl: Span) -> Result<Lease, Error> {
+        let seconds = ttl.0.div_ceil(1000);
         let request = LeaseRequest {
             ttl: seconds.to_string(),
             ..LeaseRequest::default()
--- a/crates/platform/src/kv/json.rs
+++ b/crates/store/src/kv/json.rs
@@ -13,8 +13,8 @@
 /// # Examples
 ///
 /// ```
-/// # use jujube_platform::kv::decode;
-/// # use jujube_platform::kv::encode;
+/// # use jujube_store::kv::decode;
+/// # use jujube_store::kv::encode;
 /// assert_eq!(decode(&encode("key")).unwrap(), "key");
 /// ```
 #[must_use]
--- a/crates/platform/src/kv/mod.rs
+++ b/crates/store/src/kv/mod.rs
@@ -1,10 +1,14 @@
 //! The key-value service: compare-and-swap, leases and watches.
 
 mod etcd;
+mod feed;
 mod json;
 mod store;
 
 pub use etcd::Etcd;
+pub use feed::Change;
+pub use feed::Feed;
+pub use feed::News;
 pub use json::Compare;
 pub use json::Event;
 pub use json::KeyValue;
--- a/crates/platform/src/kv/store.rs
+++ b/crates/store/src/kv/store.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::future::Future;
 
+use jujube_core::time::Span;
+
 /// The number of a change to the store; 0 stands for a key that is not there.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Revision(pub u64);
@@ -92,7 +94,7 @@
     ) -> impl Future<Output = Result<bool, Error>> + Send;
 
     /// Takes a lease that ends after a time without renewal.
-    fn grant(&self, seconds: u64) -> impl Future<Output = Result<Lease, Error>> + Send;
+    fn grant(&self, ttl: Span) -> impl Future<Output = Result<Lease, Error>> + Send;
 
     /// Renews a lease; `false` when it has ended.
     fn renew(&self, lease: Lease) -> impl Future<Output = Result<bool, Error>> + Send;
--- a/crates/platform/src/orders.rs
+++ b/crates/store/src/orders.rs
@@ -13,13 +13,10 @@
 use crate::kv::Write;
 
 /// The key of the current holder; it goes with the holder's lease.
-const HOLDER: &str = "jujube/orders/holder";
+pub const HOLDER: &str = "jujube/orders/holder";
 /// The key of the last fencing number; it stays.
 const TOKEN: &str = "jujube/orders/token";
 
-/// How long the lease lasts without renewal.
-pub const TTL: Span = Span(9_000);
-
 /// Reads the current fencing number; 0 before the first holder.
 ///
 /// # Errors
@@ -50,13 +47,14 @@
 pub async fn acquire(
     store: &impl Store,
     now: Instant,
+    ttl: Span,
     name: &str,
 ) -> Result<Option<(Holder, Lease)>, Error> {
     let (token, revision) = read(store).await?;
     if store.get(HOLDER).await?.is_some() {
         return Ok(None);
     }
-    let lease = store.grant(TTL.0 / 1000).await?;
+    let lease = store.grant(ttl).await?;
     let conditions = [
         Condition {
             key: HOLDER.into(),
@@ -84,7 +82,7 @@
     let holder = Holder {
         token,
         renewed: now,
-        ttl: TTL,
+        ttl,
     };
     Ok(won.then_some((holder, lease)))
 }
--- a/crates/platform/src/vms.rs
+++ b/crates/store/src/vms.rs
@@ -37,7 +37,7 @@
     /// # Examples
     ///
     /// ```
-    /// let _list = jujube_platform::vms::Http::new("http://127.0.0.1:8001");
+    /// let _list = jujube_store::vms::Http::new("http://127.0.0.1:8001");
     /// ```
     #[must_use]
     pub fn new(base: &str) -> Self {
