--- a/crates/core/src/pipeline/chooser.rs
+++ b/crates/core/src/pipeline/chooser.rs
@@ -90,8 +90,6 @@
 pub struct View<'a> {
     /// What is in flight.
     pub load: &'a Load,
-    /// The number of entries that send about as much as this one to the same servers.
-    pub sharers: f64,
     /// Who is suspected.
     pub suspicion: &'a Suspicion,
     /// Who refused this request.
@@ -226,7 +224,7 @@
     fn price<'a>(&self, node: &'a Node, need: Need, view: &View<'_>) -> Priced<'a> {
         let engine = &self.engine;
         let layers = f64::from(engine.layers.max(1));
-        let used = view.load.tokens(&node.server) * view.sharers;
+        let used = view.load.tokens(&node.server);
         let full = if node.room > 0.0 {
             used / node.room
         } else {
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -1,11 +1,36 @@
-//! What this entry has in flight at each backend server.
+//! What all entries have in flight at each backend server.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::name::Server;
 use crate::pipeline::path::Path;
+use crate::time::Instant;
+use crate::time::Span;
 
-/// The memory of requests in flight, in tokens times layers, and their number.
+/// How long another entry's word on its load counts. Entries tell it ten times a second; one that
+/// has been silent this long is stopped, frozen or cut off, and its streams end.
+const STANDS: Span = Span(1_500);
+
+/// What is in flight at one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Use {
+    /// Memory, in tokens times layers.
+    pub tokens: f64,
+    /// Requests.
+    pub requests: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    at: Instant,
+    servers: BTreeMap<Server, Use>,
+}
+
+/// The memory of requests in flight, of this entry and of the others.
+///
+/// Were each entry to know only its own load, all would find the same fast servers idle and fill
+/// them together.
 ///
 /// # Examples
 ///
@@ -19,26 +44,29 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Load {
-    servers: BTreeMap<Server, (f64, u64)>,
+    own: BTreeMap<Server, Use>,
+    peers: BTreeMap<Arc<str>, Peer>,
+    /// The sum of what the peers have, kept so that a choice needs one look-up a server.
+    others: BTreeMap<Server, Use>,
 }
 
 impl Load {
     /// Books a request at a server.
     pub fn open(&mut self, server: &Server, tokens: f64) {
-        let used = self.servers.entry(server.clone()).or_default();
-        used.0 += tokens;
-        used.1 += 1;
+        let used = self.own.entry(server.clone()).or_default();
+        used.tokens += tokens;
+        used.requests += 1;
     }
 
     /// Books its end.
     pub fn close(&mut self, server: &Server, tokens: f64) {
-        let Some(used) = self.servers.get_mut(server) else {
+        let Some(used) = self.own.get_mut(server) else {
             return;
         };
-        used.0 -= tokens;
-        used.1 = used.1.saturating_sub(1);
-        if used.1 == 0 {
-            self.servers.remove(server);
+        used.tokens -= tokens;
+        used.requests = used.requests.saturating_sub(1);
+        if used.requests == 0 {
+            self.own.remove(server);
         }
     }
 
@@ -56,15 +84,62 @@
         }
     }
 
+    /// Takes another entry's word on what it has in flight.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        entry: Arc<str>,
+        servers: impl IntoIterator<Item = (Server, Use)>,
+    ) {
+        let peer = Peer {
+            at: now,
+            servers: servers.into_iter().collect(),
+        };
+        self.peers.insert(entry, peer);
+        self.peers.retain(|_, peer| now.since(peer.at) <= STANDS);
+        self.add_up();
+    }
+
+    /// Forgets what silent entries said.
+    pub fn expire(&mut self, now: Instant) {
+        let before = self.peers.len();
+        self.peers.retain(|_, peer| now.since(peer.at) <= STANDS);
+        if self.peers.len() < before {
+            self.add_up();
+        }
+    }
+
+    fn add_up(&mut self) {
+        self.others.clear();
+        for (server, used) in self.peers.values().flat_map(|peer| &peer.servers) {
+            let sum = self.others.entry(server.clone()).or_default();
+            sum.tokens += used.tokens;
+            sum.requests += used.requests;
+        }
+    }
+
+    /// Returns how many other entries are heard.
+    #[must_use]
+    pub fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns what this entry has in flight, to tell the others.
+    pub fn own(&self) -> impl Iterator<Item = (&Server, &Use)> {
+        self.own.iter()
+    }
+
     /// Returns the memory in use at a server, in tokens times layers.
     #[must_use]
     pub fn tokens(&self, server: &Server) -> f64 {
-        self.servers.get(server).map_or(0.0, |used| used.0)
+        let tokens = |used: &Use| used.tokens;
+        self.own.get(server).map_or(0.0, tokens) + self.others.get(server).map_or(0.0, tokens)
     }
 
     /// Returns the requests in flight at a server.
     #[must_use]
     pub fn requests(&self, server: &Server) -> u64 {
-        self.servers.get(server).map_or(0, |used| used.1)
+        let requests = |used: &Use| used.requests;
+        self.own.get(server).map_or(0, requests) + self.others.get(server).map_or(0, requests)
     }
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -19,10 +19,12 @@
 use jujube_store::kv::Feed;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
 
 use crate::dialect::Dialect;
 use crate::follow;
+use crate::gossip;
 use crate::planner;
 use crate::pool;
 use crate::probe;
@@ -58,6 +60,8 @@
     let callers = bind(settings.listen).await?;
     let asked = bind(settings.ready).await?;
     let metrics = bind(settings.metrics).await?;
+    let gossip = UdpSocket::bind(settings.gossip).await;
+    let gossip = gossip.with_context(|| format!("listen on {}", settings.gossip))?;
     log::info!(
         "event=started name={} zone={} listen={} store={}",
         settings.name,
@@ -70,7 +74,9 @@
     tokio::task::spawn_local(ready::serve(state.clone(), metrics));
     tokio::task::spawn_local(follow::run(state.clone(), store.clone()));
     tokio::task::spawn_local(follow::tidy(state.clone()));
-    tokio::task::spawn_local(planner::run(state.clone(), store));
+    tokio::task::spawn_local(planner::run(state.clone(), store.clone()));
+    tokio::task::spawn_local(gossip::announce(state.clone(), store));
+    tokio::task::spawn_local(gossip::run(state.clone(), gossip));
     tokio::task::spawn_local(probe::follow_suspects(state.clone()));
     tokio::task::spawn_local(watchdog::run(state.clone()));
     let (trigger, leaving) = shutdown::pair();
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -73,6 +73,7 @@
     let mut is_held = false;
     for pair in &pairs {
         is_held |= pair.key == orders::HOLDER;
+        state.peers.take(&pair.key, Some(&pair.value));
         match D::record(&pair.key, Some(&pair.value)) {
             Ok(Record::Configuration(document)) => take(state, document),
             Ok(Record::Server(server)) => servers.push(server),
@@ -111,6 +112,7 @@
         if change.key == orders::HOLDER {
             state.leadership.heard(change.value.is_some());
         }
+        state.peers.take(&change.key, change.value.as_deref());
         match D::record(&change.key, change.value.as_deref()) {
             Ok(Record::Configuration(document)) => take(state, document),
             Ok(Record::Server(server)) => {
--- /dev/null
+++ b/crates/front/src/gossip.rs
@@ -0,0 +1,222 @@
+//! Entries tell one another what they have in flight.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujube_core::name::Server;
+use jujube_core::pipeline::load::Use;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+use jujube_program::clock;
+use jujube_store::kv::Condition;
+use jujube_store::kv::Error;
+use jujube_store::kv::Feed;
+use jujube_store::kv::Lease;
+use jujube_store::kv::Revision;
+use jujube_store::kv::Write;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+
+use crate::state::State;
+
+/// The start of the keys under which entries announce their addresses.
+const ENTRIES: &str = "jujube/entries/";
+/// How long an announcement lasts without renewal.
+const TTL: Span = Span(6_000);
+/// How often it is renewed.
+const RENEW: Duration = Duration::from_millis(2_000);
+/// How often an entry tells its load. In that time one entry starts two or three streams, which is
+/// a few parts in a hundred of a server's room.
+const TELL: Duration = Duration::from_millis(100);
+/// How long an entry whose announcement has ended is still told, after it was last heard: the
+/// announcement also ends when the store is away.
+const HEARD: Span = Span(5_000);
+/// The most bytes of one message; three hundred servers take some 14 kB.
+const MOST_BYTES: usize = 60_000;
+
+/// One server's use in a message.
+#[derive(Debug, Deserialize, Serialize)]
+struct Row {
+    server: String,
+    tokens: f32,
+    requests: u32,
+}
+
+/// What one entry tells the others.
+#[derive(Debug, Deserialize, Serialize)]
+struct Message {
+    entry: String,
+    rows: Vec<Row>,
+}
+
+impl From<Row> for (Server, Use) {
+    fn from(row: Row) -> Self {
+        let used = Use {
+            tokens: f64::from(row.tokens),
+            requests: u64::from(row.requests),
+        };
+        (row.server.into(), used)
+    }
+}
+
+impl From<(&Server, &Use)> for Row {
+    fn from((server, used): (&Server, &Use)) -> Self {
+        Self {
+            server: server.to_string(),
+            tokens: used.tokens as f32,
+            requests: used.requests as u32,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    is_announced: bool,
+    heard: Instant,
+}
+
+/// The other entries.
+#[derive(Default)]
+pub struct Peers(RefCell<BTreeMap<SocketAddr, Peer>>);
+
+impl Peers {
+    /// Takes a key of the store, if it is an entry's announcement.
+    pub fn take(&self, key: &str, value: Option<&str>) {
+        let Some(_name) = key.strip_prefix(ENTRIES) else {
+            return;
+        };
+        let Some(value) = value else {
+            // The address is in the value that is gone: those not heard any more drop out.
+            for peer in self.0.borrow_mut().values_mut() {
+                peer.is_announced = false;
+            }
+            return;
+        };
+        if let Ok(address) = value.parse() {
+            let peer = Peer {
+                is_announced: true,
+                heard: clock::now(),
+            };
+            self.0.borrow_mut().insert(address, peer);
+        }
+    }
+
+    fn heard(&self, address: SocketAddr) {
+        let mut peers = self.0.borrow_mut();
+        let peer = peers.entry(address).or_insert(Peer {
+            is_announced: false,
+            heard: clock::now(),
+        });
+        peer.heard = clock::now();
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let mut peers = self.0.borrow_mut();
+        peers.retain(|_, peer| peer.is_announced || now.since(peer.heard) <= HEARD);
+        peers.keys().copied().collect()
+    }
+}
+
+/// Announces this entry in the store until the process ends.
+pub async fn announce<D, F: Feed>(state: Rc<State<D>>, store: F) {
+    loop {
+        if let Err(error) = announced(&state, &store).await {
+            let cause = error.to_string().replace(' ', "-");
+            log::info!("event=not-announced cause={cause}");
+        }
+        tokio::time::sleep(RENEW).await;
+    }
+}
+
+/// Announces this entry and renews that until it fails.
+async fn announced<D, F: Feed>(state: &State<D>, store: &F) -> Result<(), Error> {
+    let lease = store.grant(TTL).await?;
+    let key = format!("{ENTRIES}{}", state.settings.name);
+    write(state, store, &key, lease).await?;
+    loop {
+        tokio::time::sleep(RENEW).await;
+        if !store.renew(lease).await? {
+            return Ok(());
+        }
+    }
+}
+
+async fn write<D, F: Feed>(
+    state: &State<D>,
+    store: &F,
+    key: &str,
+    lease: Lease,
+) -> Result<(), Error> {
+    let value = state.settings.gossip.to_string();
+    let put = Write::Put {
+        key: key.into(),
+        value,
+        lease: Some(lease),
+    };
+    if store.swap(&[], std::slice::from_ref(&put)).await? {
+        return Ok(());
+    }
+    // Some stores take no write without a condition.
+    let condition = Condition {
+        key: key.into(),
+        revision: Revision(0),
+    };
+    store.swap(&[condition], &[put]).await?;
+    Ok(())
+}
+
+/// Tells this entry's load, and hears the others', until the process ends.
+pub async fn run<D: 'static>(state: Rc<State<D>>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    tokio::task::spawn_local(hear(state.clone(), socket.clone()));
+    loop {
+        tokio::time::sleep(TELL).await;
+        state.load.borrow_mut().expire(clock::now());
+        let Some(bytes) = message(&state) else {
+            continue;
+        };
+        for address in state.peers.addresses() {
+            if address != state.settings.gossip {
+                // A datagram that is lost is made good by the next.
+                let _lost = socket.send_to(&bytes, address).await;
+            }
+        }
+    }
+}
+
+fn message<D>(state: &State<D>) -> Option<Vec<u8>> {
+    let load = state.load.borrow();
+    let message = Message {
+        entry: state.settings.name.to_string(),
+        rows: load.own().map(Row::from).collect(),
+    };
+    let bytes = bincode::serialize(&message);
+    bytes.ok().filter(|bytes| bytes.len() <= MOST_BYTES)
+}
+
+async fn hear<D>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MOST_BYTES];
+    loop {
+        let received: io::Result<(usize, SocketAddr)> = socket.recv_from(&mut buffer).await;
+        let Ok((length, address)) = received else {
+            // Told by a peer's machine that nobody listens there; the next datagram is another's.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        let Ok(message) = bincode::deserialize::<Message>(&buffer[..length]) else {
+            state.metrics.count("gossip_malformed");
+            continue;
+        };
+        state.peers.heard(address);
+        let entry: Arc<str> = message.entry.into();
+        let rows = message.rows.into_iter().map(Into::into);
+        state.load.borrow_mut().hear(clock::now(), entry, rows);
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dialect;
 mod follow;
 mod fleet;
+mod gossip;
 mod head;
 mod metrics;
 mod planner;
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -26,6 +26,8 @@
     pub ready: SocketAddr,
     /// Where counters and histograms are served.
     pub metrics: SocketAddr,
+    /// Where other entries tell this one what they have in flight.
+    pub gossip: SocketAddr,
     /// How long after a request to stop the process is killed.
     pub stop: Duration,
     /// The store.
@@ -60,7 +62,7 @@
     /// # use jujube_front::Settings;
     /// # use jujube_program::settings::File;
     /// let text = "[entry]\nname = a\nzone = z\nlisten = 127.0.0.1:1\nready = 127.0.0.1:2\n\
-    ///             metrics = 127.0.0.1:3\n[store]\naddress = 127.0.0.1:4\n";
+    ///             metrics = 127.0.0.1:3\ngossip = 127.0.0.1:5\n[store]\naddress = 127.0.0.1:4\n";
     /// let file = File::parse("test.ini", text)?;
     /// let settings = Settings::take(file, "test.ini".as_ref())?;
     /// assert_eq!(settings.stop.as_secs(), 8);
@@ -80,6 +82,7 @@
             listen: section.address("listen"),
             ready: section.address("ready"),
             metrics: section.address("metrics"),
+            gossip: section.address("gossip"),
             stop: Duration::from_secs(section.number("stop_seconds", Some(8))),
             store,
             retry,
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -14,9 +14,9 @@
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::suspicion::Suspicion;
-use jujube_core::time::Instant;
 use jujube_program::clock;
 
+use crate::gossip::Peers;
 use crate::metrics::Metrics;
 use crate::planner::Leadership;
 use crate::pool::Pool;
@@ -60,6 +60,8 @@
     pub pool: Pool,
     /// Questions to backend servers that are under way.
     pub probes: Probes,
+    /// The other entries.
+    pub peers: Peers,
     /// Streams in flight.
     pub streams: Streams,
     /// Counters and histograms.
@@ -89,6 +91,7 @@
             allowances: RefCell::default(),
             pool: Pool::default(),
             probes: Probes::default(),
+            peers: Peers::default(),
             streams: Streams::default(),
             metrics: Metrics::default(),
             phase: Cell::default(),
@@ -141,9 +144,4 @@
     pub fn suspects(&self, server: &Name) -> bool {
         self.suspicion.borrow().holds(server)
     }
-
-    /// Returns the time.
-    pub fn now(&self) -> Instant {
-        clock::now()
-    }
 }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -244,7 +244,6 @@
     let load = state.load.borrow();
     let view = View {
         load: &load,
-        sharers: 1.0,
         suspicion: &suspicion,
         avoid,
         home: &state.settings.zone,
