Place a zone anew when mending would leave it little room

While the store is away a draining server refuses for good. Change: a group is placed anew, servers in the order of what they hold, when that carries 1.6 times as much; refusing servers count as full for longer each time.

--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -48,13 +48,22 @@
     peers: BTreeMap<Arc<str>, Peer>,
     /// The sum of what the peers have, kept so that a choice needs one look-up a server.
     others: BTreeMap<Server, Use>,
-    /// Servers that refused for want of memory, and until when that is believed.
-    full: BTreeMap<Server, Instant>,
+    /// Servers that refused requests, and until when that is believed.
+    full: BTreeMap<Server, Refusal>,
 }
 
-/// How long a server that refused for want of memory counts as full. What it reports is older than
-/// that, and a request of the users' ends about that often at each server.
-const FULL: Span = Span(300);
+/// How long a server that refused a request counts as full at first: one of the users' requests ends
+/// about that often at each server.
+const FULL: Span = Span(200);
+/// How long it counts as full at most. A server that drains refuses for good, and while the store is
+/// away nothing else says so.
+const LONGEST_FULL: Span = Span(3_200);
+
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    until: Instant,
+    lasts: Span,
+}
 
 impl Load {
     /// Books a request at a server.
@@ -90,16 +99,28 @@
         }
     }
 
-    /// Books that a server refused a request for want of memory.
+    /// Books that a server refused a request; each refusal soon after the last one counts twice as
+    /// long.
     pub fn refused(&mut self, now: Instant, server: &Server) {
-        self.full.retain(|_, until| *until > now);
-        self.full.insert(server.clone(), now.plus(FULL));
+        self.full.retain(|_, refusal| refusal.until.plus(LONGEST_FULL) > now);
+        let lasts = match self.full.get(server) {
+            Some(refusal) if refusal.until > now => return,
+            Some(refusal) => Span((refusal.lasts.0 * 2).min(LONGEST_FULL.0)),
+            None => FULL,
+        };
+        let until = now.plus(lasts);
+        self.full.insert(server.clone(), Refusal { until, lasts });
+    }
+
+    /// Books that a server took a request.
+    pub fn took(&mut self, server: &Server) {
+        self.full.remove(server);
     }
 
-    /// Tells whether a server refused for want of memory a moment ago.
+    /// Tells whether a server refused a request a moment ago.
     #[must_use]
     pub fn is_full(&self, now: Instant, server: &Server) -> bool {
-        self.full.get(server).is_some_and(|until| *until > now)
+        self.full.get(server).is_some_and(|refusal| refusal.until > now)
     }
 
     /// Takes another entry's word on what it has in flight.
--- a/crates/core/src/pipeline/placement.rs
+++ b/crates/core/src/pipeline/placement.rs
@@ -95,7 +95,7 @@
     groups
 }
 
-/// Places a group whose servers are all empty: rows, each a complete copy of the model, the fastest
+/// Places a group from scratch: rows, each a complete copy of the model, the fastest
 /// accelerators first.
 ///
 /// A request holds memory for as long as it runs, so a row of fast accelerators carries several
@@ -113,12 +113,13 @@
         left.retain(|holder| row.iter().all(|order| order.server != holder.server));
         orders.extend(row);
     }
-    let mut placed = group.to_vec();
-    for holder in &mut placed {
-        let order = orders.iter().find(|order| order.server == holder.server);
-        holder.held = order.map(|order| order.layers).unwrap_or_default();
-    }
-    orders.extend(mend(engine, &placed));
+    let empty = |holder: &Holder| Holder {
+        held: Range::default(),
+        ..holder.clone()
+    };
+    let emptied: Vec<Holder> = group.iter().map(empty).collect();
+    let (_, filled) = fill(engine, &apply(&emptied, &orders));
+    orders.extend(filled);
     orders
 }
 
@@ -171,9 +172,13 @@
 
 /// Makes one row of the first servers, each with room for `room` tokens; `None` when they do not
 /// hold all layers.
+///
+/// They stand in the order of what they hold already, so that each has few layers to load.
 fn row(engine: &Engine, holders: &[Holder], room: f64) -> Option<Vec<Order>> {
     let mut start = 0;
     let mut orders = Vec::new();
+    let mut holders: Vec<&Holder> = holders.iter().collect();
+    holders.sort_by_key(|holder| (holder.held.is_empty(), holder.held.start));
     for holder in holders {
         let count = beside(engine, holder.kind, room).min(engine.layers - start);
         if count == 0 {
@@ -191,8 +196,27 @@
     None
 }
 
-/// Gives layers to the empty servers of a running group, and fills what no server holds.
+/// A running group is placed anew when it would then carry this many times the requests.
+///
+/// Moving layers takes seconds in which the group carries less, so a small gain does not pay.
+const WORTH_MOVING: f64 = 1.6;
+
+/// Gives layers to the empty servers of a running group, or places it anew if much is to be gained.
 fn mend(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let (joined, orders) = fill(engine, group);
+    let anew = rows(engine, group);
+    let placed = apply(group, &anew);
+    if capacity(engine, &placed) <= capacity(engine, &joined) * WORTH_MOVING {
+        return orders;
+    }
+    let held = |order: &Order| group.iter().find(|h| h.server == order.server).map(|h| h.held);
+    let mut moves = anew;
+    moves.retain(|order| held(order) != Some(order.layers));
+    moves
+}
+
+/// Gives the empty servers the layers that the fewest hold.
+fn fill(engine: &Engine, group: &[Holder]) -> (Vec<Holder>, Vec<Order>) {
     let mut group = group.to_vec();
     let mut orders = Vec::new();
     let mut empty: Vec<usize> = (0..group.len())
@@ -205,22 +229,34 @@
     for index in empty {
         let count = beside(engine, group[index].kind, LEAST_ROOM).max(1);
         let layers = neediest(&cover(engine, &group), count);
-        order(&mut group, &mut orders, index, layers);
+        group[index].held = layers;
+        let server = group[index].server.clone();
+        orders.push(Order { server, layers });
     }
-    while let Some(gap) = gap(engine, &group) {
-        let Some((index, layers)) = filler(engine, &group, gap) else {
-            break;
-        };
-        order(&mut group, &mut orders, index, layers);
+    (group, orders)
+}
+
+/// Returns the holders as they are once orders are carried out.
+fn apply(group: &[Holder], orders: &[Order]) -> Vec<Holder> {
+    let mut group = group.to_vec();
+    for holder in &mut group {
+        let order = orders.iter().find(|order| order.server == holder.server);
+        holder.held = order.map_or(holder.held, |order| order.layers);
     }
-    orders
+    group
 }
 
-fn order(group: &mut [Holder], orders: &mut Vec<Order>, index: usize, layers: Range) {
-    group[index].held = layers;
-    let server = group[index].server.clone();
-    orders.retain(|order| order.server != server);
-    orders.push(Order { server, layers });
+/// Returns the tokens that a group carries: those of its fullest layer over all holders of it.
+#[must_use]
+pub fn capacity(engine: &Engine, group: &[Holder]) -> f64 {
+    let mut room = vec![0.0; engine.layers as usize];
+    for holder in group.iter().filter(|holder| !holder.held.is_empty()) {
+        let each = engine.room(holder.kind, holder.held.len()) / f64::from(holder.held.len());
+        for layer in holder.held.start..holder.held.end.min(engine.layers) {
+            room[layer as usize] += each;
+        }
+    }
+    room.into_iter().fold(f64::INFINITY, f64::min)
 }
 
 /// Returns how many servers hold each layer.
@@ -249,47 +285,3 @@
     let start = best.unwrap_or(0) as u32;
     Range::new(start, start + count as u32)
 }
-
-/// Returns the first run of layers that no server holds.
-fn gap(engine: &Engine, group: &[Holder]) -> Option<Range> {
-    let cover = cover(engine, group);
-    let start = cover.iter().position(|held| *held == 0)?;
-    let length = cover[start..].iter().take_while(|held| **held == 0).count();
-    Some(Range::new(start as u32, (start + length) as u32))
-}
-
-/// Chooses who fills a gap: a neighbour that keeps what it holds, else one that others can replace.
-fn filler(engine: &Engine, group: &[Holder], gap: Range) -> Option<(usize, Range)> {
-    let extended = |holder: &Holder| -> Option<Range> {
-        let fits = engine.fits(holder.kind, GAP_SHARE);
-        let spare = fits.checked_sub(holder.held.len()).filter(|spare| *spare > 0)?;
-        if holder.held.end == gap.start {
-            return Some(Range::new(holder.held.start, gap.end.min(gap.start + spare)));
-        }
-        if holder.held.start == gap.end {
-            let start = gap.start.max(gap.end.saturating_sub(spare));
-            return Some(Range::new(start, holder.held.end));
-        }
-        None
-    };
-    let neighbours = (0..group.len()).filter_map(|index| {
-        let range = extended(&group[index])?;
-        Some((index, range))
-    });
-    let longest = neighbours.max_by_key(|(index, range)| range.len() - group[*index].held.len());
-    longest.or_else(|| replaceable(engine, group, gap))
-}
-
-/// Chooses a server whose layers are all held by others as well.
-fn replaceable(engine: &Engine, group: &[Holder], gap: Range) -> Option<(usize, Range)> {
-    let cover = cover(engine, group);
-    let spare = |holder: &Holder| {
-        let held = holder.held.start as usize..holder.held.end.min(engine.layers) as usize;
-        cover[held].iter().all(|held| *held > 1)
-    };
-    let candidates = (0..group.len()).filter(|index| spare(&group[*index]));
-    let index = candidates.max_by_key(|index| beside(engine, group[*index].kind, LEAST_ROOM))?;
-    let fits = beside(engine, group[index].kind, LEAST_ROOM).max(1);
-    let end = gap.end.min(gap.start + fits);
-    Some((index, Range::new(gap.start, end)))
-}
--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -65,6 +65,13 @@
         self.suspects.contains_key(server)
     }
 
+    /// Returns for how long a server has been suspected.
+    #[must_use]
+    pub fn lasts(&self, now: Instant, server: &Server) -> Option<Span> {
+        let suspect = self.suspects.get(server)?;
+        Some(now.since(suspect.since))
+    }
+
     /// Returns the suspects to ask now; each is due again after a longer pause.
     pub fn due(&mut self, now: Instant) -> Vec<Server> {
         let mut due = Vec::new();
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -42,6 +42,8 @@
 /// How long the registrations must have been quiet before empty servers are placed for the first
 /// time: each placed too early would be placed without knowing the others.
 const SETTLED: Span = Span(700);
+/// How long a server must be suspected before its layers are placed anew: it was asked twice more.
+const GIVEN_UP: Span = Span(800);
 /// How long an order may take to be answered.
 const ANSWER: Duration = Duration::from_millis(800);
 /// How long an order may take to show in the registrations before it is given again.
@@ -208,8 +210,12 @@
                 held: ordered.unwrap_or(server.held),
             })
         });
-        // A suspected server may be dead; its layers are not counted on until it answers.
-        let trusted = holders.filter(|holder| !self.state.suspects(&holder.server));
+        // A server that stays suspected is dead; one that missed a question is not.
+        let suspicion = self.state.suspicion.borrow();
+        let trusted = holders.filter(|holder| {
+            let lasts = suspicion.lasts(now, &holder.server);
+            lasts.is_none_or(|lasts| lasts < GIVEN_UP)
+        });
         trusted.collect()
     }
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -139,9 +139,4 @@
             log::info!("event=suspected server={server} cause={cause}");
         }
     }
-
-    /// Tells whether a backend server is suspected.
-    pub fn suspects(&self, server: &Name) -> bool {
-        self.suspicion.borrow().holds(server)
-    }
 }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -213,6 +213,17 @@
     }
 }
 
+impl<D> Registration<D> {
+    /// Books that every part of the path took the request.
+    fn took(&self) {
+        let path = self.stream.path.borrow();
+        let mut load = self.state.load.borrow_mut();
+        for part in path.iter().flat_map(Path::parts) {
+            load.took(&part.server);
+        }
+    }
+}
+
 impl<D> Drop for Registration<D> {
     fn drop(&mut self) {
         self.state.streams.remove(self.number);
@@ -471,6 +482,7 @@
             let now = clock::now();
             let stream = &self.registration.stream;
             if stream.events.get() == 0 {
+                self.registration.took();
                 let took = now.since(stream.arrived);
                 self.registration.state.metrics.observe("first_event", took);
             }
