Move single servers where much is gained, and go around slow ones

Cause: placing a zone anew moved nine servers at once, which carried nothing for up to ten seconds; streams on servers twelve times slower held memory on their whole path. Change: each step is the one move that lowers the group's resistance most, three at a time; reports tell slowness, which paths avoid.

--- a/crates/core/src/pipeline/chooser.rs
+++ b/crates/core/src/pipeline/chooser.rs
@@ -236,7 +236,8 @@
         let full = if room > 0.0 { used / room } else { 1.0 };
         let read_ms = need.prompt / engine.read_per_second.max(1.0) * 1e3 * node.kind.read_pace;
         let write_ms = need.answer * engine.step_ms * node.kind.pace;
-        let crowded = 1.0 + CROWDING * full * full;
+        let slowness = view.load.slowness(view.now, &node.server);
+        let crowded = (1.0 + CROWDING * full * full) * slowness;
         Priced {
             node,
             per_layer_ms: (read_ms + write_ms) / layers * crowded,
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -50,6 +50,8 @@
     others: BTreeMap<Server, Use>,
     /// Servers that refused requests, and until when that is believed.
     full: BTreeMap<Server, Refusal>,
+    /// How many times slower than usual servers said they are, and when.
+    slow: BTreeMap<Server, (f64, Instant)>,
 }
 
 /// How long a server that refused a request counts as full at first: one of the users' requests ends
@@ -59,6 +61,9 @@
 /// away nothing else says so.
 const LONGEST_FULL: Span = Span(3_200);
 
+/// How long a server's word that it is slow counts; then a few requests find out how it is now.
+const SLOW: Span = Span(2_500);
+
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
     until: Instant,
@@ -112,6 +117,24 @@
         self.full.insert(server.clone(), Refusal { until, lasts });
     }
 
+    /// Books how many times slower than usual a server says it is.
+    pub fn reported(&mut self, now: Instant, server: &Server, slowness: f64) {
+        self.slow.retain(|_, (_, at)| now.since(*at) <= SLOW);
+        if slowness > 1.0 {
+            self.slow.insert(server.clone(), (slowness, now));
+        } else {
+            self.slow.remove(server);
+        }
+    }
+
+    /// Returns how many times slower than usual a server is.
+    #[must_use]
+    pub fn slowness(&self, now: Instant, server: &Server) -> f64 {
+        let known = self.slow.get(server);
+        let fresh = known.filter(|(_, at)| now.since(*at) <= SLOW);
+        fresh.map_or(1.0, |(slowness, _)| *slowness)
+    }
+
     /// Books that a server took a request.
     pub fn took(&mut self, server: &Server) {
         self.full.remove(server);
--- a/crates/core/src/pipeline/placement.rs
+++ b/crates/core/src/pipeline/placement.rs
@@ -113,13 +113,12 @@
         left.retain(|holder| row.iter().all(|order| order.server != holder.server));
         orders.extend(row);
     }
-    let empty = |holder: &Holder| Holder {
-        held: Range::default(),
-        ..holder.clone()
-    };
-    let emptied: Vec<Holder> = group.iter().map(empty).collect();
-    let (_, filled) = fill(engine, &apply(&emptied, &orders));
-    orders.extend(filled);
+    let mut placed = group.to_vec();
+    for holder in &mut placed {
+        let order = orders.iter().find(|order| order.server == holder.server);
+        holder.held = order.map(|order| order.layers).unwrap_or_default();
+    }
+    orders.extend(mend(engine, &placed));
     orders
 }
 
@@ -172,13 +171,9 @@
 
 /// Makes one row of the first servers, each with room for `room` tokens; `None` when they do not
 /// hold all layers.
-///
-/// They stand in the order of what they hold already, so that each has few layers to load.
 fn row(engine: &Engine, holders: &[Holder], room: f64) -> Option<Vec<Order>> {
     let mut start = 0;
     let mut orders = Vec::new();
-    let mut holders: Vec<&Holder> = holders.iter().collect();
-    holders.sort_by_key(|holder| (holder.held.is_empty(), holder.held.start));
     for holder in holders {
         let count = beside(engine, holder.kind, room).min(engine.layers - start);
         if count == 0 {
@@ -196,92 +191,118 @@
     None
 }
 
-/// A running group is placed anew when it would then carry this many times the requests.
-///
-/// Moving layers takes seconds in which the group carries less, so a small gain does not pay.
-const WORTH_MOVING: f64 = 1.6;
+/// A server of a running group moves to other layers when that takes away this share of the group's
+/// resistance. Moving takes seconds in which it carries nothing, so a small gain does not pay.
+const WORTH_MOVING: f64 = 0.3;
+/// The most servers of one group that move at a time: those that move carry nothing meanwhile.
+const MOST_MOVES: usize = 3;
+/// What a layer without any holder counts as, in tokens: little, so that the first holder of each
+/// such layer is worth more than anything else.
+const NOTHING: f64 = 500.0;
+/// The rooms, in tokens, among which the number of a server's layers is chosen.
+const ROOMS: [f64; 4] = [150_000.0, FAST_ROOM, 50_000.0, LEAST_ROOM];
 
-/// Gives layers to the empty servers of a running group, or places it anew if much is to be gained.
+/// Gives layers to the empty servers of a running group, and moves others where much is gained.
+///
+/// Each step is the one that lowers the group's resistance most, so the servers that still serve
+/// stay where they are unless others hold their layers as well.
 fn mend(engine: &Engine, group: &[Holder]) -> Vec<Order> {
-    let (joined, orders) = fill(engine, group);
-    let anew = rows(engine, group);
-    let placed = apply(group, &anew);
-    if capacity(engine, &placed) <= capacity(engine, &joined) * WORTH_MOVING {
-        return orders;
-    }
-    let held = |order: &Order| group.iter().find(|h| h.server == order.server).map(|h| h.held);
-    let mut moves = anew;
-    moves.retain(|order| held(order) != Some(order.layers));
-    moves
-}
-
-/// Gives the empty servers the layers that the fewest hold.
-fn fill(engine: &Engine, group: &[Holder]) -> (Vec<Holder>, Vec<Order>) {
     let mut group = group.to_vec();
     let mut orders = Vec::new();
-    let mut empty: Vec<usize> = (0..group.len())
-        .filter(|index| group[*index].held.is_empty())
-        .collect();
-    empty.sort_by(|a, b| {
-        let memory = |index: &usize| group[*index].kind.memory_mb;
-        memory(b).total_cmp(&memory(a))
-    });
-    for index in empty {
-        let count = beside(engine, group[index].kind, LEAST_ROOM).max(1);
-        let layers = neediest(&cover(engine, &group), count);
-        group[index].held = layers;
-        let server = group[index].server.clone();
-        orders.push(Order { server, layers });
+    for index in 0..group.len() {
+        if group[index].held.is_empty() {
+            let best = best_range(engine, &group, index);
+            take(&mut group, &mut orders, index, best);
+        }
+    }
+    for _ in 0..MOST_MOVES {
+        let before = resistance(engine, &group);
+        let moves = (0..group.len()).filter_map(|index| {
+            let (layers, after) = best_range(engine, &group, index)?;
+            Some((index, layers, after))
+        });
+        let best = moves.min_by(|a, b| a.2.total_cmp(&b.2));
+        let worth = best.filter(|(_, _, after)| *after < before * (1.0 - WORTH_MOVING));
+        let Some((index, layers, after)) = worth else {
+            break;
+        };
+        take(&mut group, &mut orders, index, Some((layers, after)));
     }
-    (group, orders)
+    orders
 }
 
-/// Returns the holders as they are once orders are carried out.
-fn apply(group: &[Holder], orders: &[Order]) -> Vec<Holder> {
-    let mut group = group.to_vec();
-    for holder in &mut group {
-        let order = orders.iter().find(|order| order.server == holder.server);
-        holder.held = order.map_or(holder.held, |order| order.layers);
-    }
-    group
+fn take(
+    group: &mut [Holder],
+    orders: &mut Vec<Order>,
+    index: usize,
+    choice: Option<(Range, f64)>,
+) {
+    let Some((layers, _)) = choice else {
+        return;
+    };
+    group[index].held = layers;
+    let server = group[index].server.clone();
+    orders.retain(|order| order.server != server);
+    orders.push(Order { server, layers });
 }
 
-/// Returns the tokens that a group carries: those of its fullest layer over all holders of it.
-#[must_use]
-pub fn capacity(engine: &Engine, group: &[Holder]) -> f64 {
-    let mut room = vec![0.0; engine.layers as usize];
-    for holder in group.iter().filter(|holder| !holder.held.is_empty()) {
-        let each = engine.room(holder.kind, holder.held.len()) / f64::from(holder.held.len());
-        for layer in holder.held.start..holder.held.end.min(engine.layers) {
-            room[layer as usize] += each;
+/// Returns the range by which one server lowers the group's resistance most, and what is left of it.
+fn best_range(engine: &Engine, group: &[Holder], index: usize) -> Option<(Range, f64)> {
+    let holder = &group[index];
+    let mut others = room_by_layer(engine, group);
+    add_room(engine, holder, -1.0, &mut others);
+    let mut counts: Vec<u32> = ROOMS.map(|room| beside(engine, holder.kind, room)).to_vec();
+    counts.retain(|count| *count > 0);
+    counts.dedup();
+    let mut best: Option<(Range, f64)> = None;
+    for count in counts {
+        for start in 0..=engine.layers - count.min(engine.layers) {
+            let mut moved = holder.clone();
+            moved.held = Range::new(start, start + count);
+            let mut room = others.clone();
+            add_room(engine, &moved, 1.0, &mut room);
+            let left = resistance_of(&room);
+            if best.is_none_or(|(_, least)| left < least) {
+                best = Some((moved.held, left));
+            }
         }
     }
-    room.into_iter().fold(f64::INFINITY, f64::min)
+    best
+}
+
+/// Returns how hard it is for requests to pass a group: the sum over layers of one over the tokens
+/// that their holders have room for. A layer without a holder counts most, one with little room
+/// next.
+fn resistance(engine: &Engine, group: &[Holder]) -> f64 {
+    resistance_of(&room_by_layer(engine, group))
 }
 
-/// Returns how many servers hold each layer.
-fn cover(engine: &Engine, group: &[Holder]) -> Vec<u32> {
-    let mut cover = vec![0; engine.layers as usize];
+fn resistance_of(room: &[f64]) -> f64 {
+    room.iter().map(|room| 1.0 / (room + NOTHING)).sum()
+}
+
+/// Returns the tokens that the holders of each layer have room for.
+fn room_by_layer(engine: &Engine, group: &[Holder]) -> Vec<f64> {
+    let mut room = vec![0.0; engine.layers as usize];
     for holder in group {
-        for layer in holder.held.start..holder.held.end.min(engine.layers) {
-            cover[layer as usize] += 1;
-        }
+        add_room(engine, holder, 1.0, &mut room);
     }
-    cover
+    room
 }
 
-/// Returns the `count` layers in a row that are held by the fewest.
-///
-/// A layer that nobody holds stops all paths, one with a single holder stops them with its death;
-/// each further holder is worth a tenth of the one before.
-fn neediest(cover: &[u32], count: u32) -> Range {
-    let count = (count as usize).min(cover.len());
-    let worth = |held: &u32| 0.1_f64.powi((*held).min(6) as i32);
-    let best = (0..=cover.len() - count).max_by(|a, b| {
-        let sum = |start: &usize| -> f64 { cover[*start..*start + count].iter().map(worth).sum() };
-        // Of equals the first is taken.
-        sum(a).total_cmp(&sum(b)).then(b.cmp(a))
-    });
-    let start = best.unwrap_or(0) as u32;
-    Range::new(start, start + count as u32)
+fn add_room(engine: &Engine, holder: &Holder, sign: f64, room: &mut [f64]) {
+    if holder.held.is_empty() {
+        return;
+    }
+    let each = engine.room(holder.kind, holder.held.len()) / f64::from(holder.held.len());
+    for layer in holder.held.start..holder.held.end.min(engine.layers) {
+        room[layer as usize] += sign * each;
+    }
+}
+
+/// Returns the tokens that a group carries: those of its fullest layer over all holders of it.
+#[must_use]
+pub fn capacity(engine: &Engine, group: &[Holder]) -> f64 {
+    let room = room_by_layer(engine, group);
+    room.into_iter().fold(f64::INFINITY, f64::min)
 }
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -267,14 +267,21 @@
                 }
                 _ => {}
             }
-            tokio::time::sleep(AGAIN).await;
+            if !matches!(answer, Ok(Ok(StatusCode::CONFLICT))) {
+                tokio::time::sleep(AGAIN).await;
+            }
             let Ok(report) = probe::report(&self.state, name, address).await else {
+                tokio::time::sleep(AGAIN).await;
                 continue;
             };
+            let was_known = known == report.orders;
             known = report.orders;
             if report.held == Some(order.layers) {
                 return;
             }
+            if was_known {
+                tokio::time::sleep(AGAIN).await;
+            }
             while self.is_wanted(&order) && self.is_busy(name, address).await {
                 tokio::time::sleep(AGAIN).await;
             }
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -18,6 +18,7 @@
 
 use crate::dialect::Dialect;
 use crate::dialect::Report;
+use crate::pool::Lease;
 use crate::state::State;
 
 /// How long a server may take to answer; its report needs no slot, and the way there and back takes
@@ -25,12 +26,25 @@
 const ANSWER: Duration = Duration::from_millis(150);
 /// How long an answer stands for the next one who asks. A dying server stalls many streams at once;
 /// they need one question, not one each.
-const STANDS: Span = Span(250);
+const STANDS: Span = Span(400);
+/// From how many times its usual time on a server counts as slow.
+const SLOW: f64 = 2.0;
+
+/// How a server is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Health {
+    /// It answers and works at its usual speed.
+    Well,
+    /// It answers and is much slower than usual.
+    Slow,
+    /// It does not answer.
+    Dead,
+}
 
 #[derive(Clone, Copy)]
 struct Known {
     at: Instant,
-    is_alive: bool,
+    health: Health,
 }
 
 /// Recent answers.
@@ -59,7 +73,17 @@
     server: &Server,
     address: SocketAddr,
 ) -> anyhow::Result<Bytes> {
-    let mut lease = state.pool.fresh(server, address).await?;
+    let kept = state.pool.lease(server, address).await?;
+    let is_kept = kept.reused;
+    let asked = exchange::<D>(kept, address).await;
+    if asked.is_ok() || !is_kept {
+        return asked;
+    }
+    // The kept connection may have been closed meanwhile, which says nothing of the server.
+    exchange::<D>(state.pool.fresh(server, address).await?, address).await
+}
+
+async fn exchange<D: Dialect>(mut lease: Lease, address: SocketAddr) -> anyhow::Result<Bytes> {
     let request = Request::get(D::REPORT)
         .header(HOST, address.to_string())
         .body(Full::default())?;
@@ -73,27 +97,34 @@
     Ok(bytes)
 }
 
-/// Tells whether a server answers; a dead one is suspected from now on.
-pub async fn is_alive<D: Dialect>(
+/// Finds out how a server is; a dead one is suspected from now on.
+pub async fn health<D: Dialect>(
     state: &Rc<State<D>>,
     server: &Server,
     address: SocketAddr,
-) -> bool {
+) -> Health {
     let known = state.probes.known.borrow().get(server).copied();
     if let Some(known) = known.filter(|known| clock::now().since(known.at) <= STANDS) {
-        return known.is_alive;
+        return known.health;
     }
     state.metrics.count("probes");
     let answer = report(state, server, address).await;
-    let known = Known {
-        at: clock::now(),
-        is_alive: answer.is_ok(),
+    let health = match &answer {
+        Ok(report) if report.slowness >= SLOW => Health::Slow,
+        Ok(_) => Health::Well,
+        Err(_) => Health::Dead,
     };
+    let at = clock::now();
+    let known = Known { at, health };
     state.probes.known.borrow_mut().insert(server.clone(), known);
-    if let Err(error) = answer {
-        state.accuse(server, &format!("{error:#}").replace(' ', "-"));
+    match answer {
+        Ok(report) => {
+            let mut load = state.load.borrow_mut();
+            load.reported(at, server, report.slowness);
+        }
+        Err(error) => state.accuse(server, &format!("{error:#}").replace(' ', "-")),
     }
-    known.is_alive
+    health
 }
 
 /// How often the suspects are looked through.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -394,7 +394,7 @@
     state.load.borrow_mut().refused(clock::now(), &server);
     let state = state.clone();
     tokio::task::spawn_local(async move {
-        probe::is_alive(&state, &server, address).await;
+        probe::health(&state, &server, address).await;
     });
 }
 
@@ -538,7 +538,7 @@
             if let Some(part) = address {
                 let state = state.clone();
                 tokio::task::spawn_local(async move {
-                    probe::is_alive(&state, &first, part.address).await;
+                    probe::health(&state, &first, part.address).await;
                 });
             }
         }
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -23,6 +23,7 @@
 
 use crate::dialect::Dialect;
 use crate::probe;
+use crate::probe::Health;
 use crate::state::State;
 use crate::stream;
 use crate::stream::Stream;
@@ -61,6 +62,8 @@
 const SILENT: Span = Span(120);
 /// The same as a multiple of the stream's own pace.
 const SILENT_PACES: f64 = 4.0;
+/// The share of the longest pause that is on time after which the path is looked at in any case.
+const GAP_SHARE: f64 = 0.75;
 /// The share of the target that the first event may take before the path is looked at.
 const FIRST_SHARE: f64 = 0.7;
 /// How long a path that was found alive is left alone.
@@ -96,7 +99,8 @@
     let limit = if stream.events.get() == 0 {
         stream.route.target.0 as f64 * FIRST_SHARE
     } else {
-        (stream.pace_ms.get() * SILENT_PACES).max(SILENT.0 as f64)
+        let gap = stream.route.gap_target.0 as f64 * GAP_SHARE;
+        (stream.pace_ms.get() * SILENT_PACES).min(gap).max(SILENT.0 as f64)
     };
     now.since(stream.heard.get()).0 as f64 > limit
 }
@@ -113,18 +117,21 @@
 
 async fn check<D: Dialect>(state: &Rc<State<D>>, stream: &Rc<Stream>, path: Path) {
     let heard = stream.heard.get();
-    let dead = dead_parts(state, &path).await;
-    if dead.is_empty() || stream.heard.get() != heard {
+    let ill = ill_parts(state, &path).await;
+    let is_dead = ill.iter().any(|(_, health)| *health == Health::Dead);
+    if ill.is_empty() || (is_dead && stream.heard.get() != heard) {
         return;
     }
-    let first_is_dead = path
-        .first()
-        .is_none_or(|first| dead.iter().any(|part| part.server == first.server));
-    if first_is_dead {
+    let is_first = |part: &Part| path.first().is_none_or(|first| first.server == part.server);
+    if ill.iter().any(|(part, health)| *health == Health::Dead && is_first(part)) {
         stream.abandon();
         return;
     }
-    let mut avoid = Vec::new();
+    let ill_name = |(part, _): &(Part, Health)| part.server.clone();
+    let mut avoid: Vec<Name> = ill.iter().filter(|(part, _)| !is_first(part)).map(ill_name).collect();
+    if avoid.is_empty() {
+        return;
+    }
     for _ in 0..MOST_REPAIRS {
         match repair(state, stream, &path, &avoid).await {
             Repaired::Done => return,
@@ -132,17 +139,19 @@
             Repaired::Impossible => break,
         }
     }
-    stream.abandon();
+    if is_dead {
+        stream.abandon();
+    }
 }
 
-async fn dead_parts<D: Dialect>(state: &Rc<State<D>>, path: &Path) -> Vec<Part> {
+async fn ill_parts<D: Dialect>(state: &Rc<State<D>>, path: &Path) -> Vec<(Part, Health)> {
     let asked = path.parts().iter().map(|part| async move {
-        let is_alive = probe::is_alive(state, &part.server, part.address).await;
-        (part.clone(), is_alive)
+        let health = probe::health(state, &part.server, part.address).await;
+        (part.clone(), health)
     });
-    let answers = join_all(asked).await;
-    let dead = answers.into_iter().filter(|(_, is_alive)| !is_alive);
-    dead.map(|(part, _)| part).collect()
+    let mut parts = join_all(asked).await;
+    parts.retain(|(_, health)| *health != Health::Well);
+    parts
 }
 
 /// What became of an order to change a path.
