--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -33,6 +33,7 @@
 use crate::settings::Settings;
 use crate::state::Phase;
 use crate::state::State;
+use crate::waiting;
 use crate::watchdog;
 
 /// How long after the request to stop new requests are still served. The platform asks every second
@@ -79,6 +80,7 @@
     tokio::task::spawn_local(gossip::run(state.clone(), gossip));
     tokio::task::spawn_local(probe::follow_suspects(state.clone()));
     tokio::task::spawn_local(watchdog::run(state.clone()));
+    tokio::task::spawn_local(waiting::run(state.clone()));
     let (trigger, leaving) = shutdown::pair();
     tokio::task::spawn_local(accept(state.clone(), callers, leaving));
     shutdown::terminated().await?;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,6 +23,7 @@
 mod state;
 mod stream;
 mod upstream;
+mod waiting;
 mod watchdog;
 mod whole;
 
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::HOST;
+use jujube_core::name::Customer;
 use jujube_core::name::Service;
 use jujube_core::pipeline::document::Account;
 use jujube_core::pipeline::document::Kind;
@@ -46,6 +47,8 @@
     pub route: Arc<Route>,
     /// The service.
     pub service: Service,
+    /// Whose it is; nobody's where no keys are asked for.
+    pub customer: Customer,
     /// Its rank; 0 goes first.
     pub priority: u64,
     /// What is sent to a backend server.
@@ -161,9 +164,11 @@
     if let Some(account) = &account {
         head::set(&mut headers, D::NAMES.customer, &account.customer.0);
     }
+    let customer = account.as_ref().map(|account| account.customer.clone());
     let priority = account.as_ref().and_then(|account| account.priority);
     Ok(Admitted {
         id,
+        customer: customer.unwrap_or_else(|| "".into()),
         priority: priority.unwrap_or(route.priority),
         route,
         service,
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -22,6 +22,7 @@
 use crate::pool::Pool;
 use crate::probe::Probes;
 use crate::settings::Settings;
+use crate::waiting::Waiting;
 use crate::watchdog::Streams;
 
 /// How far a stop has come.
@@ -62,6 +63,8 @@
     pub probes: Probes,
     /// The other entries.
     pub peers: Peers,
+    /// Requests that wait for room.
+    pub waiting: Waiting,
     /// Streams in flight.
     pub streams: Streams,
     /// Counters and histograms.
@@ -92,6 +95,7 @@
             pool: Pool::default(),
             probes: Probes::default(),
             peers: Peers::default(),
+            waiting: Waiting::default(),
             streams: Streams::default(),
             metrics: Metrics::default(),
             phase: Cell::default(),
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -48,6 +48,8 @@
 use crate::upstream::Failure;
 use crate::upstream::Incomplete;
 use crate::upstream::Outgoing;
+use crate::waiting;
+use crate::waiting::Place;
 
 /// The header by which a stream is continued after an event.
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
@@ -76,6 +78,8 @@
     pub pace_ms: Cell<f64>,
     /// Whether somebody looks after it.
     pub is_checked: Cell<bool>,
+    /// How often it was taken off slow servers.
+    pub detours: Cell<u64>,
     /// Not looked after before this time.
     pub check_at: Cell<Instant>,
     /// When the answer must be there.
@@ -153,6 +157,7 @@
         events: Cell::new(0),
         pace_ms: Cell::new(0.0),
         is_checked: Cell::new(false),
+        detours: Cell::new(0),
         check_at: Cell::new(now),
         deadline: request.deadline,
         need,
@@ -164,6 +169,21 @@
         waker: AtomicWaker::new(),
     });
     let registration = Registration::new(&state, &stream);
+    let ask = waiting::Ask {
+        service: &stream.service,
+        customer: &request.customer,
+        priority: request.priority,
+        need,
+        target: stream.route.target,
+    };
+    let place = match waiting::admit(&state, ask).await {
+        Ok(place) => place,
+        Err(come_back) => {
+            let (route, reason) = (&stream.route.name, Reason::Overloaded);
+            request::done(&state, &stream.id, route, reason, stream.arrived, "no-room");
+            return answer::own(reason, Some(come_back));
+        }
+    };
     match open(&state, &stream, last).await {
         Ok(incomplete) => {
             let (mut parts, body) = incomplete.response.into_parts();
@@ -176,6 +196,7 @@
             let live = Live {
                 is_events: parts.status.is_success(),
                 registration,
+                place,
                 guard,
                 relay: Relay::after(last),
                 upstream,
@@ -413,6 +434,8 @@
     /// Whether the body is events, rather than a backend server's own failure.
     is_events: bool,
     registration: Registration<D>,
+    #[expect(dead_code, reason = "makes room for others when it is dropped")]
+    place: Place<D>,
     #[expect(dead_code, reason = "counts the request in flight until it is dropped")]
     guard: Guard<D>,
     relay: Relay,
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -70,6 +70,9 @@
 const LEFT_ALONE: Span = Span(400);
 /// How long the order to change a path may take.
 const REPAIR: Duration = Duration::from_millis(400);
+/// How often a stream is taken off slow servers: each new part reads all tokens again, which makes
+/// the next pause.
+const MOST_DETOURS: u64 = 1;
 /// How many paths are tried before the stream is continued elsewhere.
 const MOST_REPAIRS: usize = 3;
 
@@ -129,9 +132,12 @@
     }
     let ill_name = |(part, _): &(Part, Health)| part.server.clone();
     let mut avoid: Vec<Name> = ill.iter().filter(|(part, _)| !is_first(part)).map(ill_name).collect();
-    if avoid.is_empty() {
+    if avoid.is_empty() || (!is_dead && stream.detours.get() >= MOST_DETOURS) {
         return;
     }
+    if !is_dead {
+        stream.detours.set(stream.detours.get() + 1);
+    }
     for _ in 0..MOST_REPAIRS {
         match repair(state, stream, &path, &avoid).await {
             Repaired::Done => return,
