--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -65,6 +65,11 @@
         self.suspects.contains_key(server)
     }
 
+    /// Returns who is suspected.
+    pub fn names(&self) -> impl Iterator<Item = &Server> {
+        self.suspects.keys()
+    }
+
     /// Returns for how long a server has been suspected.
     #[must_use]
     pub fn lasts(&self, now: Instant, server: &Server) -> Option<Span> {
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -8,6 +8,8 @@
 
 use anyhow::Context;
 use anyhow::Result;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -16,6 +18,7 @@
 use jujube_program::logs;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
+use jujube_program::shutdown::Trigger;
 use jujube_store::kv::Feed;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -81,13 +84,12 @@
     tokio::task::spawn_local(probe::follow_suspects(state.clone()));
     tokio::task::spawn_local(watchdog::run(state.clone()));
     tokio::task::spawn_local(waiting::run(state.clone()));
-    let (trigger, leaving) = shutdown::pair();
-    tokio::task::spawn_local(accept(state.clone(), callers, leaving));
+    let (trigger, closing) = shutdown::pair();
+    tokio::task::spawn_local(accept(state.clone(), callers, closing));
     shutdown::terminated().await?;
     log::info!("event=stopping in_flight={}", state.in_flight.get());
     state.phase.set(Phase::Leaving);
-    trigger.stop();
-    drain(&state).await;
+    drain(&state, &trigger).await;
     log::info!("event=stopped in_flight={}", state.in_flight.get());
     logs::flush();
     Ok(())
@@ -98,12 +100,17 @@
     listener.with_context(|| format!("listen on {address}"))
 }
 
-async fn drain<D: Dialect>(state: &State<D>) {
+/// Serves on until the platform sends nobody any more, then ends what is in flight.
+///
+/// Connections stay open at first, and each answer says that it is the last one: were idle ones
+/// closed at once, requests would cross the close, and callers would have to try again.
+async fn drain<D: Dialect>(state: &State<D>, closing: &Trigger) {
     let stop = state.settings.stop.saturating_sub(BEFORE_KILL);
     let ended = tokio::time::sleep(stop);
     let idle = async {
         tokio::time::sleep(LEAVING).await;
         state.phase.set(Phase::Closing);
+        closing.stop();
         while state.in_flight.get() > 0 {
             tokio::time::sleep(LOOK).await;
         }
@@ -114,7 +121,7 @@
     }
 }
 
-async fn accept<D: Dialect>(state: Rc<State<D>>, listener: TcpListener, leaving: Signal) {
+async fn accept<D: Dialect>(state: Rc<State<D>>, listener: TcpListener, closing: Signal) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Too many open files: without the pause this loop would take the processor.
@@ -122,11 +129,11 @@
             continue;
         };
         state.metrics.count("connections");
-        tokio::task::spawn_local(connection(state.clone(), stream, leaving.clone()));
+        tokio::task::spawn_local(connection(state.clone(), stream, closing.clone()));
     }
 }
 
-async fn connection<D: Dialect>(state: Rc<State<D>>, stream: TcpStream, mut leaving: Signal) {
+async fn connection<D: Dialect>(state: Rc<State<D>>, stream: TcpStream, mut closing: Signal) {
     let set_up = stream.set_nodelay(true).and_then(|()| pool::watch(&stream));
     if set_up.is_err() {
         // The caller has left already.
@@ -134,8 +141,15 @@
     }
     let idle = state.table().map_or(Span(15_000), |t| t.document.limits.idle);
     let service = service_fn(move |request| {
-        let answer = request::serve(state.clone(), request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let state = state.clone();
+        async move {
+            let mut answer = request::serve(state.clone(), request).await;
+            if state.phase.get() != Phase::Serving {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -145,7 +159,7 @@
     let mut connection = pin!(connection);
     let _caller_gone = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = leaving.stopped() => {
+        () = closing.stopped() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -23,6 +23,8 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
+use crate::dialect::Dialect;
+use crate::probe;
 use crate::state::State;
 
 /// The start of the keys under which entries announce their addresses.
@@ -48,11 +50,22 @@
     requests: u32,
 }
 
+/// How many times slower than usual a server says it is.
+#[derive(Debug, Deserialize, Serialize)]
+struct Slow {
+    server: String,
+    slowness: f32,
+}
+
 /// What one entry tells the others.
 #[derive(Debug, Deserialize, Serialize)]
 struct Message {
     entry: String,
     rows: Vec<Row>,
+    slow: Vec<Slow>,
+    /// Servers that this entry suspects. The others ask these themselves: an entry that is cut off
+    /// suspects all.
+    suspects: Vec<String>,
 }
 
 impl From<Row> for (Server, Use) {
@@ -65,6 +78,15 @@
     }
 }
 
+impl From<(&Server, &f64)> for Slow {
+    fn from((server, slowness): (&Server, &f64)) -> Self {
+        Self {
+            server: server.to_string(),
+            slowness: *slowness as f32,
+        }
+    }
+}
+
 impl From<(&Server, &Use)> for Row {
     fn from((server, used): (&Server, &Use)) -> Self {
         Self {
@@ -173,11 +195,12 @@
 }
 
 /// Tells this entry's load, and hears the others', until the process ends.
-pub async fn run<D: 'static>(state: Rc<State<D>>, socket: UdpSocket) {
+pub async fn run<D: Dialect>(state: Rc<State<D>>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     tokio::task::spawn_local(hear(state.clone(), socket.clone()));
     loop {
-        tokio::time::sleep(TELL).await;
+        let urgent = state.suspicion_grew.notified();
+        let _either = tokio::time::timeout(TELL, urgent).await;
         state.load.borrow_mut().expire(clock::now());
         let Some(bytes) = message(&state) else {
             continue;
@@ -193,15 +216,18 @@
 
 fn message<D>(state: &State<D>) -> Option<Vec<u8>> {
     let load = state.load.borrow();
+    let suspicion = state.suspicion.borrow();
     let message = Message {
         entry: state.settings.name.to_string(),
         rows: load.own().map(Row::from).collect(),
+        slow: state.slow_servers.borrow().iter().map(Slow::from).collect(),
+        suspects: suspicion.names().map(ToString::to_string).collect(),
     };
     let bytes = bincode::serialize(&message);
     bytes.ok().filter(|bytes| bytes.len() <= MOST_BYTES)
 }
 
-async fn hear<D>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
+async fn hear<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MOST_BYTES];
     loop {
         let received: io::Result<(usize, SocketAddr)> = socket.recv_from(&mut buffer).await;
@@ -217,6 +243,29 @@
         state.peers.heard(address);
         let entry: Arc<str> = message.entry.into();
         let rows = message.rows.into_iter().map(Into::into);
-        state.load.borrow_mut().hear(clock::now(), entry, rows);
+        let now = clock::now();
+        state.load.borrow_mut().hear(now, entry, rows);
+        for slow in message.slow {
+            let (server, slowness) = (slow.server.into(), f64::from(slow.slowness));
+            state.load.borrow_mut().reported(now, &server, slowness);
+        }
+        for suspect in message.suspects {
+            ask(&state, suspect.into());
+        }
     }
 }
+
+/// Asks a server that another entry suspects, unless this one does already.
+fn ask<D: Dialect>(state: &Rc<State<D>>, server: Server) {
+    if state.suspicion.borrow().holds(&server) {
+        return;
+    }
+    let address = state.roster.borrow().get(&server).map(|known| known.address);
+    let Some(address) = address else {
+        return;
+    };
+    let state = state.clone();
+    tokio::task::spawn_local(async move {
+        probe::health(&state, &server, address).await;
+    });
+}
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -17,6 +17,7 @@
 use jujube_core::layer::Range;
 use jujube_core::name::Server as Name;
 use jujube_core::name::Service;
+use jujube_core::pipeline::chooser::Fleet;
 use jujube_core::pipeline::engine::Engine;
 use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Holder;
@@ -44,6 +45,8 @@
 const SETTLED: Span = Span(700);
 /// How long a server must be suspected before its layers are placed anew: it was asked twice more.
 const GIVEN_UP: Span = Span(800);
+/// How often all servers are asked how fast they are.
+const SPEED: Duration = Duration::from_millis(1_000);
 /// How long an order may take to be answered.
 const ANSWER: Duration = Duration::from_millis(800);
 /// How long an order may take to show in the registrations before it is given again.
@@ -85,6 +88,9 @@
     pending: RefCell<BTreeMap<Name, Pending>>,
     /// How many orders each server is known to have taken.
     taken: RefCell<BTreeMap<Name, u64>>,
+    /// What the last plan of each model was made from. Planning takes some milliseconds, in which
+    /// no event is passed on, and the same holders give the same plan.
+    planned: RefCell<BTreeMap<Service, Vec<Holder>>>,
 }
 
 /// Stands for the office whenever nobody holds it, until the process ends.
@@ -122,11 +128,13 @@
             is_over: Cell::new(false),
             pending: RefCell::default(),
             taken: RefCell::default(),
+            planned: RefCell::default(),
         }
     }
 
     async fn serve(self: &Rc<Self>) {
         tokio::task::spawn_local(self.clone().renew());
+        tokio::task::spawn_local(self.clone().watch_speed());
         let mut quiet_since = clock::now();
         let mut known = 0;
         while !self.is_over.get() {
@@ -170,6 +178,32 @@
         }
     }
 
+    /// Asks every server that holds layers how fast it is, for all entries.
+    async fn watch_speed(self: Rc<Self>) {
+        while !self.is_over.get() {
+            tokio::time::sleep(SPEED).await;
+            let fleets: Vec<Rc<Fleet>> = self.state.fleets.borrow().values().cloned().collect();
+            for node in fleets.iter().flat_map(|fleet| &fleet.nodes) {
+                let asked = probe::report(&self.state, &node.server, node.address);
+                let Ok(report) = asked.await else {
+                    continue;
+                };
+                let mut slow = self.state.slow_servers.borrow_mut();
+                if report.slowness > 1.0 {
+                    slow.insert(node.server.clone(), report.slowness);
+                } else {
+                    slow.remove(&node.server);
+                }
+                let mut load = self.state.load.borrow_mut();
+                load.reported(clock::now(), &node.server, report.slowness);
+            }
+            let roster = self.state.roster.borrow();
+            let mut slow = self.state.slow_servers.borrow_mut();
+            slow.retain(|server, _| roster.get(server).is_some());
+        }
+        self.state.slow_servers.borrow_mut().clear();
+    }
+
     /// Gives the orders that the plan asks for now.
     fn look(self: &Rc<Self>, is_settled: bool) {
         let Some(table) = self.state.table() else {
@@ -184,6 +218,10 @@
             if is_first && !is_settled {
                 continue;
             }
+            let last = self.planned.borrow_mut().insert(service.clone(), holders.clone());
+            if last.as_ref() == Some(&holders) {
+                continue;
+            }
             for order in placement::plan(engine, &holders) {
                 self.give(order);
             }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -55,6 +55,10 @@
     pub load: RefCell<Load>,
     /// Who is suspected.
     pub suspicion: RefCell<Suspicion>,
+    /// Told when a server is newly suspected.
+    pub suspicion_grew: tokio::sync::Notify,
+    /// Servers that told the planner that they are slow, and how many times.
+    pub slow_servers: RefCell<BTreeMap<Name, f64>>,
     /// The share of retries, by service.
     pub allowances: RefCell<BTreeMap<Service, Allowance>>,
     /// Connections to backend servers.
@@ -91,6 +95,8 @@
             fleets: RefCell::default(),
             load: RefCell::default(),
             suspicion: RefCell::default(),
+            suspicion_grew: tokio::sync::Notify::new(),
+            slow_servers: RefCell::default(),
             allowances: RefCell::default(),
             pool: Pool::default(),
             probes: Probes::default(),
@@ -139,6 +145,8 @@
         let fresh = self.suspicion.borrow_mut().accuse(clock::now(), server);
         self.pool.forget(server);
         if fresh {
+            self.suspicion_grew.notify_waiters();
+            self.streams.look_at(server);
             self.metrics.count("servers_suspected");
             log::info!("event=suspected server={server} cause={cause}");
         }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -78,6 +78,8 @@
     pub pace_ms: Cell<f64>,
     /// Whether somebody looks after it.
     pub is_checked: Cell<bool>,
+    /// Whether a server on its path has come under suspicion.
+    pub is_urgent: Cell<bool>,
     /// How often it was taken off slow servers.
     pub detours: Cell<u64>,
     /// Not looked after before this time.
@@ -157,6 +159,7 @@
         events: Cell::new(0),
         pace_ms: Cell::new(0.0),
         is_checked: Cell::new(false),
+        is_urgent: Cell::new(false),
         detours: Cell::new(0),
         check_at: Cell::new(now),
         deadline: request.deadline,
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -49,6 +49,17 @@
         self.listed.borrow_mut().remove(&number);
     }
 
+    /// Has the streams that pass a server looked at soon, without waiting until each has been silent
+    /// for long.
+    pub fn look_at(&self, server: &Name) {
+        for stream in self.listed.borrow().values() {
+            let path = stream.path.borrow();
+            if path.as_ref().is_some_and(|path| path.passes(server)) {
+                stream.is_urgent.set(true);
+            }
+        }
+    }
+
     /// Returns how many there are.
     pub fn len(&self) -> usize {
         self.listed.borrow().len()
@@ -56,7 +67,7 @@
 }
 
 /// How often the streams are looked through.
-const LOOK: Duration = Duration::from_millis(40);
+const LOOK: Duration = Duration::from_millis(25);
 /// How long a stream may be silent before its path is looked at: a pause of 200 ms makes an answer
 /// late, and an event usually takes under 50 ms.
 const SILENT: Span = Span(120);
@@ -96,7 +107,13 @@
 }
 
 fn is_silent(stream: &Stream, now: Instant) -> bool {
-    if stream.is_checked.get() || now < stream.check_at.get() {
+    if stream.is_checked.get() {
+        return false;
+    }
+    if stream.is_urgent.replace(false) {
+        return true;
+    }
+    if now < stream.check_at.get() {
         return false;
     }
     let limit = if stream.events.get() == 0 {
@@ -130,11 +147,10 @@
         stream.abandon();
         return;
     }
-    let ill_name = |(part, _): &(Part, Health)| part.server.clone();
-    let mut avoid: Vec<Name> = ill.iter().filter(|(part, _)| !is_first(part)).map(ill_name).collect();
-    if avoid.is_empty() || (!is_dead && stream.detours.get() >= MOST_DETOURS) {
+    if !is_dead && stream.detours.get() >= MOST_DETOURS {
         return;
     }
+    let mut avoid = Vec::new();
     if !is_dead {
         stream.detours.set(stream.detours.get() + 1);
     }
@@ -181,6 +197,10 @@
     let (Some(choice), Some(first)) = (choice.flatten(), old.first()) else {
         return Repaired::Impossible;
     };
+    if choice.path == *old {
+        // Staying is best: what is slow on this path is slower elsewhere.
+        return Repaired::Done;
+    }
     let body = D::repath(&stream.id, &choice.path);
     let asked = order::<D>(state, first, body);
     let answer = tokio::time::timeout(REPAIR, asked).await;
