Weigh moves by speed and by the fullest layer, and close gaps with room

Change: resistance is pace over the room of the fullest layers; narrow ranges only where wide ones leave a gap.

--- a/crates/core/src/pipeline/placement.rs
+++ b/crates/core/src/pipeline/placement.rs
@@ -193,36 +193,67 @@
 
 /// A server of a running group moves to other layers when that takes away this share of the group's
 /// resistance. Moving takes seconds in which it carries nothing, so a small gain does not pay.
-const WORTH_MOVING: f64 = 0.3;
+const WORTH_MOVING: f64 = 0.2;
+/// The same while a layer has no holder at all: then the group carries nothing anyway, and several
+/// small moves together may be what closes the gap.
+const WORTH_CLOSING: f64 = 0.01;
 /// The most servers of one group that move at a time: those that move carry nothing meanwhile.
 const MOST_MOVES: usize = 3;
+/// The same while a layer has no holder; the widest gap, of the largest accelerator's layers, takes
+/// about that many of the smallest.
+const MOST_CLOSING: usize = 6;
 /// What a layer without any holder counts as, in tokens: little, so that the first holder of each
 /// such layer is worth more than anything else.
 const NOTHING: f64 = 500.0;
 /// The rooms, in tokens, among which the number of a server's layers is chosen.
-const ROOMS: [f64; 4] = [150_000.0, FAST_ROOM, 50_000.0, LEAST_ROOM];
+const ROOMS: [f64; 3] = [150_000.0, FAST_ROOM, 60_000.0];
+/// The same where these leave a layer without a holder.
+const NARROW_ROOMS: [f64; 3] = [60_000.0, LEAST_ROOM, 12_000.0];
 
 /// Gives layers to the empty servers of a running group, and moves others where much is gained.
 ///
 /// Each step is the one that lowers the group's resistance most, so the servers that still serve
 /// stay where they are unless others hold their layers as well.
 fn mend(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let orders = mend_with(engine, group, &ROOMS);
+    if capacity(engine, &apply(group, &orders)) > 0.0 {
+        return orders;
+    }
+    mend_with(engine, group, &NARROW_ROOMS)
+}
+
+/// Returns the holders as they are once orders are carried out.
+fn apply(group: &[Holder], orders: &[Order]) -> Vec<Holder> {
+    let mut group = group.to_vec();
+    for holder in &mut group {
+        let order = orders.iter().find(|order| order.server == holder.server);
+        holder.held = order.map_or(holder.held, |order| order.layers);
+    }
+    group
+}
+
+fn mend_with(engine: &Engine, group: &[Holder], rooms: &[f64]) -> Vec<Order> {
     let mut group = group.to_vec();
     let mut orders = Vec::new();
     for index in 0..group.len() {
         if group[index].held.is_empty() {
-            let best = best_range(engine, &group, index);
+            let best = best_range(engine, &group, index, rooms);
             take(&mut group, &mut orders, index, best);
         }
     }
-    for _ in 0..MOST_MOVES {
+    for step in 0..MOST_CLOSING {
+        let is_closed = capacity(engine, &group) > 0.0;
+        if is_closed && step >= MOST_MOVES {
+            break;
+        }
+        let share = if is_closed { WORTH_MOVING } else { WORTH_CLOSING };
         let before = resistance(engine, &group);
         let moves = (0..group.len()).filter_map(|index| {
-            let (layers, after) = best_range(engine, &group, index)?;
+            let (layers, after) = best_range(engine, &group, index, rooms)?;
             Some((index, layers, after))
         });
         let best = moves.min_by(|a, b| a.2.total_cmp(&b.2));
-        let worth = best.filter(|(_, _, after)| *after < before * (1.0 - WORTH_MOVING));
+        let worth = best.filter(|(_, _, after)| *after < before * (1.0 - share));
         let Some((index, layers, after)) = worth else {
             break;
         };
@@ -247,11 +278,17 @@
 }
 
 /// Returns the range by which one server lowers the group's resistance most, and what is left of it.
-fn best_range(engine: &Engine, group: &[Holder], index: usize) -> Option<(Range, f64)> {
+fn best_range(
+    engine: &Engine,
+    group: &[Holder],
+    index: usize,
+    rooms: &[f64],
+) -> Option<(Range, f64)> {
     let holder = &group[index];
-    let mut others = room_by_layer(engine, group);
-    add_room(engine, holder, -1.0, &mut others);
-    let mut counts: Vec<u32> = ROOMS.map(|room| beside(engine, holder.kind, room)).to_vec();
+    let mut others = Layers::of(engine, group);
+    others.add(engine, holder, -1.0);
+    let counts = rooms.iter().map(|room| beside(engine, holder.kind, *room));
+    let mut counts: Vec<u32> = counts.collect();
     counts.retain(|count| *count > 0);
     counts.dedup();
     let mut best: Option<(Range, f64)> = None;
@@ -259,9 +296,9 @@
         for start in 0..=engine.layers - count.min(engine.layers) {
             let mut moved = holder.clone();
             moved.held = Range::new(start, start + count);
-            let mut room = others.clone();
-            add_room(engine, &moved, 1.0, &mut room);
-            let left = resistance_of(&room);
+            let mut layers = others.clone();
+            layers.add(engine, &moved, 1.0);
+            let left = layers.resistance();
             if best.is_none_or(|(_, least)| left < least) {
                 best = Some((moved.held, left));
             }
@@ -270,39 +307,68 @@
     best
 }
 
-/// Returns how hard it is for requests to pass a group: the sum over layers of one over the tokens
-/// that their holders have room for. A layer without a holder counts most, one with little room
-/// next.
 fn resistance(engine: &Engine, group: &[Holder]) -> f64 {
-    resistance_of(&room_by_layer(engine, group))
+    Layers::of(engine, group).resistance()
 }
 
-fn resistance_of(room: &[f64]) -> f64 {
-    room.iter().map(|room| 1.0 / (room + NOTHING)).sum()
+/// What the holders of each layer have between them.
+#[derive(Clone, Debug)]
+struct Layers {
+    /// Room, in tokens.
+    room: Vec<f64>,
+    /// Room times the pace of its holder.
+    paced: Vec<f64>,
+    /// The pace that a layer without a holder counts with: the slowest of all.
+    slowest: f64,
 }
 
-/// Returns the tokens that the holders of each layer have room for.
-fn room_by_layer(engine: &Engine, group: &[Holder]) -> Vec<f64> {
-    let mut room = vec![0.0; engine.layers as usize];
-    for holder in group {
-        add_room(engine, holder, 1.0, &mut room);
+impl Layers {
+    fn of(engine: &Engine, group: &[Holder]) -> Self {
+        let count = engine.layers as usize;
+        let paces = engine.kinds.values().map(|kind| kind.pace);
+        let mut layers = Self {
+            room: vec![0.0; count],
+            paced: vec![0.0; count],
+            slowest: paces.fold(1.0, f64::max),
+        };
+        for holder in group {
+            layers.add(engine, holder, 1.0);
+        }
+        layers
     }
-    room
-}
 
-fn add_room(engine: &Engine, holder: &Holder, sign: f64, room: &mut [f64]) {
-    if holder.held.is_empty() {
-        return;
+    fn add(&mut self, engine: &Engine, holder: &Holder, sign: f64) {
+        if holder.held.is_empty() {
+            return;
+        }
+        let each = engine.room(holder.kind, holder.held.len()) / f64::from(holder.held.len());
+        let end = holder.held.end.min(self.room.len() as u32);
+        for layer in holder.held.start as usize..end as usize {
+            self.room[layer] += sign * each;
+            self.paced[layer] += sign * each * holder.kind.pace;
+        }
     }
-    let each = engine.room(holder.kind, holder.held.len()) / f64::from(holder.held.len());
-    for layer in holder.held.start..holder.held.end.min(engine.layers) {
-        room[layer as usize] += sign * each;
+
+    /// Returns how hard it is for requests to pass: how long one takes, over how many there is room
+    /// for at a time.
+    ///
+    /// The room that counts is that of the fullest layers; the power lets the others count a little,
+    /// so that each of several moves that together close a gap shows as a gain.
+    fn resistance(&self) -> f64 {
+        let mut pace = 0.0;
+        let mut tightness = 0.0;
+        for (room, paced) in self.room.iter().zip(&self.paced) {
+            let room = room.max(0.0);
+            pace += (paced + NOTHING * self.slowest) / (room + NOTHING);
+            tightness += (room + NOTHING).recip().powi(8);
+        }
+        pace * tightness.powf(1.0 / 8.0)
     }
 }
 
 /// Returns the tokens that a group carries: those of its fullest layer over all holders of it.
 #[must_use]
 pub fn capacity(engine: &Engine, group: &[Holder]) -> f64 {
-    let room = room_by_layer(engine, group);
-    room.into_iter().fold(f64::INFINITY, f64::min)
+    let layers = Layers::of(engine, group);
+    layers.room.into_iter().fold(f64::INFINITY, f64::min)
 }
--- /dev/null
+++ b/crates/core/tests/support/pipeline.rs
@@ -0,0 +1,89 @@
+//! Fixtures of models and backend servers for the tests of path-routed engines.
+
+use std::sync::Arc;
+
+use jujube_core::layer::Range;
+use jujube_core::pipeline::chooser::Fleet;
+use jujube_core::pipeline::chooser::Node;
+use jujube_core::pipeline::engine::Engine;
+use jujube_core::pipeline::engine::Kind;
+use jujube_core::pipeline::placement::Holder;
+use jujube_core::pipeline::placement::Order;
+
+/// The users' accelerators: memory in MB, pace of a token, pace of reading.
+pub fn kind(name: &str) -> Kind {
+    let (memory_mb, pace, read_pace) = match name {
+        "a100" => (72_000.0, 2.4, 3.2),
+        "l40s" => (43_200.0, 5.6, 2.7),
+        _ => (21_600.0, 16.0, 8.2),
+    };
+    Kind {
+        memory_mb,
+        pace,
+        read_pace,
+    }
+}
+
+/// The users' model.
+pub fn engine() -> Engine {
+    Engine {
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 918_000.0,
+        step_ms: 1.02,
+        read_per_second: 105_000.0,
+        load_seconds: 14.0,
+        usual_prompt: 774.0,
+        usual_answer: 200.0,
+        kinds: ["a100", "l40s", "l4"].map(|name| (name.into(), kind(name))).into(),
+    }
+}
+
+/// Empty servers of one zone, named by zone, kind and number.
+pub fn holders(zone: &str, counts: &[(&str, usize)]) -> Vec<Holder> {
+    let mut holders = Vec::new();
+    for (name, count) in counts {
+        for number in 0..*count {
+            holders.push(Holder {
+                server: format!("{zone}-{name}-{number}").as_str().into(),
+                zone: zone.into(),
+                kind: kind(name),
+                held: Range::default(),
+            });
+        }
+    }
+    holders
+}
+
+/// The three availability zones of both users' deployments.
+pub fn region() -> Vec<Holder> {
+    let mut all = holders("a", &[("a100", 1), ("l40s", 3), ("l4", 8)]);
+    all.extend(holders("b", &[("a100", 1), ("l40s", 6), ("l4", 5)]));
+    all.extend(holders("c", &[("a100", 2), ("l40s", 2), ("l4", 5)]));
+    all
+}
+
+/// The holders once orders are carried out.
+pub fn carried_out(holders: &[Holder], orders: &[Order]) -> Vec<Holder> {
+    let mut holders = holders.to_vec();
+    for order in orders {
+        for holder in holders.iter_mut().filter(|h| h.server == order.server) {
+            holder.held = order.layers;
+        }
+    }
+    holders
+}
+
+/// The fleet that holders make up.
+pub fn fleet(engine: &Engine, holders: &[Holder]) -> Fleet {
+    let holding = holders.iter().filter(|holder| !holder.held.is_empty());
+    let nodes = holding.enumerate().map(|(index, holder)| Node {
+        server: holder.server.clone(),
+        address: ([10, 0, 0, index as u8], 8000).into(),
+        zone: holder.zone.clone(),
+        held: holder.held,
+        kind: holder.kind,
+        room: engine.room(holder.kind, holder.held.len()),
+    });
+    Fleet::new(Arc::new(engine.clone()), nodes.collect())
+}
