Hand the planner's office on before a stop, and take changed settings while running

Change: it ends its lease when it is told to stop; SIGHUP or a changed file reloads retry terms and log level.

--- a/crates/core/src/pipeline/chooser.rs
+++ b/crates/core/src/pipeline/chooser.rs
@@ -159,7 +159,10 @@
             if zone != view.home {
                 choice.cost_ms += AWAY_MS;
             }
-            if best.as_ref().is_none_or(|best| choice.cost_ms < best.cost_ms) {
+            if best
+                .as_ref()
+                .is_none_or(|best| choice.cost_ms < best.cost_ms)
+            {
                 best = Some(choice);
             }
         }
@@ -251,7 +254,9 @@
     }
 
     fn positions(&self, nodes: &[Priced<'_>], first: Option<&Part>) -> Vec<u32> {
-        let ends = nodes.iter().flat_map(|p| [p.node.held.start, p.node.held.end]);
+        let ends = nodes
+            .iter()
+            .flat_map(|p| [p.node.held.start, p.node.held.end]);
         let mut positions: BTreeSet<u32> = ends.collect();
         positions.insert(0);
         positions.insert(self.engine.layers);
--- a/crates/core/src/pipeline/document.rs
+++ b/crates/core/src/pipeline/document.rs
@@ -197,9 +197,7 @@
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
-        routes
-            .iter()
-            .find(|route| path.starts_with(&*route.prefix))
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
     /// Tells whether callers need keys.
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -107,7 +107,8 @@
     /// Books that a server refused a request; each refusal soon after the last one counts twice as
     /// long.
     pub fn refused(&mut self, now: Instant, server: &Server) {
-        self.full.retain(|_, refusal| refusal.until.plus(LONGEST_FULL) > now);
+        self.full
+            .retain(|_, refusal| refusal.until.plus(LONGEST_FULL) > now);
         let lasts = match self.full.get(server) {
             Some(refusal) if refusal.until > now => return,
             Some(refusal) => Span((refusal.lasts.0 * 2).min(LONGEST_FULL.0)),
@@ -143,7 +144,9 @@
     /// Tells whether a server refused a request a moment ago.
     #[must_use]
     pub fn is_full(&self, now: Instant, server: &Server) -> bool {
-        self.full.get(server).is_some_and(|refusal| refusal.until > now)
+        self.full
+            .get(server)
+            .is_some_and(|refusal| refusal.until > now)
     }
 
     /// Takes another entry's word on what it has in flight.
--- a/crates/core/src/pipeline/placement.rs
+++ b/crates/core/src/pipeline/placement.rs
@@ -246,7 +246,11 @@
         if is_closed && step >= MOST_MOVES {
             break;
         }
-        let share = if is_closed { WORTH_MOVING } else { WORTH_CLOSING };
+        let share = if is_closed {
+            WORTH_MOVING
+        } else {
+            WORTH_CLOSING
+        };
         let before = resistance(engine, &group);
         let moves = (0..group.len()).filter_map(|index| {
             let (layers, after) = best_range(engine, &group, index, rooms)?;
@@ -262,12 +266,7 @@
     orders
 }
 
-fn take(
-    group: &mut [Holder],
-    orders: &mut Vec<Order>,
-    index: usize,
-    choice: Option<(Range, f64)>,
-) {
+fn take(group: &mut [Holder], orders: &mut Vec<Order>, index: usize, choice: Option<(Range, f64)>) {
     let Some((layers, _)) = choice else {
         return;
     };
--- a/crates/core/tests/support/pipeline.rs
+++ b/crates/core/tests/support/pipeline.rs
@@ -35,7 +35,9 @@
         load_seconds: 14.0,
         usual_prompt: 774.0,
         usual_answer: 200.0,
-        kinds: ["a100", "l40s", "l4"].map(|name| (name.into(), kind(name))).into(),
+        kinds: ["a100", "l40s", "l4"]
+            .map(|name| (name.into(), kind(name)))
+            .into(),
     }
 }
 
--- a/crates/ctl/src/roll.rs
+++ b/crates/ctl/src/roll.rs
@@ -14,11 +14,11 @@
 use jujube_core::head::Generation;
 use jujube_core::head::Head;
 use jujube_core::section::Fault;
+use jujube_program::clock;
 use jujube_store::head;
 use jujube_store::head::Swapped;
 use jujube_store::kv::Revision;
 use jujube_store::kv::Store;
-use jujube_program::clock;
 
 use crate::keys::Secret;
 
--- a/crates/entry/src/api/claimed.rs
+++ b/crates/entry/src/api/claimed.rs
@@ -21,10 +21,10 @@
 use jujube_core::refusal::Refusal;
 use jujube_core::request::Incarnation;
 use jujube_core::verdict::Verdict;
-use jujube_store::claims;
 use jujube_program::clock;
 use jujube_program::http;
 use jujube_program::http::Body;
+use jujube_store::claims;
 
 use super::completions::Call;
 use crate::state::State;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -12,10 +12,10 @@
 use jujube_core::session;
 use jujube_core::subset;
 use jujube_core::time::Span;
-use jujube_store::claims::Grouping;
 use jujube_program::settings;
 use jujube_program::settings::File;
 use jujube_program::settings::Telemetry;
+use jujube_store::claims::Grouping;
 
 /// What an entry is told at its start.
 #[derive(Clone, Debug)]
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::pool;
 use crate::probe;
 use crate::ready;
+use crate::reload;
 use crate::request;
 use crate::settings::Settings;
 use crate::state::Phase;
@@ -84,6 +85,7 @@
     tokio::task::spawn_local(probe::follow_suspects(state.clone()));
     tokio::task::spawn_local(watchdog::run(state.clone()));
     tokio::task::spawn_local(waiting::run(state.clone()));
+    tokio::task::spawn_local(reload::run(state.clone()));
     let (trigger, closing) = shutdown::pair();
     tokio::task::spawn_local(accept(state.clone(), callers, closing));
     shutdown::terminated().await?;
@@ -139,7 +141,9 @@
         // The caller has left already.
         return;
     }
-    let idle = state.table().map_or(Span(15_000), |t| t.document.limits.idle);
+    let idle = state
+        .table()
+        .map_or(Span(15_000), |t| t.document.limits.idle);
     let service = service_fn(move |request| {
         let state = state.clone();
         async move {
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -12,7 +12,8 @@
 /// Returns the fleets of all models in a configuration.
 pub fn build(table: &Table, roster: &Roster) -> BTreeMap<Service, Rc<Fleet>> {
     let services = table.document.services.iter();
-    let models = services.filter_map(|(service, backend)| Some((service, backend.engine.as_ref()?)));
+    let models =
+        services.filter_map(|(service, backend)| Some((service, backend.engine.as_ref()?)));
     let fleets = models.map(|(service, engine)| {
         let servers = roster.usable().filter(|server| server.service == *service);
         let holding = servers.filter(|server| !server.held.is_empty());
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -51,7 +51,10 @@
                 if !is_lost {
                     is_lost = true;
                     state.roster.borrow_mut().store_lost();
-                    log::warn!("event=store-lost cause={}", error.to_string().replace(' ', "-"));
+                    log::warn!(
+                        "event=store-lost cause={}",
+                        error.to_string().replace(' ', "-")
+                    );
                 }
                 let pause = rand::random_range(PAUSE_MS);
                 tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -61,10 +64,7 @@
 }
 
 /// Reads everything; returns the revision to follow from.
-async fn read<D: Dialect, F: Feed>(
-    state: &State<D>,
-    store: &F,
-) -> Result<Option<Revision>, Error> {
+async fn read<D: Dialect, F: Feed>(state: &State<D>, store: &F) -> Result<Option<Revision>, Error> {
     state.metrics.count("store_reads");
     let (pairs, revision) = store.snapshot(ALL).await?;
     // What came back after an outage is judged by when it came back, not by when it was lost.
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -260,7 +260,11 @@
     if state.suspicion.borrow().holds(&server) {
         return;
     }
-    let address = state.roster.borrow().get(&server).map(|known| known.address);
+    let address = state
+        .roster
+        .borrow()
+        .get(&server)
+        .map(|known| known.address);
     let Some(address) = address else {
         return;
     };
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -67,7 +67,10 @@
                     &format!("jujube_{name}_ms_bucket{{le=\"{bound}\"}} {sum}"),
                 );
             }
-            line(&mut text, &format!("jujube_{name}_ms_sum {}", histogram.sum_ms));
+            line(
+                &mut text,
+                &format!("jujube_{name}_ms_sum {}", histogram.sum_ms),
+            );
             line(&mut text, &format!("jujube_{name}_ms_count {sum}"));
         }
         text
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -31,6 +31,7 @@
 
 use crate::dialect::Dialect;
 use crate::probe;
+use crate::state::Phase;
 use crate::state::State;
 
 /// How long the planner's lease lasts without renewal: a planner that dies is replaced within that
@@ -138,6 +139,10 @@
         let mut quiet_since = clock::now();
         let mut known = 0;
         while !self.is_over.get() {
+            if self.state.phase.get() != Phase::Serving {
+                self.resign().await;
+                return;
+            }
             let changed = self.state.roster_changed.notified();
             let _either = tokio::time::timeout(LOOK, changed).await;
             let count = self.state.roster.borrow().usable().count();
@@ -152,6 +157,19 @@
         }
     }
 
+    /// Hands the office on before this process stops: else nobody places layers until the lease has
+    /// run out.
+    async fn resign(&self) {
+        self.is_over.set(true);
+        match self.store.revoke(self.lease).await {
+            Ok(()) => log::info!("event=planner-resigned token={}", self.lead.get().token),
+            Err(error) => {
+                let cause = error.to_string().replace(' ', "-");
+                log::info!("event=planner-not-resigned cause={cause}");
+            }
+        }
+    }
+
     async fn renew(self: Rc<Self>) {
         while !self.is_over.get() {
             tokio::time::sleep(RENEW).await;
@@ -218,7 +236,10 @@
             if is_first && !is_settled {
                 continue;
             }
-            let last = self.planned.borrow_mut().insert(service.clone(), holders.clone());
+            let last = self
+                .planned
+                .borrow_mut()
+                .insert(service.clone(), holders.clone());
             if last.as_ref() == Some(&holders) {
                 continue;
             }
@@ -258,7 +279,12 @@
     }
 
     fn give(self: &Rc<Self>, order: Order) {
-        let address = self.state.roster.borrow().get(&order.server).map(|s| s.address);
+        let address = self
+            .state
+            .roster
+            .borrow()
+            .get(&order.server)
+            .map(|s| s.address);
         let Some(address) = address else {
             return;
         };
@@ -266,7 +292,10 @@
             layers: order.layers,
             since: clock::now(),
         };
-        let before = self.pending.borrow_mut().insert(order.server.clone(), pending);
+        let before = self
+            .pending
+            .borrow_mut()
+            .insert(order.server.clone(), pending);
         if before.is_some_and(|before| before.layers == order.layers) {
             return;
         }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -162,7 +162,9 @@
     }
     let stated = headers.get("keep-alive").and_then(|v| v.to_str().ok());
     let seconds = stated.and_then(|value| {
-        let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+        let timeout = value
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
         timeout?.trim().parse::<u64>().ok()
     });
     let kept = seconds.map_or(KEPT, |seconds| Span(seconds * 1000));
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -116,7 +116,11 @@
     };
     let at = clock::now();
     let known = Known { at, health };
-    state.probes.known.borrow_mut().insert(server.clone(), known);
+    state
+        .probes
+        .known
+        .borrow_mut()
+        .insert(server.clone(), known);
     match answer {
         Ok(report) => {
             let mut load = state.load.borrow_mut();
@@ -136,7 +140,11 @@
         tokio::time::sleep(LOOK).await;
         let due = state.suspicion.borrow_mut().due(clock::now());
         for server in due {
-            let address = state.roster.borrow().get(&server).map(|known| known.address);
+            let address = state
+                .roster
+                .borrow()
+                .get(&server)
+                .map(|known| known.address);
             let Some(address) = address else {
                 state.suspicion.borrow_mut().clear(&server);
                 continue;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -100,12 +100,7 @@
     whole::serve(&state, admitted).await
 }
 
-fn refuse<D>(
-    state: &State<D>,
-    id: &str,
-    reason: Reason,
-    arrived: Instant,
-) -> Response<Body<D>> {
+fn refuse<D>(state: &State<D>, id: &str, reason: Reason, arrived: Instant) -> Response<Body<D>> {
     let retry_after = match reason {
         Reason::Starting => Some(STARTING),
         Reason::Stopping => Some(STOPPING),
@@ -157,7 +152,10 @@
     let body = read(body, table.document.limits.body_bytes).await?;
     let patience = head::number(&parts.headers, &D::NAMES.deadline).map(Span);
     let patience = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
-    let service = route.target(rand::random()).ok_or(Reason::NoServer)?.clone();
+    let service = route
+        .target(rand::random())
+        .ok_or(Reason::NoServer)?
+        .clone();
     let mut headers = parts.headers;
     head::strip(&mut headers);
     head::disown::<D>(&mut headers);
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -9,6 +9,7 @@
 use jujube_core::name::Server as Name;
 use jujube_core::name::Service;
 use jujube_core::pipeline::allowance::Allowance;
+use jujube_core::pipeline::allowance::Terms;
 use jujube_core::pipeline::chooser::Fleet;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::load::Load;
@@ -43,6 +44,8 @@
     pub dialect: PhantomData<D>,
     /// The settings.
     pub settings: Settings,
+    /// What the retry budget allows; a reload may change it.
+    pub retry: Cell<Terms>,
     /// The configuration in force.
     pub table: RefCell<Option<Rc<Table>>>,
     /// The backend servers.
@@ -88,6 +91,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             dialect: PhantomData,
+            retry: Cell::new(settings.retry),
             settings,
             table: RefCell::default(),
             roster: RefCell::default(),
@@ -126,7 +130,7 @@
     pub fn take_retry(&self, service: &Service) -> bool {
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(service.clone()).or_default();
-        let taken = allowance.take(clock::now(), &self.settings.retry);
+        let taken = allowance.take(clock::now(), &self.retry.get());
         if !taken {
             self.metrics.count("retries_denied");
         }
@@ -137,7 +141,7 @@
     pub fn book_request(&self, service: &Service) {
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(service.clone()).or_default();
-        allowance.request(clock::now(), &self.settings.retry);
+        allowance.request(clock::now(), &self.retry.get());
     }
 
     /// Suspects a backend server.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -560,7 +560,11 @@
         );
         state.metrics.count("streams_resumed");
         if let Some(first) = first(stream) {
-            let address = stream.path.borrow().as_ref().and_then(|p| p.first().cloned());
+            let address = stream
+                .path
+                .borrow()
+                .as_ref()
+                .and_then(|p| p.first().cloned());
             if let Some(part) = address {
                 let state = state.clone();
                 tokio::task::spawn_local(async move {
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -144,7 +144,9 @@
     let status = response.status();
     let own = headers.get(&names.request) == sent.get(&names.request);
     if !own {
-        return Err(Failure::Unknown("the answer belongs to another request".into()));
+        return Err(Failure::Unknown(
+            "the answer belongs to another request".into(),
+        ));
     }
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         let at_fault = head::text(headers, &names.server_at_fault);
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -206,7 +206,9 @@
 /// that those refused together do not return together.
 fn come_back<D>(state: &State<D>, service: &Service) -> Span {
     let lines = state.waiting.lines.borrow();
-    let waiting = lines.get(service).map_or(0, |line| line.waiters.len() as u64);
+    let waiting = lines
+        .get(service)
+        .map_or(0, |line| line.waiters.len() as u64);
     let spread = rand::random_range(0..FIRST_GUESS.0);
     Span(FIRST_GUESS.0 / 2 + spread + waiting * 10)
 }
@@ -214,7 +216,9 @@
 fn has_room<D>(state: &State<D>, service: &Service, need: Need) -> bool {
     let choice = stream::choose_with(state, service, &[], |fleet, view| fleet.choose(need, view));
     // Without any path there is nothing to wait for here; the request is answered at once.
-    choice.flatten().is_none_or(|choice| !choice.lacks_room() || choice.is_forced())
+    choice
+        .flatten()
+        .is_none_or(|choice| !choice.lacks_room() || choice.is_forced())
 }
 
 /// Admits waiting requests as room is made, until the process ends.
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -120,7 +120,9 @@
         stream.route.target.0 as f64 * FIRST_SHARE
     } else {
         let gap = stream.route.gap_target.0 as f64 * GAP_SHARE;
-        (stream.pace_ms.get() * SILENT_PACES).min(gap).max(SILENT.0 as f64)
+        (stream.pace_ms.get() * SILENT_PACES)
+            .min(gap)
+            .max(SILENT.0 as f64)
     };
     now.since(stream.heard.get()).0 as f64 > limit
 }
@@ -143,7 +145,10 @@
         return;
     }
     let is_first = |part: &Part| path.first().is_none_or(|first| first.server == part.server);
-    if ill.iter().any(|(part, health)| *health == Health::Dead && is_first(part)) {
+    if ill
+        .iter()
+        .any(|(part, health)| *health == Health::Dead && is_first(part))
+    {
         stream.abandon();
         return;
     }
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -51,7 +51,11 @@
 /// Serves one request.
 pub async fn serve<D: Dialect>(state: &Rc<State<D>>, request: Admitted) -> Response<Body<D>> {
     let arrived = request.arrived;
-    let left = request.deadline.since(clock::now()).0.saturating_sub(MARGIN.0);
+    let left = request
+        .deadline
+        .since(clock::now())
+        .0
+        .saturating_sub(MARGIN.0);
     let tries = Tries {
         state,
         request: &request,
@@ -68,7 +72,14 @@
         // A request that no server was sent would have been refused before.
         Err(_late) => (Reason::Late, String::from("deadline"), None),
     };
-    request::done(state, &request.id, &request.route.name, reason, arrived, &cause);
+    request::done(
+        state,
+        &request.id,
+        &request.route.name,
+        reason,
+        arrived,
+        &cause,
+    );
     answer::own(reason, retry_after)
 }
 
@@ -144,7 +155,11 @@
                 }
                 self.state.metrics.count("answers_failed");
                 self.avoid.push(server.name.clone());
-                return if self.peek().is_some() { None } else { Some(answer) };
+                return if self.peek().is_some() {
+                    None
+                } else {
+                    Some(answer)
+                };
             }
             Err(failure) => failure,
         };
@@ -174,7 +189,11 @@
         let route = &self.request.route;
         let repeats = !self.may_have_run || route.may_repeat();
         // A request that may not be repeated has one server at a time, whatever the limit says.
-        let limit = if route.may_repeat() { route.attempts } else { 1 };
+        let limit = if route.may_repeat() {
+            route.attempts
+        } else {
+            1
+        };
         repeats && self.sent < limit && self.refusals < MOST_REFUSALS
     }
 
@@ -229,11 +248,7 @@
 ///
 /// A body that breaks off is found out here, while another try is possible; callers of plain
 /// services get at most some kilobytes.
-async fn attempt<D: Dialect>(
-    state: &Rc<State<D>>,
-    request: &Admitted,
-    server: Server,
-) -> Outcome {
+async fn attempt<D: Dialect>(state: &Rc<State<D>>, request: &Admitted, server: Server) -> Outcome {
     let booked = Booked::new(state, &server.name);
     let mut outgoing = request.outgoing.clone();
     let left = request.deadline.since(clock::now());
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -22,7 +22,6 @@
 use jujube_ctl::keys::Secret;
 use jujube_ctl::roll;
 use jujube_ctl::roll::Operator;
-use jujube_store::kv::Etcd;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Trigger;
 use jujube_standin::engine;
@@ -30,6 +29,7 @@
 use jujube_standin::kv;
 use jujube_standin::plain::Plain;
 use jujube_standin::vms::Vms;
+use jujube_store::kv::Etcd;
 use tokio::net::TcpListener;
 
 /// What differs from one cluster to the next.
--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -104,10 +104,12 @@
             ));
         })
         .level(LevelFilter::Warn)
-        .level_for("jujube_front", level)
-        .level_for("jujube_store", level)
+        // The level in force is that of the logger as a whole, which a reload may change.
+        .level_for("jujube_front", LevelFilter::Trace)
+        .level_for("jujube_store", LevelFilter::Trace)
         .chain(Box::new(Queue::default()) as Box<dyn Write + Send>);
     let _already_started = dispatch.apply();
+    log::set_max_level(level);
     Ok(())
 }
 
@@ -131,6 +133,17 @@
     }
 }
 
+/// Changes the level of a process that logs to standard output.
+///
+/// # Errors
+///
+/// The level is none.
+pub fn set_level(level: &str) -> Result<()> {
+    let level = LevelFilter::from_str(level).context("log level")?;
+    log::set_max_level(level);
+    Ok(())
+}
+
 /// Waits until the lines so far are written, for a second at most.
 pub fn flush() {
     const LONGEST: std::time::Duration = std::time::Duration::from_secs(1);
--- a/crates/programs/src/bin/jujube-ctl.rs
+++ b/crates/programs/src/bin/jujube-ctl.rs
@@ -14,10 +14,10 @@
 use jujube_ctl::roll::Operator;
 use jujube_ctl::settings::Settings;
 use jujube_ctl::show;
-use jujube_store::head;
-use jujube_store::kv::Etcd;
 use jujube_program::arguments;
 use jujube_program::arguments::Tool;
+use jujube_store::head;
+use jujube_store::kv::Etcd;
 use pico_args::Arguments;
 
 const HELP: &str = "\
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -3,10 +3,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use jujube_store::kv::Etcd;
-use jujube_store::orders;
 use jujube_program::clock;
 use jujube_program::shutdown::Signal;
+use jujube_store::kv::Etcd;
+use jujube_store::orders;
 use tokio::runtime::Handle;
 
 use crate::perform::perform;
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -11,10 +11,10 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use jujube_store::vms::Vm;
 use jujube_program::http;
 use jujube_program::http::Body;
 use jujube_program::shutdown::Signal;
+use jujube_store::vms::Vm;
 use tokio::net::TcpListener;
 
 use crate::fault::Switch;
--- a/crates/standin/tests/claims.rs
+++ b/crates/standin/tests/claims.rs
@@ -16,6 +16,9 @@
 use jujube_core::request::Request;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
+use jujube_program::http;
+use jujube_program::shutdown;
+use jujube_standin::kv::Service;
 use jujube_store::claims::Claims;
 use jujube_store::claims::Grouping;
 use jujube_store::kv::Condition;
@@ -24,9 +27,6 @@
 use jujube_store::kv::Store;
 use jujube_store::kv::Write;
 use jujube_store::orders;
-use jujube_program::http;
-use jujube_program::shutdown;
-use jujube_standin::kv::Service;
 use tokio::net::TcpListener;
 
 async fn service() -> (String, shutdown::Trigger) {
@@ -149,8 +149,12 @@
     let (url, _trigger) = service().await;
     let store = Etcd::new(&url);
 
-    let first = orders::acquire(&store, Instant(0), Span(9_000), "one").await.unwrap();
-    let second = orders::acquire(&store, Instant(0), Span(9_000), "two").await.unwrap();
+    let first = orders::acquire(&store, Instant(0), Span(9_000), "one")
+        .await
+        .unwrap();
+    let second = orders::acquire(&store, Instant(0), Span(9_000), "two")
+        .await
+        .unwrap();
     let current = orders::current(&store).await.unwrap();
 
     let (holder, _lease) = first.unwrap();
--- a/crates/store/src/kv/feed.rs
+++ b/crates/store/src/kv/feed.rs
@@ -5,6 +5,7 @@
 use jujube_core::time::Span;
 
 use crate::kv::Error;
+use crate::kv::Lease;
 use crate::kv::Pair;
 use crate::kv::Revision;
 use crate::kv::Store;
@@ -37,6 +38,9 @@
         prefix: &str,
     ) -> impl Future<Output = Result<(Vec<Pair>, Revision), Error>> + Send;
 
+    /// Ends a lease at once; its keys go.
+    fn revoke(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
+
     /// Waits for changes after a revision, for a bounded time.
     fn follow(
         &self,
