--- a/crates/core/src/pipeline/placement.rs
+++ b/crates/core/src/pipeline/placement.rs
@@ -103,6 +103,20 @@
 /// a part dies, and take what the first cannot. Servers that make no complete row any more hold the
 /// layers with the fewest holders.
 fn rows(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let mut orders = scratch(engine, group);
+    let mut placed = group.to_vec();
+    for holder in &mut placed {
+        let order = orders.iter().find(|order| order.server == holder.server);
+        holder.held = order.map(|order| order.layers).unwrap_or_default();
+    }
+    if capacity(engine, &placed) > 0.0 {
+        orders.extend(mend(engine, &placed));
+    }
+    orders
+}
+
+/// Makes the rows of a group.
+fn scratch(engine: &Engine, group: &[Holder]) -> Vec<Order> {
     let mut left = group.to_vec();
     left.sort_by(|a, b| {
         let by_pace = a.kind.pace.total_cmp(&b.kind.pace);
@@ -113,12 +127,6 @@
         left.retain(|holder| row.iter().all(|order| order.server != holder.server));
         orders.extend(row);
     }
-    let mut placed = group.to_vec();
-    for holder in &mut placed {
-        let order = orders.iter().find(|order| order.server == holder.server);
-        holder.held = order.map(|order| order.layers).unwrap_or_default();
-    }
-    orders.extend(mend(engine, &placed));
     orders
 }
 
@@ -219,7 +227,20 @@
     if capacity(engine, &apply(group, &orders)) > 0.0 {
         return orders;
     }
-    mend_with(engine, group, &NARROW_ROOMS)
+    let orders = mend_with(engine, group, &NARROW_ROOMS);
+    if capacity(engine, &apply(group, &orders)) > 0.0 {
+        return orders;
+    }
+    // No single moves close the gap, and nothing is served here anyway: place all anew.
+    let mut orders = scratch(engine, group);
+    let held = |order: &Order| {
+        group
+            .iter()
+            .find(|h| h.server == order.server)
+            .map(|h| h.held)
+    };
+    orders.retain(|order| held(order) != Some(order.layers));
+    orders
 }
 
 /// Returns the holders as they are once orders are carried out.
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -3,6 +3,8 @@
 //! The pattern of load: streams of 760 prompt tokens and 200 answer tokens (the users' means), on
 //! accelerators whose time for a token differs sevenfold.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails must panic")]
+
 #[path = "support/pipeline.rs"]
 mod pipeline;
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -130,6 +130,25 @@
     assert_eq!(&*orders[0].server.0, "new");
 }
 
+/// Callers find a path again when only just enough servers are left.
+///
+/// Two servers of four are left, and hold layers that leave one without a holder. Moving either
+/// opens another gap, so both must move.
+#[test]
+fn a_gap_that_no_single_move_closes_is_closed() {
+    let mut engine = engine();
+    engine.layers = 8;
+    let mut left = holders("a", &[("l4", 2)]);
+    left[0].kind.memory_mb = 5.0 * engine.layer_mb / 0.97;
+    left[1].kind = left[0].kind;
+    left[0].held = Range::new(0, 3);
+    left[1].held = Range::new(3, 7);
+
+    let mended = settled(&engine, &left);
+
+    assert!(capacity(&engine, &mended) > 0.0);
+}
+
 /// Zones that have no memory for a copy of the model are placed as one group.
 #[test]
 fn small_zones_share_a_copy() {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -1,5 +1,7 @@
 //! The relay of events against a plain copy, under every cut of the byte stream.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails must panic")]
+
 use bytes::Bytes;
 use jujube_core::pipeline::relay::Fault;
 use jujube_core::pipeline::relay::Relay;
