Make hearing other entries cheap when there are many

Cause: each of 21 entries added up all others' loads on each of 200 datagrams a second. Change: sums are kept up to date by what changed; entries tell their load less often the more there are.

--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -160,27 +160,22 @@
             at: now,
             servers: servers.into_iter().collect(),
         };
-        self.peers.insert(entry, peer);
-        self.peers.retain(|_, peer| now.since(peer.at) <= STANDS);
-        self.add_up();
+        add(&mut self.others, &peer.servers);
+        if let Some(before) = self.peers.insert(entry, peer) {
+            take_off(&mut self.others, &before.servers);
+        }
     }
 
     /// Forgets what silent entries said.
     pub fn expire(&mut self, now: Instant) {
-        let before = self.peers.len();
-        self.peers.retain(|_, peer| now.since(peer.at) <= STANDS);
-        if self.peers.len() < before {
-            self.add_up();
-        }
-    }
-
-    fn add_up(&mut self) {
-        self.others.clear();
-        for (server, used) in self.peers.values().flat_map(|peer| &peer.servers) {
-            let sum = self.others.entry(server.clone()).or_default();
-            sum.tokens += used.tokens;
-            sum.requests += used.requests;
-        }
+        let others = &mut self.others;
+        self.peers.retain(|_, peer| {
+            let is_heard = now.since(peer.at) <= STANDS;
+            if !is_heard {
+                take_off(others, &peer.servers);
+            }
+            is_heard
+        });
     }
 
     /// Returns how many other entries are heard.
@@ -208,3 +203,25 @@
         self.own.get(server).map_or(0, requests) + self.others.get(server).map_or(0, requests)
     }
 }
+
+fn add(sums: &mut BTreeMap<Server, Use>, rows: &BTreeMap<Server, Use>) {
+    for (server, used) in rows {
+        let sum = sums.entry(server.clone()).or_default();
+        sum.tokens += used.tokens;
+        sum.requests += used.requests;
+    }
+}
+
+fn take_off(sums: &mut BTreeMap<Server, Use>, rows: &BTreeMap<Server, Use>) {
+    for (server, used) in rows {
+        let Some(sum) = sums.get_mut(server) else {
+            continue;
+        };
+        sum.tokens -= used.tokens;
+        sum.requests = sum.requests.saturating_sub(used.requests);
+        if sum.requests == 0 {
+            // Removing it also removes what rounding left.
+            sums.remove(server);
+        }
+    }
+}
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -328,3 +328,23 @@
 
     assert_eq!(choice.path.parts().len(), 1);
 }
+
+/// What other entries have in flight is the sum of the last word of each, and fades with silence.
+#[test]
+fn the_load_of_others_is_what_each_said_last() {
+    let used = |tokens: f64, requests: u64| Use { tokens, requests };
+    let mut load = Load::default();
+    load.hear(Instant(0), "x".into(), [("s".into(), used(100.0, 2))]);
+    load.hear(Instant(100), "y".into(), [("s".into(), used(50.0, 1))]);
+    load.hear(Instant(200), "x".into(), [("s".into(), used(30.0, 1))]);
+
+    assert_eq!(load.tokens(&"s".into()), 80.0);
+    assert_eq!(load.requests(&"s".into()), 2);
+
+    load.expire(Instant(1_650));
+    assert_eq!(load.tokens(&"s".into()), 30.0);
+
+    load.expire(Instant(60_000));
+    assert_eq!(load.tokens(&"s".into()), 0.0);
+    assert_eq!(load.peers(), 0);
+}
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -35,9 +35,12 @@
 const RENEW: Duration = Duration::from_millis(4_500);
 /// How long after a failure to announce it is tried again.
 const AGAIN: Duration = Duration::from_millis(1_500);
-/// How often an entry tells its load. In that time one entry starts two or three streams, which is
-/// a few parts in a hundred of a server's room.
+/// How often an entry tells its load, at least. In that time one of four entries starts two or three
+/// streams, which is a few parts in a hundred of a server's room.
 const TELL: Duration = Duration::from_millis(100);
+/// How much longer it waits for each other entry: the more there are, the less each has in flight,
+/// and each hears from all.
+const TELL_EACH: Duration = Duration::from_millis(10);
 /// How long an entry whose announcement has ended is still told, after it was last heard: the
 /// announcement also ends when the store is away.
 const HEARD: Span = Span(5_000);
@@ -202,7 +205,8 @@
     tokio::task::spawn_local(hear(state.clone(), socket.clone()));
     loop {
         let urgent = state.suspicion_grew.notified();
-        let _either = tokio::time::timeout(TELL, urgent).await;
+        let peers = state.load.borrow().peers() as u32;
+        let _either = tokio::time::timeout(TELL + TELL_EACH * peers, urgent).await;
         state.load.borrow_mut().expire(clock::now());
         let Some(bytes) = message(&state) else {
             continue;
