Notice a silent store by the entry's lease

Ruled out: keep-alive probes; the store's host answers them while the store does not. Change: the renewal of the announcement every 1.3 s, within 0.8 s, is the heartbeat of the store; a missed one makes the waiting call again, with short waits until it is answered.

--- a/crates/core/src/pipeline/placement.rs
+++ b/crates/core/src/pipeline/placement.rs
@@ -11,6 +11,20 @@
 use crate::pipeline::engine::Engine;
 use crate::pipeline::engine::Kind;
 
+/// What a server is about.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Phase {
+    /// It holds what it was ordered to hold.
+    #[default]
+    Settled,
+    /// It was ordered to hold other layers and loads them. Ordered elsewhere now, it would have
+    /// loaded in vain for seconds.
+    Loading,
+    /// It joined empty a moment ago. In a release the server that it replaces says only now that
+    /// it drains; given other layers at once, it would have to load twice.
+    Joining,
+}
+
 /// A backend server as the plan sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holder {
@@ -22,6 +36,8 @@
     pub kind: Kind,
     /// The layers that it holds, or that it was last ordered to hold.
     pub held: Range,
+    /// What it is about; none of it counts while a layer has no holder.
+    pub phase: Phase,
 }
 
 /// An order to hold layers.
@@ -251,8 +267,10 @@
 fn mend_with(engine: &Engine, group: &[Holder], rooms: &[f64]) -> Vec<Order> {
     let mut group = group.to_vec();
     let mut orders = Vec::new();
+    let is_served = capacity(engine, &group) > 0.0;
     for index in 0..group.len() {
-        if group[index].held.is_empty() {
+        let may_wait = is_served && group[index].phase == Phase::Joining;
+        if group[index].held.is_empty() && !may_wait {
             let best = best_range(engine, &group, index, rooms);
             take(&mut group, &mut orders, index, best);
         }
@@ -268,7 +286,8 @@
             WORTH_CLOSING
         };
         let before = resistance(engine, &group);
-        let moves = (0..group.len()).filter_map(|index| {
+        let may_move = |index: &usize| !is_closed || group[*index].phase == Phase::Settled;
+        let moves = (0..group.len()).filter(may_move).filter_map(|index| {
             let (layers, after) = best_range(engine, &group, index, rooms)?;
             Some((index, layers, after))
         });
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -22,6 +22,7 @@
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::placement::Holder;
+use jujube_core::pipeline::placement::Phase;
 use jujube_core::pipeline::placement::plan;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
@@ -272,6 +273,7 @@
             zone: "a".into(),
             kind: kind(["a100", "l40s", "l4"][name]),
             held: Range::new(start, (start + count).min(6)),
+            phase: Phase::Settled,
         })
         .collect()
     })
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -10,6 +10,7 @@
 use jujube_core::layer::Range;
 use jujube_core::pipeline::engine::Engine;
 use jujube_core::pipeline::placement::Holder;
+use jujube_core::pipeline::placement::Phase;
 use jujube_core::pipeline::placement::capacity;
 use jujube_core::pipeline::placement::plan;
 use proptest::prelude::*;
@@ -121,6 +122,7 @@
         zone: "b".into(),
         kind: kind("l4"),
         held: Range::default(),
+        phase: Phase::Settled,
     };
     holders.push(joined);
 
@@ -149,6 +151,53 @@
     assert!(capacity(&engine, &mended) > 0.0);
 }
 
+/// A release costs one load a server, not two.
+///
+/// The new server joins first, and the old one says a moment later that it drains. The new one waits
+/// that moment and then gets the old one's layers; nobody else moves.
+#[test]
+fn a_replacement_takes_the_layers_of_the_one_that_leaves() {
+    let engine = engine();
+    let mut holders = settled(&engine, &region());
+    let leaver = zone(&holders, "b")
+        .into_iter()
+        .find(|h| h.kind == kind("l40s"))
+        .unwrap();
+    holders.push(Holder {
+        server: "new".into(),
+        held: Range::default(),
+        phase: Phase::Joining,
+        ..leaver.clone()
+    });
+
+    assert_eq!(plan(&engine, &holders), [], "it waits a moment");
+    holders.retain(|holder| holder.server != leaver.server);
+    for holder in &mut holders {
+        holder.phase = Phase::Settled;
+    }
+    let orders = plan(&engine, &holders);
+
+    assert_eq!(orders.len(), 1);
+    assert_eq!(&*orders[0].server.0, "new");
+    assert!(orders[0].layers.start <= leaver.held.start + 3);
+}
+
+/// A server that loads is not sent elsewhere while its zone serves.
+#[test]
+fn a_loading_server_is_left_to_load() {
+    let engine = engine();
+    let mut holders = settled(&engine, &region());
+    for holder in &mut holders {
+        holder.phase = Phase::Loading;
+    }
+    let dead = holders
+        .iter()
+        .position(|h| &*h.zone.0 == "b" && h.kind == kind("l40s"));
+    holders.remove(dead.unwrap());
+
+    assert_eq!(plan(&engine, &holders), []);
+}
+
 /// Zones that have no memory for a copy of the model are placed as one group.
 #[test]
 fn small_zones_share_a_copy() {
@@ -178,6 +227,7 @@
             zone: ["a", "b", "c"][zone].into(),
             kind: kind(["a100", "l40s", "l4"][name]),
             held: Range::new(start, (start + count).min(80)),
+            phase: Phase::Settled,
         })
         .collect()
     })
--- a/crates/core/tests/support/pipeline.rs
+++ b/crates/core/tests/support/pipeline.rs
@@ -11,6 +11,7 @@
 use jujube_core::pipeline::engine::Kind;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Order;
+use jujube_core::pipeline::placement::Phase;
 
 /// The users' accelerators: memory in MB, pace of a token, pace of reading.
 pub fn kind(name: &str) -> Kind {
@@ -55,6 +56,7 @@
                 zone: zone.into(),
                 kind: kind(name),
                 held: Range::default(),
+                phase: Phase::Settled,
             });
         }
     }
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -21,9 +21,12 @@
 
 /// Everything: one waiting call hears of configuration, registrations and the planner's lease.
 const ALL: &str = "";
-/// How long one call waits for changes. A connection that went silent is found out by its probes;
-/// this bounds the rest, and an idle store is asked three times a minute.
+/// How long one call waits for changes; an idle store is asked three times a minute. A store that
+/// falls silent in this time is noticed by the renewals of this entry's lease.
 const WAIT: Span = Span(20_000);
+/// The same while the store is lost: a short wait is answered soon after it is back, also when
+/// nothing changes.
+const WAIT_LOST: Span = Span(300);
 /// The pause between an answer with changes and the next call. Changes come in bursts, and each call
 /// is paid for by each entry; a tenth of the two seconds in which a configuration must be in force.
 const GATHER: Duration = Duration::from_millis(200);
@@ -36,9 +39,16 @@
     let mut after: Option<Revision> = None;
     let mut is_lost = false;
     loop {
-        let step = match after {
-            None => read(&state, &store).await,
-            Some(revision) => follow(&state, &store, revision).await,
+        let wait = if is_lost { WAIT_LOST } else { WAIT };
+        let step = async {
+            match after {
+                None => read(&state, &store).await,
+                Some(revision) => follow(&state, &store, revision, wait).await,
+            }
+        };
+        let step = tokio::select! {
+            step = step => step,
+            () = state.store_doubted.notified() => Err(Error::Unknown("lease-not-renewed".into())),
         };
         match step {
             Ok(next) => {
@@ -99,9 +109,10 @@
     state: &State<D>,
     store: &F,
     after: Revision,
+    wait: Span,
 ) -> Result<Option<Revision>, Error> {
     state.metrics.count("store_watches");
-    let (changes, revision) = match store.follow(ALL, after, WAIT).await? {
+    let (changes, revision) = match store.follow(ALL, after, wait).await? {
         News::Forgotten => {
             log::info!("event=history-lost revision={after}");
             return Ok(None);
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -31,10 +31,13 @@
 const ENTRIES: &str = "jujube/entries/";
 /// How long an announcement lasts without renewal: one that is out of date costs some datagrams.
 const TTL: Span = Span(15_000);
-/// How often it is renewed; two renewals may be lost.
-const RENEW: Duration = Duration::from_millis(4_500);
+/// How often it is renewed. The renewal is also how a store that has fallen silent is noticed, within
+/// the three seconds after which a change must not be missed; it costs a tenth of another call.
+const RENEW: Duration = Duration::from_millis(1_300);
+/// How long a renewal may take; a slow store takes a third of a second.
+const ANSWER: Duration = Duration::from_millis(800);
 /// How long after a failure to announce it is tried again.
-const AGAIN: Duration = Duration::from_millis(1_500);
+const AGAIN: Duration = Duration::from_millis(700);
 /// How often an entry tells its load, at least. In that time one of four entries starts two or three
 /// streams, which is a few parts in a hundred of a server's room.
 const TELL: Duration = Duration::from_millis(100);
@@ -155,6 +158,8 @@
 pub async fn announce<D, F: Feed>(state: Rc<State<D>>, store: F) {
     loop {
         if let Err(error) = announced(&state, &store).await {
+            // The call that waits for changes may wait in vain: it is made again.
+            state.store_doubted.notify_waiters();
             let cause = error.to_string().replace(' ', "-");
             log::info!("event=not-announced cause={cause}");
         }
@@ -169,7 +174,9 @@
     write(state, store, &key, lease).await?;
     loop {
         tokio::time::sleep(RENEW).await;
-        if !store.renew(lease).await? {
+        let renewal = tokio::time::timeout(ANSWER, store.renew(lease)).await;
+        let renewed = renewal.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())))?;
+        if !renewed {
             return Ok(());
         }
     }
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner.rs
@@ -22,6 +22,7 @@
 use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Order;
+use jujube_core::pipeline::placement::Phase as Work;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -46,6 +47,9 @@
 const SETTLED: Span = Span(700);
 /// How long a server must be suspected before its layers are placed anew: it was asked twice more.
 const GIVEN_UP: Span = Span(800);
+/// How long a server that joined empty waits for the word of the one that it replaces; in the users'
+/// releases that comes a quarter of a second later.
+const JOINING: Span = Span(700);
 /// How often all servers are asked how fast they are.
 const SPEED: Duration = Duration::from_millis(1_000);
 /// How long an order may take to be answered.
@@ -87,6 +91,8 @@
     lease: Lease,
     is_over: Cell<bool>,
     pending: RefCell<BTreeMap<Name, Pending>>,
+    /// When each server was first seen in this term.
+    seen: RefCell<BTreeMap<Name, Instant>>,
     /// How many orders each server is known to have taken.
     taken: RefCell<BTreeMap<Name, u64>>,
     /// What the last plan of each model was made from. Planning takes some milliseconds, in which
@@ -128,6 +134,7 @@
             lease,
             is_over: Cell::new(false),
             pending: RefCell::default(),
+            seen: RefCell::default(),
             taken: RefCell::default(),
             planned: RefCell::default(),
         }
@@ -258,15 +265,24 @@
             let is_young = now.since(order.since) <= CARRIED_OUT;
             held.is_some_and(|held| held != order.layers) && is_young
         });
+        let mut seen = self.seen.borrow_mut();
+        seen.retain(|name, _| roster.get(name).is_some());
         let servers = roster.usable().filter(|server| server.service == *service);
         let holders = servers.filter_map(|server| {
             let kind = engine.kind(server.accelerator.as_ref())?;
             let ordered = pending.get(&server.name).map(|order| order.layers);
+            let first = *seen.entry(server.name.clone()).or_insert(now);
+            let phase = match ordered {
+                Some(_) => Work::Loading,
+                None if server.held.is_empty() && now.since(first) < JOINING => Work::Joining,
+                None => Work::Settled,
+            };
             Some(Holder {
                 server: server.name.clone(),
                 zone: server.zone.clone(),
                 kind,
                 held: ordered.unwrap_or(server.held),
+                phase,
             })
         });
         // A server that stays suspected is dead; one that missed a question is not.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -78,6 +78,8 @@
     pub metrics: Metrics,
     /// How far a stop has come.
     pub phase: Cell<Phase>,
+    /// Told when a call to the store went unanswered.
+    pub store_doubted: tokio::sync::Notify,
     /// Whether there is a planner.
     pub leadership: Leadership,
     /// Requests in flight.
@@ -109,6 +111,7 @@
             streams: Streams::default(),
             metrics: Metrics::default(),
             phase: Cell::default(),
+            store_doubted: tokio::sync::Notify::new(),
             leadership: Leadership::default(),
             in_flight: Cell::new(0),
             roster_changed: tokio::sync::Notify::new(),
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -152,14 +152,15 @@
     fn with_idle(connect: Duration, keep: bool) -> Self {
         const KEPT: usize = 512;
         // Something between the two ends may lose track of a connection: it then stays silent for
-        // good. Probes after a second of silence show that within two more.
+        // good. Probes after a second of silence show that within one more.
         const PROBE_AFTER: Duration = Duration::from_secs(1);
+        const PROBE_AGAIN: Duration = Duration::from_millis(500);
         const PROBES: u32 = 2;
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect));
         connector.set_keepalive(Some(PROBE_AFTER));
-        connector.set_keepalive_interval(Some(PROBE_AFTER));
+        connector.set_keepalive_interval(Some(PROBE_AGAIN));
         connector.set_keepalive_retries(Some(PROBES));
         let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
