Give placement, streams and the planner a file for each concept, and one call for orders

Change: folders with one concept a file, pool::call and pool::order, State::address, logs::lines; no behaviour changed.

--- /dev/null
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -0,0 +1,66 @@
+//! Backend servers as the plan sees them, and what it asks of them.
+
+use crate::layer::Range;
+use crate::name::Server;
+use crate::name::Zone;
+use crate::pipeline::engine::Engine;
+use crate::pipeline::engine::Kind;
+
+/// What a server is about.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Phase {
+    /// It holds what it was ordered to hold.
+    #[default]
+    Settled,
+    /// It was ordered to hold other layers and loads them. Ordered elsewhere now, it would have
+    /// loaded in vain for seconds.
+    Loading,
+    /// It joined empty a moment ago. In a release the server that it replaces says only now that
+    /// it drains; given other layers at once, it would have to load twice.
+    Joining,
+}
+
+/// A backend server as the plan sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holder {
+    /// Its name.
+    pub server: Server,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its accelerator.
+    pub kind: Kind,
+    /// The layers that it holds, or that it was last ordered to hold.
+    pub held: Range,
+    /// What it is about; none of it counts while a layer has no holder.
+    pub phase: Phase,
+}
+
+/// An order to hold layers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// To whom.
+    pub server: Server,
+    /// What it is to hold.
+    pub layers: Range,
+}
+
+/// The most of one server's memory that weights take when it fills a gap that nobody else fills.
+pub(super) const GAP_SHARE: f64 = 0.97;
+
+/// Returns how many layers a server holds beside room for `room` tokens.
+pub(super) fn beside(engine: &Engine, kind: Kind, room: f64) -> u32 {
+    const BYTES_PER_MB: f64 = 1e6;
+    let room_mb = room * engine.token_bytes / f64::from(engine.layers.max(1)) / BYTES_PER_MB;
+    let layers = kind.memory_mb / (engine.layer_mb + room_mb).max(1.0);
+    (layers as u32).min(engine.fits(kind, GAP_SHARE))
+}
+
+/// Returns the holders as they are once orders are carried out.
+pub(super) fn apply(group: &[Holder], orders: &[Order]) -> Vec<Holder> {
+    let mut group = group.to_vec();
+    for holder in &mut group {
+        let order = orders.iter().find(|order| order.server == holder.server);
+        holder.held = order.map_or(holder.held, |order| order.layers);
+    }
+    group
+}
--- /dev/null
+++ b/crates/core/src/pipeline/placement/layers.rs
@@ -0,0 +1,73 @@
+//! What the holders of each layer have between them.
+
+use super::holder::Holder;
+use crate::pipeline::engine::Engine;
+
+/// What a layer without any holder counts as, in tokens: little, so that the first holder of each
+/// such layer is worth more than anything else.
+pub(super) const NOTHING: f64 = 500.0;
+pub(super) fn resistance(engine: &Engine, group: &[Holder]) -> f64 {
+    Layers::of(engine, group).resistance()
+}
+
+/// What the holders of each layer have between them.
+#[derive(Clone, Debug)]
+pub(super) struct Layers {
+    /// Room, in tokens.
+    room: Vec<f64>,
+    /// Room times the pace of its holder.
+    paced: Vec<f64>,
+    /// The pace that a layer without a holder counts with: the slowest of all.
+    slowest: f64,
+}
+
+impl Layers {
+    pub(super) fn of(engine: &Engine, group: &[Holder]) -> Self {
+        let count = engine.layers as usize;
+        let paces = engine.kinds.values().map(|kind| kind.pace);
+        let mut layers = Self {
+            room: vec![0.0; count],
+            paced: vec![0.0; count],
+            slowest: paces.fold(1.0, f64::max),
+        };
+        for holder in group {
+            layers.add(engine, holder, 1.0);
+        }
+        layers
+    }
+
+    pub(super) fn add(&mut self, engine: &Engine, holder: &Holder, sign: f64) {
+        if holder.held.is_empty() {
+            return;
+        }
+        let each = engine.room(holder.kind, holder.held.len()) / f64::from(holder.held.len());
+        let end = holder.held.end.min(self.room.len() as u32);
+        for layer in holder.held.start as usize..end as usize {
+            self.room[layer] += sign * each;
+            self.paced[layer] += sign * each * holder.kind.pace;
+        }
+    }
+
+    /// Returns how hard it is for requests to pass: how long one takes, over how many there is room
+    /// for at a time.
+    ///
+    /// The room that counts is that of the fullest layers; the power lets the others count a little,
+    /// so that each of several moves that together close a gap shows as a gain.
+    pub(super) fn resistance(&self) -> f64 {
+        let mut pace = 0.0;
+        let mut tightness = 0.0;
+        for (room, paced) in self.room.iter().zip(&self.paced) {
+            let room = room.max(0.0);
+            pace += (paced + NOTHING * self.slowest) / (room + NOTHING);
+            tightness += (room + NOTHING).recip().powi(8);
+        }
+        pace * tightness.powf(1.0 / 8.0)
+    }
+}
+
+/// Returns the tokens that a group carries: those of its fullest layer over all holders of it.
+#[must_use]
+pub fn capacity(engine: &Engine, group: &[Holder]) -> f64 {
+    let layers = Layers::of(engine, group);
+    layers.room.into_iter().fold(f64::INFINITY, f64::min)
+}
--- /dev/null
+++ b/crates/core/src/pipeline/placement/mend.rs
@@ -0,0 +1,133 @@
+//! Mending a running group: layers for servers that join, moves after a loss.
+
+use super::holder::Holder;
+use super::holder::Order;
+use super::holder::Phase;
+use super::holder::apply;
+use super::holder::beside;
+use super::layers::Layers;
+use super::layers::capacity;
+use super::layers::resistance;
+use super::rows::FAST_ROOM;
+use super::rows::LEAST_ROOM;
+use super::rows::scratch;
+use crate::layer::Range;
+use crate::pipeline::engine::Engine;
+
+/// A server of a running group moves to other layers when that takes away this share of the group's
+/// resistance. Moving takes seconds in which it carries nothing, so a small gain does not pay.
+const WORTH_MOVING: f64 = 0.2;
+/// The same while a layer has no holder at all: then the group carries nothing anyway, and several
+/// small moves together may be what closes the gap.
+const WORTH_CLOSING: f64 = 0.01;
+/// The most servers of one group that move at a time: those that move carry nothing meanwhile.
+const MOST_MOVES: usize = 3;
+/// The same while a layer has no holder; the widest gap, of the largest accelerator's layers, takes
+/// about that many of the smallest.
+const MOST_CLOSING: usize = 6;
+/// The rooms, in tokens, among which the number of a server's layers is chosen.
+const ROOMS: [f64; 3] = [150_000.0, FAST_ROOM, 60_000.0];
+/// The same where these leave a layer without a holder.
+const NARROW_ROOMS: [f64; 3] = [60_000.0, LEAST_ROOM, 12_000.0];
+
+/// Gives layers to the empty servers of a running group, and moves others where much is gained.
+///
+/// Each step is the one that lowers the group's resistance most, so the servers that still serve
+/// stay where they are unless others hold their layers as well.
+pub(super) fn mend(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let orders = mend_with(engine, group, &ROOMS);
+    if capacity(engine, &apply(group, &orders)) > 0.0 {
+        return orders;
+    }
+    let orders = mend_with(engine, group, &NARROW_ROOMS);
+    if capacity(engine, &apply(group, &orders)) > 0.0 {
+        return orders;
+    }
+    // No single moves close the gap, and nothing is served here anyway: place all anew.
+    let mut orders = scratch(engine, group);
+    let held = |order: &Order| {
+        group
+            .iter()
+            .find(|h| h.server == order.server)
+            .map(|h| h.held)
+    };
+    orders.retain(|order| held(order) != Some(order.layers));
+    orders
+}
+
+fn mend_with(engine: &Engine, group: &[Holder], rooms: &[f64]) -> Vec<Order> {
+    let mut group = group.to_vec();
+    let mut orders = Vec::new();
+    let is_served = capacity(engine, &group) > 0.0;
+    for index in 0..group.len() {
+        let may_wait = is_served && group[index].phase == Phase::Joining;
+        if group[index].held.is_empty() && !may_wait {
+            let best = best_range(engine, &group, index, rooms);
+            take(&mut group, &mut orders, index, best);
+        }
+    }
+    for step in 0..MOST_CLOSING {
+        let is_closed = capacity(engine, &group) > 0.0;
+        if is_closed && step >= MOST_MOVES {
+            break;
+        }
+        let share = if is_closed {
+            WORTH_MOVING
+        } else {
+            WORTH_CLOSING
+        };
+        let before = resistance(engine, &group);
+        let may_move = |index: &usize| !is_closed || group[*index].phase == Phase::Settled;
+        let moves = (0..group.len()).filter(may_move).filter_map(|index| {
+            let (layers, after) = best_range(engine, &group, index, rooms)?;
+            Some((index, layers, after))
+        });
+        let best = moves.min_by(|a, b| a.2.total_cmp(&b.2));
+        let worth = best.filter(|(_, _, after)| *after < before * (1.0 - share));
+        let Some((index, layers, after)) = worth else {
+            break;
+        };
+        take(&mut group, &mut orders, index, Some((layers, after)));
+    }
+    orders
+}
+
+fn take(group: &mut [Holder], orders: &mut Vec<Order>, index: usize, choice: Option<(Range, f64)>) {
+    let Some((layers, _)) = choice else {
+        return;
+    };
+    group[index].held = layers;
+    let server = group[index].server.clone();
+    orders.retain(|order| order.server != server);
+    orders.push(Order { server, layers });
+}
+
+/// Returns the range by which one server lowers the group's resistance most, and what is left of it.
+fn best_range(
+    engine: &Engine,
+    group: &[Holder],
+    index: usize,
+    rooms: &[f64],
+) -> Option<(Range, f64)> {
+    let holder = &group[index];
+    let mut others = Layers::of(engine, group);
+    others.add(engine, holder, -1.0);
+    let counts = rooms.iter().map(|room| beside(engine, holder.kind, *room));
+    let mut counts: Vec<u32> = counts.collect();
+    counts.retain(|count| *count > 0);
+    counts.dedup();
+    let mut best: Option<(Range, f64)> = None;
+    for count in counts {
+        for start in 0..=engine.layers - count.min(engine.layers) {
+            let mut moved = holder.clone();
+            moved.held = Range::new(start, start + count);
+            let mut layers = others.clone();
+            layers.add(engine, &moved, 1.0);
+            let left = layers.resistance();
+            if best.is_none_or(|(_, least)| left < least) {
+                best = Some((moved.held, left));
+            }
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -0,0 +1,68 @@
+//! Which layers each backend server is to hold.
+//!
+//! The plan is a pure function of what the servers hold and have been ordered to hold. A planner
+//! that knows nothing therefore goes on where the one before it stopped.
+
+mod holder;
+mod layers;
+mod mend;
+mod rows;
+
+use std::collections::BTreeMap;
+
+use crate::name::Zone;
+use crate::pipeline::engine::Engine;
+
+pub use holder::Holder;
+pub use holder::Order;
+pub use holder::Phase;
+pub use layers::capacity;
+
+/// Returns the orders that bring the holders nearer to a good placement; none when it is good.
+///
+/// A group is an availability zone with memory for a copy of the model; zones without are put
+/// together in one group.
+#[must_use]
+pub fn plan(engine: &Engine, holders: &[Holder]) -> Vec<Order> {
+    if engine.layers == 0 {
+        return Vec::new();
+    }
+    let mut orders = Vec::new();
+    for group in groups(engine, holders) {
+        if group.iter().all(|holder| holder.held.is_empty()) {
+            orders.extend(rows::rows(engine, &group));
+        } else {
+            orders.extend(mend::mend(engine, &group));
+        }
+    }
+    orders.retain(|order| is_safe(engine, holders, order));
+    orders
+}
+
+/// Tells whether a server has the memory for what it is ordered to hold.
+///
+/// A server that is ordered to hold more crashes with all requests on it.
+fn is_safe(engine: &Engine, holders: &[Holder], order: &Order) -> bool {
+    let holder = holders.iter().find(|holder| holder.server == order.server);
+    let fits = holder.map_or(0, |holder| engine.fits(holder.kind, holder::GAP_SHARE));
+    !order.layers.is_empty() && order.layers.end <= engine.layers && order.layers.len() <= fits
+}
+
+fn groups(engine: &Engine, holders: &[Holder]) -> Vec<Vec<Holder>> {
+    let mut zones: BTreeMap<Zone, Vec<Holder>> = BTreeMap::new();
+    for holder in holders {
+        let zone = zones.entry(holder.zone.clone()).or_default();
+        zone.push(holder.clone());
+    }
+    let complete = |group: &[Holder]| -> bool {
+        let fits = group.iter().map(|h| engine.fits(h.kind, holder::GAP_SHARE));
+        fits.sum::<u32>() >= engine.layers
+    };
+    let (whole, partial): (Vec<_>, Vec<_>) = zones.into_values().partition(|g| complete(g));
+    let rest: Vec<Holder> = partial.into_iter().flatten().collect();
+    let mut groups = whole;
+    if complete(&rest) {
+        groups.push(rest);
+    }
+    groups
+}
--- /dev/null
+++ b/crates/core/src/pipeline/placement/rows.rs
@@ -0,0 +1,115 @@
+//! Rows: servers that together hold one copy of the model.
+
+use super::holder::Holder;
+use super::holder::Order;
+use super::holder::apply;
+use super::holder::beside;
+use super::layers::capacity;
+use super::mend::mend;
+use crate::layer::Range;
+use crate::pipeline::engine::Engine;
+
+/// The room for requests, in tokens, that parts of full rows keep beside their layers.
+///
+/// A row carries as many requests as its fullest part: at 90,000 tokens about 90 of the users' usual
+/// 1,000 tokens. With more room there are fewer rows, so each death stops more of them, and each
+/// works on larger batches: at 90 requests a token takes 2.5 times as long as at one.
+pub(super) const FAST_ROOM: f64 = 90_000.0;
+/// The least room that a part of a further row keeps. With less it carries so few requests that the
+/// memory serves better as room beside the rows before.
+pub(super) const LEAST_ROOM: f64 = 30_000.0;
+/// Places a group from scratch: rows, each a complete copy of the model, the fastest
+/// accelerators first.
+///
+/// A request holds memory for as long as it runs, so a row of fast accelerators carries several
+/// times the requests of a slow one with the same memory. Further rows on what is left stand in when
+/// a part dies, and take what the first cannot. Servers that make no complete row any more hold the
+/// layers with the fewest holders.
+pub(super) fn rows(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let mut orders = scratch(engine, group);
+    let placed = apply(group, &orders);
+    if capacity(engine, &placed) > 0.0 {
+        orders.extend(mend(engine, &placed));
+    }
+    orders
+}
+
+/// Makes the rows of a group.
+pub(super) fn scratch(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let mut left = group.to_vec();
+    left.sort_by(|a, b| {
+        let by_pace = a.kind.pace.total_cmp(&b.kind.pace);
+        by_pace.then_with(|| a.server.cmp(&b.server))
+    });
+    let mut orders: Vec<Order> = Vec::new();
+    while let Some(row) = fast_row(engine, &left).or_else(|| last_row(engine, &left, &orders)) {
+        left.retain(|holder| row.iter().all(|order| order.server != holder.server));
+        orders.extend(row);
+    }
+    orders
+}
+
+/// Makes a row of the fewest servers, from the fastest on, that hold all layers beside their room.
+pub(super) fn fast_row(engine: &Engine, holders: &[Holder]) -> Option<Vec<Order>> {
+    let fewest = (1..=holders.len()).find(|count| holds(engine, &holders[..*count], FAST_ROOM))?;
+    widest(engine, &holders[..fewest])
+}
+
+/// Makes a row of all servers that are left, if it has room enough or there is no other row.
+pub(super) fn last_row(
+    engine: &Engine,
+    holders: &[Holder],
+    others: &[Order],
+) -> Option<Vec<Order>> {
+    if !others.is_empty() && !holds(engine, holders, LEAST_ROOM) {
+        return None;
+    }
+    widest(engine, holders)
+}
+
+/// Tells whether servers hold all layers with room for `room` tokens at each.
+pub(super) fn holds(engine: &Engine, holders: &[Holder], room: f64) -> bool {
+    let layers = holders.iter().map(|h| beside(engine, h.kind, room));
+    layers.sum::<u32>() >= engine.layers
+}
+
+/// Makes the row of servers that leaves the most room at its fullest part.
+pub(super) fn widest(engine: &Engine, holders: &[Holder]) -> Option<Vec<Order>> {
+    const HALVINGS: usize = 24;
+    if !holds(engine, holders, 0.0) {
+        return None;
+    }
+    let mut fits = 0.0;
+    let mut too_much = 1e9;
+    for _ in 0..HALVINGS {
+        let room = (fits + too_much) / 2.0;
+        if holds(engine, holders, room) {
+            fits = room;
+        } else {
+            too_much = room;
+        }
+    }
+    row(engine, holders, fits)
+}
+
+/// Makes one row of the first servers, each with room for `room` tokens; `None` when they do not
+/// hold all layers.
+pub(super) fn row(engine: &Engine, holders: &[Holder], room: f64) -> Option<Vec<Order>> {
+    let mut start = 0;
+    let mut orders = Vec::new();
+    for holder in holders {
+        let count = beside(engine, holder.kind, room).min(engine.layers - start);
+        if count == 0 {
+            continue;
+        }
+        orders.push(Order {
+            server: holder.server.clone(),
+            layers: Range::new(start, start + count),
+        });
+        start += count;
+        if start == engine.layers {
+            return Some(orders);
+        }
+    }
+    None
+}
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -273,12 +273,7 @@
     if state.suspicion.borrow().holds(&server) {
         return;
     }
-    let address = state
-        .roster
-        .borrow()
-        .get(&server)
-        .map(|known| known.address);
-    let Some(address) = address else {
+    let Some(address) = state.address(&server) else {
         return;
     };
     let state = state.clone();
--- /dev/null
+++ b/crates/front/src/planner/order.rs
@@ -0,0 +1,128 @@
+//! Orders to engines, each seen through.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use jujube_core::name::Server as Name;
+use jujube_core::pipeline::placement::Order;
+use jujube_program::clock;
+use jujube_store::kv::Feed;
+
+use crate::dialect::Dialect;
+use crate::pool;
+use crate::probe;
+
+use super::term::Pending;
+use super::term::Term;
+
+/// How long an order may take to be answered.
+const ANSWER: Duration = Duration::from_millis(800);
+/// How long to wait before an order that was refused or lost is given again.
+const AGAIN: Duration = Duration::from_millis(700);
+
+impl<D: Dialect, F: Feed> Term<D, F> {
+    /// Gives an order, unless it was given already.
+    pub(super) fn give(self: &Rc<Self>, order: Order) {
+        let address = self
+            .state
+            .roster
+            .borrow()
+            .get(&order.server)
+            .map(|s| s.address);
+        let Some(address) = address else {
+            return;
+        };
+        let pending = Pending {
+            layers: order.layers,
+            since: clock::now(),
+        };
+        let before = self
+            .pending
+            .borrow_mut()
+            .insert(order.server.clone(), pending);
+        if before.is_some_and(|before| before.layers == order.layers) {
+            return;
+        }
+        tokio::task::spawn_local(self.clone().place(order, address));
+    }
+
+    /// Sees one order through: what happened is read from the server, never assumed.
+    async fn place(self: Rc<Self>, order: Order, address: SocketAddr) {
+        let name = &order.server;
+        let mut known = self.taken.borrow().get(name).copied().unwrap_or(0);
+        while self.is_wanted(&order) {
+            if !self.lead.get().may_order(clock::now()) {
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            }
+            let answer = tokio::time::timeout(ANSWER, self.send(&order, address, known)).await;
+            let outcome = match &answer {
+                Ok(Ok(status)) => status.as_u16().to_string(),
+                Ok(Err(error)) => format!("{error:#}").replace(' ', "-"),
+                Err(_) => "timeout".into(),
+            };
+            log::info!(
+                "event=order server={name} layers={} token={} taken={known} outcome={outcome}",
+                order.layers,
+                self.lead.get().token
+            );
+            match answer {
+                Ok(Ok(StatusCode::ACCEPTED | StatusCode::OK)) => {
+                    self.taken.borrow_mut().insert(name.clone(), known + 1);
+                    return;
+                }
+                Ok(Ok(StatusCode::PRECONDITION_FAILED)) => {
+                    // A later planner has given orders: this term is over.
+                    self.is_over.set(true);
+                    return;
+                }
+                _ => {}
+            }
+            if !matches!(answer, Ok(Ok(StatusCode::CONFLICT))) {
+                tokio::time::sleep(AGAIN).await;
+            }
+            let Ok(report) = probe::report(&self.state, name, address).await else {
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            };
+            let was_known = known == report.orders;
+            known = report.orders;
+            if report.held == Some(order.layers) {
+                return;
+            }
+            if was_known {
+                tokio::time::sleep(AGAIN).await;
+            }
+            while self.is_wanted(&order) && self.is_busy(name, address).await {
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+    }
+
+    async fn is_busy(&self, name: &Name, address: SocketAddr) -> bool {
+        let report = probe::report(&self.state, name, address).await;
+        report.is_ok_and(|report| report.busy)
+    }
+
+    /// Tells whether an order is still the last one for its server.
+    fn is_wanted(&self, order: &Order) -> bool {
+        let pending = self.pending.borrow();
+        let last = pending.get(&order.server);
+        !self.is_over.get() && last.is_some_and(|last| last.layers == order.layers)
+    }
+
+    async fn send(
+        &self,
+        order: &Order,
+        address: SocketAddr,
+        taken: u64,
+    ) -> anyhow::Result<StatusCode> {
+        self.state.metrics.count("orders");
+        let body = D::place(order.layers, self.lead.get().token, Some(taken));
+        let pool = &self.state.pool;
+        let (status, _) = pool::order::<D>(pool, &order.server, address, body).await?;
+        Ok(status)
+    }
+}
--- a/crates/front/src/planner.rs
+++ b/crates/front/src/planner/term.rs
@@ -1,18 +1,11 @@
-//! The planner: one entry at a time places the models' layers.
+//! A term of office: the lease, and what the plan asks for now.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use hyper::Request;
-use hyper::StatusCode;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::HOST;
 use jujube_core::fence::Holder as Lead;
 use jujube_core::layer::Range;
 use jujube_core::name::Server as Name;
@@ -21,23 +14,18 @@
 use jujube_core::pipeline::engine::Engine;
 use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Holder;
-use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::placement::Phase as Work;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_store::kv::Feed;
 use jujube_store::kv::Lease;
-use jujube_store::orders;
 
 use crate::dialect::Dialect;
 use crate::probe;
 use crate::state::Phase;
 use crate::state::State;
 
-/// How long the planner's lease lasts without renewal: a planner that dies is replaced within that
-/// time, while every layer still has its other holders.
-const TTL: Span = Span(3_000);
 /// How often it is renewed; two renewals may be lost.
 const RENEW: Duration = Duration::from_millis(900);
 /// How often the plan is looked at when nothing changes.
@@ -52,81 +40,35 @@
 const JOINING: Span = Span(700);
 /// How often all servers are asked how fast they are.
 const SPEED: Duration = Duration::from_millis(1_000);
-/// How long an order may take to be answered.
-const ANSWER: Duration = Duration::from_millis(800);
 /// How long an order may take to show in the registrations before it is given again.
 const CARRIED_OUT: Span = Span(45_000);
-/// How long to wait before an order that was refused or lost is given again.
-const AGAIN: Duration = Duration::from_millis(700);
-
-/// Whether any entry holds the planner's lease, as the store tells it.
-#[derive(Debug, Default)]
-pub struct Leadership {
-    is_held: Cell<bool>,
-    changed: tokio::sync::Notify,
-}
-
-impl Leadership {
-    /// Books whether the lease is held.
-    pub fn heard(&self, is_held: bool) {
-        self.is_held.set(is_held);
-        if !is_held {
-            self.changed.notify_waiters();
-        }
-    }
-}
 
 /// An order that was given and does not show in the registrations yet.
 #[derive(Clone, Copy, Debug)]
-struct Pending {
-    layers: Range,
-    since: Instant,
+pub(super) struct Pending {
+    pub(super) layers: Range,
+    pub(super) since: Instant,
 }
 
 /// A term of office.
-struct Term<D, F> {
-    state: Rc<State<D>>,
-    store: F,
-    lead: Cell<Lead>,
-    lease: Lease,
-    is_over: Cell<bool>,
-    pending: RefCell<BTreeMap<Name, Pending>>,
+pub(super) struct Term<D, F> {
+    pub(super) state: Rc<State<D>>,
+    pub(super) store: F,
+    pub(super) lead: Cell<Lead>,
+    pub(super) lease: Lease,
+    pub(super) is_over: Cell<bool>,
+    pub(super) pending: RefCell<BTreeMap<Name, Pending>>,
     /// When each server was first seen in this term.
-    seen: RefCell<BTreeMap<Name, Instant>>,
+    pub(super) seen: RefCell<BTreeMap<Name, Instant>>,
     /// How many orders each server is known to have taken.
-    taken: RefCell<BTreeMap<Name, u64>>,
+    pub(super) taken: RefCell<BTreeMap<Name, u64>>,
     /// What the last plan of each model was made from. Planning takes some milliseconds, in which
     /// no event is passed on, and the same holders give the same plan.
-    planned: RefCell<BTreeMap<Service, Vec<Holder>>>,
-}
-
-/// Stands for the office whenever nobody holds it, until the process ends.
-pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F) {
-    loop {
-        if state.is_ready() && !state.leadership.is_held.get() {
-            match orders::acquire(&store, clock::now(), TTL, &state.settings.name).await {
-                Ok(Some((lead, lease))) => {
-                    log::info!("event=planner-won token={}", lead.token);
-                    state.metrics.count("planner_terms");
-                    let term = Rc::new(Term::new(&state, &store, lead, lease));
-                    term.serve().await;
-                    log::info!("event=planner-lost token={}", lead.token);
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    let cause = error.to_string().replace(' ', "-");
-                    log::info!("event=planner-not-won cause={cause}");
-                }
-            }
-        }
-        let changed = state.leadership.changed.notified();
-        let pause = Duration::from_millis(rand::random_range(300..700));
-        let _either = tokio::time::timeout(pause, changed).await;
-    }
+    pub(super) planned: RefCell<BTreeMap<Service, Vec<Holder>>>,
 }
 
 impl<D: Dialect, F: Feed> Term<D, F> {
-    fn new(state: &Rc<State<D>>, store: &F, lead: Lead, lease: Lease) -> Self {
+    pub(super) fn new(state: &Rc<State<D>>, store: &F, lead: Lead, lease: Lease) -> Self {
         Self {
             state: state.clone(),
             store: store.clone(),
@@ -140,7 +82,7 @@
         }
     }
 
-    async fn serve(self: &Rc<Self>) {
+    pub(super) async fn serve(self: &Rc<Self>) {
         tokio::task::spawn_local(self.clone().renew());
         tokio::task::spawn_local(self.clone().watch_speed());
         let mut quiet_since = clock::now();
@@ -293,113 +235,4 @@
         });
         trusted.collect()
     }
-
-    fn give(self: &Rc<Self>, order: Order) {
-        let address = self
-            .state
-            .roster
-            .borrow()
-            .get(&order.server)
-            .map(|s| s.address);
-        let Some(address) = address else {
-            return;
-        };
-        let pending = Pending {
-            layers: order.layers,
-            since: clock::now(),
-        };
-        let before = self
-            .pending
-            .borrow_mut()
-            .insert(order.server.clone(), pending);
-        if before.is_some_and(|before| before.layers == order.layers) {
-            return;
-        }
-        tokio::task::spawn_local(self.clone().place(order, address));
-    }
-
-    /// Sees one order through: what happened is read from the server, never assumed.
-    async fn place(self: Rc<Self>, order: Order, address: SocketAddr) {
-        let name = &order.server;
-        let mut known = self.taken.borrow().get(name).copied().unwrap_or(0);
-        while self.is_wanted(&order) {
-            if !self.lead.get().may_order(clock::now()) {
-                tokio::time::sleep(AGAIN).await;
-                continue;
-            }
-            let answer = tokio::time::timeout(ANSWER, self.send(&order, address, known)).await;
-            let outcome = match &answer {
-                Ok(Ok(status)) => status.as_u16().to_string(),
-                Ok(Err(error)) => format!("{error:#}").replace(' ', "-"),
-                Err(_) => "timeout".into(),
-            };
-            log::info!(
-                "event=order server={name} layers={} token={} taken={known} outcome={outcome}",
-                order.layers,
-                self.lead.get().token
-            );
-            match answer {
-                Ok(Ok(StatusCode::ACCEPTED | StatusCode::OK)) => {
-                    self.taken.borrow_mut().insert(name.clone(), known + 1);
-                    return;
-                }
-                Ok(Ok(StatusCode::PRECONDITION_FAILED)) => {
-                    // A later planner has given orders: this term is over.
-                    self.is_over.set(true);
-                    return;
-                }
-                _ => {}
-            }
-            if !matches!(answer, Ok(Ok(StatusCode::CONFLICT))) {
-                tokio::time::sleep(AGAIN).await;
-            }
-            let Ok(report) = probe::report(&self.state, name, address).await else {
-                tokio::time::sleep(AGAIN).await;
-                continue;
-            };
-            let was_known = known == report.orders;
-            known = report.orders;
-            if report.held == Some(order.layers) {
-                return;
-            }
-            if was_known {
-                tokio::time::sleep(AGAIN).await;
-            }
-            while self.is_wanted(&order) && self.is_busy(name, address).await {
-                tokio::time::sleep(AGAIN).await;
-            }
-        }
-    }
-
-    async fn is_busy(&self, name: &Name, address: SocketAddr) -> bool {
-        let report = probe::report(&self.state, name, address).await;
-        report.is_ok_and(|report| report.busy)
-    }
-
-    /// Tells whether an order is still the last one for its server.
-    fn is_wanted(&self, order: &Order) -> bool {
-        let pending = self.pending.borrow();
-        let last = pending.get(&order.server);
-        !self.is_over.get() && last.is_some_and(|last| last.layers == order.layers)
-    }
-
-    async fn send(
-        &self,
-        order: &Order,
-        address: SocketAddr,
-        taken: u64,
-    ) -> anyhow::Result<StatusCode> {
-        self.state.metrics.count("orders");
-        let mut lease = self.state.pool.lease(&order.server, address).await?;
-        let body = D::place(order.layers, self.lead.get().token, Some(taken));
-        let request = Request::post(D::ORDER)
-            .header(HOST, address.to_string())
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(body))?;
-        let response = lease.sender.send_request(request).await?;
-        let (parts, body) = response.into_parts();
-        body.collect().await?;
-        lease.keep(&parts.headers);
-        Ok(parts.status)
-    }
 }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -8,10 +8,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
+use hyper::Request;
+use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
 use jujube_core::name::Server;
 use jujube_core::time::Instant;
@@ -21,6 +26,8 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
+use crate::dialect::Dialect;
+
 /// What is sent to a backend server.
 pub type Sender = SendRequest<Full<Bytes>>;
 
@@ -154,6 +161,41 @@
     }
 }
 
+/// Makes one call on a connection, and keeps the connection.
+///
+/// # Errors
+///
+/// There is no whole answer; the call may have been acted on.
+pub async fn call(
+    mut lease: Lease,
+    request: Request<Full<Bytes>>,
+) -> anyhow::Result<(StatusCode, Bytes)> {
+    let response = lease.sender.send_request(request).await?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    lease.keep(&parts.headers);
+    Ok((parts.status, body))
+}
+
+/// Gives an engine an order.
+///
+/// # Errors
+///
+/// There is no whole answer; the order may have been taken.
+pub async fn order<D: Dialect>(
+    pool: &Pool,
+    server: &Server,
+    address: SocketAddr,
+    body: Bytes,
+) -> anyhow::Result<(StatusCode, Bytes)> {
+    let lease = pool.lease(server, address).await?;
+    let request = Request::post(D::ORDER)
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(body))?;
+    call(lease, request).await
+}
+
 /// Returns how long a connection may be kept; `None` when the server closes it.
 fn keep_for(headers: &HeaderMap) -> Option<Span> {
     let connection = headers.get("connection").and_then(|v| v.to_str().ok());
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
@@ -18,6 +17,7 @@
 
 use crate::dialect::Dialect;
 use crate::dialect::Report;
+use crate::pool;
 use crate::pool::Lease;
 use crate::state::State;
 
@@ -83,18 +83,15 @@
     exchange::<D>(state.pool.fresh(server, address).await?, address).await
 }
 
-async fn exchange<D: Dialect>(mut lease: Lease, address: SocketAddr) -> anyhow::Result<Bytes> {
+async fn exchange<D: Dialect>(lease: Lease, address: SocketAddr) -> anyhow::Result<Bytes> {
     let request = Request::get(D::REPORT)
         .header(HOST, address.to_string())
         .body(Full::default())?;
-    let response = lease.sender.send_request(request).await?;
-    let (parts, body) = response.into_parts();
-    let bytes = body.collect().await?.to_bytes();
-    if !parts.status.is_success() {
-        anyhow::bail!("status {}", parts.status);
+    let (status, body) = pool::call(lease, request).await?;
+    if !status.is_success() {
+        anyhow::bail!("status {status}");
     }
-    lease.keep(&parts.headers);
-    Ok(bytes)
+    Ok(body)
 }
 
 /// Finds out how a server is; a dead one is suspected from now on.
@@ -140,12 +137,7 @@
         tokio::time::sleep(LOOK).await;
         let due = state.suspicion.borrow_mut().due(clock::now());
         for server in due {
-            let address = state
-                .roster
-                .borrow()
-                .get(&server)
-                .map(|known| known.address);
-            let Some(address) = address else {
+            let Some(address) = state.address(&server) else {
                 state.suspicion.borrow_mut().clear(&server);
                 continue;
             };
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::marker::PhantomData;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use jujube_core::name::Server as Name;
@@ -147,6 +148,11 @@
         allowance.request(clock::now(), &self.retry.get());
     }
 
+    /// Returns where a registered backend server listens.
+    pub fn address(&self, server: &Name) -> Option<SocketAddr> {
+        self.roster.borrow().get(server).map(|known| known.address)
+    }
+
     /// Suspects a backend server.
     pub fn accuse(&self, server: &Name, cause: &str) {
         let fresh = self.suspicion.borrow_mut().accuse(clock::now(), server);
--- /dev/null
+++ b/crates/front/src/stream/mod.rs
@@ -0,0 +1,129 @@
+//! Streams of events along a path through backend servers.
+
+mod booking;
+mod live;
+mod open;
+mod record;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use futures::task::AtomicWaker;
+use hyper::Response;
+use hyper::header::HeaderName;
+use jujube_core::pipeline::chooser::Need;
+use jujube_core::pipeline::relay::Relay;
+use jujube_core::time::Span;
+use jujube_program::clock;
+
+use crate::answer;
+use crate::answer::Reason;
+use crate::body::Body;
+use crate::dialect::Dialect;
+use crate::head;
+use crate::request;
+use crate::request::Admitted;
+use crate::request::Guard;
+use crate::state::State;
+use crate::waiting;
+
+use booking::Registration;
+use live::Upstream;
+use open::open;
+
+pub use booking::choose_with;
+pub use booking::take_path;
+pub use live::Live;
+pub use record::Stream;
+
+/// The header by which a stream is continued after an event.
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// When to come back when there is no path: a planner needs about that long to close a gap.
+const NO_PATH: Span = Span(1_000);
+/// When to come back after engines refused.
+const REFUSED: Span = Span(300);
+
+/// Serves one request.
+pub async fn serve<D: Dialect>(
+    state: Rc<State<D>>,
+    request: Admitted,
+    guard: Guard<D>,
+) -> Response<Body<D>> {
+    let need = D::need(&request.outgoing.headers).unwrap_or(Need {
+        prompt: 0.0,
+        answer: 0.0,
+    });
+    let last = head::number(&request.outgoing.headers, &LAST_EVENT);
+    let now = clock::now();
+    let stream = Rc::new(Stream {
+        id: request.id,
+        service: request.service,
+        route: request.route,
+        path: RefCell::default(),
+        heard: Cell::new(now),
+        events: Cell::new(0),
+        pace_ms: Cell::new(0.0),
+        is_checked: Cell::new(false),
+        is_urgent: Cell::new(false),
+        detours: Cell::new(0),
+        check_at: Cell::new(now),
+        deadline: request.deadline,
+        need,
+        outgoing: request.outgoing,
+        arrived: request.arrived,
+        runs: Cell::new(0),
+        abandoned: Cell::new(false),
+        expired: Cell::new(false),
+        waker: AtomicWaker::new(),
+    });
+    let registration = Registration::new(&state, &stream);
+    let ask = waiting::Ask {
+        id: &stream.id,
+        service: &stream.service,
+        customer: &request.customer,
+        priority: request.priority,
+        need,
+        target: stream.route.target,
+    };
+    let place = match waiting::admit(&state, ask).await {
+        Ok(place) => place,
+        Err(come_back) => {
+            let (route, reason) = (&stream.route.name, Reason::Overloaded);
+            request::done(&state, &stream.id, route, reason, stream.arrived, "no-room");
+            return answer::own(reason, Some(come_back));
+        }
+    };
+    match open(&state, &stream, last).await {
+        Ok(incomplete) => {
+            let (mut parts, body) = incomplete.response.into_parts();
+            let upstream = Upstream::Reading {
+                body,
+                lease: Some(incomplete.lease),
+                headers: parts.headers.clone(),
+            };
+            head::strip(&mut parts.headers);
+            let live = Live {
+                is_events: parts.status.is_success(),
+                registration,
+                place,
+                guard,
+                relay: Relay::after(last),
+                upstream,
+                out: VecDeque::new(),
+            };
+            Response::from_parts(parts, Body::Live(Box::new(live)))
+        }
+        Err((reason, cause)) => {
+            let retry_after = match reason {
+                Reason::NoServer => Some(NO_PATH),
+                Reason::Refused => Some(REFUSED),
+                _ => None,
+            };
+            let route = &stream.route.name;
+            request::done(&state, &stream.id, route, reason, stream.arrived, &cause);
+            answer::own(reason, retry_after)
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/stream/record.rs
@@ -0,0 +1,110 @@
+//! One stream in flight, as its tasks share it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::task::Poll;
+
+use futures::task::AtomicWaker;
+use jujube_core::name::Service;
+use jujube_core::pipeline::chooser::Need;
+use jujube_core::pipeline::document::Route;
+use jujube_core::pipeline::path::Path;
+use jujube_core::time::Instant;
+
+use crate::upstream::Outgoing;
+
+use jujube_core::pipeline::path::Part;
+
+/// One stream in flight, as its tasks share it.
+pub struct Stream {
+    /// The request's identifier.
+    pub id: Arc<str>,
+    /// The model's service.
+    pub service: Service,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The path that it runs on.
+    pub path: RefCell<Option<Path>>,
+    /// When the last event came, or the request was sent.
+    pub heard: Cell<Instant>,
+    /// How many events came.
+    pub events: Cell<u64>,
+    /// The usual pause between events, in milliseconds.
+    pub pace_ms: Cell<f64>,
+    /// Whether somebody looks after it.
+    pub is_checked: Cell<bool>,
+    /// Whether a server on its path has come under suspicion.
+    pub is_urgent: Cell<bool>,
+    /// How often it was taken off slow servers.
+    pub detours: Cell<u64>,
+    /// Not looked after before this time.
+    pub check_at: Cell<Instant>,
+    /// When the answer must be there.
+    pub deadline: Instant,
+    pub(super) need: Need,
+    pub(super) outgoing: Outgoing,
+    pub(super) arrived: Instant,
+    /// How many times it was sent to engines that may have run it.
+    pub(super) runs: Cell<u64>,
+    pub(super) abandoned: Cell<bool>,
+    pub(super) expired: Cell<bool>,
+    pub(super) waker: AtomicWaker,
+}
+
+impl Stream {
+    /// Makes the current run count as lost; the request goes on elsewhere if it may.
+    pub fn abandon(&self) {
+        self.abandoned.set(true);
+        self.waker.wake();
+    }
+
+    /// Ends the stream because its time is over.
+    pub fn expire(&self) {
+        self.expired.set(true);
+        self.waker.wake();
+    }
+
+    /// Returns what the request needs from now on.
+    pub fn need(&self) -> Need {
+        self.need
+    }
+
+    /// Waits until the current run counts as lost or the time is over.
+    pub(super) async fn lost(&self) {
+        poll_fn(|context| {
+            self.waker.register(context.waker());
+            if self.abandoned.get() || self.expired.get() {
+                return Poll::Ready(());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
+    pub(super) fn hear(&self, now: Instant) {
+        const SMOOTHING: f64 = 0.2;
+        let pause = now.since(self.heard.get()).0 as f64;
+        if self.events.get() > 0 {
+            let pace = self.pace_ms.get();
+            self.pace_ms.set(pace + (pause - pace) * SMOOTHING);
+        }
+        self.heard.set(now);
+        self.events.set(self.events.get() + 1);
+    }
+}
+
+impl Stream {
+    /// Returns the server that holds the stream.
+    pub(super) fn first(&self) -> Option<Part> {
+        let path = self.path.borrow();
+        path.as_ref()?.first().cloned()
+    }
+
+    /// Returns the path as text, for logs.
+    pub(super) fn path_text(&self) -> String {
+        let path = self.path.borrow();
+        path.as_ref().map_or("-".into(), Path::to_string)
+    }
+}
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -6,14 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::future::join_all;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use hyper::Request;
-use hyper::StatusCode;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::HOST;
 use jujube_core::name::Server as Name;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
@@ -22,6 +15,7 @@
 use jujube_program::clock;
 
 use crate::dialect::Dialect;
+use crate::pool;
 use crate::probe;
 use crate::probe::Health;
 use crate::state::State;
@@ -207,7 +201,7 @@
         return Repaired::Done;
     }
     let body = D::repath(&stream.id, &choice.path);
-    let asked = order::<D>(state, first, body);
+    let asked = pool::order::<D>(&state.pool, &first.server, first.address, body);
     let answer = tokio::time::timeout(REPAIR, asked).await;
     let (status, body) = match answer {
         Ok(Ok(answer)) => answer,
@@ -236,20 +230,3 @@
         None => Repaired::Impossible,
     }
 }
-
-async fn order<D: Dialect>(
-    state: &Rc<State<D>>,
-    first: &Part,
-    body: Bytes,
-) -> anyhow::Result<(StatusCode, Bytes)> {
-    let mut lease = state.pool.lease(&first.server, first.address).await?;
-    let request = Request::post(D::ORDER)
-        .header(HOST, first.address.to_string())
-        .header(CONTENT_TYPE, "application/json")
-        .body(Full::new(body))?;
-    let response = lease.sender.send_request(request).await?;
-    let (parts, body) = response.into_parts();
-    let body = body.collect().await?.to_bytes();
-    lease.keep(&parts.headers);
-    Ok((parts.status, body))
-}
--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -16,6 +16,20 @@
 
 use crate::clock;
 
+/// Returns a dispatch that writes `time=... level=... role=... message`; other crates' lines below
+/// `warn` are left out.
+fn lines(role: &'static str) -> fern::Dispatch {
+    fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let time = clock::unix_millis();
+            let level = record.level();
+            out.finish(format_args!(
+                "time={time} level={level} role={role} {message}"
+            ));
+        })
+        .level(LevelFilter::Warn)
+}
+
 /// Starts logging to standard error, as `time=... level=... target=... message`.
 ///
 /// A second call in the same process changes nothing: the local program starts many roles.
@@ -25,15 +39,7 @@
 /// The level is none.
 pub fn start(role: &'static str, level: &str) -> Result<()> {
     let level = LevelFilter::from_str(level).context("log level")?;
-    let dispatch = fern::Dispatch::new()
-        .format(move |out, message, record| {
-            let time = clock::unix_millis();
-            let level = record.level();
-            out.finish(format_args!(
-                "time={time} level={level} role={role} {message}"
-            ));
-        })
-        .level(LevelFilter::Warn)
+    let dispatch = lines(role)
         // Deadlines that pass are counted; the library would write a line for each.
         .level_for("tarpc", LevelFilter::Off)
         .level_for("jujube_entry", level)
@@ -142,15 +148,7 @@
     std::thread::Builder::new()
         .name("logs".into())
         .spawn(move || write_lines(&receiver))?;
-    let dispatch = fern::Dispatch::new()
-        .format(move |out, message, record| {
-            let time = clock::unix_millis();
-            let level = record.level();
-            out.finish(format_args!(
-                "time={time} level={level} role={role} {message}"
-            ));
-        })
-        .level(LevelFilter::Warn)
+    let dispatch = lines(role)
         // The level in force is that of the logger as a whole, which a reload may change.
         .level_for("jujube_front", LevelFilter::Trace)
         .level_for("jujube_store", LevelFilter::Trace)
