Tell events from other bodies, bound heads, and let joiners wait for the one they replace

Change: the content type decides; heads are read up to the configured limit; joiners wait 1.3 s (0.7 before).

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -14,7 +14,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use jujube_core::time::Span;
 use jujube_program::logs;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
@@ -45,6 +44,11 @@
 const LEAVING: Duration = Duration::from_millis(3_000);
 /// How long before the process is killed it ends by itself.
 const BEFORE_KILL: Duration = Duration::from_millis(400);
+/// The least that the library reads of a head.
+const LEAST_BUFFER: usize = 8_192;
+/// The most that is read of a head, whatever is configured: an entry has some thousand connections and
+/// 160 MB or more.
+const MOST_BUFFER: usize = 64 << 10;
 /// How often a stop looks whether requests are still in flight.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -141,9 +145,11 @@
         // The caller has left already.
         return;
     }
-    let idle = state
+    let limits = state
         .table()
-        .map_or(Span(15_000), |t| t.document.limits.idle);
+        .map(|table| table.document.limits)
+        .unwrap_or_default();
+    let buffer = (limits.header_bytes as usize).clamp(LEAST_BUFFER, MOST_BUFFER);
     let service = service_fn(move |request| {
         let state = state.clone();
         async move {
@@ -158,7 +164,8 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle.0));
+        .max_buf_size(buffer)
+        .header_read_timeout(Duration::from_millis(limits.idle.0));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let _caller_gone = tokio::select! {
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -36,8 +36,8 @@
 /// How long a server must be suspected before its layers are placed anew: it was asked twice more.
 const GIVEN_UP: Span = Span(800);
 /// How long a server that joined empty waits for the word of the one that it replaces; in the users'
-/// releases that comes a quarter of a second later.
-const JOINING: Span = Span(700);
+/// releases that comes a quarter of a second to a second later.
+const JOINING: Span = Span(1_300);
 /// How often all servers are asked how fast they are.
 const SPEED: Duration = Duration::from_millis(1_000);
 /// How long an order may take to show in the registrations before it is given again.
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -14,7 +14,6 @@
 use jujube_core::name::Customer;
 use jujube_core::name::Service;
 use jujube_core::pipeline::document::Account;
-use jujube_core::pipeline::document::Kind;
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::document::Table;
 use jujube_core::time::Instant;
@@ -94,7 +93,7 @@
     let is_model = state
         .table()
         .is_some_and(|table| table.engine(&admitted.service).is_some());
-    if is_model || admitted.route.kind == Kind::Stream {
+    if is_model {
         return stream::serve(state, admitted, guard).await;
     }
     whole::serve(&state, admitted).await
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -12,7 +12,9 @@
 
 use futures::task::AtomicWaker;
 use hyper::Response;
+use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderName;
+use hyper::http::response::Parts;
 use jujube_core::pipeline::chooser::Need;
 use jujube_core::pipeline::relay::Relay;
 use jujube_core::time::Span;
@@ -45,6 +47,12 @@
 /// When to come back after engines refused.
 const REFUSED: Span = Span(300);
 
+/// Tells whether an answer is a stream of events, rather than a failure or another kind of body.
+fn is_events(parts: &Parts) -> bool {
+    let kind = head::text(&parts.headers, &CONTENT_TYPE);
+    parts.status.is_success() && kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
 /// Serves one request.
 pub async fn serve<D: Dialect>(
     state: Rc<State<D>>,
@@ -105,7 +113,7 @@
             };
             head::strip(&mut parts.headers);
             let live = Live {
-                is_events: parts.status.is_success(),
+                is_events: is_events(&parts),
                 registration,
                 place,
                 guard,
