Let a run that is only being opened hear of its loss, and drop findings on an old path

Cause: reading the change: the body of an answer and the task that opens its next run shared one waker and one flag, so the body could take the word that the new engine is dead; with two wakers a check that had started on the old path ended a sound new run (a_stream_goes_on_when_its_first_engine_crashes failed once, 1 of 7). Change: a waker for each; checks are dropped when the stream has moved on; a caller that leaves ends the opening too.

--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -43,6 +43,8 @@
 
 impl<D> Drop for Registration<D> {
     fn drop(&mut self) {
+        // A run that is only being opened for a caller that has left is given up.
+        self.stream.expire();
         self.state.streams.remove(self.number);
         take_path(&self.state, &self.stream, None);
     }
--- a/crates/front/src/stream/live.rs
+++ b/crates/front/src/stream/live.rs
@@ -65,8 +65,8 @@
             if stream.expired.get() {
                 return Poll::Ready(self.cut("deadline"));
             }
-            if stream.abandoned.replace(false) && matches!(self.upstream, Upstream::Reading { .. })
-            {
+            let is_reading = matches!(self.upstream, Upstream::Reading { .. });
+            if is_reading && stream.abandoned.replace(false) {
                 if let Some(end) = self.resume("abandoned") {
                     return Poll::Ready(end);
                 }
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -85,6 +85,7 @@
         abandoned: Cell::new(false),
         expired: Cell::new(false),
         waker: AtomicWaker::new(),
+        opener: AtomicWaker::new(),
     });
     let registration = Registration::new(&state, &stream);
     let ask = waiting::Ask {
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -50,7 +50,11 @@
     pub(super) runs: Cell<u64>,
     pub(super) abandoned: Cell<bool>,
     pub(super) expired: Cell<bool>,
+    /// Wakes the body of the answer.
     pub(super) waker: AtomicWaker,
+    /// Wakes the task that opens the stream at an engine. It is another one than the body's: with one
+    /// for both, the body would take the word that was meant for a run that is only being opened.
+    pub(super) opener: AtomicWaker,
 }
 
 impl Stream {
@@ -58,12 +62,14 @@
     pub fn abandon(&self) {
         self.abandoned.set(true);
         self.waker.wake();
+        self.opener.wake();
     }
 
     /// Ends the stream because its time is over.
     pub fn expire(&self) {
         self.expired.set(true);
         self.waker.wake();
+        self.opener.wake();
     }
 
     /// Returns what the request needs from now on.
@@ -74,7 +80,7 @@
     /// Waits until the current run counts as lost or the time is over.
     pub(super) async fn lost(&self) {
         poll_fn(|context| {
-            self.waker.register(context.waker());
+            self.opener.register(context.waker());
             if self.abandoned.get() || self.expired.get() {
                 return Poll::Ready(());
             }
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -138,6 +138,11 @@
     if ill.is_empty() || (is_dead && stream.heard.get() != heard) {
         return;
     }
+    // Meanwhile the stream may have been opened elsewhere; what was found concerns its old path, and
+    // would make a sound run count as lost.
+    if stream.path.borrow().as_ref() != Some(&path) {
+        return;
+    }
     let is_first = |part: &Part| path.first().is_none_or(|first| first.server == part.server);
     if ill
         .iter()
@@ -160,7 +165,8 @@
             Repaired::Impossible => break,
         }
     }
-    if is_dead {
+    let is_on_it = stream.path.borrow().as_ref() == Some(&path);
+    if is_dead && is_on_it {
         stream.abandon();
     }
 }
