--- /dev/null
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -0,0 +1,180 @@
+//! The choice of a path through the layers that backend servers hold.
+//!
+//! A part may run any layers inside what its server holds, so a path is a walk over the positions
+//! where held ranges begin and end. The choice is the walk that is predicted to end soonest, found
+//! by dynamic programming over these positions.
+
+mod walk;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::layer::Range;
+use crate::name::Server;
+use crate::name::Zone;
+use crate::pipeline::engine::Engine;
+use crate::pipeline::engine::Kind;
+use crate::pipeline::load::Load;
+use crate::pipeline::path::Path;
+use crate::pipeline::suspicion::Suspicion;
+use crate::time::Instant;
+
+/// A backend server as the choice sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its name.
+    pub server: Server,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The layers that it holds.
+    pub held: Range,
+    /// Its accelerator.
+    pub kind: Kind,
+    /// Its room for requests, in tokens times layers.
+    pub room: f64,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Tokens of the prompt.
+    pub prompt: f64,
+    /// Tokens of the answer, as estimated.
+    pub answer: f64,
+}
+
+impl Need {
+    /// Returns the tokens to keep in memory by the end.
+    #[must_use]
+    pub fn tokens(&self) -> f64 {
+        self.prompt + self.answer
+    }
+}
+
+/// The backend servers of one model.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// The model.
+    pub engine: Arc<Engine>,
+    /// Its servers that hold layers.
+    pub nodes: Vec<Node>,
+    zones: BTreeSet<Zone>,
+}
+
+/// What a part on a server without room costs over its time, in milliseconds: it is taken only
+/// where there is no other.
+pub(super) const NO_ROOM_MS: f64 = 1e7;
+/// What a suspected server costs, in milliseconds: only where nothing else completes the path.
+pub(super) const SUSPECT_MS: f64 = 1e9;
+/// What a path in another availability zone than the entry's costs, in milliseconds: each event
+/// crosses the link once more, which shows in nothing but the bytes between zones.
+const AWAY_MS: f64 = 60.0;
+
+/// What the choice may look at besides the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The time.
+    pub now: Instant,
+    /// What is in flight.
+    pub load: &'a Load,
+    /// Who is suspected.
+    pub suspicion: &'a Suspicion,
+    /// Who refused this request.
+    pub avoid: &'a [Server],
+    /// The entry's availability zone.
+    pub home: &'a Zone,
+}
+
+impl View<'_> {
+    fn shuns(&self, server: &Server) -> bool {
+        self.suspicion.holds(server) || self.avoid.contains(server)
+    }
+}
+
+/// A path and what is predicted for it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The path.
+    pub path: Path,
+    /// The predicted time, in milliseconds; over [`Choice::is_forced`]'s bound it was the last
+    /// resort.
+    pub cost_ms: f64,
+}
+
+impl Choice {
+    /// Tells whether the path goes through a server that has no room.
+    #[must_use]
+    pub fn lacks_room(&self) -> bool {
+        self.cost_ms >= NO_ROOM_MS
+    }
+
+    /// Tells whether the path goes through a suspected server.
+    #[must_use]
+    pub fn is_forced(&self) -> bool {
+        self.cost_ms >= SUSPECT_MS
+    }
+}
+
+impl Fleet {
+    /// Returns the fleet of a model.
+    #[must_use]
+    pub fn new(engine: Arc<Engine>, nodes: Vec<Node>) -> Self {
+        let zones = nodes.iter().map(|node| node.zone.clone()).collect();
+        Self {
+            engine,
+            nodes,
+            zones,
+        }
+    }
+
+    /// Chooses the path that is predicted to end soonest.
+    ///
+    /// Paths inside one availability zone come first: activations between zones share one pipe.
+    pub fn choose(&self, need: Need, view: &View<'_>) -> Option<Choice> {
+        let mut best: Option<Choice> = None;
+        for zone in &self.zones {
+            let nodes = self.nodes.iter().filter(|node| node.zone == *zone);
+            let Some(mut choice) = self.walk(nodes, need, view, None) else {
+                continue;
+            };
+            if zone != view.home {
+                choice.cost_ms += AWAY_MS;
+            }
+            if best
+                .as_ref()
+                .is_none_or(|best| choice.cost_ms < best.cost_ms)
+            {
+                best = Some(choice);
+            }
+        }
+        if best.as_ref().is_some_and(|best| !best.is_forced()) {
+            return best;
+        }
+        let across = self.walk(self.nodes.iter(), need, view, None);
+        match (best, across) {
+            (Some(best), Some(across)) if across.cost_ms < best.cost_ms => Some(across),
+            (None, across) => across,
+            (best, _) => best,
+        }
+    }
+
+    /// Chooses another path for a request that is under way on `old`.
+    ///
+    /// The first part stays as it is: the engine there holds the stream. Parts that stay keep what
+    /// they have read, the others read all tokens again.
+    pub fn repair(&self, need: Need, view: &View<'_>, old: &Path) -> Option<Choice> {
+        let first = old.first()?;
+        let zone = self.nodes.iter().find(|node| node.server == first.server);
+        let zone = zone.map(|node| &node.zone)?;
+        let near = self.nodes.iter().filter(|node| node.zone == *zone);
+        let near = self.walk(near, need, view, Some(old));
+        if near.as_ref().is_some_and(|choice| !choice.is_forced()) {
+            return near;
+        }
+        let across = self.walk(self.nodes.iter(), need, view, Some(old));
+        across.filter(|choice| !choice.is_forced())
+    }
+}
