Wait two seconds at most for changes of the store

Ruled out: the store as a whole (all other entries followed), and the lease's heartbeat, which cannot see it. Change: waits of 2 s in place of 20; the price is one call an entry each 2 s.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -21,9 +21,13 @@
 
 /// Everything: one waiting call hears of configuration, registrations and the planner's lease.
 const ALL: &str = "";
-/// How long one call waits for changes; an idle store is asked three times a minute. A store that
-/// falls silent in this time is noticed by the renewals of this entry's lease.
-const WAIT: Span = Span(20_000);
+/// How long one call waits for changes.
+///
+/// A call that began while the store passed no changes on hears nothing for its whole wait, while all
+/// other calls work: a configuration would be missed for that long. It must be in force within two
+/// seconds of the store's being well again, which takes three to count. A store that falls silent as
+/// a whole is noticed by the renewals of this entry's lease.
+const WAIT: Span = Span(2_000);
 /// The same while the store is lost: a short wait is answered soon after it is back, also when
 /// nothing changes.
 const WAIT_LOST: Span = Span(300);
