Read what Connection names in one place, and drop what nothing needs

Cause: reading the whole change: the headers that Connection names were read twice in the same words (front, wire); a second write of an announcement stood behind a condition that cannot be false; a function only called another. Ruled out: one list of hop-by-hop headers for both; the two lists differ, and callers would get other headers. Change: http::named_by_connection; no behaviour changed.

--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -13,11 +13,9 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
-use jujube_store::kv::Condition;
 use jujube_store::kv::Error;
 use jujube_store::kv::Feed;
 use jujube_store::kv::Lease;
-use jujube_store::kv::Revision;
 use jujube_store::kv::Write;
 use serde::Deserialize;
 use serde::Serialize;
@@ -194,15 +192,8 @@
         value,
         lease: Some(lease),
     };
-    if store.swap(&[], std::slice::from_ref(&put)).await? {
-        return Ok(());
-    }
-    // Some stores take no write without a condition.
-    let condition = Condition {
-        key: key.into(),
-        revision: Revision(0),
-    };
-    store.swap(&[condition], &[put]).await?;
+    // Without a condition there is nothing that could fail to hold.
+    let _written = store.swap(&[], &[put]).await?;
     Ok(())
 }
 
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -9,6 +9,7 @@
 use hyper::header::TRAILER;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
+use jujube_program::http::named_by_connection;
 
 use crate::dialect::Dialect;
 
@@ -29,13 +30,7 @@
 
 /// Removes what concerns one connection only, also what `Connection` names.
 pub fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
+    let named = named_by_connection(headers);
     for name in named.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
     }
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -155,7 +155,7 @@
                 }
                 self.state.metrics.count("answers_failed");
                 self.avoid.push(server.name.clone());
-                return if self.peek().is_some() {
+                return if self.pick().is_some() {
                     None
                 } else {
                     Some(answer)
@@ -211,10 +211,6 @@
         Some(server)
     }
 
-    fn peek(&self) -> Option<Server> {
-        self.pick()
-    }
-
     /// Returns the server with the least in flight, of the own availability zone where equal.
     fn pick(&self) -> Option<Server> {
         let roster = self.state.roster.borrow();
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -13,7 +13,10 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderName;
 use hyper::service::service_fn;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -107,6 +110,27 @@
     Ok(())
 }
 
+/// Returns the headers that `Connection` names: they concern one connection only.
+///
+/// # Examples
+///
+/// ```
+/// # use hyper::header::HeaderMap;
+/// # use hyper::header::HeaderValue;
+/// let mut headers = HeaderMap::new();
+/// headers.insert("connection", HeaderValue::from_static("x-one, close"));
+/// assert_eq!(jujube_program::http::named_by_connection(&headers), ["x-one", "close"]);
+/// ```
+#[must_use]
+pub fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
+
 /// Why a call got no answer.
 #[derive(Debug)]
 pub enum Error {
--- a/crates/wire/src/plain.rs
+++ b/crates/wire/src/plain.rs
@@ -9,6 +9,7 @@
 use hyper::header::TRAILER;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
+use jujube_program::http::named_by_connection;
 
 /// The call, under which the sidecar's ledger knows it.
 pub const CALL: &str = "jujube-call";
@@ -32,13 +33,7 @@
 /// assert_eq!(headers.len(), 1);
 /// ```
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
+    let named = named_by_connection(headers);
     let fixed = [
         CONNECTION,
         PROXY_AUTHENTICATE,
