Make the store's connections probe themselves as intended

Cause: the interval of probes was half a second. The system counts whole seconds and refuses all three settings when one is zero, so connections of the shared HTTP client had no probes at all; each connection logged a warning. Seen in the log of a test that failed for another reason. Ruled out: the entry's own connections to backend servers set whole seconds. Change: one second. Before: a warning for each connection; after: none (platform tests' logs).

--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -176,9 +176,10 @@
     fn with_idle(connect: Duration, keep: bool) -> Self {
         const KEPT: usize = 512;
         // Something between the two ends may lose track of a connection: it then stays silent for
-        // good. Probes after a second of silence show that within one more.
+        // good. Probes after a second of silence show that within two more. The system counts whole
+        // seconds and refuses all three settings when one of them is shorter.
         const PROBE_AFTER: Duration = Duration::from_secs(1);
-        const PROBE_AGAIN: Duration = Duration::from_millis(500);
+        const PROBE_AGAIN: Duration = Duration::from_secs(1);
         const PROBES: u32 = 2;
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
