Spread the streams of a dead server, leave stalled ones, fill the room

Change: what servers are given to read is booked as it is sent (core::pipeline::backlog); a moved stream stands for its share of all streams through the dead server and takes a random place among them in each zone; whichever of repair and opening again is predicted sooner is taken.

Cause 2 (late detection): a part in the middle of a path was missed by silence only. A kept connection that ends while it rests is now asked about at once, and questions are repeated on a new connection after 40 ms, so that a lost packet or a silent connection is not taken for a death.

Cause 3 (stalled): a server that keeps a request without working on it, or a connection gone silent, left a stream hanging until its caller went. It is opened elsewhere after 0.7 s (1.2 s before its first event).

Cause 5 (retry budget): the slack was divided among ten entries; sites have 23 and more, so the sum could have passed the budget. Found by reading; the test now has up to sixty entries and fails before. Runs lost with their server no longer count as attempts; streams under way wait for room instead of being cut.

Cause 6 (calls): each entry's call for changes came back five times a second in bursts.

Streams' logs tell the first event's wait, the longest pause, runs and repairs.

--- a/crates/core/src/pipeline/allowance.rs
+++ b/crates/core/src/pipeline/allowance.rs
@@ -14,21 +14,33 @@
     pub slack: f64,
     /// The window.
     pub window: Span,
+    /// How many entries are known, this one included.
+    pub entries: u64,
 }
 
-/// Among how many entries the slack is divided.
+/// Among how many entries the slack is divided at least.
 ///
 /// Entries do not speak to one another about retries, so each keeps to a part that stays safe when
-/// every entry uses its own up at once; deployments have up to about eight entries with those added
-/// during a day.
-const SHARERS: f64 = 10.0;
+/// every entry uses its own up at once; small deployments have up to about eight entries with those
+/// added during a day, and one that starts knows none of the others yet.
+const LEAST_SHARERS: f64 = 10.0;
+/// How many entries a known one stands for: some that were added are not known to all yet.
+const ADDED: f64 = 1.2;
+
+impl Terms {
+    /// Returns this entry's part of the slack.
+    fn share(&self) -> f64 {
+        self.slack / (self.entries as f64 * ADDED).max(LEAST_SHARERS)
+    }
+}
 /// Keeps back a part of the ratio: a window may cut off the requests that paid for a retry.
-const RATIO_KEPT: f64 = 0.7;
+const RATIO_KEPT: f64 = 0.8;
 
 /// Counts requests and extra arrivals of one service in a sliding window.
 ///
 /// Without it a failing service would get every request as often as its route allows, which keeps
-/// it down. Entries share no messages for this: the sum of shares is below the whole.
+/// it down. Entries share no messages for this: each knows how many there are, and the sum of their
+/// shares is below the whole.
 ///
 /// # Examples
 ///
@@ -37,7 +49,7 @@
 /// # use jujube_core::pipeline::allowance::Terms;
 /// # use jujube_core::time::Instant;
 /// # use jujube_core::time::Span;
-/// let terms = Terms { ratio: 0.2, slack: 10.0, window: Span(10_000) };
+/// let terms = Terms { ratio: 0.2, slack: 10.0, window: Span(10_000), entries: 4 };
 /// let mut allowance = Allowance::default();
 /// assert!(allowance.take(Instant(0), &terms));
 /// assert!(!allowance.take(Instant(0), &terms), "the share of the slack is used up");
@@ -56,16 +68,21 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one extra arrival; `false` when the share is used up.
-    pub fn take(&mut self, now: Instant, terms: &Terms) -> bool {
+    /// Tells whether one more extra arrival is within the share.
+    pub fn has_left(&mut self, now: Instant, terms: &Terms) -> bool {
         forget(&mut self.requests, now, terms.window);
         forget(&mut self.extra, now, terms.window);
         let paid = self.requests.len() as f64 * terms.ratio * RATIO_KEPT;
-        if self.extra.len() as f64 + 1.0 > paid + terms.slack / SHARERS {
-            return false;
+        self.extra.len() as f64 + 1.0 <= paid + terms.share()
+    }
+
+    /// Takes one extra arrival; `false` when the share is used up.
+    pub fn take(&mut self, now: Instant, terms: &Terms) -> bool {
+        let has_left = self.has_left(now, terms);
+        if has_left {
+            self.extra.push_back(now);
         }
-        self.extra.push_back(now);
-        true
+        has_left
     }
 }
 
--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -7,6 +7,9 @@
 mod walk;
 
 use std::collections::BTreeSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -69,6 +72,9 @@
 pub(super) const NO_ROOM_MS: f64 = 1e7;
 /// What a suspected server costs, in milliseconds: only where nothing else completes the path.
 pub(super) const SUSPECT_MS: f64 = 1e9;
+/// How soon the next event must be predicted after a repair, in milliseconds, for the request to stay:
+/// opening it elsewhere is an attempt and a retry, and a pause under 200 ms is on time.
+const SOON_MS: f64 = 60.0;
 /// What a path in another availability zone than the entry's costs, in milliseconds: each event
 /// crosses the link once more, which shows in nothing but the bytes between zones.
 const AWAY_MS: f64 = 60.0;
@@ -86,9 +92,24 @@
     pub avoid: &'a [Server],
     /// The entry's availability zone.
     pub home: &'a Zone,
+    /// How many requests of all entries this one stands for; they choose at the same moment.
+    pub crowd: f64,
+    /// A random number, drawn anew for each choice.
+    pub draw: u64,
 }
 
 impl View<'_> {
+    /// Returns how many of a crowd are taken to be ahead in an availability zone.
+    ///
+    /// Entries that choose at the same moment by the same figures would all choose alike. Each takes
+    /// a random place in the crowd of each zone, so that together they spread as if one chose for all.
+    fn ahead(&self, zone: &Zone) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (self.draw, zone).hash(&mut hasher);
+        let share = hasher.finish() as f64 / u64::MAX as f64;
+        share * (self.crowd - 1.0)
+    }
+
     fn shuns(&self, server: &Server) -> bool {
         self.suspicion.holds(server) || self.avoid.contains(server)
     }
@@ -102,6 +123,18 @@
     /// The predicted time, in milliseconds; over [`Choice::is_forced`]'s bound it was the last
     /// resort.
     pub cost_ms: f64,
+    /// How soon the parts that must read the request's tokens are predicted to have done so, in
+    /// milliseconds: the time to the next event.
+    pub ready_ms: f64,
+}
+
+/// How a request goes on after a part of its path was lost.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Continuation {
+    /// The first part stays; the engine is ordered to go on along this path.
+    Repair(Choice),
+    /// The request is opened again, on this path.
+    Reopen(Choice),
 }
 
 impl Choice {
@@ -177,4 +210,51 @@
         let across = self.walk(self.nodes.iter(), need, view, Some(old));
         across.filter(|choice| !choice.is_forced())
     }
+
+    /// Chooses how a request goes on whose path `old` has lost a part other than the first.
+    ///
+    /// Whichever way the next event comes sooner is taken: the stand-in of a dead part reads the tokens
+    /// of all requests that it takes over one after the other, and opening some of them elsewhere is
+    /// quicker than to queue there.
+    pub fn go_on(
+        &self,
+        need: Need,
+        view: &View<'_>,
+        old: &Path,
+        may_reopen: bool,
+    ) -> Option<Continuation> {
+        let repair = self.repair(need, view, old)?;
+        let may_reopen = may_reopen && repair.ready_ms > SOON_MS;
+        let reopen = may_reopen.then(|| self.choose(need, view)).flatten();
+        let reopen = reopen.filter(|choice| !choice.is_forced() && !choice.lacks_room());
+        match reopen.filter(|choice| choice.ready_ms < repair.ready_ms) {
+            Some(reopen) => Some(Continuation::Reopen(reopen)),
+            None => Some(Continuation::Repair(repair)),
+        }
+    }
+
+    /// Books what a request that takes `path` gives servers to read; parts of `old` have read it.
+    ///
+    /// `crowd` is how many requests this one stands for, see [`crate::pipeline::backlog::Backlog::crowd`].
+    pub fn book_reading(
+        &self,
+        load: &mut Load,
+        now: Instant,
+        need: Need,
+        path: &Path,
+        old: Option<&Path>,
+        crowd: f64,
+    ) {
+        let parts = path.parts().iter();
+        let new = parts.filter(|part| old.is_none_or(|old| !old.parts().contains(part)));
+        for part in new {
+            let Some(node) = self.nodes.iter().find(|node| node.server == part.server) else {
+                continue;
+            };
+            let requests = load.requests(&part.server);
+            let held = part.layers.len();
+            let read_ms = self.engine.read_ms(node.kind, held, need.prompt, requests);
+            load.backlog.add(now, &part.server, read_ms * crowd);
+        }
+    }
 }
--- a/crates/core/src/pipeline/chooser/walk.rs
+++ b/crates/core/src/pipeline/chooser/walk.rs
@@ -31,7 +31,7 @@
 const MOST_READING: f64 = 0.8;
 /// The share of a server's room that is filled: callers' estimates of their answers are often far
 /// off, and a server that runs out preempts the newest request and reads it again.
-const USABLE: f64 = 0.85;
+const USABLE: f64 = 1.0;
 /// What a part that stays in a path costs of its price as a new one: it has read the tokens so far,
 /// and its memory is taken already.
 const STAYS: f64 = 0.3;
@@ -68,7 +68,7 @@
                     let layers = Range::new(positions[from], positions[to]);
                     step(&reached, &nodes, old, (from, index, layers), need)
                 })
-                .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+                .min_by(|a, b| a.total_ms().total_cmp(&b.total_ms()));
         }
         self.trace(&nodes, &positions, &reached)
     }
@@ -98,6 +98,9 @@
             } else {
                 0.0
             },
+            read_layer_ms: engine.read_ms(node.kind, 1, need.prompt, requests) * slowness,
+            wait_ms: view.load.backlog.wait_ms(view.now, &node.server),
+            ahead: view.ahead(&node.zone),
             left: room - used,
         }
     }
@@ -136,7 +139,8 @@
         let path = Path::new(self.engine.layers, parts).ok()?;
         Some(Choice {
             path,
-            cost_ms: last.cost_ms,
+            cost_ms: last.total_ms(),
+            ready_ms: last.wait_ms + last.read_ms,
         })
     }
 }
@@ -146,6 +150,12 @@
     node: &'a Node,
     per_layer_ms: f64,
     once_ms: f64,
+    /// How long the request's tokens take to read, a layer.
+    read_layer_ms: f64,
+    /// How long the server is busy with reading what it was given before.
+    wait_ms: f64,
+    /// How many requests that are moved at the same moment are taken to be ahead.
+    ahead: f64,
     /// Room that is left, in tokens times layers.
     left: f64,
 }
@@ -157,6 +167,17 @@
     node: usize,
     parts: usize,
     cost_ms: f64,
+    /// How long the parts that must read the request's tokens take for it.
+    read_ms: f64,
+    /// How long the busiest of them reads other requests first. Parts read one behind the other, in
+    /// pieces, so their waits overlap.
+    wait_ms: f64,
+}
+
+impl Step {
+    fn total_ms(&self) -> f64 {
+        self.cost_ms + self.wait_ms
+    }
 }
 
 fn step(
@@ -171,10 +192,15 @@
     let stays = |part: &Part| part.server == priced.node.server && part.layers == layers;
     let stays = old.is_some_and(|path| path.parts().iter().any(stays));
     let mut cost_ms = priced.per_layer_ms * count;
+    let (mut read_ms, mut wait_ms) = (0.0, 0.0);
     if stays {
         cost_ms *= STAYS;
-    } else if need.tokens() * count > priced.left {
-        cost_ms += NO_ROOM_MS;
+    } else {
+        read_ms = priced.read_layer_ms * count;
+        wait_ms = priced.wait_ms + priced.ahead * read_ms;
+        if need.tokens() * count > priced.left {
+            cost_ms += NO_ROOM_MS;
+        }
     }
     cost_ms += priced.once_ms;
     let mut parts = 1;
@@ -183,6 +209,8 @@
         let hop_ms = if same { HOP_MS } else { FAR_HOP_MS };
         cost_ms += before.cost_ms + hop_ms * need.tokens();
         parts = before.parts + 1;
+        read_ms += before.read_ms;
+        wait_ms = before.wait_ms.max(wait_ms);
     }
     if parts > MOST_PARTS {
         cost_ms = f64::INFINITY;
@@ -192,6 +220,8 @@
         node,
         parts,
         cost_ms,
+        read_ms,
+        wait_ms,
     }
 }
 
--- a/crates/core/src/pipeline/engine.rs
+++ b/crates/core/src/pipeline/engine.rs
@@ -33,6 +33,11 @@
     pub context_ms: f64,
     /// Prompt tokens read in a second at reading pace 1.
     pub read_per_second: f64,
+    /// The most prompt tokens that a server reads between two tokens of the requests that it runs; 0
+    /// when that is not known.
+    pub chunk: f64,
+    /// How many tokens of an answer one event carries.
+    pub tokens_per_event: f64,
     /// How long loading all layers takes, in seconds.
     pub load_seconds: f64,
     /// Mean prompt tokens of a request.
@@ -88,6 +93,41 @@
         1.0 + requests as f64 * each_ms / self.step_ms.max(f64::MIN_POSITIVE)
     }
 
+    /// Returns how many milliseconds a server that holds `held` layers and runs `requests` requests
+    /// takes to read `tokens` tokens.
+    ///
+    /// It reads them in pieces, between the tokens of the requests that it runs; requests are spread
+    /// over the parts of their paths, so a share of them is in each of its batches.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::engine::Engine;
+    /// # use jujube_core::pipeline::engine::Kind;
+    /// let engine = Engine {
+    ///     layers: 80,
+    ///     step_ms: 1.0,
+    ///     read_per_second: 100_000.0,
+    ///     chunk: 500.0,
+    ///     ..Engine::default()
+    /// };
+    /// let kind = Kind { memory_mb: 0.0, pace: 16.0, read_pace: 8.0 };
+    /// assert_eq!(engine.read_ms(kind, 10, 1_000.0, 0), 14.0);
+    /// ```
+    #[must_use]
+    pub fn read_ms(&self, kind: Kind, held: u32, tokens: f64, requests: u64) -> f64 {
+        let share = f64::from(held) / f64::from(self.layers.max(1));
+        let reading_ms = tokens / self.read_per_second.max(1.0) * 1e3 * kind.read_pace * share;
+        let batch = (requests as f64 * share).ceil() as u64;
+        let step_ms = self.step_ms * kind.pace * share * self.batch_factor(batch);
+        let steps = if self.chunk > 0.0 {
+            tokens / self.chunk
+        } else {
+            0.0
+        };
+        reading_ms + steps * step_ms
+    }
+
     /// Returns the kind of an accelerator, if the model names it.
     #[must_use]
     pub fn kind(&self, accelerator: Option<&Accelerator>) -> Option<Kind> {
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::name::Server;
+use crate::pipeline::backlog::Backlog;
 use crate::pipeline::path::Path;
 use crate::time::Instant;
 use crate::time::Span;
@@ -48,6 +49,8 @@
     peers: BTreeMap<Arc<str>, Peer>,
     /// The sum of what the peers have, kept so that a choice needs one look-up a server.
     others: BTreeMap<Server, Use>,
+    /// What servers were given to read.
+    pub backlog: Backlog,
     /// Servers that refused requests, and until when that is believed.
     full: BTreeMap<Server, Refusal>,
     /// How many times slower than usual servers said they are, and when.
@@ -104,6 +107,12 @@
         }
     }
 
+    /// Books that a server was lost, so that the moves of its streams are foreseen.
+    pub fn lost(&mut self, now: Instant, server: &Server) {
+        let own = self.own.get(server).map_or(0, |used| used.requests);
+        self.backlog.lost(now, server, own, self.requests(server));
+    }
+
     /// Books that a server refused a request; each refusal soon after the last one counts twice as
     /// long.
     pub fn refused(&mut self, now: Instant, server: &Server) {
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -55,6 +55,8 @@
             suspicion: &self.suspicion,
             avoid: &self.avoid,
             home,
+            crowd: 1.0,
+            draw: 0,
         }
     }
 }
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -121,11 +121,15 @@
         ..ProptestConfig::default()
     })]
 
-    /// In no window do ten entries together send more extra arrivals than the service allows, when
-    /// each takes all that it can while its service fails.
+    /// In no window do entries together send more extra arrivals than the service allows, when each
+    /// takes all that it can while its service fails; sites have from four to some tens of entries.
     #[test]
-    fn ten_entries_stay_below_the_budget(gaps in proptest::collection::vec(0_u64..120, 50..300)) {
-        let terms = Terms { ratio: 0.2, slack: 100.0, window: Span(10_000) };
+    fn all_entries_together_stay_below_the_budget(
+        entries in 1_u64..60,
+        gaps in proptest::collection::vec(0_u64..120, 50..300),
+    ) {
+        let terms = Terms { ratio: 0.2, slack: 100.0, window: Span(10_000), entries };
+        let all = entries as f64;
         let mut allowance = Allowance::default();
         let mut requests = Vec::new();
         let mut extra = Vec::new();
@@ -144,7 +148,7 @@
             let asked = requests.iter().filter(inside).count() as f64;
             let earlier = requests.iter().filter(|time| **time <= *end && *end - **time < 2 * terms.window.0);
             let most = asked.max(earlier.count() as f64 - asked);
-            prop_assert!(10.0 * sent <= terms.ratio * 10.0 * most.max(asked) + terms.slack + 10.0);
+            prop_assert!(all * sent <= terms.ratio * all * most.max(asked) + terms.slack + all);
         }
     }
 }
--- a/crates/core/tests/support/pipeline.rs
+++ b/crates/core/tests/support/pipeline.rs
@@ -37,6 +37,8 @@
         request_ms: 0.007_14,
         context_ms: 0.009_56,
         read_per_second: 105_000.0,
+        chunk: 512.0,
+        tokens_per_event: 3.0,
         load_seconds: 14.0,
         usual_prompt: 774.0,
         usual_answer: 200.0,
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -33,7 +33,7 @@
 const WAIT_LOST: Span = Span(300);
 /// The pause between an answer with changes and the next call. Changes come in bursts, and each call
 /// is paid for by each entry; a tenth of the two seconds in which a configuration must be in force.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(500);
 /// The shortest and longest pause before a store that failed is asked again; a random one between
 /// them keeps the entries from asking together.
 const PAUSE_MS: std::ops::Range<u64> = 100..300;
@@ -202,6 +202,7 @@
     *state.fleets.borrow_mut() = fleet::build(&table, &roster);
     let is_known = |server: &jujube_core::name::Server| roster.get(server).is_some();
     state.suspicion.borrow_mut().retain(is_known);
+    state.load.borrow_mut().backlog.retain(is_known);
     state.roster_changed.notify_waiters();
 }
 
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -144,6 +144,11 @@
         peer.heard = clock::now();
     }
 
+    /// Returns how many entries are known, this one included.
+    pub fn count(&self) -> u64 {
+        self.0.borrow().len().max(1) as u64
+    }
+
     fn addresses(&self) -> Vec<SocketAddr> {
         let now = clock::now();
         let mut peers = self.0.borrow_mut();
@@ -264,11 +269,7 @@
     if state.suspicion.borrow().holds(&server) {
         return;
     }
-    let Some(address) = state.address(&server) else {
-        return;
-    };
-    let state = state.clone();
-    tokio::task::spawn_local(async move {
-        probe::health(&state, &server, address).await;
-    });
+    if let Some(address) = state.address(&server) {
+        probe::doubt(state, server, address);
+    }
 }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -58,6 +58,14 @@
 #[derive(Clone, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<Server, Vec<Idle>>>>,
+    dropped: Rc<Dropped>,
+}
+
+/// Servers that closed a connection that rested here.
+#[derive(Default)]
+struct Dropped {
+    servers: RefCell<Vec<Server>>,
+    grew: tokio::sync::Notify,
 }
 
 /// A connection in use.
@@ -95,9 +103,11 @@
         watch(&stream)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
+        let (pool, name) = (self.clone(), server.clone());
         tokio::task::spawn_local(async move {
             // Whoever uses the connection hears of its end through the sender.
             let _ended = connection.await;
+            pool.ended(&name);
         });
         Ok(self.leased(server, sender, false))
     }
@@ -123,6 +133,30 @@
         None
     }
 
+    /// Books that a connection to a server has ended.
+    ///
+    /// Kept connections are given up before the server would close them. One that ends while it rests
+    /// is most often the first sign that the server has crashed: without it, a part in the middle of
+    /// a path is missed only when its streams have been silent for long.
+    fn ended(&self, server: &Server) {
+        let mut idle = self.idle.borrow_mut();
+        let Some(kept) = idle.get_mut(server) else {
+            return;
+        };
+        let before = kept.len();
+        kept.retain(|connection| !connection.sender.is_closed());
+        if kept.len() < before {
+            self.dropped.servers.borrow_mut().push(server.clone());
+            self.dropped.grew.notify_one();
+        }
+    }
+
+    /// Waits until servers have closed connections that rested here; returns them.
+    pub async fn dropped(&self) -> Vec<Server> {
+        self.dropped.grew.notified().await;
+        self.dropped.servers.take()
+    }
+
     /// Closes the idle connections to a server.
     pub fn forget(&self, server: &Server) {
         self.idle.borrow_mut().remove(server);
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::Either;
+use futures::future::select;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
@@ -22,8 +24,12 @@
 use crate::state::State;
 
 /// How long a server may take to answer; its report needs no slot, and the way there and back takes
-/// two milliseconds. A packet lost on the way costs one answer, which the caller asks for again.
-const ANSWER: Duration = Duration::from_millis(150);
+/// two milliseconds.
+const ANSWER: Duration = Duration::from_millis(100);
+/// After how long it is asked once more, on a new connection: a packet may have been lost, which is
+/// sent again only after two tenths of a second, or the kept connection may have fallen silent. Of a
+/// link that loses three packets in a hundred, two in a row are lost once in some hundred questions.
+const AGAIN: Duration = Duration::from_millis(40);
 /// How long an answer stands for the next one who asks. A dying server stalls many streams at once;
 /// they need one question, not one each.
 const STANDS: Span = Span(400);
@@ -73,14 +79,29 @@
     server: &Server,
     address: SocketAddr,
 ) -> anyhow::Result<Bytes> {
-    let kept = state.pool.lease(server, address).await?;
-    let is_kept = kept.reused;
-    let asked = exchange::<D>(kept, address).await;
-    if asked.is_ok() || !is_kept {
-        return asked;
+    let first = std::pin::pin!(async {
+        let lease = state.pool.lease(server, address).await?;
+        let is_kept = lease.reused;
+        let asked = exchange::<D>(lease, address).await;
+        // A kept connection may have been closed meanwhile, which says nothing of the server.
+        if asked.is_ok() || !is_kept {
+            return asked;
+        }
+        exchange::<D>(state.pool.fresh(server, address).await?, address).await
+    });
+    let pause = std::pin::pin!(tokio::time::sleep(AGAIN));
+    let first = match select(first, pause).await {
+        Either::Left((answer, _)) => return answer,
+        Either::Right(((), first)) => first,
+    };
+    let second = std::pin::pin!(async {
+        exchange::<D>(state.pool.fresh(server, address).await?, address).await
+    });
+    match select(first, second).await {
+        Either::Left((Ok(body), _)) | Either::Right((Ok(body), _)) => Ok(body),
+        Either::Left((Err(_), second)) => second.await,
+        Either::Right((Err(_), first)) => first.await,
     }
-    // The kept connection may have been closed meanwhile, which says nothing of the server.
-    exchange::<D>(state.pool.fresh(server, address).await?, address).await
 }
 
 async fn exchange<D: Dialect>(lease: Lease, address: SocketAddr) -> anyhow::Result<Bytes> {
@@ -128,6 +149,25 @@
     health
 }
 
+/// Has a server asked whether it is alive, without waiting for the answer.
+pub fn doubt<D: Dialect>(state: &Rc<State<D>>, server: Server, address: SocketAddr) {
+    let state = state.clone();
+    tokio::task::spawn_local(async move {
+        health(&state, &server, address).await;
+    });
+}
+
+/// Asks servers that closed a connection that rested, until the process ends.
+pub async fn follow_dropped<D: Dialect>(state: Rc<State<D>>) {
+    loop {
+        for server in state.pool.dropped().await {
+            if let Some(address) = state.address(&server) {
+                doubt(&state, server, address);
+            }
+        }
+    }
+}
+
 /// How often the suspects are looked through.
 const LOOK: Duration = Duration::from_millis(100);
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -16,6 +16,7 @@
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::suspicion::Suspicion;
+use jujube_core::time::Span;
 use jujube_program::clock;
 
 use crate::gossip::Peers;
@@ -27,6 +28,9 @@
 use crate::waiting::Waiting;
 use crate::watchdog::Streams;
 
+/// How long a server must have been suspected to count as ended; it is asked again in that time.
+const ENDED: Span = Span(500);
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Phase {
@@ -130,11 +134,27 @@
         known && self.phase.get() == Phase::Serving
     }
 
+    /// Returns what the retry budget allows, for the entries that are known now.
+    fn retry_terms(&self) -> Terms {
+        Terms {
+            entries: self.peers.count(),
+            ..self.retry.get()
+        }
+    }
+
+    /// Tells whether this entry's share of retries is not used up.
+    pub fn has_retry(&self, service: &Service) -> bool {
+        let terms = self.retry_terms();
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances.entry(service.clone()).or_default();
+        allowance.has_left(clock::now(), &terms)
+    }
+
     /// Takes one retry out of this entry's share; `false` when it is used up.
     pub fn take_retry(&self, service: &Service) -> bool {
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(service.clone()).or_default();
-        let taken = allowance.take(clock::now(), &self.retry.get());
+        let taken = allowance.take(clock::now(), &self.retry_terms());
         if !taken {
             self.metrics.count("retries_denied");
         }
@@ -153,11 +173,20 @@
         self.roster.borrow().get(server).map(|known| known.address)
     }
 
+    /// Tells whether a backend server has ended: its registration is gone, or it has been dead for so
+    /// long that it was asked again in vain.
+    pub fn has_ended(&self, server: &Name) -> bool {
+        let lasts = self.suspicion.borrow().lasts(clock::now(), server);
+        let is_dead = lasts.is_some_and(|lasts| lasts >= ENDED);
+        is_dead || self.roster.borrow().get(server).is_none()
+    }
+
     /// Suspects a backend server.
     pub fn accuse(&self, server: &Name, cause: &str) {
         let fresh = self.suspicion.borrow_mut().accuse(clock::now(), server);
         self.pool.forget(server);
         if fresh {
+            self.load.borrow_mut().lost(clock::now(), server);
             self.suspicion_grew.notify_waiters();
             self.streams.look_at(server);
             self.metrics.count("servers_suspected");
--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -4,6 +4,7 @@
 
 use jujube_core::name::Server as Name;
 use jujube_core::name::Service;
+use jujube_core::pipeline::chooser::Continuation;
 use jujube_core::pipeline::chooser::Fleet;
 use jujube_core::pipeline::chooser::View;
 use jujube_core::pipeline::path::Path;
@@ -11,6 +12,7 @@
 
 use crate::state::State;
 
+use super::open::has_attempt;
 use super::record::Stream;
 
 /// Keeps a stream listed, and its memory booked, until it is dropped.
@@ -62,12 +64,52 @@
     }
 }
 
+/// Chooses how a stream goes on whose path `old` has lost a part other than the first.
+///
+/// What is chosen is booked at once, so that the next stream sees it. A path to be opened on is kept in
+/// the stream until it is.
+pub fn go_on<D>(
+    state: &State<D>,
+    stream: &Stream,
+    old: &Path,
+    avoid: &[Name],
+    may_reopen: bool,
+) -> Option<Continuation> {
+    let now = clock::now();
+    let crowd = state.load.borrow().backlog.crowd(now, old);
+    let (chosen, fleet, need) =
+        choose_with(state, &stream.service, avoid, crowd, |fleet, view| {
+            let need = stream.need(fleet.engine.tokens_per_event);
+            let chosen = fleet.go_on(need, view, old, may_reopen);
+            (chosen, fleet.clone(), need)
+        })?;
+    let chosen = chosen?;
+    let mut load = state.load.borrow_mut();
+    match &chosen {
+        Continuation::Reopen(choice) => {
+            fleet.book_reading(&mut load, now, need, &choice.path, None, crowd);
+            stream.planned.replace(Some(choice.path.clone()));
+        }
+        Continuation::Repair(choice) => {
+            fleet.book_reading(&mut load, now, need, &choice.path, Some(old), crowd);
+        }
+    }
+    Some(chosen)
+}
+
+/// Tells whether a stream that runs may be given up for another run.
+pub fn may_reopen<D>(state: &State<D>, stream: &Stream) -> bool {
+    let route = &stream.route;
+    route.resumable && has_attempt(state, stream) && state.has_retry(&stream.service)
+}
+
 /// Chooses with what this entry knows; `avoid` are servers that refused this request.
 pub fn choose_with<D, T>(
     state: &State<D>,
     service: &Service,
     avoid: &[Name],
-    choose: impl FnOnce(&Fleet, &View<'_>) -> T,
+    crowd: f64,
+    choose: impl FnOnce(&Rc<Fleet>, &View<'_>) -> T,
 ) -> Option<T> {
     let fleet = state.fleets.borrow().get(service)?.clone();
     let suspicion = state.suspicion.borrow();
@@ -78,6 +120,8 @@
         suspicion: &suspicion,
         avoid,
         home: &state.settings.zone,
+        crowd,
+        draw: rand::random(),
     };
     Some(choose(&fleet, &view))
 }
--- a/crates/front/src/stream/live.rs
+++ b/crates/front/src/stream/live.rs
@@ -136,10 +136,14 @@
         state.metrics.count("streams_completed");
         state.metrics.observe("stream", took);
         log::info!(
-            "event=streamed request={} events={} took_ms={took} runs={}",
+            "event=streamed request={} events={} took_ms={took} first_ms={} longest_pause_ms={} runs={} \
+             repairs={}",
             stream.id,
             self.relay.events(),
-            stream.runs.get()
+            stream.first.get(),
+            stream.longest.get(),
+            stream.runs(),
+            stream.repairs.get()
         );
         if let Upstream::Reading { lease, headers, .. } = &mut self.upstream {
             if let Some(lease) = lease.take() {
@@ -166,10 +170,7 @@
         );
         state.metrics.count("streams_resumed");
         if let Some(first) = stream.first() {
-            let state = state.clone();
-            tokio::task::spawn_local(async move {
-                probe::health(&state, &first.server, first.address).await;
-            });
+            probe::doubt(state, first.server, first.address);
         }
         let (sender, receiver) = oneshot::channel();
         let last = self.relay.last();
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -36,6 +36,8 @@
 use open::open;
 
 pub use booking::choose_with;
+pub use booking::go_on;
+pub use booking::may_reopen;
 pub use booking::take_path;
 pub use live::Live;
 pub use record::Stream;
@@ -70,18 +72,24 @@
         service: request.service,
         route: request.route,
         path: RefCell::default(),
+        planned: RefCell::default(),
+        distrusted: RefCell::default(),
         heard: Cell::new(now),
         events: Cell::new(0),
         pace_ms: Cell::new(0.0),
+        last_event: Cell::new(now),
+        first: Cell::default(),
+        longest: Cell::default(),
         is_checked: Cell::new(false),
         is_urgent: Cell::new(false),
+        repairs: Cell::new(0),
         detours: Cell::new(0),
         check_at: Cell::new(now),
         deadline: request.deadline,
         need,
         outgoing: request.outgoing,
         arrived: request.arrived,
-        runs: Cell::new(0),
+        ran_on: RefCell::default(),
         abandoned: Cell::new(false),
         expired: Cell::new(false),
         waker: AtomicWaker::new(),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -1,11 +1,13 @@
 //! Sending a request along a path until an engine takes it.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::future::Either;
 use futures::future::select;
 use jujube_core::name::Server as Name;
-use jujube_core::pipeline::chooser::Choice;
+use jujube_core::pipeline::path::Path;
+use jujube_core::time::Span;
 use jujube_program::clock;
 
 use crate::answer::Reason;
@@ -22,9 +24,19 @@
 use super::booking::take_path;
 use super::record::Stream;
 
+/// How many runs of one request may be lost with their servers before it is given up.
+const MOST_LOST: usize = 2;
 /// How many paths may refuse a request before it is given up.
 const MOST_REFUSALS: u32 = 3;
 
+/// How long after its last event a stream under way waits for servers to take it; callers leave after
+/// two seconds, and reading its tokens takes a part of that.
+const PATIENCE: Span = Span(1_400);
+/// How long it waits for room before it tries a server that is known to have none.
+const HOPEFUL: Span = Span(700);
+/// How often it looks for room.
+const ROOM_PAUSE: Duration = Duration::from_millis(50);
+
 pub(super) type GivenUp = (Reason, String);
 
 /// Sends the request along a path until one takes it.
@@ -33,21 +45,19 @@
     stream: &Rc<Stream>,
     last: Option<u64>,
 ) -> Result<Incomplete, GivenUp> {
-    let mut avoid: Vec<Name> = Vec::new();
+    let mut avoid: Vec<Name> = stream.distrusted.borrow().clone();
     let mut refusals = 0;
     loop {
         if stream.expired.get() || clock::now() >= stream.deadline {
             return Err((Reason::Late, "deadline".into()));
         }
         stream.abandoned.set(false);
-        let need = stream.need;
-        let choice = choose_with(state, &stream.service, &avoid, |fleet, view| {
-            fleet.choose(need, view)
-        });
-        let Some(choice) = choice.flatten().filter(|choice| !choice.is_forced()) else {
-            return Err((Reason::NoServer, "no-path".into()));
+        let path = match next_path(state, stream, &avoid) {
+            Some(path) => path,
+            None if waits_for_room(stream).await => continue,
+            None => return Err((Reason::NoServer, "no-path".into())),
         };
-        let sent = send(state, stream, choice, last);
+        let sent = send(state, stream, path, last);
         let failure = match sent.await {
             Ok(incomplete) => return Ok(incomplete),
             Err(failure) => failure,
@@ -68,12 +78,15 @@
             Failure::NotRun { at_fault, .. } => {
                 refusals += 1;
                 blame(state, stream, at_fault, &mut avoid);
-                if refusals >= MOST_REFUSALS || !state.take_retry(&stream.service) {
+                let is_over = refusals >= MOST_REFUSALS || !state.take_retry(&stream.service);
+                if is_over && !waits_for_room(stream).await {
                     return Err((Reason::Refused, cause));
                 }
             }
             Failure::Unknown(_) => {
                 if let Some(first) = stream.first() {
+                    // If it is dead, no other request should have to find that out for itself.
+                    probe::doubt(state, first.server.clone(), first.address);
                     avoid.push(first.server);
                 }
                 if !may_run_again(state, stream) {
@@ -85,19 +98,77 @@
     }
 }
 
+/// Waits a little for room, if this is a stream under way whose caller has not lost patience.
+///
+/// What was written so far is lost when it is cut, and its caller waits longer for the next event than
+/// a new one would be told to.
+async fn waits_for_room(stream: &Stream) -> bool {
+    let silent = clock::now().since(stream.last_event.get());
+    if stream.events.get() == 0 || silent >= PATIENCE {
+        return false;
+    }
+    tokio::time::sleep(ROOM_PAUSE).await;
+    true
+}
+
+/// Returns the path to send the request along, with what it gives servers to read booked.
+fn next_path<D>(state: &State<D>, stream: &Stream, avoid: &[Name]) -> Option<Path> {
+    let planned = stream.planned.take();
+    let is_sound = |path: &Path| {
+        let suspicion = state.suspicion.borrow();
+        path.parts()
+            .iter()
+            .all(|part| !suspicion.holds(&part.server))
+    };
+    if let Some(path) = planned.filter(is_sound) {
+        return Some(path);
+    }
+    let now = clock::now();
+    let left = stream.path.borrow();
+    let backlog = |left| state.load.borrow().backlog.crowd(now, left);
+    let crowd = left.as_ref().map_or(1.0, backlog);
+    let (choice, fleet, need) =
+        choose_with(state, &stream.service, avoid, crowd, |fleet, view| {
+            let need = stream.need(fleet.engine.tokens_per_event);
+            (fleet.choose(need, view), fleet.clone(), need)
+        })?;
+    let choice = choice.filter(|choice| !choice.is_forced())?;
+    let is_under_way = stream.events.get() > 0;
+    if is_under_way && choice.lacks_room() && clock::now().since(stream.last_event.get()) < HOPEFUL
+    {
+        return None;
+    }
+    let path = choice.path;
+    let mut load = state.load.borrow_mut();
+    fleet.book_reading(&mut load, now, need, &path, None, crowd);
+    Some(path)
+}
+
+/// Tells whether a stream may run on one more server.
+///
+/// A route limits on how many servers a request runs; those that ended meanwhile do not count, since
+/// what they did is lost. The whole is limited too, for callers whose streams meet one death after the
+/// other.
+pub(super) fn has_attempt<D>(state: &State<D>, stream: &Stream) -> bool {
+    let ran_on = stream.ran_on.borrow();
+    let alive = ran_on.iter().filter(|server| !state.has_ended(server));
+    let attempts = stream.route.attempts as usize;
+    alive.count() < attempts && ran_on.len() < attempts + MOST_LOST
+}
+
 /// Tells whether a stream that may have run may be sent to engines once more.
 pub(super) fn may_run_again<D>(state: &State<D>, stream: &Stream) -> bool {
     let route = &stream.route;
-    route.may_repeat() && stream.runs.get() < route.attempts && state.take_retry(&stream.service)
+    route.may_repeat() && has_attempt(state, stream) && state.take_retry(&stream.service)
 }
 
 async fn send<D: Dialect>(
     state: &Rc<State<D>>,
     stream: &Rc<Stream>,
-    choice: Choice,
+    path: Path,
     last: Option<u64>,
 ) -> Result<Incomplete, Failure> {
-    let Some(first) = choice.path.first().cloned() else {
+    let Some(first) = path.first().cloned() else {
         return Err(Failure::NotSent("an empty path".into()));
     };
     let now = clock::now();
@@ -107,23 +178,21 @@
     let left = stream.deadline.since(now);
     let headers = &mut outgoing.headers;
     head::set(headers, D::NAMES.deadline, &left.to_string());
-    head::set(headers, D::NAMES.path, &D::path(&choice.path));
+    head::set(headers, D::NAMES.path, &D::path(&path));
     if let Some(last) = last {
         head::set(headers, LAST_EVENT, &last.to_string());
     }
     let version = state.table().map_or(0, |table| table.document.version.0);
     log::info!(
-        "event=path-chosen request={} run={} cost_ms={:.0} peers={} version={version} left_ms={left} \
-         after={} path={}",
+        "event=path-chosen request={} run={} peers={} version={version} left_ms={left} after={} path={}",
         stream.id,
-        stream.runs.get() + 1,
-        choice.cost_ms,
+        stream.runs() + 1,
         state.load.borrow().peers(),
         last.unwrap_or(0),
-        choice.path
+        path
     );
-    take_path(state, stream, Some(choice.path));
-    stream.runs.set(stream.runs.get() + 1);
+    take_path(state, stream, Some(path));
+    stream.ran_on.borrow_mut().push(first.server.clone());
     let sending = upstream::send::<D>(&state.pool, &first.server, first.address, &outgoing);
     let sending = std::pin::pin!(sending);
     let lost = std::pin::pin!(stream.lost());
@@ -132,7 +201,7 @@
         Either::Right(_) => Err(Failure::Unknown("abandoned".into())),
     };
     if !matches!(result, Ok(_) | Err(Failure::Unknown(_))) {
-        stream.runs.set(stream.runs.get() - 1);
+        stream.ran_on.borrow_mut().pop();
     }
     result
 }
@@ -155,8 +224,5 @@
     let (server, address) = (part.server.clone(), part.address);
     avoid.push(server.clone());
     state.load.borrow_mut().refused(clock::now(), &server);
-    let state = state.clone();
-    tokio::task::spawn_local(async move {
-        probe::health(&state, &server, address).await;
-    });
+    probe::doubt(state, server, address);
 }
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -7,11 +7,13 @@
 use std::task::Poll;
 
 use futures::task::AtomicWaker;
+use jujube_core::name::Server;
 use jujube_core::name::Service;
 use jujube_core::pipeline::chooser::Need;
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::path::Path;
 use jujube_core::time::Instant;
+use jujube_core::time::Span;
 
 use crate::upstream::Outgoing;
 
@@ -29,25 +31,37 @@
     pub path: RefCell<Option<Path>>,
     /// When the last event came, or the request was sent.
     pub heard: Cell<Instant>,
+    /// When the last event came; a stream that is opened again is heard anew, an event is not.
+    pub last_event: Cell<Instant>,
     /// How many events came.
     pub events: Cell<u64>,
     /// The usual pause between events, in milliseconds.
     pub pace_ms: Cell<f64>,
+    /// How long the caller waited for the first event.
+    pub first: Cell<Span>,
+    /// The longest pause between events.
+    pub longest: Cell<Span>,
     /// Whether somebody looks after it.
     pub is_checked: Cell<bool>,
     /// Whether a server on its path has come under suspicion.
     pub is_urgent: Cell<bool>,
+    /// How often its path was changed under way.
+    pub repairs: Cell<u64>,
     /// How often it was taken off slow servers.
     pub detours: Cell<u64>,
     /// Not looked after before this time.
     pub check_at: Cell<Instant>,
     /// When the answer must be there.
     pub deadline: Instant,
+    /// The path that it is to be opened on, chosen and booked already.
+    pub planned: RefCell<Option<Path>>,
+    /// Servers that kept it waiting for no reason that they tell.
+    pub distrusted: RefCell<Vec<Server>>,
     pub(super) need: Need,
     pub(super) outgoing: Outgoing,
     pub(super) arrived: Instant,
-    /// How many times it was sent to engines that may have run it.
-    pub(super) runs: Cell<u64>,
+    /// The engines that it was sent to and that may have run it, in order.
+    pub(super) ran_on: RefCell<Vec<Server>>,
     pub(super) abandoned: Cell<bool>,
     pub(super) expired: Cell<bool>,
     /// Wakes the body of the answer.
@@ -72,9 +86,19 @@
         self.opener.wake();
     }
 
-    /// Returns what the request needs from now on.
-    pub fn need(&self) -> Need {
-        self.need
+    /// Returns what the request needs from now on: the events so far are read like a prompt.
+    pub fn need(&self, tokens_per_event: f64) -> Need {
+        let written = self.events.get() as f64 * tokens_per_event;
+        let written = written.min(self.need.answer);
+        Need {
+            prompt: self.need.prompt + written,
+            answer: self.need.answer - written,
+        }
+    }
+
+    /// Returns how many times it was sent to engines that may have run it.
+    pub fn runs(&self) -> usize {
+        self.ran_on.borrow().len()
     }
 
     /// Waits until the current run counts as lost or the time is over.
@@ -91,11 +115,16 @@
 
     pub(super) fn hear(&self, now: Instant) {
         const SMOOTHING: f64 = 0.2;
-        let pause = now.since(self.heard.get()).0 as f64;
+        let pause = now.since(self.heard.get());
         if self.events.get() > 0 {
             let pace = self.pace_ms.get();
-            self.pace_ms.set(pace + (pause - pace) * SMOOTHING);
+            self.pace_ms.set(pace + (pause.0 as f64 - pace) * SMOOTHING);
+            let longest = now.since(self.last_event.get());
+            self.longest.set(self.longest.get().max(longest));
+        } else {
+            self.first.set(now.since(self.arrived));
         }
+        self.last_event.set(now);
         self.heard.set(now);
         self.events.set(self.events.get() + 1);
     }
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -225,7 +225,9 @@
 }
 
 fn has_room<D>(state: &State<D>, service: &Service, need: Need) -> bool {
-    let choice = stream::choose_with(state, service, &[], |fleet, view| fleet.choose(need, view));
+    let choice = stream::choose_with(state, service, &[], 1.0, |fleet, view| {
+        fleet.choose(need, view)
+    });
     // Without any path there is nothing to wait for here; the request is answered at once.
     choice
         .flatten()
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -8,6 +8,7 @@
 
 use futures::future::join_all;
 use jujube_core::name::Server as Name;
+use jujube_core::pipeline::chooser::Continuation;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::time::Instant;
@@ -73,6 +74,11 @@
 const FIRST_SHARE: f64 = 0.7;
 /// How long a path that was found alive is left alone.
 const LEFT_ALONE: Span = Span(400);
+/// How long a stream may stand still between two events while every part of its path is well. A full
+/// server preempts a request for up to half a second; callers leave after two seconds.
+const STALLED: Span = Span(700);
+/// The same before the first event, when others may be read first.
+const STALLED_FIRST: Span = Span(1_200);
 /// How long the order to change a path may take.
 const REPAIR: Duration = Duration::from_millis(400);
 /// How often a stream is taken off slow servers: each new part reads all tokens again, which makes
@@ -135,7 +141,7 @@
     let heard = stream.heard.get();
     let ill = ill_parts(state, &path).await;
     let is_dead = ill.iter().any(|(_, health)| *health == Health::Dead);
-    if ill.is_empty() || (is_dead && stream.heard.get() != heard) {
+    if is_dead && stream.heard.get() != heard {
         return;
     }
     // Meanwhile the stream may have been opened elsewhere; what was found concerns its old path, and
@@ -143,6 +149,10 @@
     if stream.path.borrow().as_ref() != Some(&path) {
         return;
     }
+    if ill.is_empty() {
+        leave_stalled(state, stream, &path);
+        return;
+    }
     let is_first = |part: &Part| path.first().is_none_or(|first| first.server == part.server);
     if ill
         .iter()
@@ -159,9 +169,13 @@
         stream.detours.set(stream.detours.get() + 1);
     }
     for _ in 0..MOST_REPAIRS {
-        match repair(state, stream, &path, &avoid).await {
+        match repair(state, stream, &path, &avoid, is_dead).await {
             Repaired::Done => return,
             Repaired::Refused(part) => avoid.push(part),
+            Repaired::Elsewhere => {
+                stream.abandon();
+                return;
+            }
             Repaired::Impossible => break,
         }
     }
@@ -171,6 +185,34 @@
     }
 }
 
+/// Opens a stream elsewhere that stands still although every part of its path is well.
+///
+/// A backend server may keep a request without working on it, and a connection may have gone silent
+/// while new ones work. Neither shows in what a server says of itself; the caller would wait until
+/// its patience ends.
+fn leave_stalled<D: Dialect>(state: &Rc<State<D>>, stream: &Rc<Stream>, path: &Path) {
+    let silent = clock::now().since(stream.heard.get());
+    let limit = if stream.events.get() == 0 {
+        STALLED_FIRST
+    } else {
+        STALLED
+    };
+    let Some(first) = path.first() else {
+        return;
+    };
+    if silent < limit || !stream::may_reopen(state, stream) {
+        return;
+    }
+    log::info!(
+        "event=stalled request={} silent_ms={silent} events={} path={path}",
+        stream.id,
+        stream.events.get()
+    );
+    state.metrics.count("streams_stalled");
+    stream.distrusted.borrow_mut().push(first.server.clone());
+    stream.abandon();
+}
+
 async fn ill_parts<D: Dialect>(state: &Rc<State<D>>, path: &Path) -> Vec<(Part, Health)> {
     let asked = path.parts().iter().map(|part| async move {
         let health = probe::health(state, &part.server, part.address).await;
@@ -186,6 +228,8 @@
     Done,
     /// A part of the new path is dead or has no room.
     Refused(Name),
+    /// Opening the stream again is quicker.
+    Elsewhere,
     Impossible,
 }
 
@@ -194,12 +238,16 @@
     stream: &Rc<Stream>,
     old: &Path,
     avoid: &[Name],
+    is_dead: bool,
 ) -> Repaired {
-    let need = stream.need();
-    let choice = stream::choose_with(state, &stream.service, avoid, |fleet, view| {
-        fleet.repair(need, view, old)
-    });
-    let (Some(choice), Some(first)) = (choice.flatten(), old.first()) else {
+    // A run that goes on slowly is not given up for another that may be refused.
+    let may_reopen = is_dead && stream::may_reopen(state, stream);
+    let choice = match stream::go_on(state, stream, old, avoid, may_reopen) {
+        Some(Continuation::Repair(choice)) => choice,
+        Some(Continuation::Reopen(_)) => return Repaired::Elsewhere,
+        None => return Repaired::Impossible,
+    };
+    let Some(first) = old.first() else {
         return Repaired::Impossible;
     };
     if choice.path == *old {
@@ -226,6 +274,7 @@
     );
     if status.is_success() {
         state.metrics.count("streams_repaired");
+        stream.repairs.set(stream.repairs.get() + 1);
         stream::take_path(state, stream, Some(choice.path));
         return Repaired::Done;
     }
