--- /dev/null
+++ b/crates/front/src/gossip/message.rs
@@ -0,0 +1,162 @@
+//! What entries tell one another.
+
+use jujube_core::layer::Range;
+use jujube_core::name::Server;
+use jujube_core::pipeline::load::Use;
+use jujube_core::pipeline::outlier::Tally;
+use jujube_core::time::Span;
+use jujube_program::clock;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::state::State;
+
+/// The most bytes of one message; three hundred servers take some 14 kB.
+pub(super) const MOST_BYTES: usize = 60_000;
+
+/// One server's use in a message.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Row {
+    pub(super) server: String,
+    pub(super) tokens: f32,
+    pub(super) requests: u32,
+}
+
+/// How many times slower than usual a server says it is.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Slow {
+    pub(super) server: String,
+    pub(super) slowness: f32,
+}
+
+/// The layers that a server holds.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Held {
+    pub(super) server: String,
+    pub(super) start: u32,
+    pub(super) end: u32,
+}
+
+/// A server that refuses requests, and for how many milliseconds more that is believed.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Full {
+    pub(super) server: String,
+    pub(super) lasts_ms: u32,
+}
+
+/// How requests at a server ended.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Ended {
+    pub(super) server: String,
+    pub(super) good: f32,
+    pub(super) bad: f32,
+}
+
+/// What one entry tells the others.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Message {
+    pub(super) entry: String,
+    pub(super) rows: Vec<Row>,
+    pub(super) slow: Vec<Slow>,
+    /// Servers that refuse requests of this entry.
+    pub(super) full: Vec<Full>,
+    /// How requests of this entry ended, by server.
+    pub(super) ended: Vec<Ended>,
+    /// Whether the store does not answer this entry.
+    pub(super) is_store_away: bool,
+    /// What servers told the planner that they hold, while the store is away.
+    pub(super) held: Vec<Held>,
+    /// Servers that this entry suspects. The others ask these themselves: an entry that is cut off
+    /// suspects all.
+    pub(super) suspects: Vec<String>,
+}
+
+impl From<Row> for (Server, Use) {
+    fn from(row: Row) -> Self {
+        let used = Use {
+            tokens: f64::from(row.tokens),
+            requests: u64::from(row.requests),
+        };
+        (row.server.into(), used)
+    }
+}
+
+impl From<(&Server, &Range)> for Held {
+    fn from((server, layers): (&Server, &Range)) -> Self {
+        Self {
+            server: server.to_string(),
+            start: layers.start,
+            end: layers.end,
+        }
+    }
+}
+
+impl From<(&Server, Span)> for Full {
+    fn from((server, lasts): (&Server, Span)) -> Self {
+        Self {
+            server: server.to_string(),
+            lasts_ms: lasts.0 as u32,
+        }
+    }
+}
+
+impl From<(&Server, Tally)> for Ended {
+    fn from((server, tally): (&Server, Tally)) -> Self {
+        Self {
+            server: server.to_string(),
+            good: tally.good as f32,
+            bad: tally.bad as f32,
+        }
+    }
+}
+
+impl From<Ended> for (Server, Tally) {
+    fn from(ended: Ended) -> Self {
+        let tally = Tally {
+            good: f64::from(ended.good),
+            bad: f64::from(ended.bad),
+        };
+        (ended.server.into(), tally)
+    }
+}
+
+impl From<(&Server, &f64)> for Slow {
+    fn from((server, slowness): (&Server, &f64)) -> Self {
+        Self {
+            server: server.to_string(),
+            slowness: *slowness as f32,
+        }
+    }
+}
+
+impl From<(&Server, &Use)> for Row {
+    fn from((server, used): (&Server, &Use)) -> Self {
+        Self {
+            server: server.to_string(),
+            tokens: used.tokens as f32,
+            requests: used.requests as u32,
+        }
+    }
+}
+
+impl Message {
+    /// Returns what this entry has to tell, encoded; `None` when it does not fit into a datagram.
+    pub(super) fn of<D>(state: &State<D>) -> Option<Vec<u8>> {
+        let load = state.load.borrow();
+        let suspicion = state.suspicion.borrow();
+        let outliers = state.outliers.borrow();
+        let now = clock::now();
+        let message = Self {
+            entry: state.settings.name.to_string(),
+            rows: load.own().map(Row::from).collect(),
+            slow: state.slow_servers.borrow().iter().map(Slow::from).collect(),
+            full: load.refusals.own(now).map(Full::from).collect(),
+            ended: outliers.own(now).map(Ended::from).collect(),
+            is_store_away: state.roster.borrow().is_store_away(),
+            held: state.told.borrow().iter().map(Held::from).collect(),
+            suspects: suspicion.names().map(ToString::to_string).collect(),
+        };
+        let bytes = bincode::serialize(&message);
+        bytes.ok().filter(|bytes| bytes.len() <= MOST_BYTES)
+    }
+}
--- /dev/null
+++ b/crates/front/src/gossip/peers.rs
@@ -0,0 +1,93 @@
+//! The other entries, as far as they are known.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+use jujube_program::clock;
+
+use super::ENTRIES;
+
+/// How long an entry whose announcement has ended is still told, after it was last heard: the
+/// announcement also ends when the store is away.
+const HEARD: Span = Span(5_000);
+/// How long another entry's word on the store counts.
+const FRESH: Span = Span(1_500);
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    is_announced: bool,
+    heard: Instant,
+    /// Whether it says that the store does not answer it.
+    is_store_away: bool,
+}
+
+/// The other entries.
+#[derive(Default)]
+pub struct Peers(RefCell<BTreeMap<SocketAddr, Peer>>);
+
+impl Peers {
+    /// Takes a key of the store, if it is an entry's announcement.
+    pub fn take(&self, key: &str, value: Option<&str>) {
+        let Some(_name) = key.strip_prefix(ENTRIES) else {
+            return;
+        };
+        let Some(value) = value else {
+            // The address is in the value that is gone: those not heard any more drop out.
+            for peer in self.0.borrow_mut().values_mut() {
+                peer.is_announced = false;
+            }
+            return;
+        };
+        if let Ok(address) = value.parse() {
+            let peer = Peer {
+                is_announced: true,
+                heard: clock::now(),
+                is_store_away: false,
+            };
+            self.0.borrow_mut().insert(address, peer);
+        }
+    }
+
+    pub(super) fn heard(&self, address: SocketAddr, is_store_away: bool) {
+        let mut peers = self.0.borrow_mut();
+        let peer = peers.entry(address).or_insert(Peer {
+            is_announced: false,
+            heard: clock::now(),
+            is_store_away,
+        });
+        peer.heard = clock::now();
+        peer.is_store_away = is_store_away;
+    }
+
+    /// Tells whether the store answers no other entry, as far as most of them are heard.
+    ///
+    /// `own` is this entry's address; entries that cannot be heard may be those that the store serves.
+    pub fn is_store_away(&self, own: SocketAddr) -> bool {
+        let now = clock::now();
+        let peers = self.0.borrow();
+        let others = peers.iter().filter(|(address, _)| **address != own);
+        let others: Vec<&Peer> = others.map(|(_, peer)| peer).collect();
+        let heard = others.iter().filter(|peer| now.since(peer.heard) <= FRESH);
+        let (mut count, mut all_away) = (0, true);
+        for peer in heard {
+            count += 1;
+            all_away &= peer.is_store_away;
+        }
+        all_away && count * 2 >= others.len()
+    }
+
+    /// Returns how many entries are known, this one included.
+    pub fn count(&self) -> u64 {
+        self.0.borrow().len().max(1) as u64
+    }
+
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let mut peers = self.0.borrow_mut();
+        peers.retain(|_, peer| peer.is_announced || now.since(peer.heard) <= HEARD);
+        peers.keys().copied().collect()
+    }
+}
