--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -11,6 +11,7 @@
 pub mod document;
 pub mod engine;
 pub mod load;
+pub mod outage;
 pub mod outlier;
 pub mod path;
 pub mod placement;
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -1,6 +1,8 @@
 //! Registered backend servers through outages of the registry.
 
 use jujube_core::layer::Range;
+use jujube_core::pipeline::outage::Word;
+use jujube_core::pipeline::outage::is_for_all;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::roster::LAPSE_GRACE;
 use jujube_core::pipeline::roster::Roster;
@@ -138,3 +140,22 @@
         Some(Range::default())
     );
 }
+
+/// No second planner gives orders while the first one goes on.
+///
+/// The store answers nobody at first, and the planner goes on. Then it answers a single entry, which may
+/// be made planner: whoever hears of that stops. Entries that fall silent may be with the store behind
+/// a cut, so half of them are enough to stop as well.
+#[test]
+fn an_outage_is_for_all_only_while_nobody_is_served() {
+    let all = [Word::Away; 5];
+    let mut one_served = all;
+    one_served[3] = Word::Served;
+    let mut most_silent = all;
+    most_silent[..3].fill(Word::Silent);
+
+    assert!(is_for_all(all));
+    assert!(!is_for_all(one_served));
+    assert!(!is_for_all(most_silent));
+    assert!(is_for_all([]), "an entry that is alone");
+}
--- a/crates/front/src/gossip/peers.rs
+++ b/crates/front/src/gossip/peers.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use jujube_core::pipeline::outage;
+use jujube_core::pipeline::outage::Word;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -62,21 +64,17 @@
         peer.is_store_away = is_store_away;
     }
 
-    /// Tells whether the store answers no other entry, as far as most of them are heard.
-    ///
-    /// `own` is this entry's address; entries that cannot be heard may be those that the store serves.
+    /// Tells whether the store answers no other entry; `own` is this entry's address.
     pub fn is_store_away(&self, own: SocketAddr) -> bool {
         let now = clock::now();
         let peers = self.0.borrow();
         let others = peers.iter().filter(|(address, _)| **address != own);
-        let others: Vec<&Peer> = others.map(|(_, peer)| peer).collect();
-        let heard = others.iter().filter(|peer| now.since(peer.heard) <= FRESH);
-        let (mut count, mut all_away) = (0, true);
-        for peer in heard {
-            count += 1;
-            all_away &= peer.is_store_away;
-        }
-        all_away && count * 2 >= others.len()
+        let words = others.map(|(_, peer)| match now.since(peer.heard) <= FRESH {
+            false => Word::Silent,
+            true if peer.is_store_away => Word::Away,
+            true => Word::Served,
+        });
+        outage::is_for_all(words)
     }
 
     /// Returns how many entries are known, this one included.
