--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Member {
     server: Server,
+    /// When it was first seen.
+    since: Instant,
     /// Until when it counts although its registration has lapsed.
     lapses: Option<Instant>,
 }
@@ -74,10 +76,12 @@
     }
 
     /// Takes a registration that was written.
-    pub fn seen(&mut self, server: Server) -> Effect {
+    pub fn seen(&mut self, now: Instant, server: Server) -> Effect {
         let name = server.name.clone();
+        let known = self.members.get(&name).map(|member| member.since);
         let member = Member {
             server,
+            since: known.unwrap_or(now),
             lapses: None,
         };
         let draining = member.server.state == State::Draining;
@@ -150,7 +154,7 @@
         }
         for server in servers {
             let name = server.name.clone();
-            let effect = self.seen(server);
+            let effect = self.seen(now, server);
             effects.push((name, effect));
         }
         effects.retain(|(_, effect)| *effect != Effect::None);
@@ -178,6 +182,12 @@
         servers.filter(|server| server.state == State::Ready)
     }
 
+    /// Returns for how long a server has been registered, as far as this entry has seen.
+    #[must_use]
+    pub fn age(&self, now: Instant, name: &Name) -> Option<Span> {
+        self.members.get(name).map(|member| now.since(member.since))
+    }
+
     /// Returns a registered server.
     #[must_use]
     pub fn get(&self, name: &Name) -> Option<&Server> {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -28,7 +28,7 @@
 fn with(names: &[&str]) -> Roster {
     let mut roster = Roster::default();
     for name in names {
-        roster.seen(server(name, State::Ready));
+        roster.seen(Instant(0), server(name, State::Ready));
     }
     roster
 }
@@ -44,7 +44,7 @@
 fn a_draining_server_gets_nothing_new() {
     let mut roster = with(&["a", "b"]);
 
-    let effect = roster.seen(server("a", State::Draining));
+    let effect = roster.seen(Instant(0), server("a", State::Draining));
 
     assert_eq!(effect, Effect::Draining);
     assert_eq!(usable(&roster), ["b"]);
@@ -80,7 +80,7 @@
     roster.store_lost();
     roster.store_returned(Instant(9_000));
     roster.replace(Instant(9_000), Vec::new());
-    roster.seen(server("b", State::Ready));
+    roster.seen(Instant(0), server("b", State::Ready));
 
     let gone = roster.expire(Instant(9_000).plus(LAPSE_GRACE));
 
@@ -92,7 +92,7 @@
 #[test]
 fn a_server_known_to_drain_does_not_lapse() {
     let mut roster = with(&["a"]);
-    roster.seen(server("a", State::Draining));
+    roster.seen(Instant(0), server("a", State::Draining));
     roster.store_lost();
 
     assert_eq!(roster.removed(Instant(5), &"a".into()), Effect::Gone);
@@ -111,7 +111,10 @@
 fn heartbeats_that_say_nothing_new_have_no_effect() {
     let mut roster = with(&["a"]);
 
-    assert_eq!(roster.seen(server("a", State::Ready)), Effect::None);
+    assert_eq!(
+        roster.seen(Instant(0), server("a", State::Ready)),
+        Effect::None
+    );
 }
 
 /// Callers find the layers that a server holds since its move, which the store could not tell.
@@ -134,7 +137,7 @@
     );
     assert!(!roster.reported(&"a".into(), moved), "it is known");
     roster.store_returned(Instant(9_000));
-    roster.seen(server("a", State::Ready));
+    roster.seen(Instant(0), server("a", State::Ready));
     assert_eq!(
         roster.get(&"a".into()).map(|server| server.held),
         Some(Range::default())
@@ -159,3 +162,19 @@
     assert!(!is_for_all(most_silent));
     assert!(is_for_all([]), "an entry that is alone");
 }
+
+/// A planner that has just been made gives layers at once to a server that joined before.
+///
+/// Servers that joined a moment ago wait for the word of the one that they replace. What counts is when
+/// they joined, not when the planner's term began; a change of what they hold does not make them new.
+#[test]
+fn a_server_ages_from_when_it_was_first_seen() {
+    let mut roster = with(&["a"]);
+
+    roster.seen(Instant(4_000), server("a", State::Draining));
+    roster.seen(Instant(5_000), server("b", State::Ready));
+
+    assert_eq!(roster.age(Instant(6_000), &"a".into()), Some(Span(6_000)));
+    assert_eq!(roster.age(Instant(6_000), &"b".into()), Some(Span(1_000)));
+    assert_eq!(roster.age(Instant(6_000), &"c".into()), None);
+}
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -185,7 +185,7 @@
             Ok(Record::Server(server)) => {
                 let name = server.name.clone();
                 let held = server.held;
-                let effect = state.roster.borrow_mut().seen(server);
+                let effect = state.roster.borrow_mut().seen(clock::now(), server);
                 is_changed |= effect != Effect::None;
                 if effect != Effect::None {
                     log::info!(
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -18,7 +18,7 @@
 use term::Term;
 
 /// How long the planner's lease lasts without renewal: a planner that dies is replaced within that
-/// time, while every layer still has its other holders.
+/// time, while every layer still has its other holders. With half of it no more was served.
 const TTL: Span = Span(3_000);
 
 /// Whether any entry holds the planner's lease, as the store tells it.
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -59,8 +59,6 @@
     pub(super) lease: Lease,
     pub(super) is_over: Cell<bool>,
     pub(super) pending: RefCell<BTreeMap<Name, Pending>>,
-    /// When each server was first seen in this term.
-    pub(super) seen: RefCell<BTreeMap<Name, Instant>>,
     /// How many orders each server is known to have taken.
     pub(super) taken: RefCell<BTreeMap<Name, u64>>,
     /// What the last plan of each model was made from. Planning takes some milliseconds, in which
@@ -77,7 +75,6 @@
             lease,
             is_over: Cell::new(false),
             pending: RefCell::default(),
-            seen: RefCell::default(),
             taken: RefCell::default(),
             planned: RefCell::default(),
         }
@@ -248,16 +245,14 @@
             let is_young = now.since(order.since) <= CARRIED_OUT;
             held.is_some_and(|held| held != order.layers) && is_young
         });
-        let mut seen = self.seen.borrow_mut();
-        seen.retain(|name, _| roster.get(name).is_some());
         let servers = roster.usable().filter(|server| server.service == *service);
         let holders = servers.filter_map(|server| {
             let kind = engine.kind(server.accelerator.as_ref())?;
             let ordered = pending.get(&server.name).map(|order| order.layers);
-            let first = *seen.entry(server.name.clone()).or_insert(now);
+            let age = roster.age(now, &server.name).unwrap_or_default();
             let phase = match ordered {
                 Some(_) => Work::Loading,
-                None if server.held.is_empty() && now.since(first) < JOINING => Work::Joining,
+                None if server.held.is_empty() && age < JOINING => Work::Joining,
                 None => Work::Settled,
             };
             Some(Holder {
--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// Chooses how a stream goes on whose path `old` has lost a part other than the first.
+/// Chooses how a stream goes on whose path `old` has a part other than the first that is dead, or slow.
 ///
 /// What is chosen is booked at once, so that the next stream sees it. A path to be opened on is kept in
 /// the stream until it is.
@@ -77,8 +77,10 @@
     stream: &Stream,
     old: &Path,
     avoid: &[Name],
-    may_reopen: bool,
+    is_dead: bool,
 ) -> Option<Continuation> {
+    // A run that goes on slowly is not given up for another that may be refused.
+    let may_reopen = is_dead && may_reopen(state, stream);
     let now = clock::now();
     let crowd = state.load.borrow().backlog.crowd(now, old);
     let (chosen, fleet, need) =
@@ -93,8 +95,9 @@
         Continuation::Repair(choice) => ("repair", choice.ready_ms),
     };
     log::info!(
-        "event=moving request={} way={way} ready_ms={ready_ms:.0} crowd={crowd:.0} from={old}",
-        stream.id
+        "event=moving request={} cause={} way={way} ready_ms={ready_ms:.0} crowd={crowd:.0} from={old}",
+        stream.id,
+        if is_dead { "dead" } else { "slow" }
     );
     let mut load = state.load.borrow_mut();
     match &chosen {
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -244,9 +244,7 @@
     avoid: &[Name],
     is_dead: bool,
 ) -> Repaired {
-    // A run that goes on slowly is not given up for another that may be refused.
-    let may_reopen = is_dead && stream::may_reopen(state, stream);
-    let choice = match stream::go_on(state, stream, old, avoid, may_reopen) {
+    let choice = match stream::go_on(state, stream, old, avoid, is_dead) {
         Some(Continuation::Repair(choice)) => choice,
         Some(Continuation::Reopen(_)) => return Repaired::Elsewhere,
         None => return Repaired::Impossible,
