Never say of a stream that ran that it has not run, and pay for each new try

Found by reading the diff. Cause 2: a stream under way that waited for room was sent again without taking a retry. Change: the reason given depends on whether anything ran; each new try takes a retry or waits for one.

--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -55,7 +55,7 @@
         let path = match next_path(state, stream, &avoid) {
             Some(path) => path,
             None if waits_for_room(stream).await => continue,
-            None => return Err((Reason::NoServer, "no-path".into())),
+            None => return Err(given_up(stream, Reason::NoServer, "no-path".into())),
         };
         let sent = send(state, stream, path, last);
         let failure = match sent.await {
@@ -81,9 +81,17 @@
             Failure::NotRun { at_fault, .. } => {
                 refusals += 1;
                 blame(state, stream, at_fault, &mut avoid);
-                let is_over = refusals >= MOST_REFUSALS || !state.take_retry(&stream.service);
-                if is_over && !waits_for_room(stream).await {
-                    return Err((Reason::Refused, cause));
+                if refusals >= MOST_REFUSALS {
+                    if !waits_for_room(stream).await {
+                        return Err(given_up(stream, Reason::Refused, cause));
+                    }
+                    refusals = 0;
+                    avoid.clone_from(&stream.distrusted.borrow());
+                }
+                while !state.take_retry(&stream.service) {
+                    if !waits_for_room(stream).await {
+                        return Err(given_up(stream, Reason::Refused, cause));
+                    }
                 }
             }
             Failure::Failed(_) => {
@@ -114,6 +122,17 @@
     }
 }
 
+/// Returns why a request is given up, as its caller may be told.
+///
+/// Some reasons say that a request has not run. After a run that failed or whose end is unknown that
+/// would be untrue, whatever the last server said.
+fn given_up(stream: &Stream, reason: Reason, cause: String) -> GivenUp {
+    if stream.runs() > 0 {
+        return (Reason::Failed, cause);
+    }
+    (reason, cause)
+}
+
 /// Tells whether a server answered that it failed.
 fn fails(incomplete: &Incomplete) -> bool {
     incomplete.response.status().is_server_error()
