--- a/crates/core/src/pipeline/backlog.rs
+++ b/crates/core/src/pipeline/backlog.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::name::Server;
 use crate::pipeline::path::Path;
+use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -35,14 +35,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct Backlog {
     /// When each server has read all, in milliseconds of [`Instant`].
-    read_at: BTreeMap<Server, f64>,
+    read_at: BTreeMap<Incarnation, f64>,
     /// Servers that were lost, when, and how many streams one of this entry's stands for.
-    lost: BTreeMap<Server, (Instant, f64)>,
+    lost: BTreeMap<Incarnation, (Instant, f64)>,
 }
 
 impl Backlog {
     /// Books reading that takes a server `work_ms` milliseconds.
-    pub fn add(&mut self, now: Instant, server: &Server, work_ms: f64) {
+    pub fn add(&mut self, now: Instant, server: &Incarnation, work_ms: f64) {
         let now = now.0 as f64;
         let read_at = self.read_at.entry(server.clone()).or_insert(now);
         *read_at = read_at.max(now) + work_ms;
@@ -50,7 +50,7 @@
 
     /// Returns for how many milliseconds a server is busy with what it was given.
     #[must_use]
-    pub fn wait_ms(&self, now: Instant, server: &Server) -> f64 {
+    pub fn wait_ms(&self, now: Instant, server: &Incarnation) -> f64 {
         let read_at = self.read_at.get(server);
         read_at.map_or(0.0, |at| (at - now.0 as f64).max(0.0))
     }
@@ -59,7 +59,7 @@
     ///
     /// All entries move their streams at the same moment and hear of one another's moves too late.
     /// They choose by the same figures, so each takes it that the others do what it does.
-    pub fn lost(&mut self, now: Instant, server: &Server, own: u64, all: u64) {
+    pub fn lost(&mut self, now: Instant, server: &Incarnation, own: u64, all: u64) {
         self.lost.retain(|_, (at, _)| now.since(*at) <= LOSS);
         let crowd = all as f64 / own.max(1) as f64;
         let crowd = crowd.clamp(1.0, MOST_CROWD);
@@ -78,7 +78,7 @@
     }
 
     /// Keeps only the servers that are still registered.
-    pub fn retain(&mut self, keep: impl Fn(&Server) -> bool) {
+    pub fn retain(&mut self, keep: impl Fn(&Incarnation) -> bool) {
         self.read_at.retain(|server, _| keep(server));
         self.lost.retain(|server, _| keep(server));
     }
--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -14,13 +14,13 @@
 use std::sync::Arc;
 
 use crate::layer::Range;
-use crate::name::Server;
 use crate::name::Zone;
 use crate::pipeline::engine::Engine;
 use crate::pipeline::engine::Kind;
 use crate::pipeline::load::Load;
 use crate::pipeline::outlier::Outliers;
 use crate::pipeline::path::Path;
+use crate::pipeline::server::Incarnation;
 use crate::pipeline::suspicion::Suspicion;
 use crate::time::Instant;
 
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Node {
     /// Its name.
-    pub server: Server,
+    pub server: Incarnation,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its availability zone.
@@ -95,7 +95,7 @@
     /// Who fails too often.
     pub outliers: &'a Outliers,
     /// Who refused this request.
-    pub avoid: &'a [Server],
+    pub avoid: &'a [Incarnation],
     /// The entry's availability zone.
     pub home: &'a Zone,
     /// How many requests of all entries this one stands for; they choose at the same moment.
@@ -117,7 +117,7 @@
     }
 
     /// Returns what a server's record costs a request, in milliseconds.
-    fn penalty_ms(&self, server: &Server) -> f64 {
+    fn penalty_ms(&self, server: &Incarnation) -> f64 {
         if self.suspicion.holds(server) || self.avoid.contains(server) {
             return SUSPECT_MS;
         }
--- a/crates/core/src/pipeline/engine.rs
+++ b/crates/core/src/pipeline/engine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::layer::Range;
 use crate::name::Accelerator;
 
 /// One kind of accelerator.
@@ -68,6 +69,13 @@
         (layers.max(0.0) as u32).min(self.layers)
     }
 
+    /// Tells whether layers are all of this model. A server may say that it holds others; a path through
+    /// them would end beyond the model.
+    #[must_use]
+    pub fn has(&self, layers: Range) -> bool {
+        layers.end <= self.layers
+    }
+
     /// Returns the memory left for requests beside `held` layers, in tokens times layers.
     #[must_use]
     pub fn room(&self, kind: Kind, held: u32) -> f64 {
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::name::Server;
 use crate::pipeline::backlog::Backlog;
 use crate::pipeline::path::Path;
 use crate::pipeline::refusals::Refusals;
+use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     at: Instant,
-    servers: BTreeMap<Server, Use>,
+    servers: BTreeMap<Incarnation, Use>,
 }
 
 /// The memory of requests in flight, of this entry and of the others.
@@ -46,16 +46,16 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Load {
-    own: BTreeMap<Server, Use>,
+    own: BTreeMap<Incarnation, Use>,
     peers: BTreeMap<Arc<str>, Peer>,
     /// The sum of what the peers have, kept so that a choice needs one look-up a server.
-    others: BTreeMap<Server, Use>,
+    others: BTreeMap<Incarnation, Use>,
     /// What servers were given to read.
     pub backlog: Backlog,
     /// Servers that refused requests.
     pub refusals: Refusals,
     /// How many times slower than usual servers said they are, and when.
-    slow: BTreeMap<Server, (f64, Instant)>,
+    slow: BTreeMap<Incarnation, (f64, Instant)>,
 }
 
 /// How long a server's word that it is slow counts; then a few requests find out how it is now.
@@ -63,14 +63,14 @@
 
 impl Load {
     /// Books a request at a server.
-    pub fn open(&mut self, server: &Server, tokens: f64) {
+    pub fn open(&mut self, server: &Incarnation, tokens: f64) {
         let used = self.own.entry(server.clone()).or_default();
         used.tokens += tokens;
         used.requests += 1;
     }
 
     /// Books its end.
-    pub fn close(&mut self, server: &Server, tokens: f64) {
+    pub fn close(&mut self, server: &Incarnation, tokens: f64) {
         let Some(used) = self.own.get_mut(server) else {
             return;
         };
@@ -96,13 +96,13 @@
     }
 
     /// Books that a server was lost, so that the moves of its streams are foreseen.
-    pub fn lost(&mut self, now: Instant, server: &Server) {
+    pub fn lost(&mut self, now: Instant, server: &Incarnation) {
         let own = self.own.get(server).map_or(0, |used| used.requests);
         self.backlog.lost(now, server, own, self.requests(server));
     }
 
     /// Books how many times slower than usual a server says it is.
-    pub fn reported(&mut self, now: Instant, server: &Server, slowness: f64) {
+    pub fn reported(&mut self, now: Instant, server: &Incarnation, slowness: f64) {
         self.slow.retain(|_, (_, at)| now.since(*at) <= SLOW);
         if slowness > 1.0 {
             self.slow.insert(server.clone(), (slowness, now));
@@ -113,7 +113,7 @@
 
     /// Returns how many times slower than usual a server is.
     #[must_use]
-    pub fn slowness(&self, now: Instant, server: &Server) -> f64 {
+    pub fn slowness(&self, now: Instant, server: &Incarnation) -> f64 {
         let known = self.slow.get(server);
         let fresh = known.filter(|(_, at)| now.since(*at) <= SLOW);
         fresh.map_or(1.0, |(slowness, _)| *slowness)
@@ -124,7 +124,7 @@
         &mut self,
         now: Instant,
         entry: Arc<str>,
-        servers: impl IntoIterator<Item = (Server, Use)>,
+        servers: impl IntoIterator<Item = (Incarnation, Use)>,
     ) {
         let peer = Peer {
             at: now,
@@ -155,26 +155,26 @@
     }
 
     /// Returns what this entry has in flight, to tell the others.
-    pub fn own(&self) -> impl Iterator<Item = (&Server, &Use)> {
+    pub fn own(&self) -> impl Iterator<Item = (&Incarnation, &Use)> {
         self.own.iter()
     }
 
     /// Returns the memory in use at a server, in tokens times layers.
     #[must_use]
-    pub fn tokens(&self, server: &Server) -> f64 {
+    pub fn tokens(&self, server: &Incarnation) -> f64 {
         let tokens = |used: &Use| used.tokens;
         self.own.get(server).map_or(0.0, tokens) + self.others.get(server).map_or(0.0, tokens)
     }
 
     /// Returns the requests in flight at a server.
     #[must_use]
-    pub fn requests(&self, server: &Server) -> u64 {
+    pub fn requests(&self, server: &Incarnation) -> u64 {
         let requests = |used: &Use| used.requests;
         self.own.get(server).map_or(0, requests) + self.others.get(server).map_or(0, requests)
     }
 }
 
-fn add(sums: &mut BTreeMap<Server, Use>, rows: &BTreeMap<Server, Use>) {
+fn add(sums: &mut BTreeMap<Incarnation, Use>, rows: &BTreeMap<Incarnation, Use>) {
     for (server, used) in rows {
         let sum = sums.entry(server.clone()).or_default();
         sum.tokens += used.tokens;
@@ -182,7 +182,7 @@
     }
 }
 
-fn take_off(sums: &mut BTreeMap<Server, Use>, rows: &BTreeMap<Server, Use>) {
+fn take_off(sums: &mut BTreeMap<Incarnation, Use>, rows: &BTreeMap<Incarnation, Use>) {
     for (server, used) in rows {
         let Some(sum) = sums.get_mut(server) else {
             continue;
--- a/crates/core/src/pipeline/outlier.rs
+++ b/crates/core/src/pipeline/outlier.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use crate::name::Server;
+use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -67,14 +67,14 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Outliers {
-    own: BTreeMap<Server, Aging>,
-    others: BTreeMap<Arc<str>, (Instant, BTreeMap<Server, Tally>)>,
-    avoided: BTreeSet<Server>,
+    own: BTreeMap<Incarnation, Aging>,
+    others: BTreeMap<Arc<str>, (Instant, BTreeMap<Incarnation, Tally>)>,
+    avoided: BTreeSet<Incarnation>,
 }
 
 impl Outliers {
     /// Books a request that ended well.
-    pub fn served(&mut self, now: Instant, server: &Server) {
+    pub fn served(&mut self, now: Instant, server: &Incarnation) {
         self.add(
             now,
             server,
@@ -86,7 +86,7 @@
     }
 
     /// Books a request that failed.
-    pub fn failed(&mut self, now: Instant, server: &Server) {
+    pub fn failed(&mut self, now: Instant, server: &Incarnation) {
         self.add(
             now,
             server,
@@ -97,7 +97,7 @@
         );
     }
 
-    fn add(&mut self, now: Instant, server: &Server, more: Tally) {
+    fn add(&mut self, now: Instant, server: &Incarnation, more: Tally) {
         let before = self.own.get(server).map(|aging| aging.at(now));
         let before = before.unwrap_or_default();
         let tally = Tally {
@@ -112,7 +112,7 @@
         &mut self,
         now: Instant,
         entry: Arc<str>,
-        tallies: impl IntoIterator<Item = (Server, Tally)>,
+        tallies: impl IntoIterator<Item = (Incarnation, Tally)>,
     ) {
         let tallies = tallies.into_iter().collect();
         self.others.insert(entry, (now, tallies));
@@ -120,7 +120,7 @@
 
     /// Returns what to tell the others. Servers at which nothing failed are told as well: were they left
     /// out, the one entry that met a failure would speak for all.
-    pub fn own(&self, now: Instant) -> impl Iterator<Item = (&Server, Tally)> {
+    pub fn own(&self, now: Instant) -> impl Iterator<Item = (&Incarnation, Tally)> {
         const WORTH_TELLING: f64 = 0.2;
         let aged = self
             .own
@@ -130,10 +130,10 @@
     }
 
     /// Judges all servers by what is known now; returns who is newly avoided.
-    pub fn judge(&mut self, now: Instant) -> Vec<Server> {
+    pub fn judge(&mut self, now: Instant) -> Vec<Incarnation> {
         self.others.retain(|_, (at, _)| now.since(*at) <= STANDS);
         let own = self.own.iter().map(|(name, aging)| (name, aging.at(now)));
-        let mut sums: BTreeMap<&Server, Tally> = own.collect();
+        let mut sums: BTreeMap<&Incarnation, Tally> = own.collect();
         let told = self.others.values().flat_map(|(_, tallies)| tallies);
         for (server, tally) in told {
             let sum = sums.entry(server).or_default();
@@ -144,7 +144,7 @@
             tally.bad >= LEAST_FAILURES && tally.bad >= SHARE * (tally.good + tally.bad)
         };
         let bad = sums.into_iter().filter(|(_, tally)| is_bad(tally));
-        let avoided: BTreeSet<Server> = bad.map(|(server, _)| server.clone()).collect();
+        let avoided: BTreeSet<Incarnation> = bad.map(|(server, _)| server.clone()).collect();
         let fresh = avoided.difference(&self.avoided).cloned().collect();
         self.avoided = avoided;
         fresh
@@ -152,12 +152,12 @@
 
     /// Tells whether a server is to be avoided.
     #[must_use]
-    pub fn holds(&self, server: &Server) -> bool {
+    pub fn holds(&self, server: &Incarnation) -> bool {
         self.avoided.contains(server)
     }
 
     /// Keeps only the servers that are still registered.
-    pub fn retain(&mut self, keep: impl Fn(&Server) -> bool) {
+    pub fn retain(&mut self, keep: impl Fn(&Incarnation) -> bool) {
         self.own.retain(|server, _| keep(server));
     }
 }
--- a/crates/core/src/pipeline/path.rs
+++ b/crates/core/src/pipeline/path.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 
 use crate::layer::Range;
-use crate::name::Server;
+use crate::pipeline::server::Incarnation;
 
 /// One part of a path.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Part {
     /// Who runs it.
-    pub server: Server,
+    pub server: Incarnation,
     /// Where that backend server listens.
     pub address: SocketAddr,
     /// The layers that it runs.
@@ -81,7 +81,7 @@
 
     /// Tells whether a backend server stands in the path.
     #[must_use]
-    pub fn passes(&self, server: &Server) -> bool {
+    pub fn passes(&self, server: &Incarnation) -> bool {
         self.0.iter().any(|part| part.server == *server)
     }
 }
--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -1,10 +1,10 @@
 //! Backend servers as the plan sees them, and what it asks of them.
 
 use crate::layer::Range;
-use crate::name::Server;
 use crate::name::Zone;
 use crate::pipeline::engine::Engine;
 use crate::pipeline::engine::Kind;
+use crate::pipeline::server::Incarnation;
 
 /// What a server is about.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holder {
     /// Its name.
-    pub server: Server,
+    pub server: Incarnation,
     /// Its availability zone.
     pub zone: Zone,
     /// Its accelerator.
@@ -39,7 +39,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
     /// To whom.
-    pub server: Server,
+    pub server: Incarnation,
     /// What it is to hold.
     pub layers: Range,
 }
--- a/crates/core/src/pipeline/refusals.rs
+++ b/crates/core/src/pipeline/refusals.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::name::Server;
+use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -41,14 +41,14 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Refusals {
-    own: BTreeMap<Server, Refusal>,
-    heard: BTreeMap<Server, Instant>,
+    own: BTreeMap<Incarnation, Refusal>,
+    heard: BTreeMap<Incarnation, Instant>,
 }
 
 impl Refusals {
     /// Books that a server refused a request; each refusal soon after the last one counts twice as
     /// long. Returns whether that is news.
-    pub fn refused(&mut self, now: Instant, server: &Server) -> bool {
+    pub fn refused(&mut self, now: Instant, server: &Incarnation) -> bool {
         self.own
             .retain(|_, refusal| refusal.until.plus(LONGEST_FULL) > now);
         let lasts = match self.own.get(server) {
@@ -62,14 +62,14 @@
     }
 
     /// Takes another entry's word that a server refused, and for how much longer it believes that.
-    pub fn hear(&mut self, now: Instant, server: Server, lasts: Span) {
+    pub fn hear(&mut self, now: Instant, server: Incarnation, lasts: Span) {
         self.heard.retain(|_, until| *until > now);
         let until = now.plus(lasts.min(LONGEST_FULL));
         self.heard.insert(server, until);
     }
 
     /// Returns what to tell the others.
-    pub fn own(&self, now: Instant) -> impl Iterator<Item = (&Server, Span)> {
+    pub fn own(&self, now: Instant) -> impl Iterator<Item = (&Incarnation, Span)> {
         let left = self
             .own
             .iter()
@@ -78,14 +78,14 @@
     }
 
     /// Books that a server took a request.
-    pub fn took(&mut self, server: &Server) {
+    pub fn took(&mut self, server: &Incarnation) {
         self.own.remove(server);
         self.heard.remove(server);
     }
 
     /// Tells whether a server refused a request a moment ago.
     #[must_use]
-    pub fn holds(&self, now: Instant, server: &Server) -> bool {
+    pub fn holds(&self, now: Instant, server: &Incarnation) -> bool {
         let own = self.own.get(server).map(|refusal| refusal.until);
         let until = own.max(self.heard.get(server).copied());
         until.is_some_and(|until| until > now)
--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -1,9 +1,11 @@
 //! Which backend servers are registered, through outages of the registry.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::layer::Range;
 use crate::name::Server as Name;
+use crate::pipeline::server::Incarnation;
 use crate::pipeline::server::Server;
 use crate::pipeline::server::State;
 use crate::time::Instant;
@@ -42,6 +44,10 @@
     Lapsed,
     /// What a server holds or offers changed.
     Changed,
+    /// A server started again under its name; nothing of its earlier start counts.
+    Restarted,
+    /// A server's registration cannot be read any more.
+    Unreadable,
 }
 
 /// The registered backend servers.
@@ -59,6 +65,8 @@
     /// When the store last came back.
     returned: Option<Instant>,
     away: bool,
+    /// Earlier starts that were replaced and not asked for yet.
+    replaced: Vec<Incarnation>,
 }
 
 impl Roster {
@@ -76,18 +84,29 @@
     }
 
     /// Takes a registration that was written.
-    pub fn seen(&mut self, now: Instant, server: Server) -> Effect {
-        let name = server.name.clone();
-        let known = self.members.get(&name).map(|member| member.since);
+    pub fn seen(&mut self, now: Instant, mut server: Server) -> Effect {
+        let name = server.incarnation.server.clone();
+        let Some(before) = self.members.get(&name).cloned() else {
+            self.insert(now, server);
+            return Effect::Joined;
+        };
+        let known = &before.server.incarnation;
+        if server.incarnation.born.is_none() {
+            // Whoever does not tell its start is taken for the start that is known.
+            server.incarnation = known.clone();
+        }
+        if server.incarnation != *known {
+            self.replaced.push(known.clone());
+            self.insert(now, server);
+            return Effect::Restarted;
+        }
+        let draining = server.state == State::Draining;
         let member = Member {
             server,
-            since: known.unwrap_or(now),
+            since: before.since,
             lapses: None,
         };
-        let draining = member.server.state == State::Draining;
-        let Some(before) = self.members.insert(name, member.clone()) else {
-            return Effect::Joined;
-        };
+        self.members.insert(name, member.clone());
         if before == member {
             return Effect::None;
         }
@@ -97,23 +116,68 @@
         Effect::Changed
     }
 
+    fn insert(&mut self, now: Instant, server: Server) {
+        let member = Member {
+            server,
+            since: now,
+            lapses: None,
+        };
+        let name = member.server.incarnation.server.clone();
+        self.members.insert(name, member);
+    }
+
+    /// Takes the word that a server's registration cannot be read.
+    ///
+    /// Were what it said before believed, a server that drains or holds other layers by now would get
+    /// work for as long as the entry stays unreadable. It names no server to use until it can be read.
+    pub fn unreadable(&mut self, name: &Name) -> Effect {
+        let Some(member) = self.members.get_mut(name) else {
+            return Effect::None;
+        };
+        member.lapses = None;
+        if member.server.state == State::Unreadable {
+            return Effect::None;
+        }
+        member.server.state = State::Unreadable;
+        Effect::Unreadable
+    }
+
+    /// Returns the starts of servers that were replaced by later ones since this was last asked.
+    pub fn take_replaced(&mut self) -> Vec<Incarnation> {
+        std::mem::take(&mut self.replaced)
+    }
+
     /// Tells whether the store does not answer.
     #[must_use]
     pub fn is_store_away(&self) -> bool {
         self.away
     }
 
-    /// Takes what a server itself says it holds; `true` when that is news.
+    /// Takes what a server itself says it holds.
     ///
     /// Only while the store is away: a report lags behind the registration otherwise. Without it no
-    /// server's move would be seen before the store is back, and a death could not be mended.
-    pub fn reported(&mut self, name: &Name, held: Range) -> bool {
-        let Some(member) = self.members.get_mut(name).filter(|_| self.away) else {
-            return false;
+    /// server's move would be seen before the store is back, and a death could not be mended. A server
+    /// that has started again since is known by its later start; what an earlier one said counts no more.
+    pub fn reported(&mut self, now: Instant, told: &Incarnation, held: Range) -> Effect {
+        let Some(member) = self.members.get_mut(&told.server).filter(|_| self.away) else {
+            return Effect::None;
         };
-        let is_news = member.server.held != held;
-        member.server.held = held;
-        is_news
+        let known = &mut member.server;
+        let is_known = known.incarnation == *told;
+        if is_known && known.held != held {
+            known.held = held;
+            return Effect::Changed;
+        }
+        let is_later = known.state == State::Ready && told.born > known.incarnation.born;
+        if is_known || !is_later || known.incarnation.born.is_none() {
+            return Effect::None;
+        }
+        let mut server = known.clone();
+        let earlier = std::mem::replace(&mut server.incarnation, told.clone());
+        server.held = held;
+        self.replaced.push(earlier);
+        self.insert(now, server);
+        Effect::Restarted
     }
 
     /// Takes a registration that was removed.
@@ -142,21 +206,31 @@
         self.away || returned.is_some_and(|returned| now.since(returned) <= OUTAGE_ECHO)
     }
 
-    /// Takes the whole list, as read after a start or a gap in history.
-    pub fn replace(&mut self, now: Instant, servers: Vec<Server>) -> Vec<(Name, Effect)> {
+    /// Takes the whole list, as read after a start or a gap in history, with the names of those whose
+    /// registrations cannot be read.
+    pub fn replace(
+        &mut self,
+        now: Instant,
+        servers: Vec<Server>,
+        unreadable: &[Name],
+    ) -> Vec<(Name, Effect)> {
         let mut effects = Vec::new();
-        let missing: Vec<Name> = self
-            .members
-            .keys()
-            .filter(|name| !servers.iter().any(|server| server.name == **name))
+        let listed = servers.iter().map(|server| &server.incarnation.server);
+        let listed: BTreeSet<&Name> = listed.chain(unreadable).collect();
+        let known = self.members.keys();
+        let missing: Vec<Name> = known
+            .filter(|name| !listed.contains(name))
             .cloned()
             .collect();
         for name in missing {
             let effect = self.removed(now, &name);
             effects.push((name, effect));
         }
+        for name in unreadable {
+            effects.push((name.clone(), self.unreadable(name)));
+        }
         for server in servers {
-            let name = server.name.clone();
+            let name = server.incarnation.server.clone();
             let effect = self.seen(now, server);
             effects.push((name, effect));
         }
@@ -164,18 +238,12 @@
         effects
     }
 
-    /// Drops the members whose grace has passed; returns their names.
-    pub fn expire(&mut self, now: Instant) -> Vec<Name> {
+    /// Drops the members whose grace has passed; returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<Incarnation> {
         let lapsed = |member: &Member| member.lapses.is_some_and(|until| until <= now);
-        let gone: Vec<Name> = self
-            .members
-            .iter()
-            .filter(|(_, member)| lapsed(member))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in &gone {
-            self.members.remove(name);
-        }
+        let gone = self.members.values().filter(|member| lapsed(member));
+        let gone: Vec<Incarnation> = gone.map(|m| m.server.incarnation.clone()).collect();
+        self.members.retain(|_, member| !lapsed(member));
         gone
     }
 
@@ -185,15 +253,34 @@
         servers.filter(|server| server.state == State::Ready)
     }
 
-    /// Returns for how long a server has been registered, as far as this entry has seen.
+    /// Returns for how long this start of a server has been registered, as far as this entry has seen.
     #[must_use]
-    pub fn age(&self, now: Instant, name: &Name) -> Option<Span> {
-        self.members.get(name).map(|member| now.since(member.since))
+    pub fn age(&self, now: Instant, incarnation: &Incarnation) -> Option<Span> {
+        let member = self.member(incarnation)?;
+        Some(now.since(member.since))
     }
 
-    /// Returns a registered server.
+    /// Returns a registered server; `None` also when it has started again since.
     #[must_use]
-    pub fn get(&self, name: &Name) -> Option<&Server> {
-        self.members.get(name).map(|member| &member.server)
+    pub fn get(&self, incarnation: &Incarnation) -> Option<&Server> {
+        Some(&self.member(incarnation)?.server)
+    }
+
+    /// Returns what a server holds, whichever start of it is registered.
+    #[must_use]
+    pub fn held(&self, name: &Name) -> Option<Range> {
+        self.members.get(name).map(|member| member.server.held)
+    }
+
+    /// Tells whether a server is registered under a later start than this one.
+    #[must_use]
+    pub fn has_restarted(&self, incarnation: &Incarnation) -> bool {
+        let member = self.members.get(&incarnation.server);
+        member.is_some_and(|member| member.server.incarnation != *incarnation)
+    }
+
+    fn member(&self, incarnation: &Incarnation) -> Option<&Member> {
+        let member = self.members.get(&incarnation.server)?;
+        (member.server.incarnation == *incarnation).then_some(member)
     }
 }
--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::name::Server;
+use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
 
@@ -41,12 +41,12 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Suspicion {
-    suspects: BTreeMap<Server, Suspect>,
+    suspects: BTreeMap<Incarnation, Suspect>,
 }
 
 impl Suspicion {
     /// Books a failure; `true` when the server was not suspected before.
-    pub fn accuse(&mut self, now: Instant, server: &Server) -> bool {
+    pub fn accuse(&mut self, now: Instant, server: &Incarnation) -> bool {
         if self.suspects.contains_key(server) {
             return false;
         }
@@ -61,24 +61,24 @@
 
     /// Tells whether a server is suspected.
     #[must_use]
-    pub fn holds(&self, server: &Server) -> bool {
+    pub fn holds(&self, server: &Incarnation) -> bool {
         self.suspects.contains_key(server)
     }
 
     /// Returns who is suspected.
-    pub fn names(&self) -> impl Iterator<Item = &Server> {
+    pub fn names(&self) -> impl Iterator<Item = &Incarnation> {
         self.suspects.keys()
     }
 
     /// Returns for how long a server has been suspected.
     #[must_use]
-    pub fn lasts(&self, now: Instant, server: &Server) -> Option<Span> {
+    pub fn lasts(&self, now: Instant, server: &Incarnation) -> Option<Span> {
         let suspect = self.suspects.get(server)?;
         Some(now.since(suspect.since))
     }
 
     /// Returns the suspects to ask now; each is due again after a longer pause.
-    pub fn due(&mut self, now: Instant) -> Vec<Server> {
+    pub fn due(&mut self, now: Instant) -> Vec<Incarnation> {
         let mut due = Vec::new();
         for (server, suspect) in &mut self.suspects {
             if suspect.ask_at > now {
@@ -92,12 +92,12 @@
     }
 
     /// Takes a server that answered off the list; returns how long it was on it.
-    pub fn clear(&mut self, server: &Server) -> Option<Instant> {
+    pub fn clear(&mut self, server: &Incarnation) -> Option<Instant> {
         self.suspects.remove(server).map(|suspect| suspect.since)
     }
 
     /// Keeps only the servers that are still registered.
-    pub fn retain(&mut self, keep: impl Fn(&Server) -> bool) {
+    pub fn retain(&mut self, keep: impl Fn(&Incarnation) -> bool) {
         self.suspects.retain(|server, _| keep(server));
     }
 }
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -13,7 +13,6 @@
 use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
-use jujube_core::name::Server;
 use jujube_core::name::Zone;
 use jujube_core::pipeline::chooser::Continuation;
 use jujube_core::pipeline::chooser::Fleet;
@@ -24,6 +23,7 @@
 use jujube_core::pipeline::outlier::Outliers;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::placement::plan;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use rand::RngExt;
@@ -61,7 +61,7 @@
 }
 
 /// What one entry knows of the others' streams on a path.
-fn told(path: &Path) -> Vec<(Server, Use)> {
+fn told(path: &Path) -> Vec<(Incarnation, Use)> {
     let requests = ((ENTRIES - 1) * STREAMS) as u64;
     let used = |layers: u32| Use {
         tokens: NEED.tokens() * f64::from(layers) * requests as f64,
@@ -73,7 +73,7 @@
 }
 
 /// What an entry has in flight and hears of when a server of the path is lost.
-fn load(path: &Path, dead: &Server) -> Load {
+fn load(path: &Path, dead: &Incarnation) -> Load {
     let mut load = Load::default();
     for _ in 0..STREAMS {
         load.open_path(path, NEED.tokens());
@@ -86,7 +86,7 @@
 /// Books what a move really gives servers to read, in milliseconds.
 fn add_reading(
     fleet: &Fleet,
-    reading: &mut BTreeMap<Server, f64>,
+    reading: &mut BTreeMap<Incarnation, f64>,
     path: &Path,
     old: Option<&Path>,
 ) {
@@ -106,7 +106,7 @@
 /// Moves all streams of all entries; returns how long each server reads.
 ///
 /// Without `counts_crowd` each entry chooses as if it were alone and forgets what it gave out.
-fn moved(counts_crowd: bool) -> BTreeMap<Server, f64> {
+fn moved(counts_crowd: bool) -> BTreeMap<Incarnation, f64> {
     let engine = engine();
     let holders = region();
     let fleet = fleet(&engine, &carried_out(&holders, &plan(&engine, &holders)));
@@ -145,7 +145,7 @@
     reading
 }
 
-fn longest(reading: &BTreeMap<Server, f64>) -> f64 {
+fn longest(reading: &BTreeMap<Incarnation, f64>) -> f64 {
     reading.values().copied().fold(0.0, f64::max)
 }
 
--- a/crates/core/tests/outlier.rs
+++ b/crates/core/tests/outlier.rs
@@ -6,8 +6,8 @@
 
 use std::sync::Arc;
 
-use jujube_core::name::Server;
 use jujube_core::pipeline::outlier::Outliers;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -19,12 +19,16 @@
 /// How often entries tell one another, in milliseconds.
 const TELL: u64 = 300;
 
-fn servers() -> [Server; 3] {
+fn servers() -> [Incarnation; 3] {
     ["sound-1", "sound-2", "failing"].map(Into::into)
 }
 
-fn fails(server: &Server, draw: f64) -> bool {
-    let share = if &*server.0 == "failing" { 0.45 } else { 0.05 };
+fn fails(server: &Incarnation, draw: f64) -> bool {
+    let share = if &*server.server.0 == "failing" {
+        0.45
+    } else {
+        0.05
+    };
     draw < share
 }
 
@@ -57,7 +61,7 @@
             tell(now, &mut entries);
         }
         let entry = &mut entries[draws.random_range(0..ENTRIES)];
-        let usable: Vec<&Server> = servers.iter().filter(|s| !entry.holds(s)).collect();
+        let usable: Vec<&Incarnation> = servers.iter().filter(|s| !entry.holds(s)).collect();
         let server = usable[draws.random_range(0..usable.len())].clone();
         if fails(&server, draws.random()) {
             failed += 1;
@@ -89,7 +93,7 @@
 fn usual_failures_condemn_nobody() {
     let mut draws = StdRng::seed_from_u64(3);
     let mut outliers = Outliers::default();
-    let server: Server = "sound".into();
+    let server: Incarnation = "sound".into();
     let mut avoided = 0;
 
     for step in 0..2_000 {
@@ -109,7 +113,7 @@
 #[test]
 fn an_outlier_is_tried_again() {
     let mut outliers = Outliers::default();
-    let server: Server = "restless".into();
+    let server: Incarnation = "restless".into();
     for _ in 0..8 {
         outliers.failed(Instant(0), &server);
     }
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -11,7 +11,6 @@
 use std::collections::BTreeMap;
 
 use jujube_core::layer::Range;
-use jujube_core::name::Server;
 use jujube_core::name::Zone;
 use jujube_core::pipeline::chooser::Fleet;
 use jujube_core::pipeline::chooser::Need;
@@ -25,6 +24,7 @@
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase;
 use jujube_core::pipeline::placement::plan;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use proptest::prelude::*;
@@ -46,7 +46,7 @@
     load: Load,
     suspicion: Suspicion,
     outliers: Outliers,
-    avoid: Vec<Server>,
+    avoid: Vec<Incarnation>,
 }
 
 impl World {
@@ -115,7 +115,7 @@
     let mut world = World::default();
     let home: Zone = "c".into();
     let full = fleet.nodes.iter().filter(|node| node.zone == home);
-    let rows: Vec<(Server, Use)> = full
+    let rows: Vec<(Incarnation, Use)> = full
         .map(|node| {
             let used = Use {
                 tokens: node.room,
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -129,7 +129,7 @@
     let orders = plan(&engine, &holders);
 
     assert_eq!(orders.len(), 1);
-    assert_eq!(&*orders[0].server.0, "new");
+    assert_eq!(&*orders[0].server.server.0, "new");
 }
 
 /// Callers find a path again when only just enough servers are left.
@@ -178,7 +178,7 @@
     let orders = plan(&engine, &holders);
 
     assert_eq!(orders.len(), 1);
-    assert_eq!(&*orders[0].server.0, "new");
+    assert_eq!(&*orders[0].server.server.0, "new");
     assert!(orders[0].layers.start <= leaver.held.start + 3);
 }
 
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -13,7 +13,7 @@
 
 fn server(name: &str, state: State) -> Server {
     Server {
-        name: name.into(),
+        incarnation: name.into(),
         service: "writer".into(),
         address: ([10, 0, 0, 1], 8000).into(),
         zone: "a".into(),
@@ -36,7 +36,7 @@
 fn usable(roster: &Roster) -> Vec<String> {
     roster
         .usable()
-        .map(|server| server.name.to_string())
+        .map(|server| server.incarnation.to_string())
         .collect()
 }
 
@@ -68,7 +68,7 @@
     roster.store_lost();
     roster.store_returned(Instant(9_000));
 
-    let effects = roster.replace(Instant(9_000), Vec::new());
+    let effects = roster.replace(Instant(9_000), Vec::new(), &[]);
 
     assert!(effects.iter().all(|(_, effect)| *effect == Effect::Lapsed));
     assert_eq!(usable(&roster), ["a", "b"]);
@@ -79,7 +79,7 @@
     let mut roster = with(&["a", "b"]);
     roster.store_lost();
     roster.store_returned(Instant(9_000));
-    roster.replace(Instant(9_000), Vec::new());
+    roster.replace(Instant(9_000), Vec::new(), &[]);
     roster.seen(Instant(0), server("b", State::Ready));
 
     let gone = roster.expire(Instant(9_000).plus(LAPSE_GRACE));
@@ -125,17 +125,19 @@
 fn what_a_server_says_counts_only_while_the_store_is_away() {
     let mut roster = with(&["a"]);
     let moved = Range::new(4, 8);
-    assert!(!roster.reported(&"a".into(), moved), "the store tells");
+    let while_it_answers = roster.reported(Instant(0), &"a".into(), moved);
+    assert_eq!(while_it_answers, Effect::None, "the store tells");
 
     roster.store_lost();
-    let is_news = roster.reported(&"a".into(), moved);
+    let effect = roster.reported(Instant(0), &"a".into(), moved);
 
-    assert!(is_news);
+    assert_eq!(effect, Effect::Changed);
     assert_eq!(
         roster.get(&"a".into()).map(|server| server.held),
         Some(moved)
     );
-    assert!(!roster.reported(&"a".into(), moved), "it is known");
+    let again = roster.reported(Instant(0), &"a".into(), moved);
+    assert_eq!(again, Effect::None, "it is known");
     roster.store_returned(Instant(9_000));
     roster.seen(Instant(0), server("a", State::Ready));
     assert_eq!(
@@ -197,3 +199,54 @@
     assert!(roster.expire(Instant(10_999)).is_empty());
     assert_eq!(roster.expire(Instant(11_000)), vec!["a".into()]);
 }
+
+/// A server gets nothing new while its entry cannot be read, and what runs there goes on.
+///
+/// Somebody else writes over the entry of a known server. It may drain or hold other layers by now, so
+/// it is not used; it is still the server that streams run through. Its own next heartbeat names it again.
+#[test]
+fn an_unreadable_entry_names_no_server_to_use() {
+    let mut roster = with(&["a", "b"]);
+
+    let effect = roster.unreadable(&"a".into());
+
+    assert_eq!(effect, Effect::Unreadable);
+    assert_eq!(usable(&roster), ["b"]);
+    assert!(roster.get(&"a".into()).is_some(), "streams there go on");
+    assert_eq!(roster.unreadable(&"a".into()), Effect::None, "known");
+    let effect = roster.seen(Instant(1_000), server("a", State::Ready));
+    assert_eq!(effect, Effect::Changed);
+    assert_eq!(usable(&roster), ["a", "b"]);
+    assert_eq!(roster.age(Instant(1_000), &"a".into()), Some(Span(1_000)));
+}
+
+/// An unreadable entry gets no grace: nothing says that its server lives.
+#[test]
+fn an_unreadable_entry_does_not_lapse() {
+    let mut roster = with(&["a"]);
+    roster.unreadable(&"a".into());
+    roster.store_lost();
+
+    assert_eq!(roster.removed(Instant(5), &"a".into()), Effect::Gone);
+    assert_eq!(
+        roster.unreadable(&"a".into()),
+        Effect::None,
+        "nobody knows it"
+    );
+}
+
+/// A whole read that finds an unreadable entry does not take its server for one that vanished.
+#[test]
+fn a_whole_read_tells_unreadable_entries_from_missing_ones() {
+    let mut roster = with(&["a", "b", "c"]);
+
+    let mut effects = roster.replace(
+        Instant(0),
+        vec![server("b", State::Ready)],
+        &["a".into(), "new".into()],
+    );
+
+    effects.sort_by(|a, b| a.0.cmp(&b.0));
+    let expected = [("a".into(), Effect::Unreadable), ("c".into(), Effect::Gone)];
+    assert_eq!(effects, expected);
+}
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -12,7 +12,9 @@
 use jujube_core::pipeline::chooser::Need;
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::path::Path;
+use jujube_core::pipeline::server::Born;
 use jujube_core::pipeline::server::Server;
+use jujube_store::kv::Value;
 
 /// The names of headers.
 #[derive(Clone, Debug)]
@@ -42,7 +44,7 @@
 }
 
 /// One key of the store, decoded.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum Record {
     /// The newest configuration.
     Configuration(Document),
@@ -50,6 +52,10 @@
     Server(Server),
     /// A backend server's registration was removed.
     Removed(ServerName),
+    /// A backend server's registration cannot be read, and why.
+    UnreadableServer(ServerName, anyhow::Error),
+    /// Another value that the entry follows cannot be read, and why.
+    Unreadable(anyhow::Error),
     /// Nothing that the entry follows.
     Other,
 }
@@ -69,6 +75,8 @@
     pub held: Option<Range>,
     /// How many times slower than usual it is.
     pub slowness: f64,
+    /// When it started, by its own clock; `None` where it does not tell.
+    pub born: Option<Born>,
 }
 
 /// A platform's names, as functions between its wire and the router's types.
@@ -83,11 +91,7 @@
     const ORDER: &'static str;
 
     /// Decodes a key of the store; `value` is `None` where it was removed.
-    ///
-    /// # Errors
-    ///
-    /// The value is malformed.
-    fn record(key: &str, value: Option<&str>) -> Result<Record>;
+    fn record(key: &str, value: Option<&Value>) -> Record;
 
     /// Reads what a request needs of an engine.
     fn need(headers: &HeaderMap) -> Option<Need>;
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -16,11 +16,11 @@
         services.filter_map(|(service, backend)| Some((service, backend.engine.as_ref()?)));
     let fleets = models.map(|(service, engine)| {
         let servers = roster.usable().filter(|server| server.service == *service);
-        let holding = servers.filter(|server| !server.held.is_empty());
+        let holding = servers.filter(|server| !server.held.is_empty() && engine.has(server.held));
         let nodes = holding.filter_map(|server| {
             let kind = engine.kind(server.accelerator.as_ref())?;
             Some(Node {
-                server: server.name.clone(),
+                server: server.incarnation.clone(),
                 address: server.address,
                 zone: server.zone.clone(),
                 held: server.held,
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -1,5 +1,7 @@
 //! Follows the configuration and the registrations in the store.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,12 +12,13 @@
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::roster::Effect;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_store::kv::Change;
 use jujube_store::kv::Error;
 use jujube_store::kv::Feed;
 use jujube_store::kv::News;
-use jujube_store::kv::Pair;
 use jujube_store::kv::Revision;
 use jujube_store::orders;
 
@@ -68,6 +71,7 @@
                 if is_lost {
                     is_lost = false;
                     state.roster.borrow_mut().store_returned(clock::now());
+                    state.told.borrow_mut().clear();
                     log::info!("event=store-regained");
                 }
             }
@@ -93,7 +97,10 @@
 /// Until then every caller is turned away. A call that was made while the store was silent stays
 /// without an answer for its whole time, also when the store is back meanwhile; so another is made
 /// every now and then, and those before it may still be answered by a slow store.
-async fn first_snapshot<D: Dialect, F: Feed>(state: &State<D>, store: &F) -> (Vec<Pair>, Revision) {
+async fn first_snapshot<D: Dialect, F: Feed>(
+    state: &State<D>,
+    store: &F,
+) -> (Vec<Change>, Revision) {
     let mut calls = FuturesUnordered::new();
     let mut is_lost = false;
     loop {
@@ -127,7 +134,7 @@
 
 /// Reads everything; returns the revision to follow from.
 async fn read<D: Dialect, F: Feed>(state: &State<D>, store: &F) -> Result<Option<Revision>, Error> {
-    let (pairs, revision) = if state.registered.get() {
+    let (changes, revision) = if state.registered.get() {
         state.metrics.count("store_reads");
         store.snapshot(ALL).await?
     } else {
@@ -136,18 +143,25 @@
     // What came back after an outage is judged by when it came back, not by when it was lost.
     state.roster.borrow_mut().store_returned(clock::now());
     let mut servers = Vec::new();
+    let mut unreadable = Vec::new();
     let mut is_held = false;
-    for pair in &pairs {
-        is_held |= pair.key == orders::HOLDER;
-        state.peers.take(&pair.key, Some(&pair.value));
-        match D::record(&pair.key, Some(&pair.value)) {
-            Ok(Record::Configuration(document)) => take(state, document),
-            Ok(Record::Server(server)) => servers.push(server),
-            Ok(Record::Removed(_) | Record::Other) => {}
-            Err(error) => malformed(&pair.key, &error),
+    for change in &changes {
+        is_held |= change.key == orders::HOLDER;
+        state.peers.take(&change.key, change.value.as_ref());
+        match D::record(&change.key, change.value.as_ref()) {
+            Record::Configuration(document) => take(state, document),
+            Record::Server(server) => servers.push(server),
+            Record::UnreadableServer(server, error) => {
+                state.malformed.log(change, &error);
+                unreadable.push(server);
+            }
+            Record::Unreadable(error) => state.malformed.log(change, &error),
+            Record::Removed(_) | Record::Other => {}
         }
     }
-    let effects = state.roster.borrow_mut().replace(clock::now(), servers);
+    let mut roster = state.roster.borrow_mut();
+    let effects = roster.replace(clock::now(), servers, &unreadable);
+    drop(roster);
     for (server, effect) in &effects {
         log::info!("event=registration server={server} effect={effect:?} revision={revision}");
     }
@@ -179,33 +193,8 @@
         if change.key == orders::HOLDER {
             state.leadership.heard(change.value.is_some());
         }
-        state.peers.take(&change.key, change.value.as_deref());
-        match D::record(&change.key, change.value.as_deref()) {
-            Ok(Record::Configuration(document)) => take(state, document),
-            Ok(Record::Server(server)) => {
-                let name = server.name.clone();
-                let held = server.held;
-                let effect = state.roster.borrow_mut().seen(clock::now(), server);
-                is_changed |= effect != Effect::None;
-                if effect != Effect::None {
-                    log::info!(
-                        "event=registration server={name} effect={effect:?} held={held} \
-                         revision={}",
-                        change.revision
-                    );
-                }
-            }
-            Ok(Record::Removed(name)) => {
-                let effect = state.roster.borrow_mut().removed(clock::now(), &name);
-                is_changed |= effect != Effect::None;
-                log::info!(
-                    "event=registration server={name} effect={effect:?} revision={}",
-                    change.revision
-                );
-            }
-            Ok(Record::Other) => {}
-            Err(error) => malformed(&change.key, &error),
-        }
+        state.peers.take(&change.key, change.value.as_ref());
+        is_changed |= apply(state, change) != Effect::None;
     }
     if is_changed {
         rebuild(state);
@@ -216,9 +205,72 @@
     Ok(Some(revision))
 }
 
-fn malformed(key: &str, error: &anyhow::Error) {
-    let cause = format!("{error:#}").replace(' ', "-");
-    log::error!("event=malformed key={key} cause={cause}");
+/// Takes one change; returns what it meant for the registrations.
+fn apply<D: Dialect>(state: &State<D>, change: &Change) -> Effect {
+    let now = clock::now();
+    let mut roster = state.roster.borrow_mut();
+    let (name, effect) = match D::record(&change.key, change.value.as_ref()) {
+        Record::Configuration(document) => {
+            drop(roster);
+            take(state, document);
+            return Effect::None;
+        }
+        Record::Server(server) => {
+            let name = server.incarnation.server.clone();
+            (name, roster.seen(now, server))
+        }
+        Record::Removed(name) => {
+            let effect = roster.removed(now, &name);
+            (name, effect)
+        }
+        Record::UnreadableServer(name, error) => {
+            state.malformed.log(change, &error);
+            let effect = roster.unreadable(&name);
+            (name, effect)
+        }
+        Record::Unreadable(error) => {
+            state.malformed.log(change, &error);
+            return Effect::None;
+        }
+        Record::Other => return Effect::None,
+    };
+    if effect != Effect::None {
+        let held = roster.held(&name).unwrap_or_default();
+        log::info!(
+            "event=registration server={name} effect={effect:?} held={held} revision={}",
+            change.revision
+        );
+    }
+    effect
+}
+
+/// The values that could not be read and that were logged.
+///
+/// The whole store is read again after each gap in its history; without this an entry that somebody
+/// else wrote once would be reported each time.
+#[derive(Default)]
+pub struct Malformed(RefCell<BTreeMap<String, Revision>>);
+
+/// How many keys are remembered; a writer that makes up new ones must not fill the memory.
+const MOST_MALFORMED: usize = 1_000;
+
+impl Malformed {
+    fn log(&self, change: &Change, error: &anyhow::Error) {
+        let mut logged = self.0.borrow_mut();
+        if logged.get(&change.key) == Some(&change.revision) {
+            return;
+        }
+        if logged.len() >= MOST_MALFORMED {
+            logged.clear();
+        }
+        logged.insert(change.key.clone(), change.revision);
+        let cause = format!("{error:#}").replace(char::is_whitespace, "-");
+        log::error!(
+            "event=malformed key={} revision={} cause={cause}",
+            change.key,
+            change.revision
+        );
+    }
 }
 
 /// Takes a configuration, unless one that is newer is in force.
@@ -249,10 +301,15 @@
     };
     let roster = state.roster.borrow();
     *state.fleets.borrow_mut() = fleet::build(&table, &roster);
-    let is_known = |server: &jujube_core::name::Server| roster.get(server).is_some();
+    let is_known = |server: &Incarnation| roster.get(server).is_some();
     state.suspicion.borrow_mut().retain(is_known);
     state.load.borrow_mut().backlog.retain(is_known);
     state.outliers.borrow_mut().retain(is_known);
+    drop(roster);
+    for earlier in state.roster.borrow_mut().take_replaced() {
+        // Streams through it go on elsewhere at once, without waiting until they have been silent.
+        state.accuse(&earlier, "restarted");
+    }
     state.roster_changed.notify_waiters();
 }
 
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -1,9 +1,10 @@
 //! What entries tell one another.
 
 use jujube_core::layer::Range;
-use jujube_core::name::Server;
 use jujube_core::pipeline::load::Use;
 use jujube_core::pipeline::outlier::Tally;
+use jujube_core::pipeline::server::Born;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use serde::Deserialize;
@@ -14,10 +15,32 @@
 /// The most bytes of one message; three hundred servers take some 14 kB.
 pub(super) const MOST_BYTES: usize = 60_000;
 
+/// One start of a server.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Start {
+    server: String,
+    born: Option<u64>,
+}
+
+impl From<&Incarnation> for Start {
+    fn from(incarnation: &Incarnation) -> Self {
+        Self {
+            server: incarnation.server.to_string(),
+            born: incarnation.born.map(|born| born.0),
+        }
+    }
+}
+
+impl From<Start> for Incarnation {
+    fn from(start: Start) -> Self {
+        Self::new(start.server.into(), start.born.map(Born))
+    }
+}
+
 /// One server's use in a message.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Row {
-    pub(super) server: String,
+    pub(super) server: Start,
     pub(super) tokens: f32,
     pub(super) requests: u32,
 }
@@ -25,14 +48,14 @@
 /// How many times slower than usual a server says it is.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Slow {
-    pub(super) server: String,
+    pub(super) server: Start,
     pub(super) slowness: f32,
 }
 
 /// The layers that a server holds.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Held {
-    pub(super) server: String,
+    pub(super) server: Start,
     pub(super) start: u32,
     pub(super) end: u32,
 }
@@ -40,14 +63,14 @@
 /// A server that refuses requests, and for how many milliseconds more that is believed.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Full {
-    pub(super) server: String,
+    pub(super) server: Start,
     pub(super) lasts_ms: u32,
 }
 
 /// How requests at a server ended.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Ended {
-    pub(super) server: String,
+    pub(super) server: Start,
     pub(super) good: f32,
     pub(super) bad: f32,
 }
@@ -68,10 +91,10 @@
     pub(super) held: Vec<Held>,
     /// Servers that this entry suspects. The others ask these themselves: an entry that is cut off
     /// suspects all.
-    pub(super) suspects: Vec<String>,
+    pub(super) suspects: Vec<Start>,
 }
 
-impl From<Row> for (Server, Use) {
+impl From<Row> for (Incarnation, Use) {
     fn from(row: Row) -> Self {
         let used = Use {
             tokens: f64::from(row.tokens),
@@ -81,36 +104,36 @@
     }
 }
 
-impl From<(&Server, &Range)> for Held {
-    fn from((server, layers): (&Server, &Range)) -> Self {
+impl From<(&Incarnation, &Range)> for Held {
+    fn from((server, layers): (&Incarnation, &Range)) -> Self {
         Self {
-            server: server.to_string(),
+            server: server.into(),
             start: layers.start,
             end: layers.end,
         }
     }
 }
 
-impl From<(&Server, Span)> for Full {
-    fn from((server, lasts): (&Server, Span)) -> Self {
+impl From<(&Incarnation, Span)> for Full {
+    fn from((server, lasts): (&Incarnation, Span)) -> Self {
         Self {
-            server: server.to_string(),
+            server: server.into(),
             lasts_ms: lasts.0 as u32,
         }
     }
 }
 
-impl From<(&Server, Tally)> for Ended {
-    fn from((server, tally): (&Server, Tally)) -> Self {
+impl From<(&Incarnation, Tally)> for Ended {
+    fn from((server, tally): (&Incarnation, Tally)) -> Self {
         Self {
-            server: server.to_string(),
+            server: server.into(),
             good: tally.good as f32,
             bad: tally.bad as f32,
         }
     }
 }
 
-impl From<Ended> for (Server, Tally) {
+impl From<Ended> for (Incarnation, Tally) {
     fn from(ended: Ended) -> Self {
         let tally = Tally {
             good: f64::from(ended.good),
@@ -120,19 +143,19 @@
     }
 }
 
-impl From<(&Server, &f64)> for Slow {
-    fn from((server, slowness): (&Server, &f64)) -> Self {
+impl From<(&Incarnation, &f64)> for Slow {
+    fn from((server, slowness): (&Incarnation, &f64)) -> Self {
         Self {
-            server: server.to_string(),
+            server: server.into(),
             slowness: *slowness as f32,
         }
     }
 }
 
-impl From<(&Server, &Use)> for Row {
-    fn from((server, used): (&Server, &Use)) -> Self {
+impl From<(&Incarnation, &Use)> for Row {
+    fn from((server, used): (&Incarnation, &Use)) -> Self {
         Self {
-            server: server.to_string(),
+            server: server.into(),
             tokens: used.tokens as f32,
             requests: used.requests as u32,
         }
@@ -154,7 +177,7 @@
             ended: outliers.own(now).map(Ended::from).collect(),
             is_store_away: state.roster.borrow().is_store_away(),
             held: state.told.borrow().iter().map(Held::from).collect(),
-            suspects: suspicion.names().map(ToString::to_string).collect(),
+            suspects: suspicion.names().map(Start::from).collect(),
         };
         let bytes = bincode::serialize(&message);
         bytes.ok().filter(|bytes| bytes.len() <= MOST_BYTES)
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use jujube_core::layer::Range;
-use jujube_core::name::Server;
+use jujube_core::pipeline::roster::Effect;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use tokio::net::UdpSocket;
@@ -103,7 +104,8 @@
     for held in held {
         let layers = Range::new(held.start, held.end);
         let mut roster = state.roster.borrow_mut();
-        is_news |= roster.reported(&held.server.into(), layers);
+        let effect = roster.reported(clock::now(), &held.server.into(), layers);
+        is_news |= effect != Effect::None;
     }
     if is_news {
         follow::rebuild(state);
@@ -111,7 +113,7 @@
 }
 
 /// Asks a server that another entry suspects, unless this one does already.
-fn ask<D: Dialect>(state: &Rc<State<D>>, server: Server) {
+fn ask<D: Dialect>(state: &Rc<State<D>>, server: Incarnation) {
     if state.suspicion.borrow().holds(&server) {
         return;
     }
--- a/crates/front/src/gossip/peers.rs
+++ b/crates/front/src/gossip/peers.rs
@@ -9,6 +9,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_store::kv::Value;
 
 use super::ENTRIES;
 
@@ -32,7 +33,7 @@
 
 impl Peers {
     /// Takes a key of the store, if it is an entry's announcement.
-    pub fn take(&self, key: &str, value: Option<&str>) {
+    pub fn take(&self, key: &str, value: Option<&Value>) {
         let Some(_name) = key.strip_prefix(ENTRIES) else {
             return;
         };
@@ -43,6 +44,10 @@
             }
             return;
         };
+        let Value::Text(value) = value else {
+            // Somebody else wrote it; the entry that it names is known by what it tells.
+            return;
+        };
         if let Ok(address) = value.parse() {
             let peer = Peer {
                 is_announced: true,
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use jujube_core::name::Server as Name;
 use jujube_core::pipeline::placement::Order;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
 use jujube_store::kv::Feed;
 
@@ -101,7 +101,7 @@
         }
     }
 
-    async fn is_busy(&self, name: &Name, address: SocketAddr) -> bool {
+    async fn is_busy(&self, name: &Incarnation, address: SocketAddr) -> bool {
         let report = probe::report(&self.state, name, address).await;
         report.is_ok_and(|report| report.busy)
     }
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -9,12 +9,13 @@
 
 use jujube_core::fence::Holder as Lead;
 use jujube_core::layer::Range;
-use jujube_core::name::Server as Name;
 use jujube_core::name::Service;
 use jujube_core::pipeline::engine::Engine;
 use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase as Work;
+use jujube_core::pipeline::roster::Effect;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -58,9 +59,9 @@
     pub(super) lead: Cell<Lead>,
     pub(super) lease: Lease,
     pub(super) is_over: Cell<bool>,
-    pub(super) pending: RefCell<BTreeMap<Name, Pending>>,
+    pub(super) pending: RefCell<BTreeMap<Incarnation, Pending>>,
     /// How many orders each server is known to have taken.
-    pub(super) taken: RefCell<BTreeMap<Name, u64>>,
+    pub(super) taken: RefCell<BTreeMap<Incarnation, u64>>,
     /// What the last plan of each model was made from. Planning takes some milliseconds, in which
     /// no event is passed on, and the same holders give the same plan.
     pub(super) planned: RefCell<BTreeMap<Service, Vec<Holder>>>,
@@ -175,23 +176,25 @@
             let roster = self.state.roster.borrow();
             let mut slow = self.state.slow_servers.borrow_mut();
             slow.retain(|server, _| roster.get(server).is_some());
+            let mut told = self.state.told.borrow_mut();
+            told.retain(|server, _| roster.get(server).is_some());
         }
         self.state.slow_servers.borrow_mut().clear();
         self.state.told.borrow_mut().clear();
     }
 
     /// Returns the servers that hold layers or may be ordered to, and where they listen.
-    fn engines(&self) -> Vec<(Name, SocketAddr)> {
+    fn engines(&self) -> Vec<(Incarnation, SocketAddr)> {
         let roster = self.state.roster.borrow();
         let engines = roster
             .usable()
             .filter(|server| server.accelerator.is_some());
-        let engines = engines.map(|server| (server.name.clone(), server.address));
+        let engines = engines.map(|server| (server.incarnation.clone(), server.address));
         engines.collect()
     }
 
     /// Takes what a server says it holds while the store, which would tell all, is away.
-    fn take_held(&self, server: &Name, held: Option<Range>) {
+    fn take_held(&self, server: &Incarnation, held: Option<Range>) {
         let is_away = self.state.roster.borrow().is_store_away();
         if !is_away {
             self.state.told.borrow_mut().clear();
@@ -200,8 +203,10 @@
         let Some(held) = held else {
             return;
         };
-        let is_news = self.state.roster.borrow_mut().reported(server, held);
-        if !is_news {
+        let mut roster = self.state.roster.borrow_mut();
+        let effect = roster.reported(clock::now(), server, held);
+        drop(roster);
+        if effect == Effect::None {
             return;
         }
         log::info!("event=reported server={server} held={held}");
@@ -246,17 +251,18 @@
             held.is_some_and(|held| held != order.layers) && is_young
         });
         let servers = roster.usable().filter(|server| server.service == *service);
+        let servers = servers.filter(|server| engine.has(server.held));
         let holders = servers.filter_map(|server| {
             let kind = engine.kind(server.accelerator.as_ref())?;
-            let ordered = pending.get(&server.name).map(|order| order.layers);
-            let age = roster.age(now, &server.name).unwrap_or_default();
+            let ordered = pending.get(&server.incarnation).map(|order| order.layers);
+            let age = roster.age(now, &server.incarnation).unwrap_or_default();
             let phase = match ordered {
                 Some(_) => Work::Loading,
                 None if server.held.is_empty() && age < JOINING => Work::Joining,
                 None => Work::Settled,
             };
             Some(Holder {
-                server: server.name.clone(),
+                server: server.incarnation.clone(),
                 zone: server.zone.clone(),
                 kind,
                 held: ordered.unwrap_or(server.held),
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -18,7 +18,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
-use jujube_core::name::Server;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -57,14 +57,14 @@
 /// Idle connections by backend server.
 #[derive(Clone, Default)]
 pub struct Pool {
-    idle: Rc<RefCell<HashMap<Server, Vec<Idle>>>>,
+    idle: Rc<RefCell<HashMap<Incarnation, Vec<Idle>>>>,
     dropped: Rc<Dropped>,
 }
 
 /// Servers that closed a connection that rested here.
 #[derive(Default)]
 struct Dropped {
-    servers: RefCell<Vec<Server>>,
+    servers: RefCell<Vec<Incarnation>>,
     grew: tokio::sync::Notify,
 }
 
@@ -74,7 +74,7 @@
     pub sender: Sender,
     /// Whether it was kept from an earlier request.
     pub reused: bool,
-    server: Server,
+    server: Incarnation,
     pool: Pool,
 }
 
@@ -84,7 +84,7 @@
     /// # Errors
     ///
     /// No connection can be had; nothing was sent.
-    pub async fn lease(&self, server: &Server, address: SocketAddr) -> io::Result<Lease> {
+    pub async fn lease(&self, server: &Incarnation, address: SocketAddr) -> io::Result<Lease> {
         if let Some(sender) = self.kept(server) {
             return Ok(self.leased(server, sender, true));
         }
@@ -96,7 +96,7 @@
     /// # Errors
     ///
     /// No connection can be had; nothing was sent.
-    pub async fn fresh(&self, server: &Server, address: SocketAddr) -> io::Result<Lease> {
+    pub async fn fresh(&self, server: &Incarnation, address: SocketAddr) -> io::Result<Lease> {
         let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
@@ -112,7 +112,7 @@
         Ok(self.leased(server, sender, false))
     }
 
-    fn leased(&self, server: &Server, sender: Sender, reused: bool) -> Lease {
+    fn leased(&self, server: &Incarnation, sender: Sender, reused: bool) -> Lease {
         Lease {
             sender,
             reused,
@@ -121,7 +121,7 @@
         }
     }
 
-    fn kept(&self, server: &Server) -> Option<Sender> {
+    fn kept(&self, server: &Incarnation) -> Option<Sender> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(server)?;
@@ -138,7 +138,7 @@
     /// Kept connections are given up before the server would close them. One that ends while it rests
     /// is most often the first sign that the server has crashed: without it, a part in the middle of
     /// a path is missed only when its streams have been silent for long.
-    fn ended(&self, server: &Server) {
+    fn ended(&self, server: &Incarnation) {
         let mut idle = self.idle.borrow_mut();
         let Some(kept) = idle.get_mut(server) else {
             return;
@@ -152,18 +152,18 @@
     }
 
     /// Waits until servers have closed connections that rested here; returns them.
-    pub async fn dropped(&self) -> Vec<Server> {
+    pub async fn dropped(&self) -> Vec<Incarnation> {
         self.dropped.grew.notified().await;
         self.dropped.servers.take()
     }
 
     /// Closes the idle connections to a server.
-    pub fn forget(&self, server: &Server) {
+    pub fn forget(&self, server: &Incarnation) {
         self.idle.borrow_mut().remove(server);
     }
 
     /// Closes the idle connections whose time is over, and those to servers that are gone.
-    pub fn expire(&self, is_registered: impl Fn(&Server) -> bool) {
+    pub fn expire(&self, is_registered: impl Fn(&Incarnation) -> bool) {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|server, kept| {
@@ -218,7 +218,7 @@
 /// There is no whole answer; the order may have been taken.
 pub async fn order<D: Dialect>(
     pool: &Pool,
-    server: &Server,
+    server: &Incarnation,
     address: SocketAddr,
     body: Bytes,
 ) -> anyhow::Result<(StatusCode, Bytes)> {
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -12,13 +12,15 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
-use jujube_core::name::Server;
+use jujube_core::pipeline::roster::Effect;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 
 use crate::dialect::Dialect;
 use crate::dialect::Report;
+use crate::follow;
 use crate::pool;
 use crate::pool::Lease;
 use crate::state::State;
@@ -56,7 +58,7 @@
 /// Recent answers.
 #[derive(Default)]
 pub struct Probes {
-    known: RefCell<HashMap<Server, Known>>,
+    known: RefCell<HashMap<Incarnation, Known>>,
 }
 
 /// Asks a server for its report.
@@ -66,17 +68,39 @@
 /// It does not answer in time, or not with a report.
 pub async fn report<D: Dialect>(
     state: &State<D>,
-    server: &Server,
+    server: &Incarnation,
     address: SocketAddr,
 ) -> anyhow::Result<Report> {
     let asked = ask::<D>(state, server, address);
     let body = tokio::time::timeout(ANSWER, asked).await??;
-    D::report(&body)
+    let report = D::report(&body)?;
+    if server.is_denied_by(report.born) {
+        learn_restart(state, server, &report);
+        anyhow::bail!("restarted");
+    }
+    Ok(report)
+}
+
+/// Takes a server's own word that it has started again.
+///
+/// Its registration tells the same soon after. While the store is away it doesn't, and the server could
+/// get neither layers nor work until the store is back.
+fn learn_restart<D: Dialect>(state: &State<D>, earlier: &Incarnation, report: &Report) {
+    let later = Incarnation::new(earlier.server.clone(), report.born);
+    let held = report.held.unwrap_or_default();
+    let mut roster = state.roster.borrow_mut();
+    let effect = roster.reported(clock::now(), &later, held);
+    drop(roster);
+    if effect != Effect::None {
+        log::info!("event=reported server={later} effect={effect:?} held={held}");
+        state.told.borrow_mut().insert(later, held);
+        follow::rebuild(state);
+    }
 }
 
 async fn ask<D: Dialect>(
     state: &State<D>,
-    server: &Server,
+    server: &Incarnation,
     address: SocketAddr,
 ) -> anyhow::Result<Bytes> {
     let first = std::pin::pin!(async {
@@ -118,9 +142,13 @@
 /// Finds out how a server is; a dead one is suspected from now on.
 pub async fn health<D: Dialect>(
     state: &Rc<State<D>>,
-    server: &Server,
+    server: &Incarnation,
     address: SocketAddr,
 ) -> Health {
+    if state.roster.borrow().has_restarted(server) {
+        // Whoever listens there now knows nothing of what this start was given.
+        return Health::Dead;
+    }
     let known = state.probes.known.borrow().get(server).copied();
     if let Some(known) = known.filter(|known| clock::now().since(known.at) <= STANDS) {
         return known.health;
@@ -150,7 +178,7 @@
 }
 
 /// Has a server asked whether it is alive, without waiting for the answer.
-pub fn doubt<D: Dialect>(state: &Rc<State<D>>, server: Server, address: SocketAddr) {
+pub fn doubt<D: Dialect>(state: &Rc<State<D>>, server: Incarnation, address: SocketAddr) {
     let state = state.clone();
     tokio::task::spawn_local(async move {
         health(&state, &server, address).await;
@@ -186,7 +214,7 @@
     }
 }
 
-async fn ask_suspect<D: Dialect>(state: Rc<State<D>>, server: Server, address: SocketAddr) {
+async fn ask_suspect<D: Dialect>(state: Rc<State<D>>, server: Incarnation, address: SocketAddr) {
     state.metrics.count("probes");
     if report(&state, &server, address).await.is_err() {
         return;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 
 use jujube_core::layer::Range;
-use jujube_core::name::Server as Name;
 use jujube_core::name::Service;
 use jujube_core::pipeline::allowance::Allowance;
 use jujube_core::pipeline::allowance::Terms;
@@ -17,11 +16,13 @@
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::outlier::Outliers;
 use jujube_core::pipeline::roster::Roster;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 
+use crate::follow::Malformed;
 use crate::gossip::Peers;
 use crate::metrics::Metrics;
 use crate::planner::Leadership;
@@ -60,6 +61,8 @@
     pub table: RefCell<Option<Rc<Table>>>,
     /// The backend servers.
     pub roster: RefCell<Roster>,
+    /// The values of the store that could not be read.
+    pub malformed: Malformed,
     /// Whether the registrations were ever read.
     pub registered: Cell<bool>,
     /// The servers of each model, as path choice sees them.
@@ -73,9 +76,9 @@
     /// Told when the other entries should hear at once of a server that died or refuses.
     pub is_news: tokio::sync::Notify,
     /// Servers that told the planner that they are slow, and how many times.
-    pub slow_servers: RefCell<BTreeMap<Name, f64>>,
+    pub slow_servers: RefCell<BTreeMap<Incarnation, f64>>,
     /// What servers told this entry, as the planner, that they hold while the store is away.
-    pub told: RefCell<BTreeMap<Name, Range>>,
+    pub told: RefCell<BTreeMap<Incarnation, Range>>,
     /// The share of retries, by service.
     pub allowances: RefCell<BTreeMap<Service, Allowance>>,
     /// Connections to backend servers.
@@ -112,6 +115,7 @@
             settings,
             table: RefCell::default(),
             roster: RefCell::default(),
+            malformed: Malformed::default(),
             registered: Cell::new(false),
             fleets: RefCell::default(),
             load: RefCell::default(),
@@ -187,20 +191,20 @@
     }
 
     /// Returns where a registered backend server listens.
-    pub fn address(&self, server: &Name) -> Option<SocketAddr> {
+    pub fn address(&self, server: &Incarnation) -> Option<SocketAddr> {
         self.roster.borrow().get(server).map(|known| known.address)
     }
 
     /// Tells whether a backend server has ended: its registration is gone, or it has been dead for so
     /// long that it was asked again in vain.
-    pub fn has_ended(&self, server: &Name) -> bool {
+    pub fn has_ended(&self, server: &Incarnation) -> bool {
         let lasts = self.suspicion.borrow().lasts(clock::now(), server);
         let is_dead = lasts.is_some_and(|lasts| lasts >= ENDED);
         is_dead || self.roster.borrow().get(server).is_none()
     }
 
     /// Suspects a backend server.
-    pub fn accuse(&self, server: &Name, cause: &str) {
+    pub fn accuse(&self, server: &Incarnation, cause: &str) {
         let fresh = self.suspicion.borrow_mut().accuse(clock::now(), server);
         self.pool.forget(server);
         if fresh {
--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -2,12 +2,12 @@
 
 use std::rc::Rc;
 
-use jujube_core::name::Server as Name;
 use jujube_core::name::Service;
 use jujube_core::pipeline::chooser::Continuation;
 use jujube_core::pipeline::chooser::Fleet;
 use jujube_core::pipeline::chooser::View;
 use jujube_core::pipeline::path::Path;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
 
 use crate::state::State;
@@ -76,7 +76,7 @@
     state: &State<D>,
     stream: &Stream,
     old: &Path,
-    avoid: &[Name],
+    avoid: &[Incarnation],
     is_dead: bool,
 ) -> Option<Continuation> {
     // A run that goes on slowly is not given up for another that may be refused.
@@ -122,7 +122,7 @@
 pub fn choose_with<D, T>(
     state: &State<D>,
     service: &Service,
-    avoid: &[Name],
+    avoid: &[Incarnation],
     crowd: f64,
     choose: impl FnOnce(&Rc<Fleet>, &View<'_>) -> T,
 ) -> Option<T> {
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -5,8 +5,8 @@
 
 use futures::future::Either;
 use futures::future::select;
-use jujube_core::name::Server as Name;
 use jujube_core::pipeline::path::Path;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
 use jujube_program::clock;
 
@@ -45,7 +45,7 @@
     stream: &Rc<Stream>,
     last: Option<u64>,
 ) -> Result<Incomplete, GivenUp> {
-    let mut avoid: Vec<Name> = stream.distrusted.borrow().clone();
+    let mut avoid: Vec<Incarnation> = stream.distrusted.borrow().clone();
     let mut refusals = 0;
     loop {
         if stream.expired.get() || clock::now() >= stream.deadline {
@@ -152,7 +152,7 @@
 }
 
 /// Returns the path to send the request along, with what it gives servers to read booked.
-fn next_path<D>(state: &State<D>, stream: &Stream, avoid: &[Name]) -> Option<Path> {
+fn next_path<D>(state: &State<D>, stream: &Stream, avoid: &[Incarnation]) -> Option<Path> {
     let planned = stream.planned.take();
     let is_sound = |path: &Path| {
         let suspicion = state.suspicion.borrow();
@@ -251,7 +251,7 @@
     state: &Rc<State<D>>,
     stream: &Stream,
     at_fault: Option<std::net::SocketAddr>,
-    avoid: &mut Vec<Name>,
+    avoid: &mut Vec<Incarnation>,
 ) {
     let path = stream.path.borrow();
     let Some(path) = path.as_ref() else {
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -7,11 +7,11 @@
 use std::task::Poll;
 
 use futures::task::AtomicWaker;
-use jujube_core::name::Server;
 use jujube_core::name::Service;
 use jujube_core::pipeline::chooser::Need;
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::path::Path;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 
@@ -56,12 +56,12 @@
     /// The path that it is to be opened on, chosen and booked already.
     pub planned: RefCell<Option<Path>>,
     /// Servers that kept it waiting for no reason that they tell.
-    pub distrusted: RefCell<Vec<Server>>,
+    pub distrusted: RefCell<Vec<Incarnation>>,
     pub(super) need: Need,
     pub(super) outgoing: Outgoing,
     pub(super) arrived: Instant,
     /// The engines that it was sent to and that may have run it, in order.
-    pub(super) ran_on: RefCell<Vec<Server>>,
+    pub(super) ran_on: RefCell<Vec<Incarnation>>,
     pub(super) abandoned: Cell<bool>,
     pub(super) expired: Cell<bool>,
     /// Wakes the body of the answer.
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -12,7 +12,7 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
-use jujube_core::name::Server;
+use jujube_core::pipeline::server::Incarnation;
 
 use crate::dialect::Dialect;
 use crate::head;
@@ -85,7 +85,7 @@
 /// There is none, or it says that the request has not run.
 pub async fn send<D: Dialect>(
     pool: &Pool,
-    server: &Server,
+    server: &Incarnation,
     address: SocketAddr,
     outgoing: &Outgoing,
 ) -> Result<Incomplete, Failure> {
@@ -114,22 +114,26 @@
     }
 }
 
-async fn lease(pool: &Pool, server: &Server, address: SocketAddr) -> Result<Lease, Failure> {
+async fn lease(pool: &Pool, server: &Incarnation, address: SocketAddr) -> Result<Lease, Failure> {
     let lease = pool.lease(server, address).await;
     lease.map_err(|error| Failure::NotSent(error.to_string()))
 }
 
-async fn fresh(pool: &Pool, server: &Server, address: SocketAddr) -> Result<Lease, Failure> {
+async fn fresh(pool: &Pool, server: &Incarnation, address: SocketAddr) -> Result<Lease, Failure> {
     let lease = pool.fresh(server, address).await;
     lease.map_err(|error| Failure::NotSent(error.to_string()))
 }
 
-fn request<D: Dialect>(server: &Server, outgoing: &Outgoing) -> Request<Full<Bytes>> {
+fn request<D: Dialect>(server: &Incarnation, outgoing: &Outgoing) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     *request.headers_mut() = outgoing.headers.clone();
-    head::set(request.headers_mut(), D::NAMES.expected_server, &server.0);
+    head::set(
+        request.headers_mut(),
+        D::NAMES.expected_server,
+        &server.server.0,
+    );
     request
 }
 
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use jujube_core::name::Server as Name;
 use jujube_core::pipeline::chooser::Continuation;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -46,7 +46,7 @@
 
     /// Has the streams that pass a server looked at soon, without waiting until each has been silent
     /// for long.
-    pub fn look_at(&self, server: &Name) {
+    pub fn look_at(&self, server: &Incarnation) {
         for stream in self.listed.borrow().values() {
             let path = stream.path.borrow();
             if path.as_ref().is_some_and(|path| path.passes(server)) {
@@ -231,7 +231,7 @@
 enum Repaired {
     Done,
     /// A part of the new path is dead or has no room.
-    Refused(Name),
+    Refused(Incarnation),
     /// Opening the stream again is quicker.
     Elsewhere,
     Impossible,
@@ -241,7 +241,7 @@
     state: &Rc<State<D>>,
     stream: &Rc<Stream>,
     old: &Path,
-    avoid: &[Name],
+    avoid: &[Incarnation],
     is_dead: bool,
 ) -> Repaired {
     let choice = match stream::go_on(state, stream, old, avoid, is_dead) {
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::http::response::Parts;
-use jujube_core::name::Server as Name;
+use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -103,7 +103,7 @@
 struct Tries<'a, D> {
     state: &'a Rc<State<D>>,
     request: &'a Admitted,
-    avoid: Vec<Name>,
+    avoid: Vec<Incarnation>,
     may_have_run: bool,
     /// How many servers it was sent to that did not refuse it.
     sent: u64,
@@ -155,7 +155,7 @@
                     return Some(answer);
                 }
                 self.state.metrics.count("answers_failed");
-                self.avoid.push(server.name.clone());
+                self.avoid.push(server.incarnation.clone());
                 return if self.pick().is_some() {
                     None
                 } else {
@@ -164,18 +164,18 @@
             }
             Err(failure) => failure,
         };
-        self.avoid.push(server.name.clone());
+        self.avoid.push(server.incarnation.clone());
         self.cause = failure.to_string().replace(' ', "-");
         log::info!(
             "event=try-failed request={} server={} cause={}",
             self.request.id,
-            server.name,
+            server.incarnation,
             self.cause
         );
         match failure {
             Failure::NotSent(_) => {
                 self.sent -= 1;
-                self.state.accuse(&server.name, "not-sent");
+                self.state.accuse(&server.incarnation, "not-sent");
             }
             Failure::NotRun { .. } => {
                 self.sent -= 1;
@@ -193,9 +193,9 @@
     fn book(&self, server: &Server, is_good: bool) {
         let mut outliers = self.state.outliers.borrow_mut();
         if is_good {
-            outliers.served(clock::now(), &server.name);
+            outliers.served(clock::now(), &server.incarnation);
         } else {
-            outliers.failed(clock::now(), &server.name);
+            outliers.failed(clock::now(), &server.incarnation);
         }
     }
 
@@ -235,12 +235,12 @@
         let of_service = roster
             .usable()
             .filter(|server| server.service == self.request.service)
-            .filter(|server| !self.avoid.contains(&server.name));
+            .filter(|server| !self.avoid.contains(&server.incarnation));
         let ranked = of_service.min_by_key(|server| {
-            let suspected = suspicion.holds(&server.name);
-            let fails = outliers.holds(&server.name);
+            let suspected = suspicion.holds(&server.incarnation);
+            let fails = outliers.holds(&server.incarnation);
             let away = server.zone != *home;
-            (suspected, fails, load.requests(&server.name), away)
+            (suspected, fails, load.requests(&server.incarnation), away)
         });
         ranked.cloned()
     }
@@ -262,17 +262,18 @@
 /// A body that breaks off is found out here, while another try is possible; callers of plain
 /// services get at most some kilobytes.
 async fn attempt<D: Dialect>(state: &Rc<State<D>>, request: &Admitted, server: Server) -> Outcome {
-    let booked = Booked::new(state, &server.name);
+    let booked = Booked::new(state, &server.incarnation);
     let mut outgoing = request.outgoing.clone();
     let left = request.deadline.since(clock::now());
     head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
     log::info!(
         "event=sent request={} server={} in_flight={} left_ms={left}",
         request.id,
-        server.name,
-        state.load.borrow().requests(&server.name)
+        server.incarnation,
+        state.load.borrow().requests(&server.incarnation)
     );
-    let sent = upstream::send::<D>(&state.pool, &server.name, server.address, &outgoing).await;
+    let sent =
+        upstream::send::<D>(&state.pool, &server.incarnation, server.address, &outgoing).await;
     let result = match sent {
         Ok(incomplete) => {
             let (parts, body) = incomplete.response.into_parts();
@@ -294,11 +295,11 @@
 /// Books a request at a server until it is dropped.
 struct Booked<'a, D> {
     state: &'a Rc<State<D>>,
-    server: Name,
+    server: Incarnation,
 }
 
 impl<'a, D> Booked<'a, D> {
-    fn new(state: &'a Rc<State<D>>, server: &Name) -> Self {
+    fn new(state: &'a Rc<State<D>>, server: &Incarnation) -> Self {
         state.load.borrow_mut().open(server, 0.0);
         Self {
             state,
--- a/crates/store/src/kv/feed.rs
+++ b/crates/store/src/kv/feed.rs
@@ -10,17 +10,45 @@
 use crate::kv::Revision;
 use crate::kv::Store;
 
+/// A value as it was written.
+///
+/// Others write to the store as well, and whatever they write under one key must not hide what stands
+/// under the others: a value that is no text is that key's matter only.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Value {
+    /// A text.
+    Text(String),
+    /// Bytes that are no text, and why.
+    Unreadable(String),
+}
+
 /// A key that was written or removed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Change {
     /// The key.
     pub key: String,
     /// Its new value; `None` when it was removed.
-    pub value: Option<String>,
+    pub value: Option<Value>,
     /// The revision of the change.
     pub revision: Revision,
 }
 
+impl TryFrom<Change> for Pair {
+    type Error = Error;
+
+    fn try_from(change: Change) -> Result<Self, Error> {
+        match change.value {
+            Some(Value::Text(value)) => Ok(Self {
+                key: change.key,
+                value,
+                revision: change.revision,
+            }),
+            Some(Value::Unreadable(why)) => Err(Error::Unknown(why)),
+            None => Err(Error::Unknown("the key was removed".into())),
+        }
+    }
+}
+
 /// What a wait for changes brought.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum News {
@@ -32,11 +60,11 @@
 
 /// A store whose changes can be followed by prefix.
 pub trait Feed: Store {
-    /// Reads all keys with a prefix, and the revision from which to follow them.
+    /// Reads all keys with a prefix, each as its last change, and the revision from which to follow them.
     fn snapshot(
         &self,
         prefix: &str,
-    ) -> impl Future<Output = Result<(Vec<Pair>, Revision), Error>> + Send;
+    ) -> impl Future<Output = Result<(Vec<Change>, Revision), Error>> + Send;
 
     /// Ends a lease at once; its keys go.
     fn revoke(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
