Let a stream that ran and has no event yet wait for a path

Ruled out: telling the caller to come back; after a run that would be untrue. Change: waiting depends on whether it ran or wrote, not on events alone.

--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -140,11 +140,12 @@
 
 /// Waits a little for room, if this is a stream under way whose caller has not lost patience.
 ///
-/// What was written so far is lost when it is cut, and its caller waits longer for the next event than
-/// a new one would be told to.
+/// A request that has run, be it without an event, can only be cut off: its caller may not be told that it
+/// has not run. What was written so far is lost then, and the caller waits longer for the next event than a
+/// new one would be told to.
 async fn waits_for_room(stream: &Stream) -> bool {
     let silent = clock::now().since(stream.last_event.get());
-    if stream.events.get() == 0 || silent >= PATIENCE {
+    if stream.runs() == 0 && stream.events.get() == 0 || silent >= PATIENCE {
         return false;
     }
     tokio::time::sleep(ROOM_PAUSE).await;
