--- a/crates/core/src/pipeline/path.rs
+++ b/crates/core/src/pipeline/path.rs
@@ -79,6 +79,12 @@
         self.0.first()
     }
 
+    /// Returns the part that listens at an address.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Option<&Part> {
+        self.0.iter().find(|part| part.address == address)
+    }
+
     /// Tells whether a backend server stands in the path.
     #[must_use]
     pub fn passes(&self, server: &Incarnation) -> bool {
--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -68,6 +68,19 @@
     }
 }
 
+/// Returns the memory of a path on which the stream runs no more.
+///
+/// A run that was lost or refused holds nothing at the servers. Were it booked until the next run begins,
+/// up to 1.4 s later, the streams that a death leaves without a path would keep one another from the room
+/// that is left; and whoever looks after silent streams would order moves of runs that are gone.
+pub fn leave_path<D>(state: &State<D>, stream: &Stream) {
+    if let Some(left) = stream.path.take() {
+        let mut load = state.load.borrow_mut();
+        load.close_path(&left, stream.need.tokens());
+        stream.left.replace(Some(left));
+    }
+}
+
 /// Chooses how a stream goes on whose path `old` has a part other than the first that is dead, or slow.
 ///
 /// What is chosen is booked at once, so that the next stream sees it. A path to be opened on is kept in
--- a/crates/front/src/stream/live.rs
+++ b/crates/front/src/stream/live.rs
@@ -22,6 +22,7 @@
 use crate::waiting::Place;
 
 use super::booking::Registration;
+use super::booking::leave_path;
 use super::open::GivenUp;
 use super::open::may_run_again;
 use super::open::open;
@@ -176,6 +177,7 @@
                 .failed(clock::now(), &first.server);
             probe::doubt(state, first.server, first.address);
         }
+        leave_path(state, stream);
         let (sender, receiver) = oneshot::channel();
         let last = self.relay.last();
         let (state, stream) = (state.clone(), stream.clone());
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -72,6 +72,7 @@
         service: request.service,
         route: request.route,
         path: RefCell::default(),
+        left: RefCell::default(),
         planned: RefCell::default(),
         distrusted: RefCell::default(),
         heard: Cell::new(now),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -5,6 +5,7 @@
 
 use futures::future::Either;
 use futures::future::select;
+use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
@@ -21,6 +22,7 @@
 
 use super::LAST_EVENT;
 use super::booking::choose_with;
+use super::booking::leave_path;
 use super::booking::take_path;
 use super::record::Stream;
 
@@ -71,16 +73,23 @@
             stream.id,
             stream.path_text()
         );
+        let first = stream.first();
+        let at_fault = part_at_fault(stream, &failure);
+        leave_path(state, stream);
         match failure {
             Failure::NotSent(_) => {
-                if let Some(first) = stream.first() {
+                if let Some(first) = first {
                     state.accuse(&first.server, "not-sent");
                 }
                 continue;
             }
-            Failure::NotRun { at_fault, .. } => {
+            Failure::NotRun { .. } => {
                 refusals += 1;
-                blame(state, stream, at_fault, &mut avoid);
+                if let Some(part) = at_fault {
+                    avoid.push(part.server.clone());
+                    state.refused(&part.server);
+                    probe::doubt(state, part.server, part.address);
+                }
                 if refusals >= MOST_REFUSALS {
                     if !waits_for_room(stream).await {
                         return Err(given_up(stream, Reason::Refused, cause));
@@ -95,7 +104,7 @@
                 }
             }
             Failure::Failed(_) => {
-                if let Some(first) = stream.first() {
+                if let Some(first) = first {
                     state
                         .outliers
                         .borrow_mut()
@@ -104,7 +113,7 @@
                 }
             }
             Failure::Unknown(_) => {
-                if let Some(first) = stream.first() {
+                if let Some(first) = first {
                     // If it is dead, no other request should have to find that out for itself.
                     probe::doubt(state, first.server.clone(), first.address);
                     state
@@ -165,7 +174,7 @@
         return Some(path);
     }
     let now = clock::now();
-    let left = stream.path.borrow();
+    let left = stream.left.borrow();
     let backlog = |left| state.load.borrow().backlog.crowd(now, left);
     let crowd = left.as_ref().map_or(1.0, backlog);
     let (choice, fleet, need) =
@@ -247,30 +256,13 @@
     result
 }
 
-/// Keeps the part at fault out of this request's next path, and asks it whether it is alive.
-fn blame<D: Dialect>(
-    state: &Rc<State<D>>,
-    stream: &Stream,
-    at_fault: Option<std::net::SocketAddr>,
-    avoid: &mut Vec<Incarnation>,
-) {
-    let path = stream.path.borrow();
-    let Some(path) = path.as_ref() else {
-        return;
-    };
-    let named = |address| path.parts().iter().find(|part| part.address == address);
-    let Some(part) = at_fault.and_then(named).or_else(|| path.first()) else {
-        return;
+/// Returns the part of the stream's path that refused it: the one that the refusal names, else the first.
+fn part_at_fault(stream: &Stream, failure: &Failure) -> Option<Part> {
+    let Failure::NotRun { at_fault, .. } = failure else {
+        return None;
     };
-    let (server, address) = (part.server.clone(), part.address);
-    avoid.push(server.clone());
-    if state
-        .load
-        .borrow_mut()
-        .refusals
-        .refused(clock::now(), &server)
-    {
-        state.is_news.notify_waiters();
-    }
-    probe::doubt(state, server, address);
+    let path = stream.path.borrow();
+    let path = path.as_ref()?;
+    let named = at_fault.and_then(|address| path.at(address));
+    named.or_else(|| path.first()).cloned()
 }
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -27,8 +27,10 @@
     pub service: Service,
     /// The route.
     pub route: Arc<Route>,
-    /// The path that it runs on.
+    /// The path that it runs on; `None` between two runs.
     pub path: RefCell<Option<Path>>,
+    /// The path that it ran on before.
+    pub(super) left: RefCell<Option<Path>>,
     /// When the last event came, or the request was sent.
     pub heard: Cell<Instant>,
     /// When the last event came; a stream that is opened again is heard anew, an event is not.
@@ -139,7 +141,8 @@
 
     /// Returns the path as text, for logs.
     pub(super) fn path_text(&self) -> String {
-        let path = self.path.borrow();
-        path.as_ref().map_or("-".into(), Path::to_string)
+        let (path, left) = (self.path.borrow(), self.left.borrow());
+        let path = path.as_ref().or(left.as_ref());
+        path.map_or("-".into(), Path::to_string)
     }
 }
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -281,8 +281,7 @@
         return Repaired::Done;
     }
     let at_fault = D::part_at_fault(&body);
-    let mut parts = choice.path.parts().iter();
-    match at_fault.and_then(|address| parts.find(|part| part.address == address)) {
+    match at_fault.and_then(|address| choice.path.at(address)) {
         Some(part) => Repaired::Refused(part.server.clone()),
         None => Repaired::Impossible,
     }
