Have an entry stand in for a planner that is gone in an outage, and take lasting refusers for leavers

An entry that had just started said that the store answered it, which also stopped a planner that lived. Ruled out: a shorter lease (tried before). Change: Sight and deputies; starting entries say that the store is away; Refusals::is_leaving, heeded by the planner while the store is away.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 pub mod allowance;
 pub mod backlog;
 pub mod chooser;
+pub mod deputy;
 pub mod document;
 pub mod engine;
 pub mod load;
--- a/crates/core/src/pipeline/refusals.rs
+++ b/crates/core/src/pipeline/refusals.rs
@@ -13,6 +13,14 @@
 /// away nothing else says so.
 const LONGEST_FULL: Span = Span(3_200);
 
+/// From how long a refusal is believed the server counts as leaving: four in a row, over a second and a
+/// half, in which it took nothing. One that is merely full takes a request whenever another ends.
+const LEAVING: Span = Span(1_600);
+
+/// The same of another entry's word, which tells how much longer it believes a refusal: more than any
+/// shorter one lasts.
+const HEARD_LEAVING: Span = Span(801);
+
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
     until: Instant,
@@ -83,6 +91,20 @@
         self.heard.remove(server);
     }
 
+    /// Tells whether a server has refused everything for so long that it must be leaving.
+    ///
+    /// While the store is away nothing else tells that a server leaves. It refuses what is new, and later
+    /// it is gone with its layers; by then another server should hold them.
+    #[must_use]
+    pub fn is_leaving(&self, now: Instant, server: &Incarnation) -> bool {
+        let own = self
+            .own
+            .get(server)
+            .filter(|refusal| refusal.lasts >= LEAVING);
+        let heard = self.heard.get(server);
+        own.is_some() || heard.is_some_and(|until| until.since(now) >= HEARD_LEAVING)
+    }
+
     /// Tells whether a server refused a request a moment ago.
     #[must_use]
     pub fn holds(&self, now: Instant, server: &Incarnation) -> bool {
--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -147,6 +147,12 @@
         std::mem::take(&mut self.replaced)
     }
 
+    /// Returns when the store last came back, if it was away.
+    #[must_use]
+    pub fn returned(&self) -> Option<Instant> {
+        self.returned
+    }
+
     /// Tells whether the store does not answer.
     #[must_use]
     pub fn is_store_away(&self) -> bool {
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -87,6 +87,10 @@
     pub(super) ended: Vec<Ended>,
     /// Whether the store does not answer this entry.
     pub(super) is_store_away: bool,
+    /// Whether this entry could give orders: it knows the servers, and does not stop.
+    pub(super) is_ready: bool,
+    /// The fencing number under which this entry gives orders, if it does.
+    pub(super) planner: Option<u64>,
     /// What servers told the planner that they hold, while the store is away.
     pub(super) held: Vec<Held>,
     /// Servers that this entry suspects. The others ask these themselves: an entry that is cut off
@@ -175,7 +179,9 @@
             slow: state.slow_servers.borrow().iter().map(Slow::from).collect(),
             full: load.refusals.own(now).map(Full::from).collect(),
             ended: outliers.own(now).map(Ended::from).collect(),
-            is_store_away: state.roster.borrow().is_store_away(),
+            is_store_away: state.is_store_away(),
+            is_ready: state.is_ready(),
+            planner: state.leadership.own().map(|token| token.0),
             held: state.told.borrow().iter().map(Held::from).collect(),
             suspects: suspicion.names().map(Start::from).collect(),
         };
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jujube_core::fence::Token;
 use jujube_core::layer::Range;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::server::Incarnation;
@@ -25,6 +26,7 @@
 use message::Held;
 use message::MOST_BYTES;
 use message::Message;
+use peers::Word;
 
 pub use announce::announce;
 pub use peers::Peers;
@@ -75,7 +77,13 @@
             state.metrics.count("gossip_malformed");
             continue;
         };
-        state.peers.heard(address, message.is_store_away);
+        let word = Word {
+            is_store_away: message.is_store_away,
+            is_ready: message.is_ready,
+        };
+        state.peers.heard(address, word);
+        let token = message.planner.map(Token);
+        state.leadership.heard_entry(clock::now(), address, token);
         let entry: Arc<str> = message.entry.into();
         let rows = message.rows.into_iter().map(Into::into);
         let now = clock::now();
--- a/crates/front/src/gossip/peers.rs
+++ b/crates/front/src/gossip/peers.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 
 use jujube_core::pipeline::outage;
-use jujube_core::pipeline::outage::Word;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -19,12 +18,20 @@
 /// How long another entry's word on the store counts.
 const FRESH: Span = Span(1_500);
 
+/// What an entry says of itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Word {
+    /// The store does not answer it.
+    pub(super) is_store_away: bool,
+    /// It could give orders.
+    pub(super) is_ready: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     is_announced: bool,
     heard: Instant,
-    /// Whether it says that the store does not answer it.
-    is_store_away: bool,
+    word: Word,
 }
 
 /// The other entries.
@@ -52,21 +59,21 @@
             let peer = Peer {
                 is_announced: true,
                 heard: clock::now(),
-                is_store_away: false,
+                word: Word::default(),
             };
             self.0.borrow_mut().insert(address, peer);
         }
     }
 
-    pub(super) fn heard(&self, address: SocketAddr, is_store_away: bool) {
+    pub(super) fn heard(&self, address: SocketAddr, word: Word) {
         let mut peers = self.0.borrow_mut();
-        let peer = peers.entry(address).or_insert(Peer {
-            is_announced: false,
+        let known = peers.get(&address);
+        let peer = Peer {
+            is_announced: known.is_some_and(|known| known.is_announced),
             heard: clock::now(),
-            is_store_away,
-        });
-        peer.heard = clock::now();
-        peer.is_store_away = is_store_away;
+            word,
+        };
+        peers.insert(address, peer);
     }
 
     /// Tells whether the store answers no other entry; `own` is this entry's address.
@@ -75,13 +82,25 @@
         let peers = self.0.borrow();
         let others = peers.iter().filter(|(address, _)| **address != own);
         let words = others.map(|(_, peer)| match now.since(peer.heard) <= FRESH {
-            false => Word::Silent,
-            true if peer.is_store_away => Word::Away,
-            true => Word::Served,
+            false => outage::Word::Silent,
+            true if peer.word.is_store_away => outage::Word::Away,
+            true => outage::Word::Served,
         });
         outage::is_for_all(words)
     }
 
+    /// Returns the other entries that are heard and could give orders; `own` is this entry's address.
+    pub fn ready(&self, own: SocketAddr) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let peers = self.0.borrow();
+        let heard = peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.heard) <= FRESH);
+        let ready = heard.filter(|(_, peer)| peer.word.is_ready);
+        let others = ready.map(|(address, _)| *address);
+        others.filter(|address| *address != own).collect()
+    }
+
     /// Returns how many entries are known, this one included.
     pub fn count(&self) -> u64 {
         self.0.borrow().len().max(1) as u64
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -4,9 +4,14 @@
 mod term;
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujube_core::fence::Holder;
+use jujube_core::fence::Token;
+use jujube_core::pipeline::deputy::Sight;
+use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_store::kv::Feed;
@@ -15,17 +20,21 @@
 use crate::dialect::Dialect;
 use crate::state::State;
 
+use term::Tenure;
 use term::Term;
 
 /// How long the planner's lease lasts without renewal: a planner that dies is replaced within that
 /// time, while every layer still has its other holders. With half of it no more was served.
 const TTL: Span = Span(3_000);
 
-/// Whether any entry holds the planner's lease, as the store tells it.
+/// Who is the planner, as the store and the other entries tell it.
 #[derive(Debug, Default)]
 pub struct Leadership {
     is_held: Cell<bool>,
     changed: tokio::sync::Notify,
+    /// The number under which this entry gives orders, if it does.
+    own: Cell<Option<Token>>,
+    sight: Cell<Sight>,
 }
 
 impl Leadership {
@@ -36,29 +45,77 @@
             self.changed.notify_waiters();
         }
     }
+
+    /// Returns the number under which this entry gives orders, if it does.
+    pub fn own(&self) -> Option<Token> {
+        self.own.get()
+    }
+
+    /// Takes another entry's word on whether it is the planner.
+    pub fn heard_entry(&self, now: Instant, entry: SocketAddr, token: Option<Token>) {
+        let mut sight = self.sight.get();
+        let before = sight.planner(now);
+        sight.heard(now, entry, token);
+        if token.is_some() && before != Some(entry) {
+            log::info!("event=planner-heard entry={entry}");
+        }
+        self.sight.set(sight);
+    }
 }
 
 /// Stands for the office whenever nobody holds it, until the process ends.
 pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F) {
     loop {
-        if state.is_ready() && !state.leadership.is_held.get() {
-            match orders::acquire(&store, clock::now(), TTL, &state.settings.name).await {
-                Ok(Some((lead, lease))) => {
-                    log::info!("event=planner-won token={}", lead.token);
-                    state.metrics.count("planner_terms");
-                    let term = Rc::new(Term::new(&state, &store, lead, lease));
-                    term.serve().await;
-                    log::info!("event=planner-lost token={}", lead.token);
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    let cause = error.to_string().replace(' ', "-");
-                    log::info!("event=planner-not-won cause={cause}");
-                }
-            }
+        if let Some(term) = begin(&state, &store).await {
+            term.serve().await;
+            state.leadership.own.set(None);
         }
         let changed = state.leadership.changed.notified();
         let pause = Duration::from_millis(rand::random_range(300..700));
         let _either = tokio::time::timeout(pause, changed).await;
     }
 }
+
+/// Begins a term, if the office is free or this entry is to stand in.
+async fn begin<D: Dialect, F: Feed>(state: &Rc<State<D>>, store: &F) -> Option<Rc<Term<D, F>>> {
+    if !state.is_ready() {
+        return None;
+    }
+    let (lead, tenure) = match stand_in(state) {
+        Some(lead) => (lead, Tenure::Deputy),
+        None => win(state, store).await?,
+    };
+    log::info!("event=planner-won token={} tenure={tenure:?}", lead.token);
+    state.metrics.count("planner_terms");
+    state.leadership.own.set(Some(lead.token));
+    Some(Rc::new(Term::new(state, store, lead, tenure)))
+}
+
+fn stand_in<D>(state: &State<D>) -> Option<Holder> {
+    if !state.is_store_away_for_all() {
+        return None;
+    }
+    let (now, own) = (clock::now(), state.settings.gossip);
+    let sight = state.leadership.sight.get();
+    let token = sight.stands_in(now, own, state.peers.ready(own))?;
+    Some(Holder {
+        token,
+        renewed: now,
+        ttl: TTL,
+    })
+}
+
+async fn win<D, F: Feed>(state: &State<D>, store: &F) -> Option<(Holder, Tenure)> {
+    if state.leadership.is_held.get() {
+        return None;
+    }
+    let won = orders::acquire(store, clock::now(), TTL, &state.settings.name).await;
+    match won {
+        Ok(won) => won.map(|(lead, lease)| (lead, Tenure::Lease(lease))),
+        Err(error) => {
+            let cause = error.to_string().replace(' ', "-");
+            log::info!("event=planner-not-won cause={cause}");
+            None
+        }
+    }
+}
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -28,6 +28,8 @@
 use crate::state::Phase;
 use crate::state::State;
 
+use super::TTL;
+
 /// How often it is renewed; two renewals may be lost.
 const RENEW: Duration = Duration::from_millis(900);
 /// How often the plan is looked at when nothing changes.
@@ -52,12 +54,21 @@
     pub(super) since: Instant,
 }
 
+/// By what right a term is served.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Tenure {
+    /// The lease in the store.
+    Lease(Lease),
+    /// The planner is gone and the store can make no other.
+    Deputy,
+}
+
 /// A term of office.
 pub(super) struct Term<D, F> {
     pub(super) state: Rc<State<D>>,
     pub(super) store: F,
     pub(super) lead: Cell<Lead>,
-    pub(super) lease: Lease,
+    pub(super) tenure: Tenure,
     pub(super) is_over: Cell<bool>,
     pub(super) pending: RefCell<BTreeMap<Incarnation, Pending>>,
     /// How many orders each server is known to have taken.
@@ -68,12 +79,12 @@
 }
 
 impl<D: Dialect, F: Feed> Term<D, F> {
-    pub(super) fn new(state: &Rc<State<D>>, store: &F, lead: Lead, lease: Lease) -> Self {
+    pub(super) fn new(state: &Rc<State<D>>, store: &F, lead: Lead, tenure: Tenure) -> Self {
         Self {
             state: state.clone(),
             store: store.clone(),
             lead: Cell::new(lead),
-            lease,
+            tenure,
             is_over: Cell::new(false),
             pending: RefCell::default(),
             taken: RefCell::default(),
@@ -82,14 +93,19 @@
     }
 
     pub(super) async fn serve(self: &Rc<Self>) {
-        tokio::task::spawn_local(self.clone().renew());
+        if let Tenure::Lease(lease) = self.tenure {
+            tokio::task::spawn_local(self.clone().renew(lease));
+        }
         tokio::task::spawn_local(self.clone().watch_speed());
         let mut quiet_since = clock::now();
         let mut known = 0;
         while !self.is_over.get() {
             if self.state.phase.get() != Phase::Serving {
                 self.resign().await;
-                return;
+                break;
+            }
+            if self.tenure == Tenure::Deputy && !self.is_needed() {
+                break;
             }
             let changed = self.state.roster_changed.notified();
             let _either = tokio::time::timeout(LOOK, changed).await;
@@ -103,6 +119,26 @@
                 self.look(is_settled);
             }
         }
+        self.is_over.set(true);
+        log::info!("event=planner-lost token={}", self.lead.get().token);
+    }
+
+    /// Tells whether a deputy is still needed.
+    ///
+    /// The store is back some seconds before the lease of the planner that is gone has run out; until
+    /// then nobody else can have the office. A planner that is heard again has it, or another deputy.
+    fn is_needed(&self) -> bool {
+        let now = clock::now();
+        let state = &self.state;
+        if state.leadership.sight.get().planner(now).is_some() {
+            return false;
+        }
+        if state.roster.borrow().is_store_away() {
+            return state.is_store_away_for_all();
+        }
+        let returned = state.roster.borrow().returned();
+        let is_lapsing = returned.is_some_and(|returned| now.since(returned) <= TTL);
+        state.leadership.is_held.get() && is_lapsing
     }
 
     /// Tells whether orders may be given.
@@ -111,14 +147,22 @@
     /// until it is back: this one goes on, under the fencing number that is still the highest. An entry
     /// that the store serves may have been made planner, so one such entry ends this.
     pub(super) fn may_order(&self) -> bool {
-        self.lead.get().may_order(clock::now()) || self.state.is_store_away_for_all()
+        let is_office_open =
+            self.tenure == Tenure::Deputy || self.lead.get().may_order(clock::now());
+        is_office_open || self.state.is_store_away_for_all()
     }
 
     /// Hands the office on before this process stops: else nobody places layers until the lease has
     /// run out.
     async fn resign(&self) {
         self.is_over.set(true);
-        match self.store.revoke(self.lease).await {
+        // The others hear at once that the office is free, also where the store does not.
+        self.state.leadership.own.set(None);
+        self.state.is_news.notify_waiters();
+        let Tenure::Lease(lease) = self.tenure else {
+            return;
+        };
+        match self.store.revoke(lease).await {
             Ok(()) => log::info!("event=planner-resigned token={}", self.lead.get().token),
             Err(error) => {
                 let cause = error.to_string().replace(' ', "-");
@@ -127,11 +171,11 @@
         }
     }
 
-    async fn renew(self: Rc<Self>) {
+    async fn renew(self: Rc<Self>, lease: Lease) {
         while !self.is_over.get() {
             tokio::time::sleep(RENEW).await;
             let sent = clock::now();
-            match self.store.renew(self.lease).await {
+            match self.store.renew(lease).await {
                 Ok(true) => {
                     let mut lead = self.lead.get();
                     lead.renewed = sent;
@@ -275,6 +319,12 @@
             let lasts = suspicion.lasts(now, &holder.server);
             lasts.is_none_or(|lasts| lasts < GIVEN_UP)
         });
-        trusted.collect()
+        let load = self.state.load.borrow();
+        let is_away = roster.is_store_away();
+        let staying = trusted.filter(|holder| {
+            let is_leaving = load.refusals.is_leaving(now, &holder.server);
+            !(is_away && is_leaving)
+        });
+        staying.collect()
     }
 }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -184,10 +184,17 @@
         allowance.request(clock::now(), &self.retry.get());
     }
 
+    /// Tells whether the store does not answer this entry.
+    ///
+    /// An entry that starts in an outage has lost nothing yet. Were it taken for one that the store answers,
+    /// each restart would stop the others from going on without the store.
+    pub fn is_store_away(&self) -> bool {
+        !self.registered.get() || self.roster.borrow().is_store_away()
+    }
+
     /// Tells whether the store answers no entry at all, as far as is known here.
     pub fn is_store_away_for_all(&self) -> bool {
-        let is_away = self.roster.borrow().is_store_away();
-        is_away && self.peers.is_store_away(self.settings.gossip)
+        self.is_store_away() && self.peers.is_store_away(self.settings.gossip)
     }
 
     /// Returns where a registered backend server listens.
@@ -203,6 +210,14 @@
         is_dead || self.roster.borrow().get(server).is_none()
     }
 
+    /// Books that a backend server refused a request, and tells the other entries.
+    pub fn refused(&self, server: &Incarnation) {
+        let mut load = self.load.borrow_mut();
+        if load.refusals.refused(clock::now(), server) {
+            self.is_news.notify_waiters();
+        }
+    }
+
     /// Suspects a backend server.
     pub fn accuse(&self, server: &Incarnation, cause: &str) {
         let fresh = self.suspicion.borrow_mut().accuse(clock::now(), server);
