Ask nobody how fast it is but those whose streams fall behind

Ruled out: asking less often; whoever is slow enough to matter shows in streams that stand still. Change: answers to questions about silent streams are told on for half a second, by whoever asked; the planner asks all only while the store is away.

--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -56,10 +56,14 @@
     pub refusals: Refusals,
     /// How many times slower than usual servers said they are, and when.
     slow: BTreeMap<Incarnation, (f64, Instant)>,
+    /// The same of those that said so to this entry.
+    told_slow: BTreeMap<Incarnation, (f64, Instant)>,
 }
 
 /// How long a server's word that it is slow counts; then a few requests find out how it is now.
 const SLOW: Span = Span(2_500);
+/// For how long what a server said is told to the others; several words in a row may be lost.
+const TOLD: Span = Span(500);
 
 impl Load {
     /// Books a request at a server.
@@ -111,6 +115,22 @@
         }
     }
 
+    /// Returns who said a moment ago that it is slow, and how many times, to tell the others.
+    pub fn slow(&self, now: Instant) -> impl Iterator<Item = (&Incarnation, f64)> {
+        let fresh = self
+            .told_slow
+            .iter()
+            .filter(move |(_, (_, at))| now.since(*at) <= TOLD);
+        fresh.map(|(server, (slowness, _))| (server, *slowness))
+    }
+
+    /// Books how many times slower than usual a server told this entry that it is.
+    pub fn asked(&mut self, now: Instant, server: &Incarnation, slowness: f64) {
+        self.reported(now, server, slowness);
+        self.told_slow.retain(|_, (_, at)| now.since(*at) <= TOLD);
+        self.told_slow.insert(server.clone(), (slowness, now));
+    }
+
     /// Returns how many times slower than usual a server is.
     #[must_use]
     pub fn slowness(&self, now: Instant, server: &Incarnation) -> f64 {
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -147,11 +147,11 @@
     }
 }
 
-impl From<(&Incarnation, &f64)> for Slow {
-    fn from((server, slowness): (&Incarnation, &f64)) -> Self {
+impl From<(&Incarnation, f64)> for Slow {
+    fn from((server, slowness): (&Incarnation, f64)) -> Self {
         Self {
             server: server.into(),
-            slowness: *slowness as f32,
+            slowness: slowness as f32,
         }
     }
 }
@@ -176,7 +176,7 @@
         let message = Self {
             entry: state.settings.name.to_string(),
             rows: load.own().map(Row::from).collect(),
-            slow: state.slow_servers.borrow().iter().map(Slow::from).collect(),
+            slow: load.slow(now).map(Slow::from).collect(),
             full: load.refusals.own(now).map(Full::from).collect(),
             ended: outliers.own(now).map(Ended::from).collect(),
             is_store_away: state.is_store_away(),
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -42,8 +42,8 @@
 /// How long a server that joined empty waits for the word of the one that it replaces; in the users'
 /// releases that comes a quarter of a second to a second later.
 const JOINING: Span = Span(1_300);
-/// How often all servers are asked how fast they are.
-const SPEED: Duration = Duration::from_millis(1_000);
+/// How often all servers are asked what they hold while the store is away.
+const ASK: Duration = Duration::from_millis(1_000);
 /// How long an order may take to show in the registrations before it is given again.
 const CARRIED_OUT: Span = Span(45_000);
 
@@ -96,7 +96,7 @@
         if let Tenure::Lease(lease) = self.tenure {
             tokio::task::spawn_local(self.clone().renew(lease));
         }
-        tokio::task::spawn_local(self.clone().watch_speed());
+        tokio::task::spawn_local(self.clone().watch_holders());
         let mut quiet_since = clock::now();
         let mut known = 0;
         while !self.is_over.get() {
@@ -198,32 +198,27 @@
         }
     }
 
-    /// Asks every server that holds layers how fast it is, for all entries.
-    async fn watch_speed(self: Rc<Self>) {
+    /// Asks every server what it holds while the store, which would tell, is away.
+    ///
+    /// While the store answers nobody is asked: how fast servers are shows in the streams that fall
+    /// behind, and each question is paid for. Asking all once a second was a third of all questions, and
+    /// served no more.
+    async fn watch_holders(self: Rc<Self>) {
         while !self.is_over.get() {
-            tokio::time::sleep(SPEED).await;
+            tokio::time::sleep(ASK).await;
+            if !self.state.roster.borrow().is_store_away() {
+                self.state.told.borrow_mut().clear();
+                continue;
+            }
             for (server, address) in self.engines() {
-                let asked = probe::report(&self.state, &server, address);
-                let Ok(report) = asked.await else {
-                    continue;
-                };
-                self.take_held(&server, report.held);
-                let mut slow = self.state.slow_servers.borrow_mut();
-                if report.slowness > 1.0 {
-                    slow.insert(server.clone(), report.slowness);
-                } else {
-                    slow.remove(&server);
+                if let Ok(report) = probe::report(&self.state, &server, address).await {
+                    self.take_held(&server, report.held);
                 }
-                let mut load = self.state.load.borrow_mut();
-                load.reported(clock::now(), &server, report.slowness);
             }
             let roster = self.state.roster.borrow();
-            let mut slow = self.state.slow_servers.borrow_mut();
-            slow.retain(|server, _| roster.get(server).is_some());
             let mut told = self.state.told.borrow_mut();
             told.retain(|server, _| roster.get(server).is_some());
         }
-        self.state.slow_servers.borrow_mut().clear();
         self.state.told.borrow_mut().clear();
     }
 
@@ -239,11 +234,6 @@
 
     /// Takes what a server says it holds while the store, which would tell all, is away.
     fn take_held(&self, server: &Incarnation, held: Option<Range>) {
-        let is_away = self.state.roster.borrow().is_store_away();
-        if !is_away {
-            self.state.told.borrow_mut().clear();
-            return;
-        }
         let Some(held) = held else {
             return;
         };
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -170,7 +170,7 @@
     match answer {
         Ok(report) => {
             let mut load = state.load.borrow_mut();
-            load.reported(at, server, report.slowness);
+            load.asked(at, server, report.slowness);
         }
         Err(error) => state.accuse(server, &format!("{error:#}").replace(' ', "-")),
     }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -75,8 +75,6 @@
     pub outliers: RefCell<Outliers>,
     /// Told when the other entries should hear at once of a server that died or refuses.
     pub is_news: tokio::sync::Notify,
-    /// Servers that told the planner that they are slow, and how many times.
-    pub slow_servers: RefCell<BTreeMap<Incarnation, f64>>,
     /// What servers told this entry, as the planner, that they hold while the store is away.
     pub told: RefCell<BTreeMap<Incarnation, Range>>,
     /// The share of retries, by service.
@@ -122,7 +120,6 @@
             suspicion: RefCell::default(),
             outliers: RefCell::default(),
             is_news: tokio::sync::Notify::new(),
-            slow_servers: RefCell::default(),
             told: RefCell::default(),
             allowances: RefCell::default(),
             pool: Pool::default(),
