Go on asking those that are slow

Cause: nobody asks a slow server once streams avoid it, so it counts as fast again after 2.5 s and stalls those that try it. Change: the planner asks slow servers once a second and tells all.

--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -198,23 +198,24 @@
         }
     }
 
-    /// Asks every server what it holds while the store, which would tell, is away.
+    /// Asks every server what it holds while the store, which would tell, is away, and those that are slow
+    /// how slow they still are.
     ///
-    /// While the store answers nobody is asked: how fast servers are shows in the streams that fall
-    /// behind, and each question is paid for. Asking all once a second was a third of all questions, and
-    /// served no more.
+    /// The others are not asked: how fast they are shows in the streams that fall behind, and each question
+    /// is paid for. Asking all once a second was a third of all questions, and served no more.
     async fn watch_holders(self: Rc<Self>) {
         while !self.is_over.get() {
             tokio::time::sleep(ASK).await;
-            if !self.state.roster.borrow().is_store_away() {
-                self.state.told.borrow_mut().clear();
-                continue;
-            }
-            for (server, address) in self.engines() {
+            for (server, address) in self.doubtful() {
                 if let Ok(report) = probe::report(&self.state, &server, address).await {
                     self.take_held(&server, report.held);
+                    let mut load = self.state.load.borrow_mut();
+                    load.asked(clock::now(), &server, report.slowness);
                 }
             }
+            if !self.state.roster.borrow().is_store_away() {
+                self.state.told.borrow_mut().clear();
+            }
             let roster = self.state.roster.borrow();
             let mut told = self.state.told.borrow_mut();
             told.retain(|server, _| roster.get(server).is_some());
@@ -222,12 +223,17 @@
         self.state.told.borrow_mut().clear();
     }
 
-    /// Returns the servers that hold layers or may be ordered to, and where they listen.
-    fn engines(&self) -> Vec<(Incarnation, SocketAddr)> {
+    /// Returns the servers to ask: those that are slow, and all of them while the store is away.
+    fn doubtful(&self) -> Vec<(Incarnation, SocketAddr)> {
         let roster = self.state.roster.borrow();
+        let load = self.state.load.borrow();
+        let now = clock::now();
         let engines = roster
             .usable()
-            .filter(|server| server.accelerator.is_some());
+            .filter(|server| server.accelerator.is_some())
+            .filter(|server| {
+                roster.is_store_away() || load.slowness(now, &server.incarnation) > 1.0
+            });
         let engines = engines.map(|server| (server.incarnation.clone(), server.address));
         engines.collect()
     }
