Take streams off servers that drain, and let a planner know the orders of the one before

Cause: a server that drains serves its streams for two seconds and is gone; those still there stall or break off together, at 120 ms of silence, 100 ms of a question and the queue of reading.

--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -246,6 +246,28 @@
         }
     }
 
+    /// Chooses how a request leaves servers of its path `old` that will soon be gone, if it can without a
+    /// pause that shows.
+    ///
+    /// Left where it is, it would stall or break off when they go, together with all others there, and be
+    /// late. Nothing is chosen while the servers that would have to read its tokens are busy: there is time.
+    pub fn leave(
+        &self,
+        need: Need,
+        view: &View<'_>,
+        old: &Path,
+        may_reopen: bool,
+    ) -> Option<Continuation> {
+        let is_gentle = |choice: &Choice| {
+            choice.ready_ms <= SOON_MS && !choice.lacks_room() && !choice.is_forced()
+        };
+        if let Some(choice) = self.repair(need, view, old) {
+            return is_gentle(&choice).then_some(Continuation::Repair(choice));
+        }
+        let reopen = may_reopen.then(|| self.choose(need, view)).flatten();
+        reopen.filter(is_gentle).map(Continuation::Reopen)
+    }
+
     /// Books what a request that takes `path` gives servers to read; parts of `old` have read it.
     ///
     /// `crowd` is how many requests this one stands for, see [`crate::pipeline::backlog::Backlog::crowd`].
--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -27,6 +27,8 @@
     since: Instant,
     /// Until when it counts although its registration has lapsed.
     lapses: Option<Instant>,
+    /// When it was first seen to drain, if it does.
+    drains: Option<Instant>,
 }
 
 /// What a change to the roster meant.
@@ -105,6 +107,7 @@
             server,
             since: before.since,
             lapses: None,
+            drains: draining.then(|| before.drains.unwrap_or(now)),
         };
         self.members.insert(name, member.clone());
         if before == member {
@@ -117,10 +120,12 @@
     }
 
     fn insert(&mut self, now: Instant, server: Server) {
+        let draining = server.state == State::Draining;
         let member = Member {
             server,
             since: now,
             lapses: None,
+            drains: draining.then_some(now),
         };
         let name = member.server.incarnation.server.clone();
         self.members.insert(name, member);
@@ -266,6 +271,16 @@
         Some(now.since(member.since))
     }
 
+    /// Returns the servers that have been draining for at least `lasts`.
+    pub fn draining(&self, now: Instant, lasts: Span) -> impl Iterator<Item = &Incarnation> {
+        let drains = move |member: &&Member| {
+            let since = member.drains.map(|drains| now.since(drains));
+            since.is_some_and(|since| since >= lasts)
+        };
+        let leaving = self.members.values().filter(drains);
+        leaving.map(|member| &member.server.incarnation)
+    }
+
     /// Returns a registered server; `None` also when it has started again since.
     #[must_use]
     pub fn get(&self, incarnation: &Incarnation) -> Option<&Server> {
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -209,3 +209,85 @@
     let passes = |part: &jujube_core::pipeline::path::Part| calm.passes(&part.server);
     assert!(!path.parts().iter().any(passes));
 }
+
+/// What streams lose when a server of a row leaves as planned.
+///
+/// The pattern of load: a hundred streams of all entries pass a server that drains. It serves on for two
+/// seconds and is then gone; whoever is still there then is late. One server reads one stream's tokens in
+/// some milliseconds, so a second is enough to move them one by one with pauses that do not show.
+#[test]
+fn streams_leave_a_draining_server_without_pauses_that_show() {
+    const ALLOWED_MS: f64 = 200.0;
+    const LOOK_MS: u64 = 25;
+    let engine = engine();
+    let holders = region();
+    let whole = fleet(&engine, &carried_out(&holders, &plan(&engine, &holders)));
+    let home: Zone = "b".into();
+    let (mut load, suspicion) = (Load::default(), Suspicion::default());
+    let old = whole.choose(NEED, &view(&load, &suspicion, &home)).unwrap();
+    let old = old.path;
+    let leaver = old.parts()[1].server.clone();
+    let staying = whole.nodes.iter().filter(|node| node.server != leaver);
+    let left = Fleet::new(engine.into(), staying.cloned().collect());
+    let mut waiting = ENTRIES * STREAMS;
+    let mut reads_until: BTreeMap<Incarnation, f64> = BTreeMap::new();
+    let mut longest_ms: f64 = 0.0;
+
+    for look in 0..40 {
+        let now = Instant(look * LOOK_MS);
+        let view = View {
+            now,
+            ..view(&load, &suspicion, &home)
+        };
+        let Some(moved) = left.leave(NEED, &view, &old, true) else {
+            continue;
+        };
+        let (path, kept) = match &moved {
+            Continuation::Repair(choice) => (&choice.path, Some(&old)),
+            Continuation::Reopen(choice) => (&choice.path, None),
+        };
+        let mut reading = BTreeMap::new();
+        add_reading(&left, &mut reading, path, kept);
+        for (server, read_ms) in reading {
+            let until = reads_until.entry(server).or_default();
+            *until = until.max(now.0 as f64) + read_ms;
+            longest_ms = longest_ms.max(*until - now.0 as f64);
+        }
+        left.book_reading(&mut load, now, NEED, path, kept, 1.0);
+        waiting -= 1;
+    }
+
+    assert!(longest_ms < ALLOWED_MS, "{longest_ms} ms");
+    assert!(
+        waiting <= ENTRIES * STREAMS - 30,
+        "{waiting} are still there"
+    );
+}
+
+/// Nothing leaves while the servers that would have to read its tokens are busy.
+#[test]
+fn a_stream_stays_at_a_draining_server_while_others_are_busy() {
+    let engine = engine();
+    let holders = region();
+    let whole = fleet(&engine, &carried_out(&holders, &plan(&engine, &holders)));
+    let home: Zone = "b".into();
+    let (mut load, suspicion) = (Load::default(), Suspicion::default());
+    let old = whole.choose(NEED, &view(&load, &suspicion, &home)).unwrap();
+    let old = old.path;
+    let leaver = old.parts()[1].server.clone();
+    let staying = whole.nodes.iter().filter(|node| node.server != leaver);
+    let left = Fleet::new(engine.into(), staying.cloned().collect());
+    assert!(
+        left.leave(NEED, &view(&load, &suspicion, &home), &old, true)
+            .is_some()
+    );
+
+    for node in &left.nodes {
+        load.backlog.add(NOW, &node.server, 300.0);
+    }
+
+    assert!(
+        left.leave(NEED, &view(&load, &suspicion, &home), &old, true)
+            .is_none()
+    );
+}
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -93,6 +93,8 @@
     pub(super) planner: Option<u64>,
     /// What servers told the planner that they hold, while the store is away.
     pub(super) held: Vec<Held>,
+    /// What this entry, as the planner, has ordered servers to hold and they do not hold yet.
+    pub(super) ordered: Vec<Held>,
     /// Servers that this entry suspects. The others ask these themselves: an entry that is cut off
     /// suspects all.
     pub(super) suspects: Vec<Start>,
@@ -118,6 +120,12 @@
     }
 }
 
+impl From<Held> for (Incarnation, Range) {
+    fn from(held: Held) -> Self {
+        (held.server.into(), Range::new(held.start, held.end))
+    }
+}
+
 impl From<(&Incarnation, Span)> for Full {
     fn from((server, lasts): (&Incarnation, Span)) -> Self {
         Self {
@@ -166,6 +174,13 @@
     }
 }
 
+fn ordered<D>(state: &State<D>) -> Vec<Held> {
+    if state.leadership.own().is_none() {
+        return Vec::new();
+    }
+    state.ordered.borrow().iter().map(Held::from).collect()
+}
+
 impl Message {
     /// Returns what this entry has to tell, encoded; `None` when it does not fit into a datagram.
     pub(super) fn of<D>(state: &State<D>) -> Option<Vec<u8>> {
@@ -183,6 +198,7 @@
             is_ready: state.is_ready(),
             planner: state.leadership.own().map(|token| token.0),
             held: state.told.borrow().iter().map(Held::from).collect(),
+            ordered: ordered(state),
             suspects: suspicion.names().map(Start::from).collect(),
         };
         let bytes = bincode::serialize(&message);
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use jujube_core::fence::Token;
-use jujube_core::layer::Range;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
@@ -99,6 +98,10 @@
             let (server, slowness) = (slow.server.into(), f64::from(slow.slowness));
             state.load.borrow_mut().reported(now, &server, slowness);
         }
+        if token.is_some() && state.leadership.own().is_none() {
+            let ordered = message.ordered.into_iter().map(Into::into);
+            state.ordered.replace(ordered.collect());
+        }
         learn_held(&state, message.held);
         for suspect in message.suspects {
             ask(&state, suspect.into());
@@ -110,9 +113,9 @@
 fn learn_held<D: Dialect>(state: &Rc<State<D>>, held: Vec<Held>) {
     let mut is_news = false;
     for held in held {
-        let layers = Range::new(held.start, held.end);
+        let (server, layers) = held.into();
         let mut roster = state.roster.borrow_mut();
-        let effect = roster.reported(clock::now(), &held.server.into(), layers);
+        let effect = roster.reported(clock::now(), &server, layers);
         is_news |= effect != Effect::None;
     }
     if is_news {
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -14,6 +14,7 @@
 use crate::pool;
 use crate::probe;
 
+use super::term::CARRIED_OUT;
 use super::term::Pending;
 use super::term::Term;
 
@@ -37,12 +38,15 @@
         let pending = Pending {
             layers: order.layers,
             since: clock::now(),
+            lasts: CARRIED_OUT,
         };
         let before = self
             .pending
             .borrow_mut()
             .insert(order.server.clone(), pending);
-        if before.is_some_and(|before| before.layers == order.layers) {
+        let is_given =
+            |before: Pending| before.layers == order.layers && before.lasts == CARRIED_OUT;
+        if before.is_some_and(is_given) {
             return;
         }
         tokio::task::spawn_local(self.clone().place(order, address));
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -45,13 +45,18 @@
 /// How often all servers are asked what they hold while the store is away.
 const ASK: Duration = Duration::from_millis(1_000);
 /// How long an order may take to show in the registrations before it is given again.
-const CARRIED_OUT: Span = Span(45_000);
+pub(super) const CARRIED_OUT: Span = Span(45_000);
+/// The same for an order of the planner before, which nobody sees through: three times what loading the
+/// layers of one server takes.
+const INHERITED: Span = Span(5_000);
 
 /// An order that was given and does not show in the registrations yet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pending {
     pub(super) layers: Range,
     pub(super) since: Instant,
+    /// For how long it is believed to be under way.
+    pub(super) lasts: Span,
 }
 
 /// By what right a term is served.
@@ -78,6 +83,25 @@
     pub(super) planned: RefCell<BTreeMap<Service, Vec<Holder>>>,
 }
 
+/// Returns the orders of the planner before that are being carried out.
+///
+/// A server that loads layers shows what it held before until it has them. Ordered elsewhere by a planner
+/// that does not know, it would have loaded in vain; entries that restart one after the other give the
+/// office on every second or so, and each planner would undo the moves of the one before.
+fn inherited<D>(state: &State<D>) -> BTreeMap<Incarnation, Pending> {
+    let since = clock::now();
+    let ordered = state.ordered.borrow();
+    let pending = ordered.iter().map(|(server, layers)| {
+        let pending = Pending {
+            layers: *layers,
+            since,
+            lasts: INHERITED,
+        };
+        (server.clone(), pending)
+    });
+    pending.collect()
+}
+
 impl<D: Dialect, F: Feed> Term<D, F> {
     pub(super) fn new(state: &Rc<State<D>>, store: &F, lead: Lead, tenure: Tenure) -> Self {
         Self {
@@ -86,7 +110,7 @@
             lead: Cell::new(lead),
             tenure,
             is_over: Cell::new(false),
-            pending: RefCell::default(),
+            pending: RefCell::new(inherited(state)),
             taken: RefCell::default(),
             planned: RefCell::default(),
         }
@@ -287,9 +311,12 @@
         let now = clock::now();
         pending.retain(|name, order| {
             let held = roster.get(name).map(|server| server.held);
-            let is_young = now.since(order.since) <= CARRIED_OUT;
+            let is_young = now.since(order.since) <= order.lasts;
             held.is_some_and(|held| held != order.layers) && is_young
         });
+        let ordered = pending.iter();
+        let ordered = ordered.map(|(server, order)| (server.clone(), order.layers));
+        self.state.ordered.replace(ordered.collect());
         let servers = roster.usable().filter(|server| server.service == *service);
         let servers = servers.filter(|server| engine.has(server.held));
         let holders = servers.filter_map(|server| {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -77,6 +77,8 @@
     pub is_news: tokio::sync::Notify,
     /// What servers told this entry, as the planner, that they hold while the store is away.
     pub told: RefCell<BTreeMap<Incarnation, Range>>,
+    /// What the planner has ordered servers to hold and they do not hold yet.
+    pub ordered: RefCell<BTreeMap<Incarnation, Range>>,
     /// The share of retries, by service.
     pub allowances: RefCell<BTreeMap<Service, Allowance>>,
     /// Connections to backend servers.
@@ -121,6 +123,7 @@
             outliers: RefCell::default(),
             is_news: tokio::sync::Notify::new(),
             told: RefCell::default(),
+            ordered: RefCell::default(),
             allowances: RefCell::default(),
             pool: Pool::default(),
             probes: Probes::default(),
--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -81,7 +81,18 @@
     }
 }
 
-/// Chooses how a stream goes on whose path `old` has a part other than the first that is dead, or slow.
+/// Why a stream is to leave a part of its path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// It is dead.
+    Dead,
+    /// It is slow.
+    Slow,
+    /// It drains.
+    Leaving,
+}
+
+/// Chooses how a stream goes on whose path `old` has a part that it is to leave.
 ///
 /// What is chosen is booked at once, so that the next stream sees it. A path to be opened on is kept in
 /// the stream until it is.
@@ -90,16 +101,23 @@
     stream: &Stream,
     old: &Path,
     avoid: &[Incarnation],
-    is_dead: bool,
+    cause: Cause,
 ) -> Option<Continuation> {
     // A run that goes on slowly is not given up for another that may be refused.
-    let may_reopen = is_dead && may_reopen(state, stream);
+    let may_reopen = cause != Cause::Slow && may_reopen(state, stream);
     let now = clock::now();
-    let crowd = state.load.borrow().backlog.crowd(now, old);
+    let crowd = match cause {
+        // All entries move their streams off a leaver at the same time.
+        Cause::Leaving => state.peers.count() as f64,
+        Cause::Dead | Cause::Slow => state.load.borrow().backlog.crowd(now, old),
+    };
     let (chosen, fleet, need) =
         choose_with(state, &stream.service, avoid, crowd, |fleet, view| {
             let need = stream.need(fleet.engine.tokens_per_event);
-            let chosen = fleet.go_on(need, view, old, may_reopen);
+            let chosen = match cause {
+                Cause::Leaving => fleet.leave(need, view, old, may_reopen),
+                Cause::Dead | Cause::Slow => fleet.go_on(need, view, old, may_reopen),
+            };
             (chosen, fleet.clone(), need)
         })?;
     let chosen = chosen?;
@@ -108,9 +126,8 @@
         Continuation::Repair(choice) => ("repair", choice.ready_ms),
     };
     log::info!(
-        "event=moving request={} cause={} way={way} ready_ms={ready_ms:.0} crowd={crowd:.0} from={old}",
+        "event=moving request={} cause={cause:?} way={way} ready_ms={ready_ms:.0} crowd={crowd:.0} from={old}",
         stream.id,
-        if is_dead { "dead" } else { "slow" }
     );
     let mut load = state.load.borrow_mut();
     match &chosen {
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -35,6 +35,7 @@
 use live::Upstream;
 use open::open;
 
+pub use booking::Cause;
 pub use booking::choose_with;
 pub use booking::go_on;
 pub use booking::may_reopen;
@@ -85,6 +86,7 @@
         is_urgent: Cell::new(false),
         repairs: Cell::new(0),
         detours: Cell::new(0),
+        leave_at: Cell::new(now),
         check_at: Cell::new(now),
         deadline: request.deadline,
         need,
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -51,6 +51,8 @@
     pub repairs: Cell<u64>,
     /// How often it was taken off slow servers.
     pub detours: Cell<u64>,
+    /// Not taken off servers that drain before this time.
+    pub leave_at: Cell<Instant>,
     /// Not looked after before this time.
     pub check_at: Cell<Instant>,
     /// When the answer must be there.
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -21,6 +21,7 @@
 use crate::probe::Health;
 use crate::state::State;
 use crate::stream;
+use crate::stream::Cause;
 use crate::stream::Stream;
 
 /// Streams in flight.
@@ -84,6 +85,13 @@
 /// How often a stream is taken off slow servers: each new part reads all tokens again, which makes
 /// the next pause.
 const MOST_DETOURS: u64 = 1;
+/// How long a server has been draining when streams begin to leave it. It serves on for two seconds or
+/// more; streams that end by themselves until then need not be moved.
+const LEAVE_AFTER: Span = Span(1_000);
+/// How long a stream that could not leave gently is left where it is.
+const LEAVE_AGAIN: Span = Span(100);
+/// How many streams leave at a look: each has its tokens read elsewhere, which takes some 8 ms.
+const MOST_LEAVING: usize = 1;
 /// How many paths are tried before the stream is continued elsewhere.
 const MOST_REPAIRS: usize = 3;
 
@@ -92,6 +100,8 @@
     loop {
         tokio::time::sleep(LOOK).await;
         let now = clock::now();
+        let leaving = leaving(&state, now);
+        let mut left = 0;
         let listed = state.streams.listed.borrow();
         for stream in listed.values() {
             if now >= stream.deadline {
@@ -101,11 +111,43 @@
             if is_silent(stream, now) {
                 stream.is_checked.set(true);
                 tokio::task::spawn_local(look_after(state.clone(), stream.clone()));
+            } else if left < MOST_LEAVING && is_to_leave(stream, now, &leaving) {
+                left += 1;
+                stream.is_checked.set(true);
+                tokio::task::spawn_local(leave(state.clone(), stream.clone()));
             }
         }
     }
 }
 
+/// Returns the servers that have been draining for so long that streams leave them.
+fn leaving<D>(state: &State<D>, now: Instant) -> Vec<Incarnation> {
+    let roster = state.roster.borrow();
+    roster.draining(now, LEAVE_AFTER).cloned().collect()
+}
+
+fn is_to_leave(stream: &Stream, now: Instant, leaving: &[Incarnation]) -> bool {
+    if leaving.is_empty() || stream.is_checked.get() || now < stream.leave_at.get() {
+        return false;
+    }
+    let path = stream.path.borrow();
+    let passes = |server| path.as_ref().is_some_and(|path| path.passes(server));
+    stream.events.get() > 0 && leaving.iter().any(passes)
+}
+
+/// Takes a stream off servers that will soon be gone, before they are.
+async fn leave<D: Dialect>(state: Rc<State<D>>, stream: Rc<Stream>) {
+    let path = stream.path.borrow().clone();
+    if let Some(path) = path {
+        match repair(&state, &stream, &path, &[], Cause::Leaving).await {
+            Repaired::Elsewhere => stream.abandon(),
+            Repaired::Done | Repaired::Refused(_) | Repaired::Impossible => {}
+        }
+    }
+    stream.leave_at.set(clock::now().plus(LEAVE_AGAIN));
+    stream.is_checked.set(false);
+}
+
 fn is_silent(stream: &Stream, now: Instant) -> bool {
     if stream.is_checked.get() {
         return false;
@@ -169,7 +211,8 @@
         stream.detours.set(stream.detours.get() + 1);
     }
     for _ in 0..MOST_REPAIRS {
-        match repair(state, stream, &path, &avoid, is_dead).await {
+        let cause = if is_dead { Cause::Dead } else { Cause::Slow };
+        match repair(state, stream, &path, &avoid, cause).await {
             Repaired::Done => return,
             Repaired::Refused(part) => avoid.push(part),
             Repaired::Elsewhere => {
@@ -242,9 +285,9 @@
     stream: &Rc<Stream>,
     old: &Path,
     avoid: &[Incarnation],
-    is_dead: bool,
+    cause: Cause,
 ) -> Repaired {
-    let choice = match stream::go_on(state, stream, old, avoid, is_dead) {
+    let choice = match stream::go_on(state, stream, old, avoid, cause) {
         Some(Continuation::Repair(choice)) => choice,
         Some(Continuation::Reopen(_)) => return Repaired::Elsewhere,
         None => return Repaired::Impossible,
