--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -210,6 +210,16 @@
         is_dead || self.roster.borrow().get(server).is_none()
     }
 
+    /// Books that a request ended well at a backend server.
+    pub fn served(&self, server: &Incarnation) {
+        self.outliers.borrow_mut().served(clock::now(), server);
+    }
+
+    /// Books that a request failed at a backend server.
+    pub fn failed(&self, server: &Incarnation) {
+        self.outliers.borrow_mut().failed(clock::now(), server);
+    }
+
     /// Books that a backend server refused a request, and tells the other entries.
     pub fn refused(&self, server: &Incarnation) {
         let mut load = self.load.borrow_mut();
--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -36,8 +36,7 @@
     /// Books that every part of the path took the request.
     pub(super) fn took(&self) {
         if let Some(first) = self.stream.first() {
-            let mut outliers = self.state.outliers.borrow_mut();
-            outliers.served(clock::now(), &first.server);
+            self.state.served(&first.server);
         }
         let path = self.stream.path.borrow();
         let mut load = self.state.load.borrow_mut();
--- a/crates/front/src/stream/live.rs
+++ b/crates/front/src/stream/live.rs
@@ -171,10 +171,7 @@
         );
         state.metrics.count("streams_resumed");
         if let Some(first) = stream.first() {
-            state
-                .outliers
-                .borrow_mut()
-                .failed(clock::now(), &first.server);
+            state.failed(&first.server);
             probe::doubt(state, first.server, first.address);
         }
         leave_path(state, stream);
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -105,10 +105,7 @@
             }
             Failure::Failed(_) => {
                 if let Some(first) = first {
-                    state
-                        .outliers
-                        .borrow_mut()
-                        .failed(clock::now(), &first.server);
+                    state.failed(&first.server);
                     avoid.push(first.server);
                 }
             }
@@ -116,10 +113,7 @@
                 if let Some(first) = first {
                     // If it is dead, no other request should have to find that out for itself.
                     probe::doubt(state, first.server.clone(), first.address);
-                    state
-                        .outliers
-                        .borrow_mut()
-                        .failed(clock::now(), &first.server);
+                    state.failed(&first.server);
                     avoid.push(first.server);
                 }
                 if !may_run_again(state, stream) {
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -252,10 +252,7 @@
         stream.events.get()
     );
     state.metrics.count("streams_stalled");
-    state
-        .outliers
-        .borrow_mut()
-        .failed(clock::now(), &first.server);
+    state.failed(&first.server);
     stream.distrusted.borrow_mut().push(first.server.clone());
     stream.abandon();
 }
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -191,11 +191,10 @@
 
     /// Books how a request ended at a server.
     fn book(&self, server: &Server, is_good: bool) {
-        let mut outliers = self.state.outliers.borrow_mut();
         if is_good {
-            outliers.served(clock::now(), &server.incarnation);
+            self.state.served(&server.incarnation);
         } else {
-            outliers.failed(clock::now(), &server.incarnation);
+            self.state.failed(&server.incarnation);
         }
     }
 
