Send to any of several idle servers, not to the first by name

Cause: of two idle servers of a plain service, calls made one after the other all went to the one whose name sorts first; with many entries that herds. Change: a draw decides between servers that are equal in all else.

--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -224,7 +224,8 @@
         Some(server)
     }
 
-    /// Returns the server with the least in flight, of the own availability zone where equal.
+    /// Returns the server with the least in flight, of the own availability zone where equal, and any of
+    /// those that are equal in that as well: by their names, all entries would send to the same one.
     fn pick(&self) -> Option<Server> {
         let roster = self.state.roster.borrow();
         let load = self.state.load.borrow();
@@ -239,7 +240,9 @@
             let suspected = suspicion.holds(&server.incarnation);
             let fails = outliers.holds(&server.incarnation);
             let away = server.zone != *home;
-            (suspected, fails, load.requests(&server.incarnation), away)
+            let draw: u32 = rand::random();
+            let requests = load.requests(&server.incarnation);
+            (suspected, fails, requests, away, draw)
         });
         ranked.cloned()
     }
