Let a refused deputy stay out, and forget old refusals

A deputy whose number was refused (a planner that the store serves and that nobody hears) would begin again under it several times a second, which other planners' duties forbid; a refusal of long ago made a server a leaver at the start of an outage. Change: Sight::refused; Refusals::is_leaving ends some seconds after the last refusal. Tests for both; one fixture for the two tests of leaving.

--- a/crates/core/src/pipeline/deputy.rs
+++ b/crates/core/src/pipeline/deputy.rs
@@ -41,6 +41,8 @@
     planner: Option<(SocketAddr, Instant)>,
     /// The highest fencing number that was heard.
     token: Option<Token>,
+    /// The highest number under which an order of this entry was refused, since a later one was used.
+    refused: Option<Token>,
 }
 
 impl Sight {
@@ -57,6 +59,14 @@
         }
     }
 
+    /// Books that an order was refused since a later planner has given orders.
+    ///
+    /// That planner may be served by the store and heard by nobody here; a deputy that began again under
+    /// the same number would be refused for as long as the outage lasts.
+    pub fn refused(&mut self, token: Token) {
+        self.refused = self.refused.max(Some(token));
+    }
+
     /// Returns who is the planner, as far as it is heard.
     #[must_use]
     pub fn planner(&self, now: Instant) -> Option<SocketAddr> {
@@ -73,7 +83,7 @@
         others: impl IntoIterator<Item = SocketAddr>,
     ) -> Option<Token> {
         let is_first = others.into_iter().all(|other| own < other);
-        self.token
-            .filter(|_| is_first && self.planner(now).is_none())
+        let token = self.token.filter(|token| Some(*token) > self.refused);
+        token.filter(|_| is_first && self.planner(now).is_none())
     }
 }
--- a/crates/core/src/pipeline/refusals.rs
+++ b/crates/core/src/pipeline/refusals.rs
@@ -94,13 +94,13 @@
     /// Tells whether a server has refused everything for so long that it must be leaving.
     ///
     /// While the store is away nothing else tells that a server leaves. It refuses what is new, and later
-    /// it is gone with its layers; by then another server should hold them.
+    /// it is gone with its layers; by then another server should hold them. A refusal that nobody has met
+    /// again for some seconds says nothing of now.
     #[must_use]
     pub fn is_leaving(&self, now: Instant, server: &Incarnation) -> bool {
-        let own = self
-            .own
-            .get(server)
-            .filter(|refusal| refusal.lasts >= LEAVING);
+        let lasts_still =
+            |refusal: &&Refusal| refusal.lasts >= LEAVING && refusal.until.plus(LONGEST_FULL) > now;
+        let own = self.own.get(server).filter(lasts_still);
         let heard = self.heard.get(server);
         own.is_some() || heard.is_some_and(|until| until.since(now) >= HEARD_LEAVING)
     }
--- a/crates/core/tests/moves.rs
+++ b/crates/core/tests/moves.rs
@@ -210,6 +210,18 @@
     assert!(!path.parts().iter().any(passes));
 }
 
+/// The best path, and the servers that are left when a part in its middle leaves.
+fn without_a_part(view: &View<'_>) -> (Path, Fleet) {
+    let engine = engine();
+    let holders = region();
+    let whole = fleet(&engine, &carried_out(&holders, &plan(&engine, &holders)));
+    let path = whole.choose(NEED, view).unwrap().path;
+    let leaver = path.parts()[1].server.clone();
+    let staying = whole.nodes.iter().filter(|node| node.server != leaver);
+    let left = Fleet::new(engine.into(), staying.cloned().collect());
+    (path, left)
+}
+
 /// What streams lose when a server of a row leaves as planned.
 ///
 /// The pattern of load: a hundred streams of all entries pass a server that drains. It serves on for two
@@ -219,16 +231,9 @@
 fn streams_leave_a_draining_server_without_pauses_that_show() {
     const ALLOWED_MS: f64 = 200.0;
     const LOOK_MS: u64 = 25;
-    let engine = engine();
-    let holders = region();
-    let whole = fleet(&engine, &carried_out(&holders, &plan(&engine, &holders)));
     let home: Zone = "b".into();
     let (mut load, suspicion) = (Load::default(), Suspicion::default());
-    let old = whole.choose(NEED, &view(&load, &suspicion, &home)).unwrap();
-    let old = old.path;
-    let leaver = old.parts()[1].server.clone();
-    let staying = whole.nodes.iter().filter(|node| node.server != leaver);
-    let left = Fleet::new(engine.into(), staying.cloned().collect());
+    let (old, left) = without_a_part(&view(&load, &suspicion, &home));
     let mut waiting = ENTRIES * STREAMS;
     let mut reads_until: BTreeMap<Incarnation, f64> = BTreeMap::new();
     let mut longest_ms: f64 = 0.0;
@@ -267,16 +272,9 @@
 /// Nothing leaves while the servers that would have to read its tokens are busy.
 #[test]
 fn a_stream_stays_at_a_draining_server_while_others_are_busy() {
-    let engine = engine();
-    let holders = region();
-    let whole = fleet(&engine, &carried_out(&holders, &plan(&engine, &holders)));
     let home: Zone = "b".into();
     let (mut load, suspicion) = (Load::default(), Suspicion::default());
-    let old = whole.choose(NEED, &view(&load, &suspicion, &home)).unwrap();
-    let old = old.path;
-    let leaver = old.parts()[1].server.clone();
-    let staying = whole.nodes.iter().filter(|node| node.server != leaver);
-    let left = Fleet::new(engine.into(), staying.cloned().collect());
+    let (old, left) = without_a_part(&view(&load, &suspicion, &home));
     assert!(
         left.leave(NEED, &view(&load, &suspicion, &home), &old, true)
             .is_some()
--- a/crates/core/tests/outage.rs
+++ b/crates/core/tests/outage.rs
@@ -129,6 +129,38 @@
     );
 }
 
+/// A deputy that was refused does not begin again under the same number.
+///
+/// An entry that the store serves and that nobody hears was made planner, and servers know its number. The
+/// deputy's order is refused; it gives no more until it hears of a number that was not refused.
+#[test]
+fn a_deputy_that_was_refused_does_not_begin_again() {
+    let mut sight = Sight::default();
+    sight.heard(Instant(0), entry(3), Some(Token(4)));
+    let gone = Instant(0).plus(GONE);
+    assert_eq!(sight.stands_in(gone, entry(0), []), Some(Token(4)));
+
+    sight.refused(Token(4));
+
+    assert_eq!(sight.stands_in(gone, entry(0), []), None);
+    sight.heard(gone, entry(3), Some(Token(5)));
+    let gone = gone.plus(GONE);
+    assert_eq!(sight.stands_in(gone, entry(0), []), Some(Token(5)));
+}
+
+/// A refusal long ago does not make a server a leaver.
+#[test]
+fn an_old_refusal_makes_no_leaver() {
+    let server = "a".into();
+    let mut refusals = Refusals::default();
+    for at in [0, 200, 600, 1_400] {
+        refusals.refused(Instant(at), &server);
+    }
+
+    assert!(refusals.is_leaving(Instant(1_500), &server));
+    assert!(!refusals.is_leaving(Instant(9_000), &server));
+}
+
 /// A server that leaves is told from one that is full.
 ///
 /// Both refuse. A full one takes a request whenever another ends, every two hundred milliseconds or so;
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -51,6 +51,13 @@
         self.own.get()
     }
 
+    /// Books that an order under a number was refused, since a later one was used.
+    pub fn refused(&self, token: Token) {
+        let mut sight = self.sight.get();
+        sight.refused(token);
+        self.sight.set(sight);
+    }
+
     /// Takes another entry's word on whether it is the planner.
     pub fn heard_entry(&self, now: Instant, entry: SocketAddr, token: Option<Token>) {
         let mut sight = self.sight.get();
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -80,6 +80,7 @@
                 Ok(Ok(StatusCode::PRECONDITION_FAILED)) => {
                     // A later planner has given orders: this term is over.
                     self.is_over.set(true);
+                    self.state.leadership.refused(self.lead.get().token);
                     return;
                 }
                 _ => {}
