Take a server's own word on its layers in one place

Cause: read in the diff: the planner's questions and a report that shows a restart took what a server holds by two copies of the same steps. Change: follow::take_held serves both; the planner's line of the log now tells the effect as well.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -9,6 +9,7 @@
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use jujube_core::layer::Range;
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::roster::Effect;
@@ -294,6 +295,20 @@
     rebuild(state);
 }
 
+/// Takes what a server itself says it holds, and has the other entries told, while the store, which would
+/// tell all, is away.
+pub fn take_held<D>(state: &State<D>, server: &Incarnation, held: Range) {
+    let mut roster = state.roster.borrow_mut();
+    let effect = roster.reported(clock::now(), server, held);
+    drop(roster);
+    if effect == Effect::None {
+        return;
+    }
+    log::info!("event=reported server={server} effect={effect:?} held={held}");
+    state.told.borrow_mut().insert(server.clone(), held);
+    rebuild(state);
+}
+
 /// Rebuilds what is derived from configuration and registrations.
 pub fn rebuild<D>(state: &State<D>) {
     let Some(table) = state.table() else {
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -14,7 +14,6 @@
 use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase as Work;
-use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -232,7 +231,9 @@
             tokio::time::sleep(ASK).await;
             for (server, address) in self.doubtful() {
                 if let Ok(report) = probe::report(&self.state, &server, address).await {
-                    self.take_held(&server, report.held);
+                    if let Some(held) = report.held {
+                        follow::take_held(&self.state, &server, held);
+                    }
                     let mut load = self.state.load.borrow_mut();
                     load.asked(clock::now(), &server, report.slowness);
                 }
@@ -262,22 +263,6 @@
         engines.collect()
     }
 
-    /// Takes what a server says it holds while the store, which would tell all, is away.
-    fn take_held(&self, server: &Incarnation, held: Option<Range>) {
-        let Some(held) = held else {
-            return;
-        };
-        let mut roster = self.state.roster.borrow_mut();
-        let effect = roster.reported(clock::now(), server, held);
-        drop(roster);
-        if effect == Effect::None {
-            return;
-        }
-        log::info!("event=reported server={server} held={held}");
-        self.state.told.borrow_mut().insert(server.clone(), held);
-        follow::rebuild(&self.state);
-    }
-
     /// Gives the orders that the plan asks for now.
     fn look(self: &Rc<Self>, is_settled: bool) {
         let Some(table) = self.state.table() else {
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -12,7 +12,6 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
-use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -87,15 +86,7 @@
 /// get neither layers nor work until the store is back.
 fn learn_restart<D: Dialect>(state: &State<D>, earlier: &Incarnation, report: &Report) {
     let later = Incarnation::new(earlier.server.clone(), report.born);
-    let held = report.held.unwrap_or_default();
-    let mut roster = state.roster.borrow_mut();
-    let effect = roster.reported(clock::now(), &later, held);
-    drop(roster);
-    if effect != Effect::None {
-        log::info!("event=reported server={later} effect={effect:?} held={held}");
-        state.told.borrow_mut().insert(later, held);
-        follow::rebuild(state);
-    }
+    follow::take_held(state, &later, report.held.unwrap_or_default());
 }
 
 async fn ask<D: Dialect>(
