Tell in a line and in counters what decided a retry

Ruled out: a change of logic; what is taken and denied is the same. Change: event=retry with these inputs and the outcome; retries_taken_total beside retries_denied_total.

--- a/crates/core/src/pipeline/allowance.rs
+++ b/crates/core/src/pipeline/allowance.rs
@@ -36,6 +36,25 @@
 /// Keeps back a part of the ratio: a window may cut off the requests that paid for a retry.
 const RATIO_KEPT: f64 = 0.8;
 
+/// What decides on one more extra arrival.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Grounds {
+    /// Extra arrivals in the window.
+    pub spent: u64,
+    /// Extra arrivals that the requests in the window pay for.
+    pub paid: f64,
+    /// This entry's part of the slack.
+    pub share: f64,
+}
+
+impl Grounds {
+    /// Tells whether one more extra arrival is within what is paid for and the share.
+    #[must_use]
+    pub fn allow(&self) -> bool {
+        self.spent as f64 + 1.0 <= self.paid + self.share
+    }
+}
+
 /// Counts requests and extra arrivals of one service in a sliding window.
 ///
 /// Without it a failing service would get every request as often as its route allows, which keeps
@@ -68,12 +87,20 @@
         self.requests.push_back(now);
     }
 
-    /// Tells whether one more extra arrival is within the share.
-    pub fn has_left(&mut self, now: Instant, terms: &Terms) -> bool {
+    /// Returns what decides on one more extra arrival.
+    pub fn grounds(&mut self, now: Instant, terms: &Terms) -> Grounds {
         forget(&mut self.requests, now, terms.window);
         forget(&mut self.extra, now, terms.window);
-        let paid = self.requests.len() as f64 * terms.ratio * RATIO_KEPT;
-        self.extra.len() as f64 + 1.0 <= paid + terms.share()
+        Grounds {
+            spent: self.extra.len() as u64,
+            paid: self.requests.len() as f64 * terms.ratio * RATIO_KEPT,
+            share: terms.share(),
+        }
+    }
+
+    /// Tells whether one more extra arrival is within the share.
+    pub fn has_left(&mut self, now: Instant, terms: &Terms) -> bool {
+        self.grounds(now, terms).allow()
     }
 
     /// Takes one extra arrival; `false` when the share is used up.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -166,14 +166,28 @@
         allowance.has_left(clock::now(), &terms)
     }
 
-    /// Takes one retry out of this entry's share; `false` when it is used up.
-    pub fn take_retry(&self, service: &Service) -> bool {
+    /// Takes one retry of a request out of this entry's share; `false` when it is used up.
+    pub fn take_retry(&self, service: &Service, request: &str) -> bool {
+        let now = clock::now();
+        let terms = self.retry_terms();
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(service.clone()).or_default();
-        let taken = allowance.take(clock::now(), &self.retry_terms());
-        if !taken {
-            self.metrics.count("retries_denied");
-        }
+        let grounds = allowance.grounds(now, &terms);
+        let taken = allowance.take(now, &terms);
+        let (outcome, counter) = match taken {
+            true => ("taken", "retries_taken"),
+            false => ("denied", "retries_denied"),
+        };
+        self.metrics.count(counter);
+        log::info!(
+            "event=retry request={request} service={service} outcome={outcome} spent={} paid={:.1} \
+             share={:.1} entries={} age_ms={}",
+            grounds.spent,
+            grounds.paid,
+            grounds.share,
+            terms.entries,
+            now.since(self.started)
+        );
         taken
     }
 
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -97,7 +97,7 @@
                     refusals = 0;
                     avoid.clone_from(&stream.distrusted.borrow());
                 }
-                while !state.take_retry(&stream.service) {
+                while !state.take_retry(&stream.service, &stream.id) {
                     if !waits_for_room(stream).await {
                         return Err(given_up(stream, Reason::Refused, cause));
                     }
@@ -203,7 +203,9 @@
 /// Tells whether a stream that may have run may be sent to engines once more.
 pub(super) fn may_run_again<D>(state: &State<D>, stream: &Stream) -> bool {
     let route = &stream.route;
-    route.may_repeat() && has_attempt(state, stream) && state.take_retry(&stream.service)
+    route.may_repeat()
+        && has_attempt(state, stream)
+        && state.take_retry(&stream.service, &stream.id)
 }
 
 async fn send<D: Dialect>(
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -216,7 +216,10 @@
             return None;
         }
         let server = self.pick()?;
-        if !self.state.take_retry(&self.request.service) {
+        if !self
+            .state
+            .take_retry(&self.request.service, &self.request.id)
+        {
             return None;
         }
         self.sent += 1;
