Take nothing but events for the rest of a stream, and keep a failed answer until a better one comes

Cause: open() passed on whatever a server answered when no further run was allowed; after the first events a failure's empty body then ended the stream as if whole. For plain requests a failed answer was dropped as soon as another server was there, and the retry asked for afterwards could be denied: the caller was told 503, not run. Both look first and take later. Ruled out: the relay (it saw an empty body end between two events, which is a whole stream as far as it can know). Change: a run that continues an answer is one of events or has failed; the failed answer is kept until the tries end.

--- a/crates/front/src/stream/live.rs
+++ b/crates/front/src/stream/live.rs
@@ -23,6 +23,7 @@
 
 use super::booking::Registration;
 use super::booking::leave_path;
+use super::open::Answer;
 use super::open::GivenUp;
 use super::open::may_run_again;
 use super::open::open;
@@ -181,7 +182,7 @@
         // Dropping the old body closes its connection, and the engine stops.
         self.upstream = Upstream::Resuming(receiver);
         tokio::task::spawn_local(async move {
-            let opened = open(&state, &stream, last).await;
+            let opened = open(&state, &stream, last, Answer::Begun).await;
             // A caller that has left meanwhile drops the receiver, and with it the new run.
             let _caller_gone = sender.send(opened);
         });
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -11,10 +11,11 @@
 use std::rc::Rc;
 
 use futures::task::AtomicWaker;
+use hyper::HeaderMap;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderName;
-use hyper::http::response::Parts;
 use jujube_core::pipeline::chooser::Need;
 use jujube_core::pipeline::relay::Relay;
 use jujube_core::time::Span;
@@ -51,9 +52,9 @@
 const REFUSED: Span = Span(300);
 
 /// Tells whether an answer is a stream of events, rather than a failure or another kind of body.
-fn is_events(parts: &Parts) -> bool {
-    let kind = head::text(&parts.headers, &CONTENT_TYPE);
-    parts.status.is_success() && kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+fn is_events(status: StatusCode, headers: &HeaderMap) -> bool {
+    let kind = head::text(headers, &CONTENT_TYPE);
+    status.is_success() && kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
 
 /// Serves one request.
@@ -115,7 +116,7 @@
             return answer::own(reason, Some(come_back));
         }
     };
-    match open(&state, &stream, last).await {
+    match open(&state, &stream, last, open::Answer::Ahead).await {
         Ok(incomplete) => {
             let (mut parts, body) = incomplete.response.into_parts();
             let upstream = Upstream::Reading {
@@ -125,7 +126,7 @@
             };
             head::strip(&mut parts.headers);
             let live = Live {
-                is_events: is_events(&parts),
+                is_events: is_events(parts.status, &parts.headers),
                 registration,
                 place,
                 guard,
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -41,11 +41,21 @@
 
 pub(super) type GivenUp = (Reason, String);
 
+/// What the caller has of the answer when a run is opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Answer {
+    /// Nothing: whatever a server answers may be passed on.
+    Ahead,
+    /// Its head, and the events so far: only more events can follow.
+    Begun,
+}
+
 /// Sends the request along a path until one takes it.
 pub(super) async fn open<D: Dialect>(
     state: &Rc<State<D>>,
     stream: &Rc<Stream>,
     last: Option<u64>,
+    answer: Answer,
 ) -> Result<Incomplete, GivenUp> {
     let mut avoid: Vec<Incarnation> = stream.distrusted.borrow().clone();
     let mut refusals = 0;
@@ -61,10 +71,15 @@
         };
         let sent = send(state, stream, path, last);
         let failure = match sent.await {
-            Ok(incomplete) if fails(&incomplete) && may_run_again(state, stream) => {
-                Failure::Failed(incomplete.response.status())
+            Ok(incomplete) if is_wanted(&incomplete, answer) => return Ok(incomplete),
+            Ok(incomplete) => {
+                let failure = Failure::Failed(incomplete.response.status());
+                match may_run_again(state, stream) {
+                    true => failure,
+                    false if answer == Answer::Ahead => return Ok(incomplete),
+                    false => return Err((Reason::Failed, failure.to_string())),
+                }
             }
-            Ok(incomplete) => return Ok(incomplete),
             Err(failure) => failure,
         };
         let cause = failure.to_string().replace(' ', "-");
@@ -136,9 +151,16 @@
     (reason, cause)
 }
 
-/// Tells whether a server answered that it failed.
-fn fails(incomplete: &Incomplete) -> bool {
-    incomplete.response.status().is_server_error()
+/// Tells whether a server's answer is passed on before any other try.
+///
+/// After the first events of a stream, the body of any other answer would be taken for the rest of it: that of
+/// a failure is empty, and a stream cut short would look whole to its caller.
+fn is_wanted(incomplete: &Incomplete, answer: Answer) -> bool {
+    let response = &incomplete.response;
+    match answer {
+        Answer::Ahead => !response.status().is_server_error(),
+        Answer::Begun => super::is_events(response.status(), response.headers()),
+    }
 }
 
 /// Waits a little for room, if this is a stream under way whose caller has not lost patience.
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -61,6 +61,7 @@
         request: &request,
         avoid: Vec::new(),
         may_have_run: false,
+        spare: None,
         sent: 0,
         refusals: 0,
         cause: String::from("-"),
@@ -105,6 +106,11 @@
     request: &'a Admitted,
     avoid: Vec<Incarnation>,
     may_have_run: bool,
+    /// The answer of a server that failed, for when no other try brings a better one.
+    ///
+    /// The try after it may be denied, or be turned away by every server. Without this answer the caller would
+    /// be told that the request has not run, and would send it again although it has.
+    spare: Option<Answer>,
     /// How many servers it was sent to that did not refuse it.
     sent: u64,
     refusals: u32,
@@ -131,12 +137,14 @@
                 }
             };
             let Some((server, result)) = ended else {
-                return Err(self.given_up());
+                return self.end();
             };
             match self.judge(&server, result) {
                 Some(answer) => return Ok(answer),
                 None if running.is_empty() => {
-                    let next = self.another().ok_or_else(|| self.given_up())?;
+                    let Some(next) = self.another() else {
+                        return self.end();
+                    };
                     running.push(attempt(self.state, self.request, next));
                 }
                 None => {}
@@ -150,17 +158,14 @@
             Ok(answer) => {
                 let failed = answer.parts.status.is_server_error();
                 self.book(server, !failed);
-                let again = failed && self.request.route.may_repeat() && self.can_send();
-                if !again {
+                if !failed || !self.request.route.may_repeat() {
                     return Some(answer);
                 }
                 self.state.metrics.count("answers_failed");
                 self.avoid.push(server.incarnation.clone());
-                return if self.pick().is_some() {
-                    None
-                } else {
-                    Some(answer)
-                };
+                self.may_have_run = true;
+                self.spare = Some(answer);
+                return None;
             }
             Err(failure) => failure,
         };
@@ -250,6 +255,12 @@
         ranked.cloned()
     }
 
+    /// Returns what the caller gets when there is no further try.
+    fn end(self) -> Result<Answer, GivenUp> {
+        let given_up = self.given_up();
+        self.spare.ok_or(given_up)
+    }
+
     fn no_server(&self) -> GivenUp {
         (Reason::NoServer, "no-server".into(), Some(NO_SERVER))
     }
