Let a stream at its route's limit wait until its last server is certain to have ended

Cause: a broken connection shows within milliseconds that a run is lost; a server counts as ended after half a second. A stream whose route allows two servers, the first of them alive, was cut in between, also when the second left as planned. Change: the outlook of a request is open, near or closed; near waits as for room. The server of a lost run is asked anew, since an answer from before says nothing of the loss. An entry that was not the first of all looks again at once.

--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -2,6 +2,9 @@
 
 use jujube_core::pipeline::allowance::Allowance;
 use jujube_core::pipeline::allowance::Terms;
+use jujube_core::pipeline::attempts::Attempts;
+use jujube_core::pipeline::attempts::Belief;
+use jujube_core::pipeline::attempts::Outlook;
 use jujube_core::pipeline::document::Account;
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::document::Kind;
@@ -103,6 +106,19 @@
     assert!(stream.may_repeat());
 }
 
+#[test]
+fn a_request_that_lost_its_runs_with_two_servers_too_many_is_given_up() {
+    let mut attempts = Attempts::default();
+    for server in ["a", "b", "c"] {
+        attempts.begin(server.into());
+    }
+    assert_eq!(attempts.outlook(2, |_| Belief::Ended), Outlook::Open);
+
+    attempts.begin("d".into());
+
+    assert_eq!(attempts.outlook(2, |_| Belief::Ended), Outlook::Closed);
+}
+
 #[test]
 fn a_suspect_is_asked_less_and_less_often() {
     let mut suspicion = Suspicion::default();
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -26,13 +26,19 @@
 const ANSWER: Duration = Duration::from_millis(800);
 /// How long after a failure to announce or to renew it is tried again.
 const AGAIN: Duration = Duration::from_millis(700);
+/// The same after another entry was the first of all; the next look finds it there.
+const AFTER_ANOTHER: Duration = Duration::from_millis(20);
 
 /// Announces this entry in the store until the process ends.
 pub async fn announce<D, F: Feed>(state: Rc<State<D>>, store: F) {
     loop {
         match take(&state, &store).await {
             Ok(Some(seat)) => keep(&state, &store, seat).await,
-            Ok(None) => log::info!("event=not-announced cause=written-by-another"),
+            Ok(None) => {
+                log::info!("event=not-announced cause=written-by-another");
+                tokio::time::sleep(AFTER_ANOTHER).await;
+                continue;
+            }
             Err(error) => doubt(&state, "not-announced", &error),
         }
         tokio::time::sleep(AGAIN).await;
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -60,6 +60,25 @@
     known: RefCell<HashMap<Incarnation, Known>>,
 }
 
+impl Probes {
+    /// Tells whether a server answered after a time.
+    pub fn answered_since(&self, server: &Incarnation, since: Instant) -> bool {
+        let known = self.known.borrow();
+        known
+            .get(server)
+            .is_some_and(|known| known.at > since && known.health != Health::Dead)
+    }
+
+    /// Forgets an answer that a server gave before a run on it was lost: it says nothing of the loss.
+    fn outdate(&self, server: &Incarnation, lost: Instant) {
+        let mut known = self.known.borrow_mut();
+        let is_outdated = |known: &Known| known.at <= lost && known.health != Health::Dead;
+        if known.get(server).is_some_and(is_outdated) {
+            known.remove(server);
+        }
+    }
+}
+
 /// Asks a server for its report.
 ///
 /// # Errors
@@ -176,6 +195,17 @@
     });
 }
 
+/// The same after a run on it was lost at a time: an answer from before does not stand.
+pub fn doubt_since<D: Dialect>(
+    state: &Rc<State<D>>,
+    server: Incarnation,
+    address: SocketAddr,
+    lost: Instant,
+) {
+    state.probes.outdate(&server, lost);
+    doubt(state, server, address);
+}
+
 /// Asks servers that closed a connection that rested, until the process ends.
 pub async fn follow_dropped<D: Dialect>(state: Rc<State<D>>) {
     loop {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -9,6 +9,7 @@
 
 use jujube_core::layer::Range;
 use jujube_core::name::Service;
+use jujube_core::pipeline::attempts::Belief;
 use jujube_core::pipeline::chooser::Fleet;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::load::Load;
@@ -186,12 +187,17 @@
         self.roster.borrow().get(server).map(|known| known.address)
     }
 
-    /// Tells whether a backend server has ended: its registration is gone, or it has been dead for so
-    /// long that it was asked again in vain.
-    pub fn has_ended(&self, server: &Incarnation) -> bool {
-        let lasts = self.suspicion.borrow().lasts(clock::now(), server);
-        let is_dead = lasts.is_some_and(|lasts| lasts >= ENDED);
-        is_dead || self.roster.borrow().get(server).is_none()
+    /// Returns what is believed of a backend server: it has ended when its registration is gone, or when it has
+    /// been suspected for so long that it was asked again in vain.
+    pub fn belief(&self, server: &Incarnation) -> Belief {
+        if self.roster.borrow().get(server).is_none() {
+            return Belief::Ended;
+        }
+        match self.suspicion.borrow().lasts(clock::now(), server) {
+            Some(lasts) if lasts >= ENDED => Belief::Ended,
+            Some(_) => Belief::Suspected,
+            None => Belief::Alive,
+        }
     }
 
     /// Books that a request ended well at a backend server.
--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -12,8 +12,7 @@
 
 use crate::state::State;
 
-use super::open::has_attempt;
-use super::open::holds_retry;
+use super::open::may_run_again;
 use super::record::Stream;
 
 /// Keeps a stream listed, and its memory booked, until it is dropped.
@@ -148,8 +147,7 @@
 
 /// Tells whether a stream that runs may be given up for another run; the retry for it is in hand then.
 pub fn may_reopen<D>(state: &State<D>, stream: &Stream) -> bool {
-    let route = &stream.route;
-    route.resumable && has_attempt(state, stream) && holds_retry(state, stream)
+    stream.route.resumable && may_run_again(state, stream)
 }
 
 /// Chooses with what this entry knows; `avoid` are servers that refused this request.
--- a/crates/front/src/stream/live.rs
+++ b/crates/front/src/stream/live.rs
@@ -10,13 +10,13 @@
 use hyper::HeaderMap;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
+use jujube_core::pipeline::attempts::Outlook;
 use jujube_core::pipeline::relay::Relay;
 use jujube_program::clock;
 use tokio::sync::oneshot;
 
 use crate::answer::Reason;
 use crate::dialect::Dialect;
-use crate::probe;
 use crate::request::Guard;
 use crate::upstream::Incomplete;
 use crate::waiting::Place;
@@ -25,8 +25,9 @@
 use super::booking::leave_path;
 use super::open::Answer;
 use super::open::GivenUp;
-use super::open::may_run_again;
+use super::open::lose;
 use super::open::open;
+use super::open::outlook;
 
 /// Where the events come from.
 pub(super) enum Upstream {
@@ -161,7 +162,9 @@
         let state = &self.registration.state;
         let stream = &self.registration.stream;
         let cause = cause.replace(' ', "-");
-        if !self.is_events || !stream.route.resumable || !may_run_again(state, stream) {
+        lose(state, stream);
+        let is_over = outlook(state, stream) == Outlook::Closed;
+        if !self.is_events || !stream.route.resumable || is_over {
             return Some(self.cut(&cause));
         }
         log::info!(
@@ -171,10 +174,6 @@
             stream.path_text()
         );
         state.metrics.count("streams_resumed");
-        if let Some(first) = stream.first() {
-            state.failed(&first.server);
-            probe::doubt(state, first.server, first.address);
-        }
         leave_path(state, stream);
         let (sender, receiver) = oneshot::channel();
         let last = self.relay.last();
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -5,6 +5,8 @@
 
 use futures::future::Either;
 use futures::future::select;
+use jujube_core::pipeline::attempts::Belief;
+use jujube_core::pipeline::attempts::Outlook;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::server::Incarnation;
@@ -27,8 +29,6 @@
 use super::booking::take_path;
 use super::record::Stream;
 
-/// How many runs of one request may be lost with their servers before it is given up.
-const MOST_LOST: usize = 2;
 /// How many paths may refuse a request before it is given up.
 const MOST_REFUSALS: u32 = 3;
 
@@ -37,6 +37,9 @@
 const PATIENCE: Span = Span(1_400);
 /// How long it waits for room before it tries a server that is known to have none.
 const HOPEFUL: Span = Span(700);
+/// How long after a run was lost its engine must have answered, or is suspected; an answer is waited for
+/// for a tenth of a second.
+const ANSWERED: Span = Span(300);
 /// How often it looks for room.
 const ROOM_PAUSE: Duration = Duration::from_millis(50);
 
@@ -60,11 +63,19 @@
 ) -> Result<Incomplete, GivenUp> {
     let mut avoid: Vec<Incarnation> = stream.distrusted.borrow().clone();
     let mut refusals = 0;
-    let mut cause = String::from("-");
+    let mut cause = String::from("run-lost");
     loop {
         if stream.expired.get() || clock::now() >= stream.deadline {
             return Err((Reason::Late, "deadline".into()));
         }
+        match outlook(state, stream) {
+            _ if stream.runs() == 0 => {}
+            Outlook::Open => {}
+            // A broken connection shows within milliseconds that a run is lost, and a server counts as ended half
+            // a second later. Given up in between, streams would be cut whose servers leave as planned.
+            Outlook::Near if waits_for_room(stream).await => continue,
+            Outlook::Near | Outlook::Closed => return Err((Reason::Failed, cause)),
+        }
         stream.abandoned.set(false);
         let path = match next_path(state, stream, &avoid) {
             Some(path) => path,
@@ -100,6 +111,9 @@
         );
         let first = stream.first();
         let at_fault = part_at_fault(stream, &failure);
+        if matches!(failure, Failure::Unknown(_)) {
+            lose(state, stream);
+        }
         leave_path(state, stream);
         match failure {
             Failure::NotSent(_) => {
@@ -131,14 +145,8 @@
             }
             Failure::Unknown(_) => {
                 if let Some(first) = first {
-                    // If it is dead, no other request should have to find that out for itself.
-                    probe::doubt(state, first.server.clone(), first.address);
-                    state.failed(&first.server);
                     avoid.push(first.server);
                 }
-                if !may_run_again(state, stream) {
-                    return Err((Reason::Failed, cause));
-                }
             }
         }
         state.metrics.count("retries");
@@ -216,21 +224,47 @@
 }
 
 /// Tells whether a stream may run on one more server.
-///
-/// A route limits on how many servers a request runs; those that ended meanwhile do not count, since
-/// what they did is lost. The whole is limited too, for callers whose streams meet one death after the
-/// other.
-pub(super) fn has_attempt<D>(state: &State<D>, stream: &Stream) -> bool {
-    let ran_on = stream.ran_on.borrow();
-    let alive = ran_on.iter().filter(|server| !state.has_ended(server));
-    let attempts = stream.route.attempts as usize;
-    alive.count() < attempts && ran_on.len() < attempts + MOST_LOST
+pub(super) fn outlook<D>(state: &State<D>, stream: &Stream) -> Outlook {
+    if !stream.route.may_repeat() {
+        return Outlook::Closed;
+    }
+    let limit = stream.route.attempts as usize;
+    let attempts = stream.attempts.borrow();
+    attempts.outlook(limit, |server| {
+        let belief = state.belief(server);
+        let is_doubted = belief == Belief::Alive && is_doubted(state, stream, server);
+        if is_doubted {
+            Belief::Suspected
+        } else {
+            belief
+        }
+    })
+}
+
+/// Tells whether the stream's last run was lost with a server that has not answered since.
+fn is_doubted<D>(state: &State<D>, stream: &Stream, server: &Incarnation) -> bool {
+    let lost_with = stream.lost_with.borrow();
+    let Some((_, lost)) = lost_with.as_ref().filter(|(lost, _)| lost == server) else {
+        return false;
+    };
+    clock::now().since(*lost) < ANSWERED && !state.probes.answered_since(server, *lost)
+}
+
+/// Books that the present run is lost, and has its engine asked whether it is alive: if it is dead, no other
+/// request should have to find that out for itself.
+pub(super) fn lose<D: Dialect>(state: &Rc<State<D>>, stream: &Stream) {
+    let Some(first) = stream.first() else {
+        return;
+    };
+    let now = clock::now();
+    state.failed(&first.server);
+    stream.lost_with.replace(Some((first.server.clone(), now)));
+    probe::doubt_since(state, first.server, first.address, now);
 }
 
 /// Tells whether a stream that may have run may be sent to engines once more.
 pub(super) fn may_run_again<D>(state: &State<D>, stream: &Stream) -> bool {
-    let route = &stream.route;
-    route.may_repeat() && has_attempt(state, stream) && holds_retry(state, stream)
+    outlook(state, stream) == Outlook::Open && holds_retry(state, stream)
 }
 
 /// Tells whether a retry is in hand for the next run, after taking one if there was none.
@@ -272,7 +306,7 @@
         path
     );
     take_path(state, stream, Some(path));
-    stream.ran_on.borrow_mut().push(first.server.clone());
+    stream.attempts.borrow_mut().begin(first.server.clone());
     let mut retry = stream.retry.take();
     if let Some(retry) = &mut retry {
         retry.set_sent(true);
@@ -285,7 +319,7 @@
         Either::Right(_) => Err(Failure::Unknown("abandoned".into())),
     };
     if !matches!(result, Ok(_) | Err(Failure::Unknown(_))) {
-        stream.ran_on.borrow_mut().pop();
+        stream.attempts.borrow_mut().take_back();
     }
     if !matches!(result, Err(Failure::NotSent(_))) {
         stream.was_sent.set(true);
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -8,6 +8,7 @@
 
 use futures::task::AtomicWaker;
 use jujube_core::name::Service;
+use jujube_core::pipeline::attempts::Attempts;
 use jujube_core::pipeline::chooser::Need;
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::path::Path;
@@ -65,12 +66,14 @@
     pub(super) need: Need,
     pub(super) outgoing: Outgoing,
     pub(super) arrived: Instant,
-    /// The engines that it was sent to and that may have run it, in order.
-    pub(super) ran_on: RefCell<Vec<Incarnation>>,
+    /// The engines that it ran on.
+    pub(super) attempts: RefCell<Attempts>,
     /// Whether an engine got it, so that each further send is a retry.
     pub(super) was_sent: Cell<bool>,
     /// The retry for its next run.
     pub(super) retry: RefCell<Option<Retry>>,
+    /// The engine with which its last run was lost, and when.
+    pub(super) lost_with: RefCell<Option<(Incarnation, Instant)>>,
     pub(super) abandoned: Cell<bool>,
     pub(super) expired: Cell<bool>,
     /// Wakes the body of the answer.
@@ -107,7 +110,7 @@
 
     /// Returns how many times it was sent to engines that may have run it.
     pub fn runs(&self) -> usize {
-        self.ran_on.borrow().len()
+        self.attempts.borrow().runs()
     }
 
     /// Waits until the current run counts as lost or the time is over.
