Take no server for ended by its silence while this process is late itself

Cause: an entry that stands still or gets little of its processor finds every answer overdue, suspects live servers, and half a second later counted them as ended; each gave its request one more attempt than the route allows. Change: a pulse that the loop over the streams beats; silence counts from half a second before the first suspicion only if no beat was late. A refused connection counts as before, since no lateness explains it.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -17,6 +17,7 @@
 pub mod outlier;
 pub mod path;
 pub mod placement;
+pub mod pulse;
 pub mod refusals;
 pub mod relay;
 pub mod roster;
--- /dev/null
+++ b/crates/core/src/pipeline/pulse.rs
@@ -0,0 +1,67 @@
+//! Whether this process keeps up with its own work.
+
+use crate::time::Instant;
+use crate::time::Span;
+
+/// How late a beat may be. Usual ones are a few milliseconds late; a question to a server waits for a tenth of
+/// a second, so half of that makes its silence worth nothing.
+const LATE: Span = Span(50);
+
+/// Beats at a steady pace, and remembers when one was late.
+///
+/// A process that stood still, or that is short of processor time, finds the answers of all servers overdue. It
+/// would take live ones for dead, and run a request on more servers than its route allows. What it believes of
+/// others by their silence counts only if it was on time itself meanwhile.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::pulse::Pulse;
+/// # use jujube_core::time::Instant;
+/// # use jujube_core::time::Span;
+/// let mut pulse = Pulse::new(Span(25));
+/// pulse.beat(Instant(25));
+/// pulse.beat(Instant(52));
+/// assert!(!pulse.was_late(Instant(0), Instant(60)));
+/// assert!(pulse.was_late(Instant(0), Instant(500)), "the next beat is overdue");
+/// pulse.beat(Instant(500));
+/// assert!(pulse.was_late(Instant(400), Instant(510)));
+/// assert!(!pulse.was_late(Instant(505), Instant(510)));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Pulse {
+    pace: Span,
+    last: Instant,
+    /// When a late beat came.
+    late: Option<Instant>,
+}
+
+impl Pulse {
+    /// Returns a pulse that is to beat at a pace.
+    #[must_use]
+    pub fn new(pace: Span) -> Self {
+        Self {
+            pace,
+            last: Instant::default(),
+            late: None,
+        }
+    }
+
+    /// Takes a beat.
+    pub fn beat(&mut self, now: Instant) {
+        if self.is_overdue(now) {
+            self.late = Some(now);
+        }
+        self.last = now;
+    }
+
+    /// Tells whether a beat was late since a time, or is overdue now.
+    #[must_use]
+    pub fn was_late(&self, since: Instant, now: Instant) -> bool {
+        self.is_overdue(now) || self.late.is_some_and(|late| late >= since)
+    }
+
+    fn is_overdue(&self, now: Instant) -> bool {
+        now.since(self.last) > Span(self.pace.0 + LATE.0)
+    }
+}
--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::pipeline::pulse::Pulse;
 use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
@@ -14,11 +15,19 @@
 /// The longest pause; a suspect that left is taken off the list by its registration.
 const LONGEST_PAUSE: Span = Span(1_600);
 
+/// How long a server must have been suspected to count as ended; it is asked again in that time.
+const ENDED: Span = Span(500);
+/// How long before a server is suspected it was asked: an answer is waited for for a tenth of a second, a
+/// connection for less than half.
+const ASKED: Span = Span(500);
+
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
     since: Instant,
     ask_at: Instant,
     pause: Span,
+    /// Nobody listens at its address.
+    is_absent: bool,
 }
 
 /// Who is suspected.
@@ -54,6 +63,7 @@
             since: now,
             ask_at: now.plus(FIRST_PAUSE),
             pause: FIRST_PAUSE,
+            is_absent: false,
         };
         self.suspects.insert(server.clone(), suspect);
         true
@@ -77,6 +87,25 @@
         Some(now.since(suspect.since))
     }
 
+    /// Books that a suspected server's address refuses connections, which no lateness of this process explains.
+    pub fn refused(&mut self, server: &Incarnation) {
+        if let Some(suspect) = self.suspects.get_mut(server) {
+            suspect.is_absent = true;
+        }
+    }
+
+    /// Tells whether a suspected server counts as ended: it was asked again in vain, and nobody listens there, or
+    /// this process was on time itself from the first question on.
+    #[must_use]
+    pub fn has_ended(&self, now: Instant, server: &Incarnation, pulse: &Pulse) -> bool {
+        let Some(suspect) = self.suspects.get(server) else {
+            return false;
+        };
+        let asked = Instant(suspect.since.0.saturating_sub(ASKED.0));
+        let is_certain = suspect.is_absent || !pulse.was_late(asked, now);
+        is_certain && now.since(suspect.since) >= ENDED
+    }
+
     /// Returns the suspects to ask now; each is due again after a longer pause.
     pub fn due(&mut self, now: Instant) -> Vec<Incarnation> {
         let mut due = Vec::new();
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -11,6 +11,7 @@
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::document::Target;
+use jujube_core::pipeline::pulse::Pulse;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -119,6 +120,48 @@
     assert_eq!(attempts.outlook(2, |_| Belief::Ended), Outlook::Closed);
 }
 
+fn beaten(until: u64) -> Pulse {
+    let mut pulse = Pulse::new(Span(25));
+    for now in (25..=until).step_by(25) {
+        pulse.beat(Instant(now));
+    }
+    pulse
+}
+
+/// Callers' requests ran on three servers of a route that allows two, all of them alive.
+///
+/// An entry stands still, or gets little of its processor, while a server's answer is under way. The answer is
+/// overdue when it goes on, the server is suspected, and half a second later it counted as ended: another
+/// attempt was free. What proved it: the servers on which these requests ran never ended, and the entry that
+/// sent them was slowed at that time.
+#[test]
+fn a_server_that_is_silent_to_a_late_process_has_not_ended() {
+    let mut suspicion = Suspicion::default();
+    let mut pulse = beaten(1_000);
+    pulse.beat(Instant(3_000));
+    suspicion.accuse(Instant(3_010), &"a".into());
+    for now in (3_025..3_600).step_by(25) {
+        pulse.beat(Instant(now));
+    }
+
+    assert!(!suspicion.has_ended(Instant(3_600), &"a".into(), &pulse));
+    suspicion.refused(&"a".into());
+    assert!(
+        suspicion.has_ended(Instant(3_600), &"a".into(), &pulse),
+        "nobody listens"
+    );
+}
+
+#[test]
+fn a_server_that_is_silent_to_a_process_on_time_has_ended_after_half_a_second() {
+    let mut suspicion = Suspicion::default();
+    let pulse = beaten(2_000);
+    suspicion.accuse(Instant(1_500), &"a".into());
+
+    assert!(!suspicion.has_ended(Instant(1_999), &"a".into(), &pulse));
+    assert!(suspicion.has_ended(Instant(2_000), &"a".into(), &pulse));
+}
+
 #[test]
 fn a_suspect_is_asked_less_and_less_often() {
     let mut suspicion = Suspicion::default();
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -182,11 +183,22 @@
             let mut load = state.load.borrow_mut();
             load.asked(at, server, report.slowness);
         }
-        Err(error) => state.accuse(server, &format!("{error:#}").replace(' ', "-")),
+        Err(error) => {
+            state.accuse(server, &format!("{error:#}").replace(' ', "-"));
+            note_refusal(state, server, &error);
+        }
     }
     health
 }
 
+/// Books whether nobody listens at a server's address, by the error with which a question ended.
+fn note_refusal<D>(state: &State<D>, server: &Incarnation, error: &anyhow::Error) {
+    let error = error.downcast_ref::<io::Error>();
+    if error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
+        state.suspicion.borrow_mut().refused(server);
+    }
+}
+
 /// Has a server asked whether it is alive, without waiting for the answer.
 pub fn doubt<D: Dialect>(state: &Rc<State<D>>, server: Incarnation, address: SocketAddr) {
     let state = state.clone();
@@ -237,7 +249,8 @@
 
 async fn ask_suspect<D: Dialect>(state: Rc<State<D>>, server: Incarnation, address: SocketAddr) {
     state.metrics.count("probes");
-    if report(&state, &server, address).await.is_err() {
+    if let Err(error) = report(&state, &server, address).await {
+        note_refusal(&state, &server, &error);
         return;
     }
     let since = state.suspicion.borrow_mut().clear(&server);
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -14,11 +14,11 @@
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::outlier::Outliers;
+use jujube_core::pipeline::pulse::Pulse;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
-use jujube_core::time::Span;
 use jujube_program::clock;
 
 use crate::follow::Malformed;
@@ -31,11 +31,9 @@
 use crate::retries::Retry;
 use crate::settings::Settings;
 use crate::waiting::Waiting;
+use crate::watchdog;
 use crate::watchdog::Streams;
 
-/// How long a server must have been suspected to count as ended; it is asked again in that time.
-const ENDED: Span = Span(500);
-
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Phase {
@@ -70,6 +68,8 @@
     pub load: RefCell<Load>,
     /// Who is suspected.
     pub suspicion: RefCell<Suspicion>,
+    /// Whether this entry keeps up with its own work.
+    pub pulse: RefCell<Pulse>,
     /// Who fails too often.
     pub outliers: RefCell<Outliers>,
     /// Told when the other entries should hear at once of a server that died or refuses.
@@ -119,6 +119,7 @@
             fleets: RefCell::default(),
             load: RefCell::default(),
             suspicion: RefCell::default(),
+            pulse: RefCell::new(Pulse::new(watchdog::PACE)),
             outliers: RefCell::default(),
             is_news: tokio::sync::Notify::new(),
             told: RefCell::default(),
@@ -193,10 +194,13 @@
         if self.roster.borrow().get(server).is_none() {
             return Belief::Ended;
         }
-        match self.suspicion.borrow().lasts(clock::now(), server) {
-            Some(lasts) if lasts >= ENDED => Belief::Ended,
-            Some(_) => Belief::Suspected,
-            None => Belief::Alive,
+        let suspicion = self.suspicion.borrow();
+        if suspicion.has_ended(clock::now(), server, &self.pulse.borrow()) {
+            return Belief::Ended;
+        }
+        match suspicion.holds(server) {
+            true => Belief::Suspected,
+            false => Belief::Alive,
         }
     }
 
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -63,7 +63,7 @@
 }
 
 /// How often the streams are looked through.
-const LOOK: Duration = Duration::from_millis(25);
+pub const PACE: Span = Span(25);
 /// How long a stream may be silent before its path is looked at: a pause of 200 ms makes an answer
 /// late, and an event usually takes under 50 ms.
 const SILENT: Span = Span(120);
@@ -98,8 +98,9 @@
 /// Looks after streams until the process ends.
 pub async fn run<D: Dialect>(state: Rc<State<D>>) {
     loop {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(Duration::from_millis(PACE.0)).await;
         let now = clock::now();
+        state.pulse.borrow_mut().beat(now);
         let leaving = leaving(&state, now);
         let mut left = 0;
         let listed = state.streams.listed.borrow();
