--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -19,7 +19,7 @@
 /// The key that the first of all entries writes.
 const FIRST: &str = "jujube/first-entry";
 
-/// How often it is renewed. The renewal is also how a store that has fallen silent is noticed, within
+/// How often the announcement is renewed. The renewal is also how a store that has fallen silent is noticed, within
 /// the three seconds after which a change must not be missed; it costs a tenth of another call.
 const RENEW: Duration = Duration::from_millis(1_300);
 /// How long a renewal may take; a slow store takes a third of a second.
