Walk the retry ledger once for each decision, and keep each fact in one place

A retry's grounds were worked out twice, for the line of the log and for the decision; the time of the last renewal was kept by the seat and by the task that renews; a wrapper around the seat was there only for one caller; Roster made a Member in two places; two test files had one fixture. Change: Allowance::book beside take; Seat::expire; Member::new; tests/support/registry.rs. Same decisions, no check changed.

--- a/crates/core/src/pipeline/allowance.rs
+++ b/crates/core/src/pipeline/allowance.rs
@@ -133,11 +133,16 @@
     pub fn take(&mut self, now: Instant, terms: &Terms, share: f64) -> bool {
         let is_allowed = self.grounds(now, terms, share).allow();
         if is_allowed {
-            self.extra.push_back(now);
+            self.book(now);
         }
         is_allowed
     }
 
+    /// Books an extra arrival that its grounds allow.
+    pub fn book(&mut self, now: Instant) {
+        self.extra.push_back(now);
+    }
+
     /// Gives back an extra arrival that was taken at a time and not sent.
     pub fn give_back(&mut self, taken: Instant) {
         if let Some(index) = self.extra.iter().rposition(|time| *time == taken) {
--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -31,6 +31,19 @@
     drains: Option<Instant>,
 }
 
+impl Member {
+    /// Returns a registered server that was first seen at a time, and first seen to drain at another, if it does.
+    fn new(server: Server, since: Instant, drains: Instant) -> Self {
+        let is_draining = server.state == State::Draining;
+        Self {
+            server,
+            since,
+            lapses: None,
+            drains: is_draining.then_some(drains),
+        }
+    }
+}
+
 /// What a change to the roster meant.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Effect {
@@ -103,12 +116,7 @@
             return Effect::Restarted;
         }
         let draining = server.state == State::Draining;
-        let member = Member {
-            server,
-            since: before.since,
-            lapses: None,
-            drains: draining.then(|| before.drains.unwrap_or(now)),
-        };
+        let member = Member::new(server, before.since, before.drains.unwrap_or(now));
         self.members.insert(name, member.clone());
         if before == member {
             return Effect::None;
@@ -120,13 +128,7 @@
     }
 
     fn insert(&mut self, now: Instant, server: Server) {
-        let draining = server.state == State::Draining;
-        let member = Member {
-            server,
-            since: now,
-            lapses: None,
-            drains: draining.then_some(now),
-        };
+        let member = Member::new(server, now, now);
         let name = member.server.incarnation.server.clone();
         self.members.insert(name, member);
     }
--- a/crates/core/src/pipeline/seat.rs
+++ b/crates/core/src/pipeline/seat.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Gives the announcement up once its lease has ended by the own clock.
+    pub fn expire(&mut self, now: Instant) {
+        let has_ended = |own: Own| now.since(own.renewed) >= self.lease;
+        if self.own.is_some_and(has_ended) {
+            self.lost();
+        }
+    }
+
     /// Takes that the announcement is gone, or may be.
     pub fn lost(&mut self) {
         self.own = None;
--- a/crates/core/tests/incarnations.rs
+++ b/crates/core/tests/incarnations.rs
@@ -5,6 +5,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails must panic")]
 
+#[path = "support/registry.rs"]
+mod registry;
+
 use jujube_core::layer::Range;
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::outlier::Outliers;
@@ -28,20 +31,14 @@
 }
 
 fn server(born: Option<Born>, state: State) -> Server {
+    let held = if born == EARLIER {
+        HELD
+    } else {
+        Range::default()
+    };
     Server {
-        incarnation: start(born),
-        service: "writer".into(),
-        address: ([10, 0, 0, 1], 8000).into(),
-        zone: "a".into(),
-        state,
-        slots: 4,
-        accelerator: None,
-        held: if born == EARLIER {
-            HELD
-        } else {
-            Range::default()
-        },
-        cold: Span(0),
+        held,
+        ..registry::server(start(born), state)
     }
 }
 
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -1,34 +1,23 @@
 //! Registered backend servers through outages of the registry.
 
+#[path = "support/registry.rs"]
+mod registry;
+
 use jujube_core::layer::Range;
 use jujube_core::pipeline::outage::Word;
 use jujube_core::pipeline::outage::is_for_all;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::roster::LAPSE_GRACE;
 use jujube_core::pipeline::roster::Roster;
-use jujube_core::pipeline::server::Server;
 use jujube_core::pipeline::server::State;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
-
-fn server(name: &str, state: State) -> Server {
-    Server {
-        incarnation: name.into(),
-        service: "writer".into(),
-        address: ([10, 0, 0, 1], 8000).into(),
-        zone: "a".into(),
-        state,
-        slots: 4,
-        accelerator: None,
-        held: Range::default(),
-        cold: Span(0),
-    }
-}
+use registry::server;
 
 fn with(names: &[&str]) -> Roster {
     let mut roster = Roster::default();
     for name in names {
-        roster.seen(Instant(0), server(name, State::Ready));
+        roster.seen(Instant(0), server(*name, State::Ready));
     }
     roster
 }
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -174,9 +174,8 @@
     }
     state.registered.set(true);
     state.leadership.heard(is_held);
-    let mut seat = state.retries.seat.borrow_mut();
-    seat.replaced(clock::now(), &entries, revision);
-    drop(seat);
+    let seat = &state.retries.seat;
+    seat.borrow_mut().replaced(clock::now(), &entries, revision);
     rebuild(state);
     Ok(Some(revision))
 }
@@ -207,7 +206,8 @@
         take_announcement(state, change);
         is_changed |= apply(state, change) != Effect::None;
     }
-    state.retries.followed(revision);
+    let seat = &state.retries.seat;
+    seat.borrow_mut().followed(clock::now(), revision);
     if is_changed {
         rebuild(state);
     }
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use jujube_core::revision::Revision;
-use jujube_core::time::Instant;
 use jujube_program::clock;
 use jujube_store::kv::Condition;
 use jujube_store::kv::Error;
@@ -33,7 +32,7 @@
 pub async fn announce<D, F: Feed>(state: Rc<State<D>>, store: F) {
     loop {
         match take(&state, &store).await {
-            Ok(Some(seat)) => keep(&state, &store, seat).await,
+            Ok(Some(lease)) => keep(&state, &store, lease).await,
             Ok(None) => {
                 log::info!("event=not-announced cause=written-by-another");
                 tokio::time::sleep(AFTER_ANOTHER).await;
@@ -45,18 +44,11 @@
     }
 }
 
-/// An announcement that is in force.
-struct Announcement {
-    lease: Lease,
-    /// When the lease was last asked for or renewed.
-    renewed: Instant,
-}
-
-/// Announces this entry; `None` when somebody else wrote meanwhile.
+/// Announces this entry and returns the lease; `None` when somebody else wrote meanwhile.
 ///
 /// The write holds only if the key is as it was read. A write under an earlier lease whose answer was lost, and
 /// that is carried out late, would otherwise replace this one and take the key with it when that lease ends.
-async fn take<D, F: Feed>(state: &State<D>, store: &F) -> Result<Option<Announcement>, Error> {
+async fn take<D, F: Feed>(state: &State<D>, store: &F) -> Result<Option<Lease>, Error> {
     let key = format!("{ENTRIES}{}", state.settings.name);
     let began = clock::now();
     let mut conditions = Vec::new();
@@ -90,10 +82,7 @@
         "event=announced revision={} first={is_first}",
         written.revision
     );
-    Ok(Some(Announcement {
-        lease,
-        renewed: began,
-    }))
+    Ok(Some(lease))
 }
 
 /// Returns the condition under which an entry is the first of all; `None` when others are announced.
@@ -119,17 +108,16 @@
 }
 
 /// Renews an announcement until it is no longer in force.
-async fn keep<D, F: Feed>(state: &State<D>, store: &F, mut announcement: Announcement) {
+async fn keep<D, F: Feed>(state: &State<D>, store: &F, lease: Lease) {
     let mut pause = RENEW;
     loop {
         tokio::time::sleep(pause).await;
         let asked = clock::now();
-        let renewal = tokio::time::timeout(ANSWER, store.renew(announcement.lease)).await;
+        let renewal = tokio::time::timeout(ANSWER, store.renew(lease)).await;
         let renewal = renewal.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())));
         let mut seat = state.retries.seat.borrow_mut();
         pause = match renewal {
             Ok(true) => {
-                announcement.renewed = asked;
                 seat.renewed(asked);
                 RENEW
             }
@@ -142,9 +130,7 @@
                 AGAIN
             }
         };
-        if clock::now().since(announcement.renewed) >= state.retries.lease {
-            seat.lost();
-        }
+        seat.expire(clock::now());
         if !seat.is_taken() {
             log::info!("event=announcement-lost");
             return;
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -92,9 +92,8 @@
         state.leadership.heard_entry(clock::now(), address, token);
         let entry: Arc<str> = message.entry.into();
         let knows = Revision(message.knows);
-        let mut seat = state.retries.seat.borrow_mut();
-        seat.told(clock::now(), &entry, knows);
-        drop(seat);
+        let seat = &state.retries.seat;
+        seat.borrow_mut().told(clock::now(), &entry, knows);
         let rows = message.rows.into_iter().map(Into::into);
         let now = clock::now();
         state.load.borrow_mut().hear(now, entry.clone(), rows);
--- a/crates/front/src/retries.rs
+++ b/crates/front/src/retries.rs
@@ -12,7 +12,6 @@
 use jujube_core::pipeline::allowance::Terms;
 use jujube_core::pipeline::seat::Seat;
 use jujube_core::pipeline::seat::Standing;
-use jujube_core::revision::Revision;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -82,11 +81,6 @@
         (share, standing)
     }
 
-    /// Takes that everything up to a revision of the store is known.
-    pub fn followed(&self, revision: Revision) {
-        self.seat.borrow_mut().followed(clock::now(), revision);
-    }
-
     /// Takes a retry, if there is one.
     pub fn take(&self, service: &Service) -> (Option<Retry>, Decision) {
         let now = clock::now();
@@ -95,12 +89,14 @@
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(service.clone()).or_default();
         let grounds = allowance.grounds(now, &terms, share);
-        let is_taken = allowance.take(now, &terms, share);
-        let retry = is_taken.then(|| Retry {
-            allowances: self.allowances.clone(),
-            service: service.clone(),
-            taken: now,
-            is_sent: false,
+        let retry = grounds.allow().then(|| {
+            allowance.book(now);
+            Retry {
+                allowances: self.allowances.clone(),
+                service: service.clone(),
+                taken: now,
+                is_sent: false,
+            }
         });
         (retry, Decision { grounds, standing })
     }
