Leave a stream on a server that only refuses new connections

Cause: a server that is about to exit refuses new connections first and serves on those that it has. Traced: all runs on that server ended when the entry dropped them (cause=abandoned), not when the server did. Change: a run whose first server refuses connections is given up when it is silent for longer than usual, not before.

--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -94,6 +94,14 @@
         }
     }
 
+    /// Tells whether a suspected server's address refuses connections.
+    #[must_use]
+    pub fn refuses(&self, server: &Incarnation) -> bool {
+        self.suspects
+            .get(server)
+            .is_some_and(|suspect| suspect.is_absent)
+    }
+
     /// Tells whether a suspected server counts as ended: it was asked again in vain, and nobody listens there, or
     /// this process was on time itself from the first question on.
     #[must_use]
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -156,9 +156,11 @@
     if stream.is_urgent.replace(false) {
         return true;
     }
-    if now < stream.check_at.get() {
-        return false;
-    }
+    now >= stream.check_at.get() && is_overdue(stream, now)
+}
+
+/// Tells whether a stream has been silent for longer than it usually is.
+fn is_overdue(stream: &Stream, now: Instant) -> bool {
     let limit = if stream.events.get() == 0 {
         stream.route.target.0 as f64 * FIRST_SHARE
     } else {
@@ -197,11 +199,13 @@
         return;
     }
     let is_first = |part: &Part| path.first().is_none_or(|first| first.server == part.server);
-    if ill
+    let dead_first = ill
         .iter()
-        .any(|(part, health)| *health == Health::Dead && is_first(part))
-    {
-        stream.abandon();
+        .find(|(part, health)| *health == Health::Dead && is_first(part));
+    if let Some((part, _)) = dead_first {
+        if !is_only_refusing(state, stream, part) {
+            stream.abandon();
+        }
         return;
     }
     if !is_dead && stream.detours.get() >= MOST_DETOURS {
@@ -229,6 +233,16 @@
     }
 }
 
+/// Tells whether a stream goes on at a server that refuses new connections.
+///
+/// One that is about to exit refuses them first and serves on those that it has. Its host answers, so if it had
+/// died, the stream's own connection would have broken. Given up for the refusal, runs that would have ended well
+/// are paid for twice, and their requests run on one more server.
+fn is_only_refusing<D>(state: &State<D>, stream: &Stream, first: &Part) -> bool {
+    let refuses = state.suspicion.borrow().refuses(&first.server);
+    refuses && !is_overdue(stream, clock::now())
+}
+
 /// Opens a stream elsewhere that stands still although every part of its path is well.
 ///
 /// A backend server may keep a request without working on it, and a connection may have gone silent
