--- a/crates/core/src/pipeline/allowance.rs
+++ b/crates/core/src/pipeline/allowance.rs
@@ -73,7 +73,7 @@
 /// Without it a failing service would get every request as often as its route allows, which keeps
 /// it down. What one entry allows itself holds for every window by itself, so that the sum over all entries
 /// holds without a word between them, also over those that have ended; the parts of the slack are dealt by
-/// [`super::seat::Seat`].
+/// [`super::reserve::Reserve`].
 ///
 /// # Examples
 ///
--- /dev/null
+++ b/crates/core/src/pipeline/cell.rs
@@ -0,0 +1,317 @@
+//! How entries are grouped, so that what each tells and hears does not grow with their number.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::name::Zone;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// The most entries of a cell; all entries of a cell tell all others of it.
+///
+/// Each then sends and gets at most a hundred messages a second, at some 15 microseconds of processor time each:
+/// under two parts in a hundred of the smallest VM's share of a core.
+pub const MOST: usize = 16;
+/// How often an entry tells the others of its cell what it knows itself. In that time one of four entries starts
+/// three streams, which is a few parts in a hundred of a server's room.
+pub const TELL: Span = Span(150);
+/// How often a speaker tells the other cells the sum of its own.
+pub const RELAY: Span = Span(300);
+/// The oldest that a word is when it is used, if none is lost: told inside a cell, on to another, and on inside it.
+pub const AGE: Span = Span(TELL.0 + RELAY.0 + TELL.0);
+/// How long a word stands at whoever heard it: four of the slowest period, so that three in a row may be lost or late
+/// before what an entry has in flight is forgotten.
+pub const STANDS: Span = Span(4 * RELAY.0);
+/// How many entries of a cell speak for it; one may die without a gap.
+const SPEAKERS: usize = 2;
+/// How long an entry whose announcement has ended is still told, after it was last heard: announcements also end
+/// when the store is away.
+const HEARD: Span = Span(5_000);
+
+/// The name of a cell; entries that know the same others name their cells alike.
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Id(pub Arc<str>);
+
+impl Id {
+    fn whole() -> Self {
+        Self("all".into())
+    }
+
+    fn part(zone: &Zone, number: usize) -> Self {
+        Self(format!("{zone}/{number}").into())
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Where an entry is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where it hears the others.
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    place: Place,
+    is_announced: bool,
+    heard: Option<Instant>,
+}
+
+impl Member {
+    fn is_heard(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) <= STANDS)
+    }
+}
+
+/// All entries that are known, in cells.
+///
+/// Up to [`MOST`] entries are one cell. More are cut into cells by availability zone, and large zones into equal
+/// parts. Inside a cell all tell all; two entries of each, its speakers, tell the other cells' speakers the sum
+/// of theirs, and tell their own cell the sum of all others. So what an entry knows of all is at most [`AGE`] old
+/// whatever their number, and no entry sends more than a cell's worth of messages and one for each other cell.
+///
+/// Entries may know different others for a while, and cut the cells differently. Whoever is told something takes
+/// it: an entry is in the sum of the cell that it believes to be in, and only those between two views count it
+/// twice meanwhile.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::cell::Directory;
+/// # use jujube_core::pipeline::cell::Place;
+/// # use jujube_core::time::Instant;
+/// let place = |host| Place { zone: "z".into(), address: ([10, 0, 0, host], 7340).into() };
+/// let mut directory = Directory::new("a", place(1));
+/// directory.announced("b", place(2));
+/// assert_eq!(directory.count(), 2);
+/// assert_eq!(directory.neighbours(), vec![place(2).address]);
+/// assert!(directory.targets(Instant(0)).is_empty(), "there is one cell only");
+/// ```
+#[derive(Clone, Debug)]
+pub struct Directory {
+    own: Arc<str>,
+    members: BTreeMap<Arc<str>, Member>,
+    cells: BTreeMap<Id, Vec<Arc<str>>>,
+    home: Id,
+    round: usize,
+}
+
+impl Directory {
+    /// Returns the directory of an entry that knows no other.
+    #[must_use]
+    pub fn new(own: impl Into<Arc<str>>, place: Place) -> Self {
+        let own = own.into();
+        let member = Member {
+            place,
+            is_announced: true,
+            heard: None,
+        };
+        let mut directory = Self {
+            members: [(own.clone(), member)].into(),
+            own,
+            cells: BTreeMap::new(),
+            home: Id::default(),
+            round: 0,
+        };
+        directory.regroup();
+        directory
+    }
+
+    /// Takes an entry's announcement.
+    pub fn announced(&mut self, name: impl Into<Arc<str>>, place: Place) {
+        let name = name.into();
+        if name == self.own {
+            return;
+        }
+        let known = self.members.get(&name);
+        let is_known = known.is_some_and(|known| known.place == place);
+        let member = Member {
+            place,
+            is_announced: true,
+            heard: known.and_then(|known| known.heard),
+        };
+        self.members.insert(name, member);
+        if !is_known {
+            self.regroup();
+        }
+    }
+
+    /// Takes that an entry's announcement has ended; it is known for as long as it is heard.
+    pub fn removed(&mut self, name: &str) {
+        if let Some(member) = self.members.get_mut(name).filter(|_| *name != *self.own) {
+            member.is_announced = false;
+        }
+    }
+
+    /// Takes all entries that are announced.
+    pub fn replaced(&mut self, announced: impl IntoIterator<Item = (Arc<str>, Place)>) {
+        let own = self.own.clone();
+        let others = self.members.iter_mut().filter(|(name, _)| **name != own);
+        others.for_each(|(_, member)| member.is_announced = false);
+        for (name, place) in announced {
+            self.announced(name, place);
+        }
+    }
+
+    /// Takes that an entry was heard.
+    pub fn heard(&mut self, now: Instant, name: &Arc<str>, place: Place) {
+        if *name == self.own {
+            return;
+        }
+        let known = self.members.get_mut(name);
+        if let Some(known) = known.filter(|known| known.place == place) {
+            known.heard = Some(now);
+            return;
+        }
+        let member = Member {
+            place,
+            is_announced: false,
+            heard: Some(now),
+        };
+        self.members.insert(name.clone(), member);
+        self.regroup();
+    }
+
+    /// Forgets entries that are neither announced nor heard any more.
+    pub fn expire(&mut self, now: Instant) {
+        let before = self.members.len();
+        self.members.retain(|_, member| {
+            let heard = member.heard;
+            member.is_announced || heard.is_some_and(|heard| now.since(heard) <= HEARD)
+        });
+        if self.members.len() < before {
+            self.regroup();
+        }
+    }
+
+    /// Returns how many entries are known, this one included.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns how many known entries' names come before this one's, which is the same for all who know them.
+    #[must_use]
+    pub fn rank(&self) -> usize {
+        self.members.range(..self.own.clone()).count()
+    }
+
+    /// Returns the cell of this entry.
+    #[must_use]
+    pub fn home(&self) -> &Id {
+        &self.home
+    }
+
+    /// Returns how many cells there are.
+    #[must_use]
+    pub fn cells(&self) -> usize {
+        self.cells.len()
+    }
+
+    /// Returns where the other entries of this entry's cell hear.
+    #[must_use]
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        let others = self.names(&self.home).filter(|name| **name != self.own);
+        others.filter_map(|name| self.address(name)).collect()
+    }
+
+    /// Tells whether this entry speaks for its cell.
+    ///
+    /// Of those that are heard, two by an order that all members find alike. Those that disagree on who is heard
+    /// make a third one speak or leave one out for a while, which costs a few messages.
+    #[must_use]
+    pub fn is_speaker(&self, now: Instant) -> bool {
+        let heard = self
+            .names(&self.home)
+            .filter(|name| self.is_here(now, name));
+        let mut ranked: Vec<&Arc<str>> = heard.collect();
+        ranked.sort_by_key(|name| score(&self.home, name));
+        ranked.iter().take(SPEAKERS).any(|name| **name == self.own)
+    }
+
+    /// Returns where to tell the other cells the sum of this one: at those of their members that are heard, which
+    /// are their speakers. Of a cell that nobody is heard of, others are told in each round, until one that speaks
+    /// for it has been told and answers.
+    pub fn targets(&mut self, now: Instant) -> Vec<SocketAddr> {
+        self.round += 1;
+        let mut targets = Vec::new();
+        for (id, names) in self.cells.iter().filter(|(id, _)| **id != self.home) {
+            let mut speakers: Vec<&Arc<str>> = names
+                .iter()
+                .filter(|name| self.is_here(now, name))
+                .collect();
+            speakers.sort_by_key(|name| score(id, name));
+            if speakers.is_empty() {
+                let start = self.round * SPEAKERS;
+                let turn = (start..start + SPEAKERS).map(|index| &names[index % names.len()]);
+                speakers = turn.collect();
+                speakers.dedup();
+            }
+            let told = speakers.into_iter().take(SPEAKERS);
+            targets.extend(told.filter_map(|name| self.address(name)));
+        }
+        targets
+    }
+
+    fn names(&self, id: &Id) -> impl Iterator<Item = &Arc<str>> {
+        self.cells.get(id).into_iter().flatten()
+    }
+
+    fn address(&self, name: &Arc<str>) -> Option<SocketAddr> {
+        self.members.get(name).map(|member| member.place.address)
+    }
+
+    fn is_here(&self, now: Instant, name: &Arc<str>) -> bool {
+        let member = self.members.get(name);
+        *name == self.own || member.is_some_and(|member| member.is_heard(now))
+    }
+
+    fn regroup(&mut self) {
+        self.cells = group(&self.members);
+        let home = self
+            .cells
+            .iter()
+            .find(|(_, names)| names.contains(&self.own));
+        self.home = home.map(|(id, _)| id.clone()).unwrap_or_default();
+    }
+}
+
+fn group(members: &BTreeMap<Arc<str>, Member>) -> BTreeMap<Id, Vec<Arc<str>>> {
+    if members.len() <= MOST {
+        return [(Id::whole(), members.keys().cloned().collect())].into();
+    }
+    let mut zones: BTreeMap<&Zone, Vec<Arc<str>>> = BTreeMap::new();
+    for (name, member) in members {
+        zones
+            .entry(&member.place.zone)
+            .or_default()
+            .push(name.clone());
+    }
+    let mut cells = BTreeMap::new();
+    for (zone, names) in zones {
+        let parts = names.len().div_ceil(MOST);
+        let most = names.len().div_ceil(parts);
+        for (number, names) in names.chunks(most).enumerate() {
+            cells.insert(Id::part(zone, number), names.to_vec());
+        }
+    }
+    cells
+}
+
+fn score(cell: &Id, name: &Arc<str>) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (cell, name).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -1,7 +1,6 @@
 //! What all entries have in flight at each backend server.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use crate::pipeline::backlog::Backlog;
 use crate::pipeline::path::Path;
@@ -10,10 +9,6 @@
 use crate::time::Instant;
 use crate::time::Span;
 
-/// How long another entry's word on its load counts. Entries tell it ten times a second; one that
-/// has been silent this long is stopped, frozen or cut off, and its streams end.
-const STANDS: Span = Span(1_500);
-
 /// What is in flight at one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Use {
@@ -23,12 +18,6 @@
     pub requests: u64,
 }
 
-#[derive(Clone, Debug)]
-struct Peer {
-    at: Instant,
-    servers: BTreeMap<Incarnation, Use>,
-}
-
 /// The memory of requests in flight, of this entry and of the others.
 ///
 /// Were each entry to know only its own load, all would find the same fast servers idle and fill
@@ -47,9 +36,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Load {
     own: BTreeMap<Incarnation, Use>,
-    peers: BTreeMap<Arc<str>, Peer>,
-    /// The sum of what the peers have, kept so that a choice needs one look-up a server.
+    /// What the other entries have, added up, so that a choice needs one look-up a server.
     others: BTreeMap<Incarnation, Use>,
+    /// How many other entries that is of.
+    peers: u64,
     /// What servers were given to read.
     pub backlog: Backlog,
     /// Servers that refused requests.
@@ -139,39 +129,22 @@
         fresh.map_or(1.0, |(slowness, _)| *slowness)
     }
 
-    /// Takes another entry's word on what it has in flight.
-    pub fn hear(
-        &mut self,
-        now: Instant,
-        entry: Arc<str>,
-        servers: impl IntoIterator<Item = (Incarnation, Use)>,
-    ) {
-        let peer = Peer {
-            at: now,
-            servers: servers.into_iter().collect(),
-        };
-        add(&mut self.others, &peer.servers);
-        if let Some(before) = self.peers.insert(entry, peer) {
-            take_off(&mut self.others, &before.servers);
-        }
+    /// Takes what the other entries have in flight, added up, and how many of them that is of.
+    pub fn set_others(&mut self, entries: u64, servers: BTreeMap<Incarnation, Use>) {
+        self.peers = entries;
+        self.others = servers;
     }
 
-    /// Forgets what silent entries said.
-    pub fn expire(&mut self, now: Instant) {
-        let others = &mut self.others;
-        self.peers.retain(|_, peer| {
-            let is_heard = now.since(peer.at) <= STANDS;
-            if !is_heard {
-                take_off(others, &peer.servers);
-            }
-            is_heard
-        });
+    /// Returns how many other entries are heard.
+    #[must_use]
+    pub fn peers(&self) -> u64 {
+        self.peers
     }
 
-    /// Returns how many other entries are heard.
+    /// Tells whether this entry has requests in flight at a server.
     #[must_use]
-    pub fn peers(&self) -> usize {
-        self.peers.len()
+    pub fn has_own(&self, server: &Incarnation) -> bool {
+        self.own.contains_key(server)
     }
 
     /// Returns what this entry has in flight, to tell the others.
@@ -193,25 +166,3 @@
         self.own.get(server).map_or(0, requests) + self.others.get(server).map_or(0, requests)
     }
 }
-
-fn add(sums: &mut BTreeMap<Incarnation, Use>, rows: &BTreeMap<Incarnation, Use>) {
-    for (server, used) in rows {
-        let sum = sums.entry(server.clone()).or_default();
-        sum.tokens += used.tokens;
-        sum.requests += used.requests;
-    }
-}
-
-fn take_off(sums: &mut BTreeMap<Incarnation, Use>, rows: &BTreeMap<Incarnation, Use>) {
-    for (server, used) in rows {
-        let Some(sum) = sums.get_mut(server) else {
-            continue;
-        };
-        sum.tokens -= used.tokens;
-        sum.requests = sum.requests.saturating_sub(used.requests);
-        if sum.requests == 0 {
-            // Removing it also removes what rounding left.
-            sums.remove(server);
-        }
-    }
-}
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -8,6 +8,8 @@
 pub mod allowance;
 pub mod attempts;
 pub mod backlog;
+pub mod board;
+pub mod cell;
 pub mod chooser;
 pub mod deputy;
 pub mod document;
@@ -20,7 +22,9 @@
 pub mod pulse;
 pub mod refusals;
 pub mod relay;
+pub mod reserve;
 pub mod roster;
-pub mod seat;
+
 pub mod server;
+pub mod summary;
 pub mod suspicion;
--- a/crates/core/src/pipeline/outage.rs
+++ b/crates/core/src/pipeline/outage.rs
@@ -1,14 +1,14 @@
 //! Whether the store is away for all entries, or only for some.
 
-/// What is known of the store through another entry.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Word {
-    /// The store answers it.
-    Served,
-    /// The store does not answer it.
-    Away,
-    /// It has not been heard for a while.
-    Silent,
+/// What the other entries say of the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Word {
+    /// How many other entries there are.
+    pub known: u64,
+    /// How many of them were heard lately.
+    pub heard: u64,
+    /// How many of those the store answers.
+    pub served: u64,
 }
 
 /// Tells whether the store answers no other entry, as far as most of them are heard.
@@ -22,19 +22,13 @@
 /// ```
 /// # use jujube_core::pipeline::outage::Word;
 /// # use jujube_core::pipeline::outage::is_for_all;
-/// assert!(is_for_all([Word::Away, Word::Away, Word::Silent]));
-/// assert!(!is_for_all([Word::Away, Word::Away, Word::Served]));
-/// assert!(!is_for_all([Word::Away, Word::Silent, Word::Silent]));
+/// let word = |known, heard, served| Word { known, heard, served };
+/// assert!(is_for_all(word(3, 2, 0)));
+/// assert!(!is_for_all(word(3, 3, 1)));
+/// assert!(!is_for_all(word(3, 1, 0)));
 /// ```
 #[must_use]
-pub fn is_for_all(others: impl IntoIterator<Item = Word>) -> bool {
-    let (mut heard, mut silent) = (0, 0);
-    for word in others {
-        match word {
-            Word::Served => return false,
-            Word::Away => heard += 1,
-            Word::Silent => silent += 1,
-        }
-    }
-    heard >= silent
+pub fn is_for_all(word: Word) -> bool {
+    let silent = word.known.saturating_sub(word.heard);
+    word.served == 0 && word.heard >= silent
 }
--- a/crates/core/src/pipeline/outlier.rs
+++ b/crates/core/src/pipeline/outlier.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
@@ -16,8 +15,6 @@
 /// The share of failures from which a server is avoided. Over the users' services some five requests in
 /// a hundred fail wherever they run; servers that fail by themselves fail four in ten.
 const SHARE: f64 = 0.25;
-/// How long another entry's word counts; entries tell theirs several times a second.
-const STANDS: Span = Span(1_500);
 
 /// How requests at one server ended, with older ones weighing less.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -68,7 +65,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outliers {
     own: BTreeMap<Incarnation, Aging>,
-    others: BTreeMap<Arc<str>, (Instant, BTreeMap<Incarnation, Tally>)>,
+    /// What the other entries met, added up.
+    others: BTreeMap<Incarnation, Tally>,
     avoided: BTreeSet<Incarnation>,
 }
 
@@ -107,15 +105,9 @@
         self.own.insert(server.clone(), Aging { tally, at: now });
     }
 
-    /// Takes another entry's word on how its requests ended.
-    pub fn hear(
-        &mut self,
-        now: Instant,
-        entry: Arc<str>,
-        tallies: impl IntoIterator<Item = (Incarnation, Tally)>,
-    ) {
-        let tallies = tallies.into_iter().collect();
-        self.others.insert(entry, (now, tallies));
+    /// Takes how the requests of the other entries ended, added up.
+    pub fn set_others(&mut self, tallies: BTreeMap<Incarnation, Tally>) {
+        self.others = tallies;
     }
 
     /// Returns what to tell the others. Servers at which nothing failed are told as well: were they left
@@ -131,11 +123,9 @@
 
     /// Judges all servers by what is known now; returns who is newly avoided.
     pub fn judge(&mut self, now: Instant) -> Vec<Incarnation> {
-        self.others.retain(|_, (at, _)| now.since(*at) <= STANDS);
         let own = self.own.iter().map(|(name, aging)| (name, aging.at(now)));
         let mut sums: BTreeMap<&Incarnation, Tally> = own.collect();
-        let told = self.others.values().flat_map(|(_, tallies)| tallies);
-        for (server, tally) in told {
+        for (server, tally) in &self.others {
             let sum = sums.entry(server).or_default();
             sum.good += tally.good;
             sum.bad += tally.bad;
--- a/crates/core/src/pipeline/pulse.rs
+++ b/crates/core/src/pipeline/pulse.rs
@@ -1,4 +1,4 @@
-//! Whether this process keeps up with its own work.
+//! Whether this process keeps up with its own work, and reaches others.
 
 use crate::time::Instant;
 use crate::time::Span;
@@ -13,6 +13,9 @@
 /// would take live ones for dead, and run a request on more servers than its route allows. What it believes of
 /// others by their silence counts only if it was on time itself meanwhile.
 ///
+/// A process may be on time and its link full: all answers are late then as well. So silence counts only if some
+/// server, whichever, answered promptly a question that was asked after the silence began.
+///
 /// # Examples
 ///
 /// ```
@@ -27,6 +30,10 @@
 /// pulse.beat(Instant(500));
 /// assert!(pulse.was_late(Instant(400), Instant(510)));
 /// assert!(!pulse.was_late(Instant(505), Instant(510)));
+///
+/// pulse.answered(Instant(520));
+/// assert!(pulse.was_in_touch(Instant(520)));
+/// assert!(!pulse.was_in_touch(Instant(521)));
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Pulse {
@@ -34,6 +41,8 @@
     last: Instant,
     /// When a late beat came.
     late: Option<Instant>,
+    /// When the last question was asked that some server answered promptly.
+    answered: Option<Instant>,
 }
 
 impl Pulse {
@@ -44,6 +53,7 @@
             pace,
             last: Instant::default(),
             late: None,
+            answered: None,
         }
     }
 
@@ -61,6 +71,17 @@
         self.is_overdue(now) || self.late.is_some_and(|late| late >= since)
     }
 
+    /// Takes that some server promptly answered a question asked at a time.
+    pub fn answered(&mut self, asked: Instant) {
+        self.answered = self.answered.max(Some(asked));
+    }
+
+    /// Tells whether some server promptly answered a question that was asked since a time.
+    #[must_use]
+    pub fn was_in_touch(&self, since: Instant) -> bool {
+        self.answered.is_some_and(|asked| asked >= since)
+    }
+
     fn is_overdue(&self, now: Instant) -> bool {
         now.since(self.last) > Span(self.pace.0 + LATE.0)
     }
--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -12,7 +12,7 @@
 /// A crashed backend server registers anew under another name, so waiting costs only those that
 /// are alive; a few hundred milliseconds keep a server that reset one connection in use.
 const FIRST_PAUSE: Span = Span(200);
-/// The longest pause; a suspect that left is taken off the list by its registration.
+/// The longest pause of one that asks alone; a suspect that left is taken off the list by its registration.
 const LONGEST_PAUSE: Span = Span(1_600);
 
 /// How long a server must have been suspected to count as ended; it is asked again in that time.
@@ -51,6 +51,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspicion {
     suspects: BTreeMap<Incarnation, Suspect>,
+    /// How many other entries suspect a server.
+    told: BTreeMap<Incarnation, u64>,
 }
 
 impl Suspicion {
@@ -80,6 +82,37 @@
         self.suspects.keys()
     }
 
+    /// Takes how many other entries suspect which servers; returns those of whom nobody had told before.
+    ///
+    /// Words do not make a suspect: one entry that is cut off, late or wrong accuses all servers, and would have all
+    /// others leave them. Whoever has requests at a server that others suspect asks it; the rest prefer others
+    /// while it is so. A suspect that others trust again is asked at once, so that one entry's question serves all.
+    pub fn set_told(&mut self, now: Instant, told: BTreeMap<Incarnation, u64>) -> Vec<Incarnation> {
+        let before = std::mem::replace(&mut self.told, told);
+        for (server, suspect) in &mut self.suspects {
+            if before.contains_key(server) && !self.told.contains_key(server) {
+                suspect.ask_at = now;
+            }
+        }
+        let fresh = self
+            .told
+            .keys()
+            .filter(|server| !before.contains_key(*server));
+        fresh.cloned().collect()
+    }
+
+    /// Returns how many other entries suspect a server.
+    #[must_use]
+    pub fn told(&self, server: &Incarnation) -> u64 {
+        self.told.get(server).copied().unwrap_or(0)
+    }
+
+    /// Returns when a server came under suspicion last.
+    #[must_use]
+    pub fn newest(&self) -> Option<Instant> {
+        self.suspects.values().map(|suspect| suspect.since).max()
+    }
+
     /// Returns for how long a server has been suspected.
     #[must_use]
     pub fn lasts(&self, now: Instant, server: &Incarnation) -> Option<Span> {
@@ -103,26 +136,34 @@
     }
 
     /// Tells whether a suspected server counts as ended: it was asked again in vain, and nobody listens there, or
-    /// this process was on time itself from the first question on.
+    /// this process was on time itself from the first question on and reached others meanwhile.
+    ///
+    /// An entry whose link is full finds all servers silent. Took it them for ended, a request would run on one
+    /// more server than its route allows, while the one that was given up goes on with it.
     #[must_use]
     pub fn has_ended(&self, now: Instant, server: &Incarnation, pulse: &Pulse) -> bool {
         let Some(suspect) = self.suspects.get(server) else {
             return false;
         };
         let asked = Instant(suspect.since.0.saturating_sub(ASKED.0));
-        let is_certain = suspect.is_absent || !pulse.was_late(asked, now);
+        let was_sound = !pulse.was_late(asked, now) && pulse.was_in_touch(suspect.since);
+        let is_certain = suspect.is_absent || was_sound;
         is_certain && now.since(suspect.since) >= ENDED
     }
 
     /// Returns the suspects to ask now; each is due again after a longer pause.
+    ///
+    /// The pauses grow with the number of others who ask as well, so that a suspect is asked as often by a hundred
+    /// entries as by one.
     pub fn due(&mut self, now: Instant) -> Vec<Incarnation> {
         let mut due = Vec::new();
         for (server, suspect) in &mut self.suspects {
             if suspect.ask_at > now {
                 continue;
             }
+            let others = self.told.get(server).copied().unwrap_or(0);
             suspect.pause = Span((suspect.pause.0 * 2).min(LONGEST_PAUSE.0));
-            suspect.ask_at = now.plus(suspect.pause);
+            suspect.ask_at = now.plus(Span(suspect.pause.0 * (1 + others)));
             due.push(server.clone());
         }
         due
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::reload;
 use crate::request;
 use crate::settings::Settings;
+use crate::slack;
 use crate::state::Phase;
 use crate::state::State;
 use crate::waiting;
@@ -84,7 +85,9 @@
     tokio::task::spawn_local(follow::run(state.clone(), store.clone()));
     tokio::task::spawn_local(follow::tidy(state.clone()));
     tokio::task::spawn_local(planner::run(state.clone(), store.clone()));
-    tokio::task::spawn_local(gossip::announce(state.clone(), store));
+    tokio::task::spawn_local(gossip::announce(state.clone(), store.clone()));
+    tokio::task::spawn_local(slack::run(state.clone(), store));
+    tokio::task::spawn_local(retries(state.clone()));
     tokio::task::spawn_local(gossip::run(state.clone(), gossip));
     tokio::task::spawn_local(probe::follow_suspects(state.clone()));
     tokio::task::spawn_local(probe::follow_dropped(state.clone()));
@@ -102,6 +105,10 @@
     Ok(())
 }
 
+async fn retries<D: Dialect>(state: Rc<State<D>>) {
+    state.retries.run().await;
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.with_context(|| format!("listen on {address}"))
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -28,23 +28,33 @@
 use crate::dialect::Record;
 use crate::fleet;
 use crate::gossip;
+use crate::slack;
 use crate::state::State;
 
+/// The start of the keys that entries write.
+const OWN: &str = "jujube/";
 /// Everything: one waiting call hears of configuration, registrations and the planner's lease.
 const ALL: &str = "";
-/// How long one call waits for changes.
+/// How much less one call waits for changes than a VM takes to count as being without trouble.
 ///
 /// A call that began while the store passed no changes on hears nothing for its whole wait, while all
-/// other calls work: a configuration would be missed for that long. It must be in force within two
-/// seconds of the store's being well again, which takes three to count. A store that falls silent as
-/// a whole is noticed by the renewals of this entry's lease.
-const WAIT: Span = Span(2_000);
+/// other calls work: a configuration would be missed for that long. The next call must have been answered by the
+/// time from which delays count. A store that falls silent as a whole is noticed by the renewals of this entry's
+/// lease.
+const EARLIER: Span = Span(1_000);
+/// The least that one call waits.
+const LEAST_WAIT: Span = Span(500);
 /// The same while the store is lost: a short wait is answered soon after it is back, also when
 /// nothing changes.
 const WAIT_LOST: Span = Span(300);
-/// The pause between an answer with changes and the next call. Changes come in bursts, and each call
-/// is paid for by each entry; a tenth of the two seconds in which a configuration must be in force.
-const GATHER: Duration = Duration::from_millis(500);
+/// The share of the time in which a configuration must be in force that passes between an answer with changes and the
+/// next call. Changes come in bursts, and each call is paid for by each entry: with half a second of two and a hundred
+/// entries, calls to the store were a tenth of what a day with trouble earned.
+const GATHER_SHARE: u64 = 4;
+/// How much of that time is left for the next call after an answer that told only of entries and of what they hold in
+/// the store: more of that may wait, a configuration may not. A slow store takes a third of a second, and reading a
+/// large one as long on the smallest VMs.
+const LEFT: Span = Span(1_500);
 /// The shortest and longest pause before a store that failed is asked again; a random one between
 /// them keeps the entries from asking together.
 const PAUSE_MS: std::ops::Range<u64> = 100..300;
@@ -57,7 +67,7 @@
     let mut after: Option<Revision> = None;
     let mut is_lost = false;
     loop {
-        let wait = if is_lost { WAIT_LOST } else { WAIT };
+        let wait = if is_lost { WAIT_LOST } else { wait(&state) };
         let step = async {
             match after {
                 None => read(&state, &store).await,
@@ -95,6 +105,12 @@
     }
 }
 
+/// Returns how long one call waits for changes.
+fn wait<D>(state: &State<D>) -> Span {
+    let contact = state.settings.fresh.contact;
+    Span(contact.0.saturating_sub(EARLIER.0)).max(LEAST_WAIT)
+}
+
 /// Reads everything for the first time, however long the store takes.
 ///
 /// Until then every caller is turned away. A call that was made while the store was silent stays
@@ -149,12 +165,16 @@
     let mut unreadable = Vec::new();
     let mut is_held = false;
     let mut entries = BTreeMap::new();
+    let mut pieces = BTreeMap::new();
     for change in &changes {
-        if let Some(entry) = gossip::announced(&change.key) {
-            entries.insert(Arc::from(entry), change.revision);
+        if let (Some(entry), Some(value)) = (gossip::announced(&change.key), &change.value) {
+            let announcement = gossip::Announcement::read(value);
+            entries.extend(announcement.map(|read| (Arc::from(entry), read)));
+        }
+        if let (Some(piece), Some(record)) = (slack::piece(&change.key), slack::record(change)) {
+            pieces.insert(piece, record);
         }
         is_held |= change.key == orders::HOLDER;
-        state.peers.take(&change.key, change.value.as_ref());
         match D::record(&change.key, change.value.as_ref()) {
             Record::Configuration(document) => take(state, document),
             Record::Server(server) => servers.push(server),
@@ -174,8 +194,13 @@
     }
     state.registered.set(true);
     state.leadership.heard(is_held);
-    let seat = &state.retries.seat;
-    seat.borrow_mut().replaced(clock::now(), &entries, revision);
+    let mut reserve = state.retries.reserve.borrow_mut();
+    reserve.replaced(&pieces, revision);
+    drop(reserve);
+    let own = entries.get(&state.settings.name);
+    check_own(state, own, revision);
+    let places = entries.into_iter().map(|(name, read)| (name, read.place));
+    state.peers.directory.borrow_mut().replaced(places);
     rebuild(state);
     Ok(Some(revision))
 }
@@ -202,31 +227,72 @@
         if change.key == orders::HOLDER {
             state.leadership.heard(change.value.is_some());
         }
-        state.peers.take(&change.key, change.value.as_ref());
         take_announcement(state, change);
+        take_piece(state, change);
         is_changed |= apply(state, change) != Effect::None;
     }
-    let seat = &state.retries.seat;
-    seat.borrow_mut().followed(clock::now(), revision);
+    state.retries.reserve.borrow_mut().followed(revision);
     if is_changed {
         rebuild(state);
     }
     if !changes.is_empty() {
-        tokio::time::sleep(GATHER).await;
+        let is_own = |change: &Change| change.key.starts_with(OWN);
+        let apply = state.settings.fresh.apply.0;
+        let gather = apply / GATHER_SHARE;
+        let pause = match changes.iter().all(is_own) {
+            true => apply.saturating_sub(LEFT.0).max(gather),
+            false => gather,
+        };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
     }
     Ok(Some(revision))
 }
 
-/// Takes who shares the retry budget's slack, if the change tells that.
+/// Takes where another entry is, if the change tells that.
 fn take_announcement<D>(state: &State<D>, change: &Change) {
     let Some(entry) = gossip::announced(&change.key) else {
         return;
     };
-    let mut seat = state.retries.seat.borrow_mut();
-    match change.value {
-        Some(_) => seat.announced(entry, change.revision),
-        None => seat.removed(entry, change.revision),
+    let announcement = change.value.as_ref().and_then(gossip::Announcement::read);
+    if *entry == *state.settings.name {
+        check_own(state, announcement.as_ref(), change.revision);
+        return;
+    }
+    let mut directory = state.peers.directory.borrow_mut();
+    match announcement {
+        Some(announcement) => directory.announced(entry, announcement.place),
+        None => directory.removed(entry),
+    }
+}
+
+/// Gives up the lease of this entry's announcement if another one has taken its place, for it to be made anew.
+///
+/// A write of an earlier lease that is carried out late takes the announcement with it when that lease ends, and
+/// entries that start later would never hear of this one. What the store tells of times before this announcement
+/// says nothing of it.
+fn check_own<D>(state: &State<D>, announcement: Option<&gossip::Announcement>, told: Revision) {
+    if told <= state.retries.announced.get() {
+        return;
+    }
+    let mut reserve = state.retries.reserve.borrow_mut();
+    let stands = announcement.map(|announcement| announcement.tenure);
+    if reserve.tenure().is_some() && reserve.tenure() != stands {
+        log::info!("event=announcement-overtaken by={stands:?}");
+        reserve.lost();
+    }
+}
+
+/// Takes who holds a piece of the retry budget's slack, if the change tells that.
+fn take_piece<D>(state: &State<D>, change: &Change) {
+    let Some((service, piece)) = slack::piece(&change.key) else {
+        return;
+    };
+    let mut reserve = state.retries.reserve.borrow_mut();
+    match slack::record(change) {
+        Some(record) => reserve.written(&service, piece, record),
+        None => reserve.removed(&service, piece, change.revision),
     }
+    state.retries.changed.notify_one();
 }
 
 /// Takes one change; returns what it meant for the registrations.
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -1,8 +1,10 @@
-//! This entry's announcement in the store, by which the others find it and count it.
+//! This entry's announcement in the store, by which the others find it, and the lease of all that it holds there.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujube_core::pipeline::cell::Place;
+use jujube_core::pipeline::reserve::Tenure;
 use jujube_core::revision::Revision;
 use jujube_program::clock;
 use jujube_store::kv::Condition;
@@ -13,31 +15,23 @@
 
 use crate::state::State;
 
+use super::Announcement;
 use super::ENTRIES;
 
-/// The key that the first of all entries writes.
-const FIRST: &str = "jujube/first-entry";
-
-/// How often the announcement is renewed. The renewal is also how a store that has fallen silent is noticed, within
+/// How often the lease is renewed. The renewal is also how a store that has fallen silent is noticed, within
 /// the three seconds after which a change must not be missed; it costs a tenth of another call.
 const RENEW: Duration = Duration::from_millis(1_300);
 /// How long a renewal may take; a slow store takes a third of a second.
 const ANSWER: Duration = Duration::from_millis(800);
 /// How long after a failure to announce or to renew it is tried again.
 const AGAIN: Duration = Duration::from_millis(700);
-/// The same after another entry was the first of all; the next look finds it there.
-const AFTER_ANOTHER: Duration = Duration::from_millis(20);
 
 /// Announces this entry in the store until the process ends.
 pub async fn announce<D, F: Feed>(state: Rc<State<D>>, store: F) {
     loop {
         match take(&state, &store).await {
             Ok(Some(lease)) => keep(&state, &store, lease).await,
-            Ok(None) => {
-                log::info!("event=not-announced cause=written-by-another");
-                tokio::time::sleep(AFTER_ANOTHER).await;
-                continue;
-            }
+            Ok(None) => log::info!("event=not-announced cause=written-by-another"),
             Err(error) => doubt(&state, "not-announced", &error),
         }
         tokio::time::sleep(AGAIN).await;
@@ -46,68 +40,54 @@
 
 /// Announces this entry and returns the lease; `None` when somebody else wrote meanwhile.
 ///
-/// The write holds only if the key is as it was read. A write under an earlier lease whose answer was lost, and
-/// that is carried out late, would otherwise replace this one and take the key with it when that lease ends.
+/// The write holds only if the key is as it was read, at most starts not there. A write under an earlier lease
+/// whose answer was lost, and that is carried out late, would otherwise replace this one and take the key with it
+/// when that lease ends.
 async fn take<D, F: Feed>(state: &State<D>, store: &F) -> Result<Option<Lease>, Error> {
     let key = format!("{ENTRIES}{}", state.settings.name);
     let began = clock::now();
-    let mut conditions = Vec::new();
-    let mut writes = Vec::new();
-    let first = first(store).await?;
-    let is_first = first.is_some();
-    if let Some(condition) = first {
-        writes.push(Write::Put {
-            key: FIRST.into(),
-            value: state.settings.name.to_string(),
-            lease: None,
-        });
-        conditions.push(condition);
-    }
-    conditions.push(unchanged(store, &key).await?);
     let lease = store.grant(state.retries.lease).await?;
-    writes.push(Write::Put {
+    let tenure = Tenure(lease.0.unsigned_abs());
+    let announcement = Announcement {
+        place: Place {
+            zone: state.settings.zone.clone(),
+            address: state.settings.gossip,
+        },
+        tenure,
+    };
+    let write = Write::Put {
         key: key.clone(),
-        value: state.settings.gossip.to_string(),
+        value: announcement.text(),
         lease: Some(lease),
-    });
-    if !store.swap(&conditions, &writes).await? {
-        return Ok(None);
+    };
+    let mut revision = Revision::default();
+    let is_there = |revision| Condition {
+        key: key.clone(),
+        revision,
+    };
+    if !store
+        .swap(&[is_there(revision)], std::slice::from_ref(&write))
+        .await?
+    {
+        let pair = store.get(&key).await?;
+        revision = pair.map_or(Revision::default(), |pair| pair.revision);
+        if !store.swap(&[is_there(revision)], &[write]).await? {
+            return Ok(None);
+        }
     }
     let Some(written) = store.get(&key).await? else {
         return Ok(None);
     };
-    let mut seat = state.retries.seat.borrow_mut();
-    seat.taken(clock::now(), written.revision, began, is_first);
+    state.retries.announced.set(written.revision);
+    state.retries.reserve.borrow_mut().begun(tenure, began);
     log::info!(
-        "event=announced revision={} first={is_first}",
+        "event=announced lease={tenure} revision={}",
         written.revision
     );
     Ok(Some(lease))
 }
 
-/// Returns the condition under which an entry is the first of all; `None` when others are announced.
-///
-/// Two that start together would both find nobody. Both write the same key under the condition that it is as it
-/// was before they looked, so only one of them can be first.
-async fn first<F: Feed>(store: &F) -> Result<Option<Condition>, Error> {
-    if !store.snapshot(ENTRIES).await?.0.is_empty() {
-        return Ok(None);
-    }
-    let condition = unchanged(store, FIRST).await?;
-    let is_alone = store.snapshot(ENTRIES).await?.0.is_empty();
-    Ok(is_alone.then_some(condition))
-}
-
-/// Returns the condition that a key is as it is now.
-async fn unchanged<F: Feed>(store: &F, key: &str) -> Result<Condition, Error> {
-    let pair = store.get(key).await?;
-    Ok(Condition {
-        key: key.into(),
-        revision: pair.map_or(Revision::default(), |pair| pair.revision),
-    })
-}
-
-/// Renews an announcement until it is no longer in force.
+/// Renews the lease until it has ended, or another announcement of this entry took the place of this one.
 async fn keep<D, F: Feed>(state: &State<D>, store: &F, lease: Lease) {
     let mut pause = RENEW;
     loop {
@@ -115,14 +95,14 @@
         let asked = clock::now();
         let renewal = tokio::time::timeout(ANSWER, store.renew(lease)).await;
         let renewal = renewal.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())));
-        let mut seat = state.retries.seat.borrow_mut();
+        let mut reserve = state.retries.reserve.borrow_mut();
         pause = match renewal {
             Ok(true) => {
-                seat.renewed(asked);
+                reserve.renewed(asked);
                 RENEW
             }
             Ok(false) => {
-                seat.lost();
+                reserve.lost();
                 AGAIN
             }
             Err(error) => {
@@ -130,8 +110,8 @@
                 AGAIN
             }
         };
-        seat.expire(clock::now());
-        if !seat.is_taken() {
+        reserve.expire(clock::now());
+        if reserve.tenure() != Some(Tenure(lease.0.unsigned_abs())) {
             log::info!("event=announcement-lost");
             return;
         }
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -1,23 +1,34 @@
 //! What entries tell one another.
 
+use std::net::SocketAddr;
+
+use bincode::Options;
+use jujube_core::fence::Token;
 use jujube_core::layer::Range;
+use jujube_core::name::Zone;
+use jujube_core::pipeline::board::Portion;
+use jujube_core::pipeline::board::Scope;
+use jujube_core::pipeline::cell::Id;
 use jujube_core::pipeline::load::Use;
 use jujube_core::pipeline::outlier::Tally;
 use jujube_core::pipeline::server::Born;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::summary::Summary;
 use jujube_core::time::Span;
-use jujube_program::clock;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::state::State;
-
-/// The most bytes of one message; three hundred servers take some 14 kB.
-pub(super) const MOST_BYTES: usize = 60_000;
+/// The most bytes of one message. The sum over a hundred entries before a hundred servers takes some 8 kB; a larger
+/// datagram would hold a link of 20 Mbit/s for longer than a question to a server may.
+const MOST_BYTES: usize = 16_000;
+/// The most that is received of one message.
+pub(super) const BUFFER: usize = 65_536;
+/// The most portions of a word: six hundred times what a hundred servers need.
+const MOST_PORTIONS: u16 = 1_024;
 
 /// One start of a server.
-#[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Start {
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Start {
     server: String,
     born: Option<u64>,
 }
@@ -37,174 +48,265 @@
     }
 }
 
-/// One server's use in a message.
-#[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Row {
-    pub(super) server: Start,
-    pub(super) tokens: f32,
-    pub(super) requests: u32,
+/// What entries know of one server.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+enum Fact {
+    /// What is in flight.
+    Used { tokens: f32, requests: u32 },
+    /// How requests ended.
+    Ended { good: f32, bad: f32 },
+    /// How many times slower than usual it says it is.
+    Slow(f32),
+    /// It refuses requests, and for how many milliseconds more that is believed.
+    Full(u32),
+    /// So many entries suspect it.
+    Suspected(u32),
+    /// It told the planner that it holds these layers, while the store is away.
+    Holds { start: u32, end: u32 },
+    /// It was ordered to hold these layers.
+    Ordered { start: u32, end: u32 },
 }
 
-/// How many times slower than usual a server says it is.
-#[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Slow {
-    pub(super) server: Start,
-    pub(super) slowness: f32,
+impl From<&Use> for Fact {
+    fn from(used: &Use) -> Self {
+        Self::Used {
+            tokens: used.tokens as f32,
+            requests: used.requests as u32,
+        }
+    }
 }
 
-/// The layers that a server holds.
-#[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Held {
-    pub(super) server: Start,
-    pub(super) start: u32,
-    pub(super) end: u32,
+impl From<&Tally> for Fact {
+    fn from(tally: &Tally) -> Self {
+        Self::Ended {
+            good: tally.good as f32,
+            bad: tally.bad as f32,
+        }
+    }
 }
 
-/// A server that refuses requests, and for how many milliseconds more that is believed.
+/// Of whom a word is.
 #[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Full {
-    pub(super) server: Start,
-    pub(super) lasts_ms: u32,
+enum Whose {
+    Own,
+    Cell(String),
+    Rest,
 }
 
-/// How requests at a server ended.
-#[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Ended {
-    pub(super) server: Start,
-    pub(super) good: f32,
-    pub(super) bad: f32,
+impl From<&Scope> for Whose {
+    fn from(scope: &Scope) -> Self {
+        match scope {
+            Scope::Own => Self::Own,
+            Scope::Cell(id) => Self::Cell(id.to_string()),
+            Scope::Rest => Self::Rest,
+        }
+    }
+}
+
+impl From<Whose> for Scope {
+    fn from(whose: Whose) -> Self {
+        match whose {
+            Whose::Own => Self::Own,
+            Whose::Cell(id) => Self::Cell(Id(id.into())),
+            Whose::Rest => Self::Rest,
+        }
+    }
 }
 
-/// What one entry tells the others.
+/// One message: a word, or a portion of one.
 #[derive(Debug, Deserialize, Serialize)]
-pub(super) struct Message {
+struct Message {
+    entry: String,
+    zone: String,
+    whose: Whose,
+    number: u16,
+    last: u16,
+    entries: u32,
+    served: u32,
+    ready: Option<SocketAddr>,
+    planner: Option<(u64, SocketAddr)>,
+    facts: Vec<(Start, Fact)>,
+}
+
+/// A message as it was heard.
+#[derive(Debug)]
+pub(super) struct Heard {
+    /// Who told it.
     pub(super) entry: String,
-    pub(super) rows: Vec<Row>,
-    pub(super) slow: Vec<Slow>,
-    /// Servers that refuse requests of this entry.
-    pub(super) full: Vec<Full>,
-    /// How requests of this entry ended, by server.
-    pub(super) ended: Vec<Ended>,
-    /// Whether the store does not answer this entry.
-    pub(super) is_store_away: bool,
-    /// Whether this entry could give orders: it knows the servers, and does not stop.
-    pub(super) is_ready: bool,
-    /// The fencing number under which this entry gives orders, if it does.
-    pub(super) planner: Option<u64>,
-    /// What servers told the planner that they hold, while the store is away.
-    pub(super) held: Vec<Held>,
-    /// What this entry, as the planner, has ordered servers to hold and they do not hold yet.
-    pub(super) ordered: Vec<Held>,
-    /// Servers that this entry suspects. The others ask these themselves: an entry that is cut off
-    /// suspects all.
-    pub(super) suspects: Vec<Start>,
-    /// Up to which revision this entry knows the store.
-    pub(super) knows: u64,
-}
-
-impl From<Row> for (Incarnation, Use) {
-    fn from(row: Row) -> Self {
-        let used = Use {
-            tokens: f64::from(row.tokens),
-            requests: u64::from(row.requests),
-        };
-        (row.server.into(), used)
-    }
+    /// The teller's availability zone.
+    pub(super) zone: Zone,
+    /// Of whom it is.
+    pub(super) scope: Scope,
+    /// Which portion of the word it is.
+    pub(super) portion: Portion,
+    /// What it says.
+    pub(super) summary: Summary,
 }
 
-impl From<(&Incarnation, &Range)> for Held {
-    fn from((server, layers): (&Incarnation, &Range)) -> Self {
-        Self {
-            server: server.into(),
-            start: layers.start,
-            end: layers.end,
-        }
-    }
+/// Why a message was not understood.
+#[derive(Debug)]
+pub(super) enum Malformed {
+    /// It cannot be decoded.
+    Encoding,
+    /// A figure is negative or none.
+    Figure,
 }
 
-impl From<Held> for (Incarnation, Range) {
-    fn from(held: Held) -> Self {
-        (held.server.into(), Range::new(held.start, held.end))
-    }
+/// Who tells a word.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Teller<'a> {
+    pub(super) entry: &'a str,
+    pub(super) zone: &'a Zone,
 }
 
-impl From<(&Incarnation, Span)> for Full {
-    fn from((server, lasts): (&Incarnation, Span)) -> Self {
-        Self {
-            server: server.into(),
-            lasts_ms: lasts.0 as u32,
-        }
+fn facts(summary: &Summary) -> Vec<(Start, Fact)> {
+    let mut facts: Vec<(Start, Fact)> = Vec::new();
+    let mut add = |server: &Incarnation, fact: Fact| facts.push((server.into(), fact));
+    for (server, used) in &summary.used {
+        add(server, used.into());
+    }
+    for (server, tally) in &summary.ended {
+        add(server, tally.into());
+    }
+    for (server, slowness) in &summary.slow {
+        add(server, Fact::Slow(*slowness as f32));
+    }
+    for (server, lasts) in &summary.full {
+        add(server, Fact::Full(lasts.0 as u32));
     }
+    for (server, entries) in &summary.suspects {
+        add(server, Fact::Suspected(*entries as u32));
+    }
+    for (server, layers) in &summary.held {
+        let (start, end) = (layers.start, layers.end);
+        add(server, Fact::Holds { start, end });
+    }
+    for (server, layers) in &summary.ordered {
+        let (start, end) = (layers.start, layers.end);
+        add(server, Fact::Ordered { start, end });
+    }
+    facts
 }
 
-impl From<(&Incarnation, Tally)> for Ended {
-    fn from((server, tally): (&Incarnation, Tally)) -> Self {
-        Self {
-            server: server.into(),
-            good: tally.good as f32,
-            bad: tally.bad as f32,
+/// Encodes a word in as many messages as it needs.
+///
+/// A word that grew over one datagram was left out before: others would take an entry for gone whose load is the
+/// largest of all.
+pub(super) fn encode(teller: Teller<'_>, scope: &Scope, summary: &Summary) -> Vec<Vec<u8>> {
+    let facts = facts(summary);
+    let mut portions = 1;
+    loop {
+        let messages = portioned(teller, scope, summary, &facts, portions);
+        let is_short = messages.iter().all(|bytes| bytes.len() <= MOST_BYTES);
+        if is_short || portions >= MOST_PORTIONS {
+            return messages;
         }
+        portions *= 2;
     }
 }
 
-impl From<Ended> for (Incarnation, Tally) {
-    fn from(ended: Ended) -> Self {
-        let tally = Tally {
-            good: f64::from(ended.good),
-            bad: f64::from(ended.bad),
+fn portioned(
+    teller: Teller<'_>,
+    scope: &Scope,
+    summary: &Summary,
+    facts: &[(Start, Fact)],
+    portions: u16,
+) -> Vec<Vec<u8>> {
+    let messages = (0..portions).filter_map(|number| {
+        let is_first = number == 0;
+        let own = facts.iter().skip(usize::from(number));
+        let message = Message {
+            entry: teller.entry.into(),
+            zone: teller.zone.to_string(),
+            whose: scope.into(),
+            number,
+            last: portions - 1,
+            entries: if is_first { summary.entries as u32 } else { 0 },
+            served: if is_first { summary.served as u32 } else { 0 },
+            ready: summary.ready.filter(|_| is_first),
+            planner: summary
+                .planner
+                .filter(|_| is_first)
+                .map(|(token, at)| (token.0, at)),
+            facts: own.step_by(usize::from(portions)).cloned().collect(),
         };
-        (ended.server.into(), tally)
-    }
+        bincode::DefaultOptions::new().serialize(&message).ok()
+    });
+    messages.collect()
 }
 
-impl From<(&Incarnation, f64)> for Slow {
-    fn from((server, slowness): (&Incarnation, f64)) -> Self {
-        Self {
-            server: server.into(),
-            slowness: slowness as f32,
-        }
+/// Decodes a message.
+///
+/// # Errors
+///
+/// It is none, or a figure in it would spoil the sums.
+pub(super) fn decode(bytes: &[u8]) -> Result<Heard, Malformed> {
+    let options = bincode::DefaultOptions::new().with_limit(BUFFER as u64);
+    let message: Message = options
+        .deserialize(bytes)
+        .map_err(|_| Malformed::Encoding)?;
+    let planner = message.planner.map(|(token, at)| (Token(token), at));
+    let mut summary = Summary {
+        entries: u64::from(message.entries),
+        served: u64::from(message.served),
+        ready: message.ready,
+        planner,
+        ..Summary::default()
+    };
+    for (server, fact) in message.facts {
+        take(&mut summary, server.into(), fact)?;
     }
+    Ok(Heard {
+        entry: message.entry,
+        zone: message.zone.into(),
+        scope: message.whose.into(),
+        portion: Portion {
+            number: message.number,
+            last: message.last,
+        },
+        summary,
+    })
 }
 
-impl From<(&Incarnation, &Use)> for Row {
-    fn from((server, used): (&Incarnation, &Use)) -> Self {
-        Self {
-            server: server.into(),
-            tokens: used.tokens as f32,
-            requests: used.requests as u32,
+fn take(summary: &mut Summary, server: Incarnation, fact: Fact) -> Result<(), Malformed> {
+    match fact {
+        Fact::Used { tokens, requests } => {
+            let used = Use {
+                tokens: figure(tokens)?,
+                requests: u64::from(requests),
+            };
+            summary.used.insert(server, used);
+        }
+        Fact::Ended { good, bad } => {
+            let tally = Tally {
+                good: figure(good)?,
+                bad: figure(bad)?,
+            };
+            summary.ended.insert(server, tally);
+        }
+        Fact::Slow(slowness) => {
+            summary.slow.insert(server, figure(slowness)?);
+        }
+        Fact::Full(lasts) => {
+            summary.full.insert(server, Span(u64::from(lasts)));
+        }
+        Fact::Suspected(entries) => {
+            summary.suspects.insert(server, u64::from(entries));
+        }
+        Fact::Holds { start, end } => {
+            summary.held.insert(server, Range::new(start, end));
+        }
+        Fact::Ordered { start, end } => {
+            summary.ordered.insert(server, Range::new(start, end));
         }
     }
+    Ok(())
 }
 
-fn ordered<D>(state: &State<D>) -> Vec<Held> {
-    if state.leadership.own().is_none() {
-        return Vec::new();
-    }
-    state.ordered.borrow().iter().map(Held::from).collect()
-}
-
-impl Message {
-    /// Returns what this entry has to tell, encoded; `None` when it does not fit into a datagram.
-    pub(super) fn of<D>(state: &State<D>) -> Option<Vec<u8>> {
-        let load = state.load.borrow();
-        let suspicion = state.suspicion.borrow();
-        let outliers = state.outliers.borrow();
-        let now = clock::now();
-        let message = Self {
-            entry: state.settings.name.to_string(),
-            rows: load.own().map(Row::from).collect(),
-            slow: load.slow(now).map(Slow::from).collect(),
-            full: load.refusals.own(now).map(Full::from).collect(),
-            ended: outliers.own(now).map(Ended::from).collect(),
-            is_store_away: state.is_store_away(),
-            is_ready: state.is_ready(),
-            planner: state.leadership.own().map(|token| token.0),
-            held: state.told.borrow().iter().map(Held::from).collect(),
-            ordered: ordered(state),
-            suspects: suspicion.names().map(Start::from).collect(),
-            knows: state.retries.seat.borrow().knows().0,
-        };
-        let bytes = bincode::serialize(&message);
-        bytes.ok().filter(|bytes| bytes.len() <= MOST_BYTES)
+/// Checks a figure that is added to others; rounding leaves sums a little below zero.
+fn figure(told: f32) -> Result<f64, Malformed> {
+    if !told.is_finite() {
+        return Err(Malformed::Figure);
     }
+    Ok(f64::from(told).max(0.0))
 }
--- a/crates/front/src/gossip/peers.rs
+++ b/crates/front/src/gossip/peers.rs
@@ -1,113 +1,99 @@
 //! The other entries, as far as they are known.
 
+use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use jujube_core::name::Zone;
+use jujube_core::pipeline::board::Board;
+use jujube_core::pipeline::cell::Directory;
+use jujube_core::pipeline::cell::Place;
 use jujube_core::pipeline::outage;
+use jujube_core::pipeline::reserve::Tenure;
 use jujube_core::time::Instant;
-use jujube_core::time::Span;
-use jujube_program::clock;
 use jujube_store::kv::Value;
 
-/// How long an entry whose announcement has ended is still told, after it was last heard: the
-/// announcement also ends when the store is away.
-const HEARD: Span = Span(5_000);
-/// How long another entry's word on the store counts.
-const FRESH: Span = Span(1_500);
-
-/// What an entry says of itself.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Word {
-    /// The store does not answer it.
-    pub(super) is_store_away: bool,
-    /// It could give orders.
-    pub(super) is_ready: bool,
+/// What an entry says of itself in the store.
+#[derive(Clone, Debug)]
+pub struct Announcement {
+    /// Where it is.
+    pub place: Place,
+    /// The lease of the announcement, which tells this one from an earlier one of the same entry.
+    pub tenure: Tenure,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Peer {
-    is_announced: bool,
-    heard: Instant,
-    word: Word,
+impl Announcement {
+    /// Reads an announcement; `None` if somebody else wrote the value.
+    pub fn read(value: &Value) -> Option<Self> {
+        let Value::Text(text) = value else {
+            return None;
+        };
+        let mut words = text.split(' ');
+        let address = words.next()?.parse().ok()?;
+        let zone: Zone = words.next()?.into();
+        let tenure = words.next()?.parse().ok()?;
+        let place = Place { zone, address };
+        Some(Self { place, tenure })
+    }
+
+    /// Returns the value to write.
+    pub fn text(&self) -> String {
+        let Place { zone, address } = &self.place;
+        format!("{address} {zone} {}", self.tenure)
+    }
 }
 
 /// The other entries.
-#[derive(Default)]
-pub struct Peers(RefCell<BTreeMap<SocketAddr, Peer>>);
+pub struct Peers {
+    /// Who they are, in cells.
+    pub directory: RefCell<Directory>,
+    /// What they said.
+    pub(super) board: RefCell<Board>,
+    /// When what they said was added up last.
+    pub(super) summed: Cell<Instant>,
+    heard: Cell<u64>,
+    served: Cell<u64>,
+    ready: Cell<Option<SocketAddr>>,
+}
 
 impl Peers {
-    /// Takes a key of the store, if it is an entry's announcement.
-    pub fn take(&self, key: &str, value: Option<&Value>) {
-        if super::announced(key).is_none() {
-            return;
-        }
-        let Some(value) = value else {
-            // The address is in the value that is gone: those not heard any more drop out.
-            for peer in self.0.borrow_mut().values_mut() {
-                peer.is_announced = false;
-            }
-            return;
-        };
-        let Value::Text(value) = value else {
-            // Somebody else wrote it; the entry that it names is known by what it tells.
-            return;
-        };
-        if let Ok(address) = value.parse() {
-            let peer = Peer {
-                is_announced: true,
-                heard: clock::now(),
-                word: Word::default(),
-            };
-            self.0.borrow_mut().insert(address, peer);
+    /// Returns the peers of an entry that knows none.
+    pub fn new(own: Arc<str>, place: Place) -> Self {
+        Self {
+            directory: RefCell::new(Directory::new(own, place)),
+            board: RefCell::default(),
+            summed: Cell::default(),
+            heard: Cell::default(),
+            served: Cell::default(),
+            ready: Cell::default(),
         }
     }
 
-    pub(super) fn heard(&self, address: SocketAddr, word: Word) {
-        let mut peers = self.0.borrow_mut();
-        let known = peers.get(&address);
-        let peer = Peer {
-            is_announced: known.is_some_and(|known| known.is_announced),
-            heard: clock::now(),
-            word,
-        };
-        peers.insert(address, peer);
+    /// Takes how many others are heard, how many of them the store answers, and the lowest address of those that
+    /// could give orders.
+    pub(super) fn set(&self, heard: u64, served: u64, ready: Option<SocketAddr>) {
+        self.heard.set(heard);
+        self.served.set(served);
+        self.ready.set(ready);
     }
 
-    /// Tells whether the store answers no other entry; `own` is this entry's address.
-    pub fn is_store_away(&self, own: SocketAddr) -> bool {
-        let now = clock::now();
-        let peers = self.0.borrow();
-        let others = peers.iter().filter(|(address, _)| **address != own);
-        let words = others.map(|(_, peer)| match now.since(peer.heard) <= FRESH {
-            false => outage::Word::Silent,
-            true if peer.word.is_store_away => outage::Word::Away,
-            true => outage::Word::Served,
-        });
-        outage::is_for_all(words)
+    /// Tells whether the store answers no other entry.
+    pub fn is_store_away(&self) -> bool {
+        outage::is_for_all(outage::Word {
+            known: self.count().saturating_sub(1),
+            heard: self.heard.get(),
+            served: self.served.get(),
+        })
     }
 
-    /// Returns the other entries that are heard and could give orders; `own` is this entry's address.
-    pub fn ready(&self, own: SocketAddr) -> Vec<SocketAddr> {
-        let now = clock::now();
-        let peers = self.0.borrow();
-        let heard = peers
-            .iter()
-            .filter(|(_, peer)| now.since(peer.heard) <= FRESH);
-        let ready = heard.filter(|(_, peer)| peer.word.is_ready);
-        let others = ready.map(|(address, _)| *address);
-        others.filter(|address| *address != own).collect()
+    /// Returns the other entry with the lowest address of those that are heard and could give orders.
+    pub fn ready(&self) -> Option<SocketAddr> {
+        self.ready.get()
     }
 
     /// Returns how many entries are known, this one included.
     pub fn count(&self) -> u64 {
-        self.0.borrow().len().max(1) as u64
-    }
-
-    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
-        let now = clock::now();
-        let mut peers = self.0.borrow_mut();
-        peers.retain(|_, peer| peer.is_announced || now.since(peer.heard) <= HEARD);
-        peers.keys().copied().collect()
+        self.directory.borrow().count() as u64
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 mod request;
 mod retries;
 mod settings;
+mod slack;
 mod state;
 mod stream;
 mod upstream;
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -80,9 +80,22 @@
         let changed = state.leadership.changed.notified();
         let pause = Duration::from_millis(rand::random_range(300..700));
         let _either = tokio::time::timeout(pause, changed).await;
+        tokio::time::sleep(turn(&state)).await;
     }
 }
 
+/// How long an entry waits for each one before it to stand for the office, and for how many of them.
+///
+/// The store tells all entries at the same moment that the office is free, and each that stands for it makes four
+/// calls; it takes the winner some 20 ms, and half a second or more until the others hear of it.
+const TURN: Duration = Duration::from_millis(100);
+const MOST_TURNS: usize = 20;
+
+fn turn<D>(state: &State<D>) -> Duration {
+    let before = state.peers.directory.borrow().rank();
+    TURN * before.min(MOST_TURNS) as u32
+}
+
 /// Begins a term, if the office is free or this entry is to stand in.
 async fn begin<D: Dialect, F: Feed>(state: &Rc<State<D>>, store: &F) -> Option<Rc<Term<D, F>>> {
     if !state.is_ready() {
@@ -104,7 +117,7 @@
     }
     let (now, own) = (clock::now(), state.settings.gossip);
     let sight = state.leadership.sight.get();
-    let token = sight.stands_in(now, own, state.peers.ready(own))?;
+    let token = sight.stands_in(now, own, state.peers.ready())?;
     Some(Holder {
         token,
         renewed: now,
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -90,9 +90,11 @@
     server: &Incarnation,
     address: SocketAddr,
 ) -> anyhow::Result<Report> {
+    let began = clock::now();
     let asked = ask::<D>(state, server, address);
     let body = tokio::time::timeout(ANSWER, asked).await??;
     let report = D::report(&body)?;
+    state.pulse.borrow_mut().answered(began);
     if server.is_denied_by(report.born) {
         learn_restart(state, server, &report);
         anyhow::bail!("restarted");
@@ -165,7 +167,15 @@
         return known.health;
     }
     state.metrics.count("probes");
+    let asked = clock::now();
     let answer = report(state, server, address).await;
+    if answer
+        .as_ref()
+        .is_err_and(|error| is_void(state, asked, error))
+    {
+        state.metrics.count("probes_void");
+        return Health::Well;
+    }
     let health = match &answer {
         Ok(report) if report.slowness >= SLOW => Health::Slow,
         Ok(_) => Health::Well,
@@ -191,6 +201,16 @@
     health
 }
 
+/// Tells whether a server's silence says nothing of it: this process was late itself while it waited.
+///
+/// A VM with a tenth of a core stands still for longer than an answer takes whenever it has much to do. It would
+/// find live servers dead, give up their streams, and have more to do. Those that are dead are found so at the next
+/// look, or by the entries that are on time.
+fn is_void<D>(state: &State<D>, asked: Instant, error: &anyhow::Error) -> bool {
+    let is_silence = error.is::<tokio::time::error::Elapsed>();
+    is_silence && state.pulse.borrow().was_late(asked, clock::now())
+}
+
 /// Books whether nobody listens at a server's address, by the error with which a question ended.
 fn note_refusal<D>(state: &State<D>, server: &Incarnation, error: &anyhow::Error) {
     let error = error.downcast_ref::<io::Error>();
@@ -237,6 +257,9 @@
     loop {
         tokio::time::sleep(LOOK).await;
         let due = state.suspicion.borrow_mut().due(clock::now());
+        if !due.is_empty() {
+            ask_witness(&state);
+        }
         for server in due {
             let Some(address) = state.address(&server) else {
                 state.suspicion.borrow_mut().clear(&server);
@@ -247,6 +270,32 @@
     }
 }
 
+/// Asks a server that is not suspected, any, unless one has answered since the last suspect was accused.
+///
+/// Silence counts only where others are heard; without a witness nobody would count as ended, and streams whose
+/// server died would wait for one in vain.
+fn ask_witness<D: Dialect>(state: &Rc<State<D>>) {
+    let suspicion = state.suspicion.borrow();
+    let newest = suspicion.newest().unwrap_or_default();
+    if state.pulse.borrow().was_in_touch(newest) {
+        return;
+    }
+    let roster = state.roster.borrow();
+    let trusted = roster
+        .usable()
+        .filter(|server| !suspicion.holds(&server.incarnation));
+    let witness = trusted.min_by_key(|_| rand::random::<u32>());
+    if let Some(witness) = witness {
+        let (server, address) = (witness.incarnation.clone(), witness.address);
+        let state = state.clone();
+        state.metrics.count("probes");
+        tokio::task::spawn_local(async move {
+            // Its answer is noted where it is heard; silence is judged by those who have requests there.
+            let _answer = report(&state, &server, address).await;
+        });
+    }
+}
+
 async fn ask_suspect<D: Dialect>(state: Rc<State<D>>, server: Incarnation, address: SocketAddr) {
     state.metrics.count("probes");
     if let Err(error) = report(&state, &server, address).await {
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -46,7 +46,7 @@
             ("in_flight", state.in_flight.get() as f64),
             ("streams", state.streams.len() as f64),
             ("waiting", state.waiting.len() as f64),
-            ("retry_share", state.retries.share().0),
+            ("slack_pieces", state.retries.pieces() as f64),
             ("ready", f64::from(u8::from(state.is_ready()))),
         ];
         return Response::new(Body::text(state.metrics.text(&gauges)));
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -32,6 +32,8 @@
     pub stop: Duration,
     /// The store.
     pub store: SocketAddr,
+    /// How soon what is written to the store must be in force.
+    pub fresh: Freshness,
     /// What the retry budget allows over all entries.
     pub retry: Terms,
     /// Logs.
@@ -40,6 +42,15 @@
     pub file: Arc<Path>,
 }
 
+/// How soon what is written to the store must be in force.
+#[derive(Clone, Copy, Debug)]
+pub struct Freshness {
+    /// How long a VM must have been without trouble for its delays to count.
+    pub contact: Span,
+    /// Within what time a configuration, or the word that a server leaves, must be in force.
+    pub apply: Span,
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
@@ -70,7 +81,15 @@
     /// ```
     pub fn take(mut file: File, path: &Path) -> Result<Self> {
         let telemetry = settings::telemetry(&mut file);
-        let store = file.section("store", |section| section.address("address"));
+        let (store, fresh) = file.section("store", |section| {
+            let apply = section.number("apply_ms", Some(2_000));
+            let leave = section.number("leave_ms", Some(2_000));
+            let fresh = Freshness {
+                contact: Span(section.number("contact_ms", Some(3_000))),
+                apply: Span(apply.min(leave)),
+            };
+            (section.address("address"), fresh)
+        });
         let retry = file.section("retry", |section| Terms {
             ratio: section.value("ratio", "retries per request, such as 0.2", Some(0.2)),
             slack: section.value("slack", "retries beyond the ratio", Some(100.0)),
@@ -85,6 +104,7 @@
             gossip: section.address("gossip"),
             stop: Duration::from_secs(section.number("stop_seconds", Some(8))),
             store,
+            fresh,
             retry,
             telemetry,
             file: path.into(),
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -10,6 +10,7 @@
 use jujube_core::layer::Range;
 use jujube_core::name::Service;
 use jujube_core::pipeline::attempts::Belief;
+use jujube_core::pipeline::cell::Place;
 use jujube_core::pipeline::chooser::Fleet;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::load::Load;
@@ -107,10 +108,15 @@
 impl<D> State<D> {
     /// Returns the state of an entry that knows nothing yet.
     pub fn new(settings: Settings) -> Self {
+        let place = Place {
+            zone: settings.zone.clone(),
+            address: settings.gossip,
+        };
         Self {
             dialect: PhantomData,
             started: clock::now(),
-            retries: Retries::new(settings.retry, settings.name.clone()),
+            retries: Retries::new(settings.retry),
+            peers: Peers::new(settings.name.clone(), place),
             settings,
             table: RefCell::default(),
             roster: RefCell::default(),
@@ -126,7 +132,6 @@
             ordered: RefCell::default(),
             pool: Pool::default(),
             probes: Probes::default(),
-            peers: Peers::default(),
             waiting: Waiting::default(),
             streams: Streams::default(),
             metrics: Metrics::default(),
@@ -160,11 +165,12 @@
         let grounds = decision.grounds;
         log::info!(
             "event=retry request={request} service={service} outcome={outcome} spent={} paid={:.1} \
-             share={:.1} standing={:?} age_ms={}",
+             share={:.1} pieces={} trusted={} age_ms={}",
             grounds.spent,
             grounds.paid,
             grounds.share,
-            decision.standing,
+            decision.pieces,
+            decision.is_trusted,
             clock::now().since(self.started)
         );
         retry
@@ -180,7 +186,7 @@
 
     /// Tells whether the store answers no entry at all, as far as is known here.
     pub fn is_store_away_for_all(&self) -> bool {
-        self.is_store_away() && self.peers.is_store_away(self.settings.gossip)
+        self.is_store_away() && self.peers.is_store_away()
     }
 
     /// Returns where a registered backend server listens.
--- a/crates/front/src/stream/booking.rs
+++ b/crates/front/src/stream/booking.rs
@@ -106,8 +106,7 @@
     let may_reopen = cause != Cause::Slow && may_reopen(state, stream);
     let now = clock::now();
     let crowd = match cause {
-        // All entries move their streams off a leaver at the same time.
-        Cause::Leaving => state.peers.count() as f64,
+        Cause::Leaving => leaving_crowd(state, old),
         Cause::Dead | Cause::Slow => state.load.borrow().backlog.crowd(now, old),
     };
     let (chosen, fleet, need) =
@@ -145,6 +144,17 @@
     Some(chosen)
 }
 
+/// Returns how many entries move a stream off a path at the same time: all that have one there, as far as is known.
+///
+/// Taken for all entries there are, a hundred made every move look too slow to be gentle, and no stream left a
+/// server before it was gone.
+fn leaving_crowd<D>(state: &State<D>, old: &Path) -> f64 {
+    let load = state.load.borrow();
+    let requests = old.parts().iter().map(|part| load.requests(&part.server));
+    let most = requests.max().unwrap_or(1);
+    most.clamp(1, state.peers.count()) as f64
+}
+
 /// Tells whether a stream that runs may be given up for another run; the retry for it is in hand then.
 pub fn may_reopen<D>(state: &State<D>, stream: &Stream) -> bool {
     stream.route.resumable && may_run_again(state, stream)
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -77,19 +77,14 @@
             Outlook::Near | Outlook::Closed => return Err((Reason::Failed, cause)),
         }
         stream.abandoned.set(false);
+        if stream.was_sent.get() && !retry_comes(state, stream).await {
+            return Err(given_up(stream, Reason::Refused, cause));
+        }
         let path = match next_path(state, stream, &avoid) {
             Some(path) => path,
             None if waits_for_room(stream).await => continue,
             None => return Err(given_up(stream, Reason::NoServer, "no-path".into())),
         };
-        if stream.was_sent.get() && !holds_retry(state, stream) {
-            if !waits_for_room(stream).await {
-                return Err(given_up(stream, Reason::Refused, cause));
-            }
-            // What the path gives servers to read is booked already.
-            stream.planned.replace(Some(path));
-            continue;
-        }
         let sent = send(state, stream, path, last);
         let failure = match sent.await {
             Ok(incomplete) if is_wanted(&incomplete, answer) => return Ok(incomplete),
@@ -276,6 +271,40 @@
     holds
 }
 
+/// Waits until a retry for the next run is in hand, as long as the caller can be expected to wait; `false` when none
+/// came in time.
+///
+/// Streams wait in line. Were each to ask again every now and then, those that came last would often be served
+/// first, and a hundred of them would fill the log with denials.
+async fn retry_comes<D>(state: &State<D>, stream: &Stream) -> bool {
+    if holds_retry(state, stream) {
+        return true;
+    }
+    let began = clock::now();
+    let silent = began.since(stream.last_event.get());
+    let is_under_way = stream.runs() > 0 || stream.events.get() > 0;
+    let patience = PATIENCE.0.saturating_sub(silent.0);
+    if !is_under_way || patience == 0 {
+        return false;
+    }
+    let coming = state.retries.wait(&stream.service);
+    let expired = std::pin::pin!(stream.lost());
+    let coming = tokio::time::timeout(Duration::from_millis(patience), coming);
+    let retry = match select(std::pin::pin!(coming), expired).await {
+        Either::Left((Ok(Ok(retry)), _)) => Some(retry),
+        _ => None,
+    };
+    let outcome = if retry.is_some() { "taken" } else { "given-up" };
+    let waited = clock::now().since(began);
+    log::info!(
+        "event=retry-awaited request={} outcome={outcome} waited_ms={waited}",
+        stream.id
+    );
+    let is_in_hand = retry.is_some();
+    stream.retry.replace(retry);
+    is_in_hand
+}
+
 async fn send<D: Dialect>(
     state: &Rc<State<D>>,
     stream: &Rc<Stream>,
