Send a plain request to the better of two servers, and ask for no retry before one arrived

A send that reached nobody is no extra arrival, yet took a retry. Ruled out: fresher words alone; dozens of requests start within any delay. Change: whole.rs; a second try waits for a retry instead of being dropped when a piece is still to be taken.

--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::StreamExt;
+use futures::future::Fuse;
 use futures::stream::FuturesUnordered;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -22,6 +23,7 @@
 use crate::head;
 use crate::request;
 use crate::request::Admitted;
+use crate::retries::Retry;
 use crate::state::State;
 use crate::upstream;
 use crate::upstream::Failure;
@@ -29,10 +31,14 @@
 /// The share of the target after which an idempotent request is sent to a second server as well: a
 /// usual answer has come by then, and a second one can still be in time.
 const SECOND_AFTER: f64 = 0.55;
+/// From how many servers the one with the least in flight is taken.
+const DRAWN: usize = 2;
 /// How many servers may say that they have not run a request before it is given up.
 const MOST_REFUSALS: u32 = 4;
 /// When to come back after every server refused; about one answer's time.
 const REFUSED: Span = Span(60);
+/// How long a request waits for a retry that the budget may still give.
+const RETRY_COMES: Duration = Duration::from_millis(60);
 /// When to come back when no server is there.
 const NO_SERVER: Span = Span(500);
 /// How long before the caller's patience ends a request that may have run is answered, so that the
@@ -45,6 +51,14 @@
     body: Bytes,
 }
 
+/// Why one more try may be made.
+enum Right {
+    /// No server got the request yet.
+    First,
+    /// It is a retry within the budget.
+    Retry(Retry),
+}
+
 /// How one try ended.
 type Outcome = (Server, Result<Answer, Failure>);
 
@@ -63,6 +77,7 @@
         may_have_run: false,
         spare: None,
         sent: 0,
+        arrivals: 0,
         refusals: 0,
         cause: String::from("-"),
     };
@@ -113,6 +128,8 @@
     spare: Option<Answer>,
     /// How many servers it was sent to that did not refuse it.
     sent: u64,
+    /// How many servers got it, or may have, those that refused it among them.
+    arrivals: u64,
     refusals: u32,
     cause: String,
 }
@@ -122,15 +139,27 @@
         let mut running = FuturesUnordered::new();
         let first = self.pick().ok_or_else(|| self.no_server())?;
         self.sent += 1;
+        self.arrivals += 1;
         running.push(attempt(self.state, self.request, first));
         let second_after = self.request.route.target.0 as f64 * SECOND_AFTER;
         let second_at = tokio::time::sleep(Duration::from_millis(second_after as u64)).fuse();
         let mut second_at = Box::pin(second_at);
+        let mut coming = Fuse::terminated();
         loop {
             let ended: Option<Outcome> = futures::select! {
                 ended = running.next() => ended,
                 () = second_at => {
-                    if let Some(server) = self.another() {
+                    let right = self.retry();
+                    if right.is_none() && self.can_send() {
+                        coming = self.state.retries.wait(&self.request.service).fuse();
+                    }
+                    if let Some(server) = self.another(right) {
+                        running.push(attempt(self.state, self.request, server));
+                    }
+                    continue;
+                }
+                retry = coming => {
+                    if let Some(server) = self.another(retry.ok().map(Right::Retry)) {
                         running.push(attempt(self.state, self.request, server));
                     }
                     continue;
@@ -142,7 +171,11 @@
             match self.judge(&server, result) {
                 Some(answer) => return Ok(answer),
                 None if running.is_empty() => {
-                    let Some(next) = self.another() else {
+                    let retry = match self.retry() {
+                        None if self.can_send() => self.awaited_retry().await,
+                        retry => retry,
+                    };
+                    let Some(next) = self.another(retry) else {
                         return self.end();
                     };
                     running.push(attempt(self.state, self.request, next));
@@ -180,6 +213,7 @@
         match failure {
             Failure::NotSent(_) => {
                 self.sent -= 1;
+                self.arrivals -= 1;
                 self.state.accuse(&server.incarnation, "not-sent");
             }
             Failure::NotRun { .. } => {
@@ -215,42 +249,73 @@
         repeats && self.sent < limit && self.refusals < MOST_REFUSALS
     }
 
+    /// Returns the right to one more try, if there is one now. The first that reaches a server needs none.
+    fn retry(&self) -> Option<Right> {
+        if self.arrivals == 0 {
+            return Some(Right::First);
+        }
+        if !self.can_send() {
+            return None;
+        }
+        let retry = self
+            .state
+            .take_retry(&self.request.service, &self.request.id);
+        retry.map(Right::Retry)
+    }
+
+    /// Waits a little for a retry: a piece of the slack is taken from the store within some milliseconds.
+    async fn awaited_retry(&self) -> Option<Right> {
+        let coming = self.state.retries.wait(&self.request.service);
+        let retry = tokio::time::timeout(RETRY_COMES, coming).await;
+        retry.ok()?.ok().map(Right::Retry)
+    }
+
     /// Returns the server for one more try, if there may be one.
-    fn another(&mut self) -> Option<Server> {
+    fn another(&mut self, right: Option<Right>) -> Option<Server> {
+        let right = right?;
         if !self.can_send() {
             return None;
         }
         let server = self.pick()?;
-        let mut retry = self
-            .state
-            .take_retry(&self.request.service, &self.request.id)?;
-        retry.set_sent(true);
+        if let Right::Retry(mut retry) = right {
+            retry.set_sent(true);
+        }
         self.sent += 1;
+        self.arrivals += 1;
         self.state.metrics.count("retries");
         Some(server)
     }
 
-    /// Returns the server with the least in flight, of the own availability zone where equal, and any of
-    /// those that are equal in that as well: by their names, all entries would send to the same one.
+    /// Returns the one with less in flight of two servers, drawn from those with the best record; where equal, that of
+    /// the own availability zone.
+    ///
+    /// What others have in flight is known with a delay in which all entries together send dozens of requests. Were
+    /// each to take the server with the least, all would take the same one until they hear of it: it turned nine of
+    /// ten away while the others were idle. Of two drawn ones, few entries draw the same two.
     fn pick(&self) -> Option<Server> {
         let roster = self.state.roster.borrow();
         let load = self.state.load.borrow();
         let suspicion = self.state.suspicion.borrow();
         let outliers = self.state.outliers.borrow();
         let home = &self.state.settings.zone;
-        let of_service = roster
+        let record = |server: &&Server| {
+            let name = &server.incarnation;
+            let is_doubted = outliers.holds(name) || suspicion.told(name) > 0;
+            (suspicion.holds(name), is_doubted)
+        };
+        let mut usable: Vec<&Server> = roster
             .usable()
             .filter(|server| server.service == self.request.service)
-            .filter(|server| !self.avoid.contains(&server.incarnation));
-        let ranked = of_service.min_by_key(|server| {
-            let suspected = suspicion.holds(&server.incarnation);
-            let fails = outliers.holds(&server.incarnation);
+            .filter(|server| !self.avoid.contains(&server.incarnation))
+            .collect();
+        let best = usable.iter().map(record).min()?;
+        usable.retain(|server| record(server) == best);
+        usable.sort_by_cached_key(|_| rand::random::<u32>());
+        let chosen = usable.into_iter().take(DRAWN).min_by_key(|server| {
             let away = server.zone != *home;
-            let draw: u32 = rand::random();
-            let requests = load.requests(&server.incarnation);
-            (suspected, fails, requests, away, draw)
+            (load.requests(&server.incarnation), away)
         });
-        ranked.cloned()
+        chosen.cloned()
     }
 
     /// Returns what the caller gets when there is no further try.
