Let one accuser take no plain service's server from the others

Cause: found by reading the diff: plain requests avoided a server that a single other entry suspects, so one entry that is cut off could take servers from all. Ruled out: nothing measured; paths had the guard already. Change: Suspicion::is_doubted, two accusers, in both places. Test one_accuser_moves_no_request_and_two_do.

--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -82,8 +82,6 @@
 /// What a server costs that one other entry suspects, in milliseconds: less than a path in another availability
 /// zone, so that one entry that accuses all moves no request by its word.
 const DOUBTED_MS: f64 = 50.0;
-/// How many other entries must suspect a server for it to cost as much as one that fails too often.
-const CREDIBLE: u64 = 2;
 /// What a path in another availability zone than the entry's costs, in milliseconds: each event
 /// crosses the link once more, which shows in nothing but the bytes between zones.
 const AWAY_MS: f64 = 60.0;
@@ -126,11 +124,13 @@
         if self.suspicion.holds(server) || self.avoid.contains(server) {
             return SUSPECT_MS;
         }
-        let told = self.suspicion.told(server);
-        if self.outliers.holds(server) || told >= CREDIBLE {
+        if self.outliers.holds(server) || self.suspicion.is_doubted(server) {
             return OUTLIER_MS;
         }
-        if told > 0 { DOUBTED_MS } else { 0.0 }
+        match self.suspicion.told(server) {
+            0 => 0.0,
+            _ => DOUBTED_MS,
+        }
     }
 }
 
--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -15,6 +15,10 @@
 /// The longest pause of one that asks alone; a suspect that left is taken off the list by its registration.
 const LONGEST_PAUSE: Span = Span(1_600);
 
+/// How many other entries must suspect a server for it to be avoided on their word: one that is cut off or wrong
+/// accuses all.
+const CREDIBLE: u64 = 2;
+
 /// How long a server must have been suspected to count as ended; it is asked again in that time.
 const ENDED: Span = Span(500);
 /// How long before a server is suspected it was asked: an answer is waited for for a tenth of a second, a
@@ -107,6 +111,12 @@
         self.told.get(server).copied().unwrap_or(0)
     }
 
+    /// Tells whether so many other entries suspect a server that it is to be avoided.
+    #[must_use]
+    pub fn is_doubted(&self, server: &Incarnation) -> bool {
+        self.told(server) >= CREDIBLE
+    }
+
     /// Returns when a server came under suspicion last.
     #[must_use]
     pub fn newest(&self) -> Option<Instant> {
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -112,6 +112,36 @@
     }
 }
 
+/// Requests stay where they are when one entry accuses a server, or all of them, and leave it when two do.
+///
+/// The accuser's link is down, so it finds all servers dead. A death that is one is found by the next who has requests
+/// there, which makes two.
+#[test]
+fn one_accuser_moves_no_request_and_two_do() {
+    let fleet = placed();
+    let home: Zone = "b".into();
+    let mut world = World::default();
+    let before = fleet.choose(NEED, &world.view(&home)).unwrap().path;
+    let all = fleet.nodes.iter().map(|node| (node.server.clone(), 1));
+    let first = &before.parts()[0].server;
+
+    world.suspicion.set_told(Instant(0), all.collect());
+    assert!(!world.suspicion.is_doubted(first));
+    assert_eq!(fleet.choose(NEED, &world.view(&home)).unwrap().path, before);
+
+    world
+        .suspicion
+        .set_told(Instant(0), [(first.clone(), 2)].into());
+    assert!(world.suspicion.is_doubted(first));
+    assert!(
+        !fleet
+            .choose(NEED, &world.view(&home))
+            .unwrap()
+            .path
+            .passes(first)
+    );
+}
+
 /// Entries that know of one another's load do not fill the same fast servers.
 #[test]
 fn a_zone_that_others_filled_is_left_alone() {
--- a/crates/front/src/whole.rs
+++ b/crates/front/src/whole.rs
@@ -300,8 +300,8 @@
         let home = &self.state.settings.zone;
         let record = |server: &&Server| {
             let name = &server.incarnation;
-            let is_doubted = outliers.holds(name) || suspicion.told(name) > 0;
-            (suspicion.holds(name), is_doubted)
+            let is_avoided = outliers.holds(name) || suspicion.is_doubted(name);
+            (suspicion.holds(name), is_avoided)
         };
         let mut usable: Vec<&Server> = roster
             .usable()
@@ -313,7 +313,8 @@
         usable.sort_by_cached_key(|_| rand::random::<u32>());
         let chosen = usable.into_iter().take(DRAWN).min_by_key(|server| {
             let away = server.zone != *home;
-            (load.requests(&server.incarnation), away)
+            let name = &server.incarnation;
+            (load.requests(name), suspicion.told(name) > 0, away)
         });
         chosen.cloned()
     }
