Say which layers have no holder, and what the servers carry that are to take them

The record of a service that did not come back holds refusals for want of a path and no line that tells why. Four hypotheses (what passes holds up the load, loads at once, no planner, registrations) could not be told apart.

Change: event=layers-missing / layers-whole on each entry whenever the layers without a holder change; the first list of registrations says what each server holds; event=order says what its server holds and how many requests are in flight there; event=order-shown says how long an order took. Counter layer_gaps_total.

--- a/crates/core/src/layer.rs
+++ b/crates/core/src/layer.rs
@@ -92,16 +92,33 @@
 /// ```
 #[must_use]
 pub fn first_gap(layers: u32, held: &[Range]) -> Option<u32> {
+    gaps(layers, held.iter().copied())
+        .first()
+        .map(|gap| gap.start)
+}
+
+/// Returns the layers of a model that lie in none of the ranges, in order.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::layer::Range;
+/// # use jujube_core::layer::gaps;
+/// let held = [Range::new(6, 7), Range::new(0, 5)];
+/// assert_eq!(gaps(8, held), [Range::new(5, 6), Range::new(7, 8)]);
+/// ```
+#[must_use]
+pub fn gaps(layers: u32, held: impl IntoIterator<Item = Range>) -> Vec<Range> {
+    let mut held: Vec<Range> = held.into_iter().filter(|range| !range.is_empty()).collect();
+    held.sort_unstable();
+    held.push(Range::new(layers, layers));
+    let mut gaps = Vec::new();
     let mut covered = 0;
-    while covered < layers {
-        let reach = held
-            .iter()
-            .filter(|range| range.start <= covered)
-            .map(|range| range.end);
-        match reach.max() {
-            Some(end) if end > covered => covered = end,
-            _ => return Some(covered),
+    for range in held {
+        if range.start.min(layers) > covered {
+            gaps.push(Range::new(covered, range.start.min(layers)));
         }
+        covered = covered.max(range.end);
     }
-    None
+    gaps
 }
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -1,13 +1,19 @@
 //! The fleet of each model, rebuilt from the registrations when they change.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use jujube_core::layer;
+use jujube_core::layer::Range;
 use jujube_core::name::Service;
 use jujube_core::pipeline::chooser::Fleet;
 use jujube_core::pipeline::chooser::Node;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::roster::Roster;
+use jujube_core::time::Instant;
+
+use crate::metrics::Metrics;
 
 /// Returns the fleets of all models in a configuration.
 pub fn build(table: &Table, roster: &Roster) -> BTreeMap<Service, Rc<Fleet>> {
@@ -33,3 +39,48 @@
     });
     fleets.collect()
 }
+
+/// The layers of one model that no server holds.
+struct Gap {
+    layers: Vec<Range>,
+    since: Instant,
+}
+
+/// The models with layers that no server holds, for logs.
+///
+/// Requests are refused for want of a path then, and only the layers without a holder tell why.
+#[derive(Default)]
+pub struct Gaps(RefCell<BTreeMap<Service, Gap>>);
+
+impl Gaps {
+    /// Logs the gaps that have opened, changed or closed.
+    pub fn log(&self, now: Instant, fleets: &BTreeMap<Service, Rc<Fleet>>, metrics: &Metrics) {
+        let mut known = self.0.borrow_mut();
+        known.retain(|service, _| fleets.contains_key(service));
+        for (service, fleet) in fleets {
+            let held = fleet.nodes.iter().map(|node| node.held);
+            let layers = layer::gaps(fleet.engine.layers, held);
+            let before = known.get(service);
+            if before.map_or(layers.is_empty(), |gap| gap.layers == layers) {
+                continue;
+            }
+            let since = before.map_or(now, |gap| gap.since);
+            let lasts = now.since(since);
+            if layers.is_empty() {
+                log::info!("event=layers-whole service={service} after_ms={lasts}");
+                known.remove(service);
+                continue;
+            }
+            if before.is_none() {
+                metrics.count("layer_gaps");
+            }
+            let missing: Vec<String> = layers.iter().map(Range::to_string).collect();
+            log::warn!(
+                "event=layers-missing service={service} layers={} servers={} since_ms={lasts}",
+                missing.join(","),
+                fleet.nodes.len()
+            );
+            known.insert(service.clone(), Gap { layers, since });
+        }
+    }
+}
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -214,7 +214,10 @@
     let effects = roster.replace(clock::now(), servers, &unreadable);
     drop(roster);
     for (server, effect) in &effects {
-        log::info!("event=registration server={server} effect={effect:?} revision={revision}");
+        let held = state.roster.borrow().held(server).unwrap_or_default();
+        log::info!(
+            "event=registration server={server} effect={effect:?} held={held} revision={revision}"
+        );
     }
     state.registered.set(true);
     state.leadership.heard(is_held);
@@ -445,6 +448,9 @@
     );
     let roster = state.roster.borrow();
     *state.fleets.borrow_mut() = fleet::build(&table, &roster);
+    state
+        .gaps
+        .log(clock::now(), &state.fleets.borrow(), &state.metrics);
     let is_known = |server: &Incarnation| roster.get(server).is_some();
     state.suspicion.borrow_mut().retain(is_known);
     state.load.borrow_mut().backlog.retain(is_known);
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -68,8 +68,14 @@
                 Err(_) => "timeout".into(),
             };
             log::info!(
-                "event=order server={name} layers={} token={} taken={known} outcome={outcome}",
+                "event=order server={name} layers={} held={} requests={} token={} taken={known} outcome={outcome}",
                 order.layers,
+                self.state
+                    .roster
+                    .borrow()
+                    .held(&name.server)
+                    .unwrap_or_default(),
+                self.state.load.borrow().requests(name),
                 self.lead.get().token
             );
             match answer {
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -312,8 +312,14 @@
         let now = clock::now();
         pending.retain(|name, order| {
             let held = roster.get(name).map(|server| server.held);
-            let is_young = now.since(order.since) <= order.lasts;
-            held.is_some_and(|held| held != order.layers) && is_young
+            let took = now.since(order.since);
+            if held == Some(order.layers) {
+                log::info!(
+                    "event=order-shown server={name} layers={} took_ms={took}",
+                    order.layers
+                );
+            }
+            held.is_some_and(|held| held != order.layers) && took <= order.lasts
         });
         let ordered = pending.iter();
         let ordered = ordered.map(|(server, order)| (server.clone(), order.layers));
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -23,6 +23,7 @@
 use jujube_core::time::Instant;
 use jujube_program::clock;
 
+use crate::fleet::Gaps;
 use crate::follow::Malformed;
 use crate::gossip::Peers;
 use crate::metrics::Metrics;
@@ -68,6 +69,8 @@
     pub registered: Cell<bool>,
     /// The servers of each model, as path choice sees them.
     pub fleets: RefCell<BTreeMap<Service, Rc<Fleet>>>,
+    /// The models with layers that no server holds.
+    pub gaps: Gaps,
     /// What is in flight.
     pub load: RefCell<Load>,
     /// Who is suspected.
@@ -127,6 +130,7 @@
             malformed: Malformed::default(),
             registered: Cell::new(false),
             fleets: RefCell::default(),
+            gaps: Gaps::default(),
             load: RefCell::default(),
             suspicion: RefCell::default(),
             pulse: RefCell::new(Pulse::new(watchdog::PACE)),
