--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -448,9 +448,11 @@
     );
     let roster = state.roster.borrow();
     *state.fleets.borrow_mut() = fleet::build(&table, &roster);
-    state
-        .gaps
-        .log(clock::now(), &state.fleets.borrow(), &state.metrics);
+    if state.registered.get() {
+        state
+            .gaps
+            .log(clock::now(), &state.fleets.borrow(), &state.metrics);
+    }
     let is_known = |server: &Incarnation| roster.get(server).is_some();
     state.suspicion.borrow_mut().retain(is_known);
     state.load.borrow_mut().backlog.retain(is_known);
