Close gaps by servers that keep what they hold, or that carry the least

What callers saw: every stream refused with no-path for seconds, up to the time in which the service has to be back.

Cause: the plan took the move that lowers resistance most, whether it takes half a second or ten. A server that gives up layers carries none of them from that moment on, and has the new ones when what passes through it has passed. So gaps were closed by servers with 14 to 104 requests in flight, while others in the zone had none; further moves, for room, took layers away meanwhile. Class: an order counted as done when it is given.

Change: empty servers first, as before; then those that add the missing layers to their own, with room for what passes; then those whose layers others carry now, the fewest requests first. A layer's last holder is taken only if nothing else closes the gap. Nobody moves for room while a gap is open or being closed.

--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -15,6 +15,9 @@
     /// It was ordered to hold other layers and loads them. Ordered elsewhere now, it would have
     /// loaded in vain for seconds.
     Loading,
+    /// It was ordered to hold other layers and waits for requests that pass through those that it gives up.
+    /// That takes as long as they run, and until then it refuses every other order.
+    Waiting,
     /// It joined empty a moment ago. In a release the server that it replaces says only now that
     /// it drains; given other layers at once, it would have to load twice.
     Joining,
@@ -31,10 +34,40 @@
     pub kind: Kind,
     /// The layers that it holds, or that it was last ordered to hold.
     pub held: Range,
-    /// What it is about; none of it counts while a layer has no holder.
+    /// The layers that requests can pass through now; others than it is ordered to hold until its order shows.
+    pub carried: Range,
+    /// The requests that pass through it now.
+    pub requests: u64,
+    /// What it is about; a server that joined counts as settled while a layer has no holder.
     pub phase: Phase,
 }
 
+impl Holder {
+    /// Returns a settled server through which no request passes.
+    #[must_use]
+    pub fn new(server: Incarnation, zone: Zone, kind: Kind, held: Range) -> Self {
+        Self {
+            server,
+            zone,
+            kind,
+            held,
+            carried: held,
+            requests: 0,
+            phase: Phase::Settled,
+        }
+    }
+}
+
+/// What becomes of requests that pass through layers which a server gives up.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Handover {
+    /// The server waits until they have passed, and loads then.
+    #[default]
+    Drain,
+    /// They are broken off, and the server loads at once.
+    Break,
+}
+
 /// An order to hold layers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -42,6 +75,20 @@
     pub server: Incarnation,
     /// What it is to hold.
     pub layers: Range,
+    /// What becomes of the requests that pass.
+    pub handover: Handover,
+}
+
+impl Order {
+    /// Returns an order that waits for what passes.
+    #[must_use]
+    pub fn new(server: Incarnation, layers: Range) -> Self {
+        Self {
+            server,
+            layers,
+            handover: Handover::Drain,
+        }
+    }
 }
 
 /// The most of one server's memory that weights take when it fills a gap that nobody else fills.
--- a/crates/core/src/pipeline/placement/mend.rs
+++ b/crates/core/src/pipeline/placement/mend.rs
@@ -1,9 +1,10 @@
 //! Mending a running group: layers for servers that join, moves after a loss.
 
+use super::close::MOST_CLOSING;
+use super::close::close;
 use super::holder::Holder;
 use super::holder::Order;
 use super::holder::Phase;
-use super::holder::apply;
 use super::holder::beside;
 use super::layers::Layers;
 use super::layers::capacity;
@@ -11,6 +12,7 @@
 use super::rows::FAST_ROOM;
 use super::rows::LEAST_ROOM;
 use super::rows::scratch;
+use crate::layer;
 use crate::layer::Range;
 use crate::pipeline::engine::Engine;
 
@@ -22,26 +24,74 @@
 const WORTH_CLOSING: f64 = 0.01;
 /// The most servers of one group that move at a time: those that move carry nothing meanwhile.
 const MOST_MOVES: usize = 3;
-/// The same while a layer has no holder; the widest gap, of the largest accelerator's layers, takes
-/// about that many of the smallest.
-const MOST_CLOSING: usize = 6;
 /// The rooms, in tokens, among which the number of a server's layers is chosen.
 const ROOMS: [f64; 3] = [150_000.0, FAST_ROOM, 60_000.0];
 /// The same where these leave a layer without a holder.
 const NARROW_ROOMS: [f64; 3] = [60_000.0, LEAST_ROOM, 12_000.0];
 
-/// Gives layers to the empty servers of a running group, and moves others where much is gained.
+/// The rooms for empty servers and the room beside what others take, tried in turn until a gap is closed.
+const CLOSING_ROOMS: [(&[f64], f64); 3] = [
+    (&ROOMS, 60_000.0),
+    (&NARROW_ROOMS, LEAST_ROOM),
+    (&NARROW_ROOMS, 12_000.0),
+];
+
+/// Gives layers to the empty servers of a running group, closes gaps, and moves others where much is gained.
 ///
 /// Each step is the one that lowers the group's resistance most, so the servers that still serve
 /// stay where they are unless others hold their layers as well.
 pub(super) fn mend(engine: &Engine, group: &[Holder]) -> Vec<Order> {
-    let orders = mend_with(engine, group, &ROOMS);
-    if capacity(engine, &apply(group, &orders)) > 0.0 {
+    for (rooms, room) in CLOSING_ROOMS {
+        let mut mended = group.to_vec();
+        let mut orders = fill(engine, &mut mended, rooms);
+        let is_closed = is_whole(engine, &mended);
+        orders.extend(close(engine, &mut mended, room));
+        if !is_whole(engine, &mended) {
+            continue;
+        }
+        // Room gained by a move is worth nothing while a gap is closed: the move takes layers away meanwhile.
+        if is_closed && carries(engine, group) {
+            improve(engine, &mut mended, &mut orders, rooms);
+        }
         return orders;
     }
-    let orders = mend_with(engine, group, &NARROW_ROOMS);
-    if capacity(engine, &apply(group, &orders)) > 0.0 {
-        return orders;
+    rearrange(engine, group)
+}
+
+/// Gives layers to the empty servers of a group whose others have theirs, and moves those where much is gained.
+pub(super) fn round_out(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    let mut group = group.to_vec();
+    let mut orders = fill(engine, &mut group, &ROOMS);
+    improve(engine, &mut group, &mut orders, &ROOMS);
+    orders
+}
+
+fn is_whole(engine: &Engine, group: &[Holder]) -> bool {
+    capacity(engine, group) > 0.0
+}
+
+/// Tells whether requests can pass through the whole model now.
+fn carries(engine: &Engine, group: &[Holder]) -> bool {
+    let carried = group.iter().map(|holder| holder.carried);
+    layer::gaps(engine.layers, carried).is_empty()
+}
+
+/// Moves any servers to close a gap that nobody can close without giving up layers that nobody else holds.
+fn rearrange(engine: &Engine, group: &[Holder]) -> Vec<Order> {
+    for rooms in [&ROOMS, &NARROW_ROOMS] {
+        let mut mended = group.to_vec();
+        let mut orders = fill(engine, &mut mended, rooms);
+        for _ in 0..MOST_CLOSING {
+            if is_whole(engine, &mended) {
+                return orders;
+            }
+            if !step(engine, &mut mended, &mut orders, rooms, WORTH_CLOSING) {
+                break;
+            }
+        }
+        if is_whole(engine, &mended) {
+            return orders;
+        }
     }
     // No single moves close the gap, and nothing is served here anyway: place all anew.
     let mut orders = scratch(engine, group);
@@ -55,41 +105,51 @@
     orders
 }
 
-fn mend_with(engine: &Engine, group: &[Holder], rooms: &[f64]) -> Vec<Order> {
-    let mut group = group.to_vec();
+/// Gives layers to empty servers.
+fn fill(engine: &Engine, group: &mut [Holder], rooms: &[f64]) -> Vec<Order> {
     let mut orders = Vec::new();
-    let is_served = capacity(engine, &group) > 0.0;
+    let is_served = is_whole(engine, group);
     for index in 0..group.len() {
         let may_wait = is_served && group[index].phase == Phase::Joining;
         if group[index].held.is_empty() && !may_wait {
-            let best = best_range(engine, &group, index, rooms);
-            take(&mut group, &mut orders, index, best);
+            let best = best_range(engine, group, index, rooms);
+            take(group, &mut orders, index, best);
         }
     }
-    for step in 0..MOST_CLOSING {
-        let is_closed = capacity(engine, &group) > 0.0;
-        if is_closed && step >= MOST_MOVES {
-            break;
+    orders
+}
+
+/// Moves servers of a whole group where much is gained.
+fn improve(engine: &Engine, group: &mut [Holder], orders: &mut Vec<Order>, rooms: &[f64]) {
+    for _ in 0..MOST_MOVES {
+        if !step(engine, group, orders, rooms, WORTH_MOVING) {
+            return;
         }
-        let share = if is_closed {
-            WORTH_MOVING
-        } else {
-            WORTH_CLOSING
-        };
-        let before = resistance(engine, &group);
-        let may_move = |index: &usize| !is_closed || group[*index].phase == Phase::Settled;
-        let moves = (0..group.len()).filter(may_move).filter_map(|index| {
-            let (layers, after) = best_range(engine, &group, index, rooms)?;
-            Some((index, layers, after))
-        });
-        let best = moves.min_by(|a, b| a.2.total_cmp(&b.2));
-        let worth = best.filter(|(_, _, after)| *after < before * (1.0 - share));
-        let Some((index, layers, after)) = worth else {
-            break;
-        };
-        take(&mut group, &mut orders, index, Some((layers, after)));
     }
-    orders
+}
+
+/// Makes the move that gains most; `false` when none gains a share of the group's resistance.
+fn step(
+    engine: &Engine,
+    group: &mut [Holder],
+    orders: &mut Vec<Order>,
+    rooms: &[f64],
+    share: f64,
+) -> bool {
+    let is_closed = is_whole(engine, group);
+    let before = resistance(engine, group);
+    let may_move = |index: &usize| !is_closed || group[*index].phase == Phase::Settled;
+    let moves = (0..group.len()).filter(may_move).filter_map(|index| {
+        let (layers, after) = best_range(engine, group, index, rooms)?;
+        Some((index, layers, after))
+    });
+    let best = moves.min_by(|a, b| a.2.total_cmp(&b.2));
+    let worth = best.filter(|(_, _, after)| *after < before * (1.0 - share));
+    let Some((index, layers, after)) = worth else {
+        return false;
+    };
+    take(group, orders, index, Some((layers, after)));
+    true
 }
 
 fn take(group: &mut [Holder], orders: &mut Vec<Order>, index: usize, choice: Option<(Range, f64)>) {
@@ -99,7 +159,7 @@
     group[index].held = layers;
     let server = group[index].server.clone();
     orders.retain(|order| order.server != server);
-    orders.push(Order { server, layers });
+    orders.push(Order::new(server, layers));
 }
 
 /// Returns the range by which one server lowers the group's resistance most, and what is left of it.
--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -3,6 +3,7 @@
 //! The plan is a pure function of what the servers hold and have been ordered to hold. A planner
 //! that knows nothing therefore goes on where the one before it stopped.
 
+mod close;
 mod holder;
 mod layers;
 mod mend;
@@ -13,6 +14,7 @@
 use crate::name::Zone;
 use crate::pipeline::engine::Engine;
 
+pub use holder::Handover;
 pub use holder::Holder;
 pub use holder::Order;
 pub use holder::Phase;
--- a/crates/core/src/pipeline/placement/rows.rs
+++ b/crates/core/src/pipeline/placement/rows.rs
@@ -5,7 +5,7 @@
 use super::holder::apply;
 use super::holder::beside;
 use super::layers::capacity;
-use super::mend::mend;
+use super::mend::round_out;
 use crate::layer::Range;
 use crate::pipeline::engine::Engine;
 
@@ -29,7 +29,7 @@
     let mut orders = scratch(engine, group);
     let placed = apply(group, &orders);
     if capacity(engine, &placed) > 0.0 {
-        orders.extend(mend(engine, &placed));
+        orders.extend(round_out(engine, &placed));
     }
     orders
 }
@@ -102,10 +102,8 @@
         if count == 0 {
             continue;
         }
-        orders.push(Order {
-            server: holder.server.clone(),
-            layers: Range::new(start, start + count),
-        });
+        let layers = Range::new(start, start + count);
+        orders.push(Order::new(holder.server.clone(), layers));
         start += count;
         if start == engine.layers {
             return Some(orders);
--- /dev/null
+++ b/crates/core/tests/closing.rs
@@ -0,0 +1,117 @@
+//! Who closes a gap in a model's layers.
+//!
+//! The pattern of load: servers of one availability zone carry streams of seconds. One that gives up layers carries
+//! none of them from then on, and has its new ones when what passes has passed.
+
+#[path = "support/pipeline.rs"]
+mod pipeline;
+
+use jujube_core::layer::Range;
+use jujube_core::layer::gaps;
+use jujube_core::pipeline::placement::Holder;
+use jujube_core::pipeline::placement::Order;
+use jujube_core::pipeline::placement::Phase;
+use jujube_core::pipeline::placement::plan;
+
+use pipeline::carried_out;
+use pipeline::engine;
+use pipeline::kind;
+
+fn holder(name: &str, accelerator: &str, layers: (u32, u32), requests: u64) -> Holder {
+    let held = Range::new(layers.0, layers.1);
+    Holder {
+        requests,
+        ..Holder::new(name.into(), "a".into(), kind(accelerator), held)
+    }
+}
+
+fn names(orders: &[Order]) -> Vec<&str> {
+    let names = orders.iter().map(|order| &*order.server.server.0);
+    names.collect()
+}
+
+/// Guards against a gap that stays open for seconds while a neighbour could hold its layers beside its own.
+#[test]
+fn a_neighbour_adds_the_missing_layers_to_its_own() {
+    let holders = [
+        holder("left", "a100", (0, 26), 60),
+        holder("right", "l40s", (29, 50), 60),
+        holder("last", "a100", (50, 80), 0),
+        holder("spare", "l40s", (50, 68), 10),
+    ];
+
+    let orders = plan(&engine(), &holders);
+
+    assert_eq!(names(&orders), ["left"]);
+    assert_eq!(orders[0].layers, Range::new(0, 29));
+}
+
+/// Guards against a gap that waits for dozens of streams to end while an idle server could close it.
+#[test]
+fn the_server_with_the_fewest_requests_gives_up_its_layers() {
+    let holders = [
+        holder("left", "a100", (0, 34), 40),
+        holder("busy", "l4", (70, 80), 30),
+        holder("idle", "l4", (70, 80), 0),
+        holder("right", "a100", (42, 80), 40),
+    ];
+
+    let orders = plan(&engine(), &holders);
+
+    assert_eq!(names(&orders), ["idle"]);
+    assert_eq!(orders[0].layers, Range::new(34, 42));
+}
+
+/// Guards against a plan that opens one gap to close another while spare servers could close it.
+#[test]
+fn a_layer_keeps_its_last_holder() {
+    let holders = [
+        holder("only", "l40s", (0, 20), 0),
+        holder("middle", "a100", (20, 54), 0),
+        holder("spare-1", "l4", (30, 38), 50),
+        holder("spare-2", "l4", (30, 38), 50),
+        holder("spare-3", "l4", (38, 46), 50),
+        holder("last", "l4", (74, 80), 0),
+    ];
+    let engine = engine();
+
+    let orders = plan(&engine, &holders);
+
+    let placed = carried_out(&holders, &orders);
+    let kept: Vec<&Holder> = placed
+        .iter()
+        .filter(|h| {
+            names(&orders)
+                .iter()
+                .all(|name| **name != *h.server.server.0)
+        })
+        .collect();
+    let lost = gaps(engine.layers, kept.iter().map(|holder| holder.held));
+    assert!(lost.iter().all(|gap| gap.start >= 54), "{orders:?}");
+}
+
+/// Guards against moves for room that take further layers away while requests are refused for want of a path.
+#[test]
+fn nobody_moves_for_room_while_a_gap_is_being_closed() {
+    let mut loading = holder("loading", "l4", (0, 8), 0);
+    let mut holders = vec![holder("spare", "l4", (72, 80), 0)];
+    for (start, end) in [(8, 32), (32, 56), (56, 80)] {
+        for copy in ["first", "second"] {
+            holders.push(holder(&format!("{copy}-{start}"), "a100", (start, end), 40));
+        }
+    }
+    holders.push(loading.clone());
+    let engine = engine();
+    assert_eq!(
+        names(&plan(&engine, &holders)),
+        ["spare"],
+        "room is to be gained"
+    );
+
+    loading.carried = Range::default();
+    loading.phase = Phase::Loading;
+    holders.pop();
+    holders.push(loading);
+
+    assert_eq!(plan(&engine, &holders), []);
+}
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -25,7 +25,6 @@
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::placement::Holder;
-use jujube_core::pipeline::placement::Phase;
 use jujube_core::pipeline::placement::plan;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::summary::Summary;
@@ -307,12 +306,10 @@
     let one = (0..3_usize, 0..6_u32, 1..5_u32);
     proptest::collection::vec(one, 1..6).prop_map(|rows| {
         let rows = rows.into_iter().enumerate();
-        rows.map(|(index, (name, start, count))| Holder {
-            server: format!("s{index}").as_str().into(),
-            zone: "a".into(),
-            kind: kind(["a100", "l40s", "l4"][name]),
-            held: Range::new(start, (start + count).min(6)),
-            phase: Phase::Settled,
+        rows.map(|(index, (name, start, count))| {
+            let server = format!("s{index}").as_str().into();
+            let held = Range::new(start, (start + count).min(6));
+            Holder::new(server, "a".into(), kind(["a100", "l40s", "l4"][name]), held)
         })
         .collect()
     })
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -117,13 +117,7 @@
 fn a_server_that_joins_gets_layers_and_moves_nobody() {
     let engine = engine();
     let mut holders = settled(&engine, &region());
-    let joined = Holder {
-        server: "new".into(),
-        zone: "b".into(),
-        kind: kind("l4"),
-        held: Range::default(),
-        phase: Phase::Settled,
-    };
+    let joined = Holder::new("new".into(), "b".into(), kind("l4"), Range::default());
     holders.push(joined);
 
     let orders = plan(&engine, &holders);
@@ -166,6 +160,7 @@
     holders.push(Holder {
         server: "new".into(),
         held: Range::default(),
+        carried: Range::default(),
         phase: Phase::Joining,
         ..leaver.clone()
     });
@@ -222,12 +217,11 @@
     let one = (0..3_usize, 0..3_usize, 0..80_u32, 0..13_u32);
     proptest::collection::vec(one, 1..24).prop_map(|rows| {
         let rows = rows.into_iter().enumerate();
-        rows.map(|(index, (zone, name, start, count))| Holder {
-            server: format!("s{index}").as_str().into(),
-            zone: ["a", "b", "c"][zone].into(),
-            kind: kind(["a100", "l40s", "l4"][name]),
-            held: Range::new(start, (start + count).min(80)),
-            phase: Phase::Settled,
+        rows.map(|(index, (zone, name, start, count))| {
+            let server = format!("s{index}").as_str().into();
+            let zone = ["a", "b", "c"][zone].into();
+            let held = Range::new(start, (start + count).min(80));
+            Holder::new(server, zone, kind(["a100", "l40s", "l4"][name]), held)
         })
         .collect()
     })
--- a/crates/core/tests/support/pipeline.rs
+++ b/crates/core/tests/support/pipeline.rs
@@ -11,7 +11,6 @@
 use jujube_core::pipeline::engine::Kind;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Order;
-use jujube_core::pipeline::placement::Phase;
 
 /// The users' accelerators: memory in MB, pace of a token, pace of reading.
 pub fn kind(name: &str) -> Kind {
@@ -53,13 +52,13 @@
     let mut holders = Vec::new();
     for (name, count) in counts {
         for number in 0..*count {
-            holders.push(Holder {
-                server: format!("{zone}-{name}-{number}").as_str().into(),
-                zone: zone.into(),
-                kind: kind(name),
-                held: Range::default(),
-                phase: Phase::Settled,
-            });
+            let server = format!("{zone}-{name}-{number}").as_str().into();
+            holders.push(Holder::new(
+                server,
+                zone.into(),
+                kind(name),
+                Range::default(),
+            ));
         }
     }
     holders
@@ -79,6 +78,7 @@
     for order in orders {
         for holder in holders.iter_mut().filter(|h| h.server == order.server) {
             holder.held = order.layers;
+            holder.carried = order.layers;
         }
     }
     holders
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -297,7 +297,7 @@
                 .planned
                 .borrow_mut()
                 .insert(service.clone(), holders.clone());
-            if last.as_ref() == Some(&holders) {
+            if last.is_some_and(|last| is_same_to_plan(&last, &holders)) {
                 continue;
             }
             for order in placement::plan(engine, &holders) {
@@ -309,6 +309,7 @@
     fn holders(&self, service: &Service, engine: &Engine) -> Vec<Holder> {
         let roster = self.state.roster.borrow();
         let mut pending = self.pending.borrow_mut();
+        let load = self.state.load.borrow();
         let now = clock::now();
         pending.retain(|name, order| {
             let held = roster.get(name).map(|server| server.held);
@@ -340,6 +341,8 @@
                 zone: server.zone.clone(),
                 kind,
                 held: ordered.unwrap_or(server.held),
+                carried: server.held,
+                requests: load.requests(&server.incarnation),
                 phase,
             })
         });
@@ -349,7 +352,6 @@
             let lasts = suspicion.lasts(now, &holder.server);
             lasts.is_none_or(|lasts| lasts < GIVEN_UP)
         });
-        let load = self.state.load.borrow();
         let is_away = roster.is_store_away();
         let staying = trusted.filter(|holder| {
             let is_leaving = load.refusals.is_leaving(now, &holder.server);
@@ -358,3 +360,17 @@
         staying.collect()
     }
 }
+
+/// Tells whether a plan would be made from the same; how much passes decides only who moves, not whether anybody is to.
+fn is_same_to_plan(before: &[Holder], now: &[Holder]) -> bool {
+    let without_requests = |holders: &[Holder]| -> Vec<Holder> {
+        let holders = holders.iter().cloned();
+        holders
+            .map(|holder| Holder {
+                requests: 0,
+                ..holder
+            })
+            .collect()
+    };
+    without_requests(before) == without_requests(now)
+}
