Give up a server's layers for silence only where others meet it too, or where it lasts

What callers could see: refusals for want of a path while nothing was gone. A planner on a link that loses packets found servers silent for 0.8 s that all others reach, and had their layers placed anew.

Requests ask for a witness, for this process to be on time, and for others' word; the planner asked for none of them.

Change: a silent server is given up after 0.8 s if another entry suspects it as well, else after 2 s; in both cases only if this process was on time and reached others meanwhile. One that refuses connections is given up after 0.8 s as before.

Two tests in core; the questions they ask had no place in the code before, so there was no red run.

--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -26,6 +26,11 @@
 /// connection for less than half.
 const ASKED: Span = Span(500);
 
+/// How long a server must have been suspected for its layers to be placed anew: it was asked twice more.
+pub const GIVEN_UP: Span = Span(800);
+/// The same where no other entry suspects it: it was asked four times more.
+pub const GIVEN_UP_ALONE: Span = Span(2_000);
+
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
     since: Instant,
@@ -126,13 +131,6 @@
         self.suspects.values().map(|suspect| suspect.since).max()
     }
 
-    /// Returns for how long a server has been suspected.
-    #[must_use]
-    pub fn lasts(&self, now: Instant, server: &Incarnation) -> Option<Span> {
-        let suspect = self.suspects.get(server)?;
-        Some(now.since(suspect.since))
-    }
-
     /// Books that a suspected server's address refuses connections, which no lateness of this process explains.
     pub fn refused(&mut self, server: &Incarnation) {
         if let Some(suspect) = self.suspects.get_mut(server) {
@@ -177,6 +175,42 @@
         was_sound.then_some(End::Silent)
     }
 
+    /// Tells whether a suspected server's layers are to be placed anew.
+    ///
+    /// A planner on a link that loses packets finds servers silent that all others reach. Were their layers given to
+    /// others for that, requests would be refused until those have loaded, and nothing was gone. So silence counts if
+    /// this process was on time and reached others, and soon only if another entry found the same. A server that
+    /// refuses connections takes no request, whatever becomes of it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::pulse::Pulse;
+    /// # use jujube_core::pipeline::suspicion::GIVEN_UP;
+    /// # use jujube_core::pipeline::suspicion::Suspicion;
+    /// # use jujube_core::time::Instant;
+    /// # use jujube_core::time::Span;
+    /// let mut suspicion = Suspicion::default();
+    /// suspicion.accuse(Instant(0), &"a".into());
+    /// let (pulse, now) = (Pulse::new(Span(25)), Instant(0).plus(GIVEN_UP));
+    /// assert!(!suspicion.is_given_up(now, &"a".into(), &pulse));
+    /// suspicion.refused(&"a".into());
+    /// assert!(suspicion.is_given_up(now, &"a".into(), &pulse));
+    /// ```
+    #[must_use]
+    pub fn is_given_up(&self, now: Instant, server: &Incarnation, pulse: &Pulse) -> bool {
+        let Some(suspect) = self.suspects.get(server) else {
+            return false;
+        };
+        let lasts = now.since(suspect.since);
+        if suspect.is_absent {
+            return lasts >= GIVEN_UP;
+        }
+        let is_silent = self.end(now, server, pulse).is_some();
+        let is_shared = self.told(server) > 0;
+        is_silent && lasts >= if is_shared { GIVEN_UP } else { GIVEN_UP_ALONE }
+    }
+
     /// Returns the suspects to ask now; each is due again after a longer pause.
     ///
     /// The pauses grow with the number of others who ask as well, so that a suspect is asked as often by a hundred
--- a/crates/core/tests/belief.rs
+++ b/crates/core/tests/belief.rs
@@ -260,3 +260,42 @@
 
     assert!((6..12).contains(&asked.count()));
 }
+
+/// Guards against healthy servers losing their layers because a planner's own link loses packets.
+#[test]
+fn silence_that_nobody_else_meets_gives_up_no_layers_at_once() {
+    let mut suspicion = Suspicion::default();
+    let mut pulse = Pulse::new(Span(25));
+    suspicion.accuse(Instant(0), &"a".into());
+    pulse.answered(Instant(10));
+    pulse.beat(Instant(1_000));
+
+    assert!(!suspicion.is_given_up(Instant(1_000), &"a".into(), &pulse));
+    suspicion.set_told(Instant(1_000), BTreeMap::from([("a".into(), 1)]));
+
+    assert!(
+        !suspicion.is_given_up(Instant(1_000), &"a".into(), &pulse),
+        "late itself"
+    );
+    let mut pulse = Pulse::new(Span(25));
+    pulse.answered(Instant(10));
+    for beat in 0..=40 {
+        pulse.beat(Instant(beat * 25));
+    }
+    assert!(suspicion.is_given_up(Instant(1_000), &"a".into(), &pulse));
+}
+
+/// Guards against layers that stay without a holder because only one entry uses them.
+#[test]
+fn silence_that_lasts_gives_up_layers_also_on_one_entrys_word() {
+    let mut suspicion = Suspicion::default();
+    let mut pulse = Pulse::new(Span(25));
+    suspicion.accuse(Instant(0), &"a".into());
+    pulse.answered(Instant(10));
+    for beat in 0..=80 {
+        pulse.beat(Instant(beat * 25));
+    }
+
+    assert!(!suspicion.is_given_up(Instant(1_999), &"a".into(), &pulse));
+    assert!(suspicion.is_given_up(Instant(2_000), &"a".into(), &pulse));
+}
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -40,8 +40,6 @@
     SETTLED.0 > follow::GATHER_PLANNER.0,
     "registrations are not quiet between two looks at them"
 );
-/// How long a server must be suspected before its layers are placed anew: it was asked twice more.
-const GIVEN_UP: Span = Span(800);
 /// How long a server that joined empty waits for the word of the one that it replaces; in the users'
 /// releases that comes a quarter of a second to a second later.
 const JOINING: Span = Span(1_300);
@@ -346,12 +344,9 @@
                 phase,
             })
         });
-        // A server that stays suspected is dead; one that missed a question is not.
         let suspicion = self.state.suspicion.borrow();
-        let trusted = holders.filter(|holder| {
-            let lasts = suspicion.lasts(now, &holder.server);
-            lasts.is_none_or(|lasts| lasts < GIVEN_UP)
-        });
+        let pulse = self.state.pulse.borrow();
+        let trusted = holders.filter(|holder| !suspicion.is_given_up(now, &holder.server, &pulse));
         let is_away = roster.is_store_away();
         let staying = trusted.filter(|holder| {
             let is_leaving = load.refusals.is_leaving(now, &holder.server);
