Break off what passes where no caller has a path, and count on no server that waits

What callers saw: every stream refused with no-path while servers that were to close the gap waited for the requests on them, after the death of all entries for runs that nobody read any more, up to their deadline.

Cause: an accepted order counted as held for 45 s, however long its server waits for what passes; and every order waited. Class: an order counted as done when it is given. Ruled out: hurrying an order that waits (the server refuses others, 409).

Change: while no request can pass through the whole model anywhere, orders break off what passes, and a server that waits (requests pass through what it gives up, or its load is overdue by the configuration's figures, or it refuses since it carries out another order) counts with what it carries. As soon as there is a path, orders wait, since each that does not breaks off the streams of its server. A server that waits gets no other order. The engine's loads_at_once is read.

--- a/crates/core/src/pipeline/engine.rs
+++ b/crates/core/src/pipeline/engine.rs
@@ -41,6 +41,8 @@
     pub tokens_per_event: f64,
     /// How long loading all layers takes, in seconds.
     pub load_seconds: f64,
+    /// How many servers load at full speed at a time; more share it. 0 when that is not known.
+    pub loads_at_once: u32,
     /// Mean prompt tokens of a request.
     pub usual_prompt: f64,
     /// Mean answer tokens of a request.
--- a/crates/core/src/pipeline/placement/mend.rs
+++ b/crates/core/src/pipeline/placement/mend.rs
@@ -71,7 +71,7 @@
 }
 
 /// Tells whether requests can pass through the whole model now.
-fn carries(engine: &Engine, group: &[Holder]) -> bool {
+pub(super) fn carries(engine: &Engine, group: &[Holder]) -> bool {
     let carried = group.iter().map(|holder| holder.carried);
     layer::gaps(engine.layers, carried).is_empty()
 }
@@ -94,7 +94,8 @@
         }
     }
     // No single moves close the gap, and nothing is served here anyway: place all anew.
-    let mut orders = scratch(engine, group);
+    let free = group.iter().filter(|h| h.phase != Phase::Waiting);
+    let mut orders = scratch(engine, &free.cloned().collect::<Vec<_>>());
     let held = |order: &Order| {
         group
             .iter()
@@ -111,7 +112,8 @@
     let is_served = is_whole(engine, group);
     for index in 0..group.len() {
         let may_wait = is_served && group[index].phase == Phase::Joining;
-        if group[index].held.is_empty() && !may_wait {
+        let refuses = group[index].phase == Phase::Waiting;
+        if group[index].held.is_empty() && !may_wait && !refuses {
             let best = best_range(engine, group, index, rooms);
             take(group, &mut orders, index, best);
         }
@@ -138,7 +140,11 @@
 ) -> bool {
     let is_closed = is_whole(engine, group);
     let before = resistance(engine, group);
-    let may_move = |index: &usize| !is_closed || group[*index].phase == Phase::Settled;
+    let may_move = |index: &usize| match group[*index].phase {
+        Phase::Settled => true,
+        Phase::Waiting => false,
+        Phase::Joining | Phase::Loading => !is_closed,
+    };
     let moves = (0..group.len()).filter(may_move).filter_map(|index| {
         let (layers, after) = best_range(engine, group, index, rooms)?;
         Some((index, layers, after))
--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -24,23 +24,43 @@
 ///
 /// A group is an availability zone with memory for a copy of the model; zones without are put
 /// together in one group.
+///
+/// While no request can pass through the whole model anywhere, waiting costs every caller: layers that a server holds
+/// only once the requests on it have ended close no gap, and orders break off what passes. As soon as there is a
+/// path, orders wait again, since each that does not breaks off the streams of its server.
 #[must_use]
 pub fn plan(engine: &Engine, holders: &[Holder]) -> Vec<Order> {
     if engine.layers == 0 {
         return Vec::new();
     }
+    let is_dark = !mend::carries(engine, holders);
+    let holders: Vec<Holder> = holders.iter().map(|h| as_believed(h, is_dark)).collect();
     let mut orders = Vec::new();
-    for group in groups(engine, holders) {
+    for group in groups(engine, &holders) {
         if group.iter().all(|holder| holder.held.is_empty()) {
             orders.extend(rows::rows(engine, &group));
         } else {
             orders.extend(mend::mend(engine, &group));
         }
     }
-    orders.retain(|order| is_safe(engine, holders, order));
+    orders.retain(|order| is_safe(engine, &holders, order));
+    if is_dark {
+        for order in &mut orders {
+            order.handover = Handover::Break;
+        }
+    }
     orders
 }
 
+/// Returns a holder with the layers that are to count as its own.
+fn as_believed(holder: &Holder, is_dark: bool) -> Holder {
+    let mut holder = holder.clone();
+    if is_dark && holder.phase == Phase::Waiting {
+        holder.held = holder.carried;
+    }
+    holder
+}
+
 /// Tells whether a server has the memory for what it is ordered to hold.
 ///
 /// A server that is ordered to hold more crashes with all requests on it.
--- a/crates/core/tests/closing.rs
+++ b/crates/core/tests/closing.rs
@@ -8,6 +8,7 @@
 
 use jujube_core::layer::Range;
 use jujube_core::layer::gaps;
+use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::placement::Phase;
@@ -115,3 +116,62 @@
 
     assert_eq!(plan(&engine, &holders), []);
 }
+
+/// One zone with a gap that only a server with requests can close.
+fn gap_beside_requests() -> Vec<Holder> {
+    vec![
+        holder("left", "a100", (0, 38), 40),
+        holder("busy", "l4", (70, 80), 30),
+        holder("right", "a100", (42, 80), 40),
+    ]
+}
+
+/// Guards against refusals of all callers for as long as the requests on one server run.
+#[test]
+fn requests_are_broken_off_where_no_other_can_pass() {
+    let orders = plan(&engine(), &gap_beside_requests());
+
+    assert_eq!(names(&orders), ["busy"]);
+    assert_eq!(orders[0].handover, Handover::Break);
+}
+
+/// Guards against streams that are broken off for a move while another availability zone serves.
+#[test]
+fn requests_are_waited_for_while_there_is_a_path_elsewhere() {
+    let mut holders = gap_beside_requests();
+    for (name, layers) in [("b-first", (0, 40)), ("b-second", (40, 80))] {
+        let mut other = holder(name, "a100", layers, 20);
+        other.zone = "b".into();
+        holders.push(other);
+    }
+
+    let orders = plan(&engine(), &holders);
+
+    assert_eq!(names(&orders), ["busy"]);
+    assert_eq!(orders[0].handover, Handover::Drain);
+}
+
+/// Guards against a gap that an order has closed on paper only, while the requests on its server run on.
+#[test]
+fn a_server_that_waits_closes_no_gap_while_there_is_no_path() {
+    let mut holders = gap_beside_requests();
+    holders[1].held = Range::new(38, 42);
+    holders[1].carried = Range::default();
+    holders[1].phase = Phase::Waiting;
+    holders.push(holder("other", "l4", (70, 80), 35));
+
+    let orders = plan(&engine(), &holders);
+
+    assert_eq!(names(&orders), ["other"]);
+    assert_eq!(orders[0].handover, Handover::Break);
+}
+
+/// Guards against orders to a server that refuses every order until it has carried out its last.
+#[test]
+fn a_server_that_waits_gets_no_other_order() {
+    let mut holders = gap_beside_requests();
+    holders[1].carried = Range::default();
+    holders[1].phase = Phase::Waiting;
+
+    assert_eq!(plan(&engine(), &holders), []);
+}
--- a/crates/core/tests/support/pipeline.rs
+++ b/crates/core/tests/support/pipeline.rs
@@ -39,6 +39,7 @@
         chunk: 512.0,
         tokens_per_event: 3.0,
         load_seconds: 14.0,
+        loads_at_once: 5,
         usual_prompt: 774.0,
         usual_answer: 200.0,
         kinds: ["a100", "l40s", "l4"]
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -12,6 +12,7 @@
 use jujube_core::pipeline::chooser::Need;
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::path::Path;
+use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::server::Born;
 use jujube_core::pipeline::server::Server;
 use jujube_store::kv::Value;
@@ -100,7 +101,7 @@
     fn path(path: &Path) -> String;
 
     /// Writes the order to hold layers; `orders` is how many the engine must have taken before.
-    fn place(layers: Range, token: Token, orders: Option<u64>) -> Bytes;
+    fn place(layers: Range, handover: Handover, token: Token, orders: Option<u64>) -> Bytes;
 
     /// Writes the order to carry a request on along another path.
     fn repath(request: &str, path: &Path) -> Bytes;
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -26,19 +26,18 @@
 impl<D: Dialect, F: Feed> Term<D, F> {
     /// Gives an order, unless it was given already.
     pub(super) fn give(self: &Rc<Self>, order: Order) {
-        let address = self
-            .state
-            .roster
-            .borrow()
-            .get(&order.server)
-            .map(|s| s.address);
-        let Some(address) = address else {
+        let known = self.state.roster.borrow().get(&order.server).cloned();
+        let Some(known) = known else {
             return;
         };
+        let address = known.address;
         let pending = Pending {
             layers: order.layers,
+            before: known.held,
+            handover: order.handover,
             since: clock::now(),
             lasts: CARRIED_OUT,
+            is_refused: false,
         };
         let before = self
             .pending
@@ -68,8 +67,9 @@
                 Err(_) => "timeout".into(),
             };
             log::info!(
-                "event=order server={name} layers={} held={} requests={} token={} taken={known} outcome={outcome}",
+                "event=order server={name} layers={} handover={:?} held={} requests={} token={} taken={known} outcome={outcome}",
                 order.layers,
+                order.handover,
                 self.state
                     .roster
                     .borrow()
@@ -104,6 +104,7 @@
                 return;
             }
             if was_known {
+                self.refused(&order);
                 tokio::time::sleep(AGAIN).await;
             }
             while self.is_wanted(&order) && self.is_busy(name, address).await {
@@ -112,6 +113,15 @@
         }
     }
 
+    /// Books that a server carries out another order first: the plan is not to count on it.
+    fn refused(&self, order: &Order) {
+        let mut pending = self.pending.borrow_mut();
+        let last = pending.get_mut(&order.server);
+        if let Some(last) = last.filter(|last| last.layers == order.layers) {
+            last.is_refused = true;
+        }
+    }
+
     async fn is_busy(&self, name: &Incarnation, address: SocketAddr) -> bool {
         let report = probe::report(&self.state, name, address).await;
         report.is_ok_and(|report| report.busy)
@@ -131,7 +141,12 @@
         taken: u64,
     ) -> anyhow::Result<StatusCode> {
         self.state.metrics.count("orders");
-        let body = D::place(order.layers, self.lead.get().token, Some(taken));
+        let body = D::place(
+            order.layers,
+            order.handover,
+            self.lead.get().token,
+            Some(taken),
+        );
         let pool = &self.state.pool;
         let (status, _) = pool::order::<D>(pool, &order.server, address, body).await?;
         Ok(status)
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -12,6 +12,7 @@
 use jujube_core::name::Service;
 use jujube_core::pipeline::engine::Engine;
 use jujube_core::pipeline::placement;
+use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase as Work;
 use jujube_core::pipeline::server::Incarnation;
@@ -55,9 +56,27 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pending {
     pub(super) layers: Range,
+    /// What the server held when it was given.
+    pub(super) before: Range,
+    pub(super) handover: Handover,
     pub(super) since: Instant,
     /// For how long it is believed to be under way.
     pub(super) lasts: Span,
+    /// Whether the server refused it, since it carries out another order.
+    pub(super) is_refused: bool,
+}
+
+impl Pending {
+    /// Returns what the server is about, with so many requests passing through it and its load due after a time.
+    fn phase(&self, now: Instant, requests: u64, due: Span) -> Work {
+        let gives_up = !self.layers.contains(self.before) && !self.before.is_empty();
+        let is_held_up = gives_up && self.handover == Handover::Drain && requests > 0;
+        let is_overdue = now.since(self.since) > due;
+        match self.is_refused || is_held_up || is_overdue {
+            true => Work::Waiting,
+            false => Work::Loading,
+        }
+    }
 }
 
 /// By what right a term is served.
@@ -86,6 +105,21 @@
     pub(super) planned: RefCell<BTreeMap<Service, Vec<Holder>>>,
 }
 
+/// How long after a server has loaded its registration shows it here.
+const SHOWN: Span = Span(1_500);
+
+/// Returns how long after an order a server holds its layers that waits for nothing, while `loads` are under way.
+fn due(engine: &Engine, layers: Range, loads: usize) -> Span {
+    const MILLISECONDS: f64 = 1e3;
+    let share = f64::from(layers.len()) / f64::from(engine.layers.max(1));
+    let queue = match engine.loads_at_once {
+        0 => 1.0,
+        at_once => (loads as f64 / f64::from(at_once)).max(1.0),
+    };
+    let load = engine.load_seconds * MILLISECONDS * share * queue;
+    Span(load as u64 + SHOWN.0)
+}
+
 /// Returns the orders of the planner before that are being carried out.
 ///
 /// A server that loads layers shows what it held before until it has them. Ordered elsewhere by a planner
@@ -97,8 +131,11 @@
     let pending = ordered.iter().map(|(server, layers)| {
         let pending = Pending {
             layers: *layers,
+            before: Range::default(),
+            handover: Handover::Drain,
             since,
             lasts: INHERITED,
+            is_refused: false,
         };
         (server.clone(), pending)
     });
@@ -327,10 +364,11 @@
         let servers = servers.filter(|server| engine.has(server.held));
         let holders = servers.filter_map(|server| {
             let kind = engine.kind(server.accelerator.as_ref())?;
-            let ordered = pending.get(&server.incarnation).map(|order| order.layers);
+            let order = pending.get(&server.incarnation);
+            let requests = load.requests(&server.incarnation);
             let age = roster.age(now, &server.incarnation).unwrap_or_default();
-            let phase = match ordered {
-                Some(_) => Work::Loading,
+            let phase = match order {
+                Some(order) => order.phase(now, requests, due(engine, order.layers, pending.len())),
                 None if server.held.is_empty() && age < JOINING => Work::Joining,
                 None => Work::Settled,
             };
@@ -338,9 +376,9 @@
                 server: server.incarnation.clone(),
                 zone: server.zone.clone(),
                 kind,
-                held: ordered.unwrap_or(server.held),
+                held: order.map_or(server.held, |order| order.layers),
                 carried: server.held,
-                requests: load.requests(&server.incarnation),
+                requests,
                 phase,
             })
         });
