Let the next planner count on no order that no server has accepted

What callers saw: no path for five seconds and more after an office was handed on (lossy zone, slow store).

Cause: a planner tells the others what it has ordered, also orders that were refused or lost. Nobody sees those through once it is gone, and its successor counted them as held for five seconds. Class: an order counted as done when it is given.

Change: only accepted orders are told. Orders that do not show yet, and what they hold up, are decided in core now (pipeline::assignment), where the planner's task had them.

Test: assignments.rs in core, seven; the first is the fault (the code that it calls is new, so it was not run red).

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -6,6 +6,7 @@
 //! [`suspicion`]), and what a caller sees when a part of the path dies ([`relay`]).
 
 pub mod allowance;
+pub mod assignment;
 pub mod attempts;
 pub mod backlog;
 pub mod belief;
--- /dev/null
+++ b/crates/core/tests/assignments.rs
@@ -0,0 +1,126 @@
+//! Orders to hold layers, from the moment they are given until they show.
+
+#[path = "support/pipeline.rs"]
+mod pipeline;
+
+use std::collections::BTreeMap;
+
+use jujube_core::layer::Range;
+use jujube_core::pipeline::assignment::Assignments;
+use jujube_core::pipeline::placement::Handover;
+use jujube_core::pipeline::placement::Order;
+use jujube_core::pipeline::placement::Phase;
+use jujube_core::time::Instant;
+
+use pipeline::engine;
+
+const HELD: Range = Range { start: 0, end: 8 };
+
+fn order(handover: Handover) -> Order {
+    Order {
+        handover,
+        ..Order::new("a".into(), Range::new(8, 16))
+    }
+}
+
+fn phase(orders: &Assignments, now: u64, requests: u64) -> Phase {
+    let given = orders.get(&"a".into());
+    given.map_or(Phase::Settled, |given| {
+        given.phase(Instant(now), requests, &engine(), orders.len())
+    })
+}
+
+/// Guards against gaps that the next planner takes for closed, though no server ever took the order.
+#[test]
+fn an_order_that_no_server_accepted_is_not_inherited() {
+    let (accepted, lost) = (
+        order(Handover::Drain),
+        Order::new("b".into(), Range::new(0, 8)),
+    );
+    let mut orders = Assignments::default();
+    orders.give(Instant(0), &accepted, HELD);
+    orders.give(Instant(0), &lost, HELD);
+    orders.accept(&accepted);
+
+    let next = Assignments::inherited(Instant(9), &orders.accepted());
+
+    assert_eq!(
+        next.accepted(),
+        BTreeMap::from([("a".into(), Range::new(8, 16))])
+    );
+}
+
+/// Guards against an order that counts as good as done while its server waits for requests.
+#[test]
+fn a_server_with_requests_waits_unless_they_are_broken_off() {
+    for (handover, requests, expected) in [
+        (Handover::Drain, 3, Phase::Waiting),
+        (Handover::Drain, 0, Phase::Loading),
+        (Handover::Break, 3, Phase::Loading),
+    ] {
+        let mut orders = Assignments::default();
+        orders.give(Instant(0), &order(handover), HELD);
+
+        assert_eq!(phase(&orders, 100, requests), expected, "{handover:?}");
+    }
+}
+
+#[test]
+fn a_server_that_keeps_its_layers_waits_for_nothing() {
+    let mut orders = Assignments::default();
+    let added = Order::new("a".into(), Range::new(0, 16));
+
+    orders.give(Instant(0), &added, HELD);
+
+    assert_eq!(phase(&orders, 100, 3), Phase::Loading);
+}
+
+/// Guards against runs that nobody reads any more: they hold a load up, and no entry knows of them.
+#[test]
+fn a_load_that_is_overdue_counts_as_held_up() {
+    let mut orders = Assignments::default();
+    orders.give(Instant(0), &order(Handover::Drain), HELD);
+
+    assert_eq!(phase(&orders, 2_900, 0), Phase::Loading);
+    assert_eq!(phase(&orders, 2_901, 0), Phase::Waiting);
+}
+
+/// Loads that share the weight store's rate take as many times longer.
+#[test]
+fn loads_beyond_the_rate_are_due_later() {
+    let mut orders = Assignments::default();
+    for server in ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"] {
+        let order = Order::new(server.into(), Range::new(8, 16));
+        orders.give(Instant(0), &order, HELD);
+    }
+
+    assert_eq!(phase(&orders, 4_300, 0), Phase::Loading);
+    assert_eq!(phase(&orders, 4_301, 0), Phase::Waiting);
+}
+
+/// Guards against plans that count on a server which carries out another order first.
+#[test]
+fn a_refused_order_waits_until_it_is_accepted() {
+    let mut orders = Assignments::default();
+    let order = order(Handover::Break);
+    orders.give(Instant(0), &order, HELD);
+
+    orders.refuse(&order);
+    assert_eq!(phase(&orders, 100, 0), Phase::Waiting);
+    orders.accept(&order);
+    assert_eq!(phase(&orders, 100, 0), Phase::Loading);
+}
+
+#[test]
+fn an_order_that_shows_is_told_once_and_dropped() {
+    let mut orders = Assignments::default();
+    let order = order(Handover::Drain);
+    orders.give(Instant(0), &order, HELD);
+
+    let early = orders.settle(Instant(100), |_| Some(HELD));
+    let shown = orders.settle(Instant(700), |_| Some(order.layers));
+
+    assert_eq!(early, []);
+    assert_eq!(shown.len(), 1);
+    assert!(orders.is_empty());
+}
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -14,8 +14,6 @@
 use crate::pool;
 use crate::probe;
 
-use super::term::CARRIED_OUT;
-use super::term::Pending;
 use super::term::Term;
 
 /// How long an order may take to be answered.
@@ -30,24 +28,14 @@
         let Some(known) = known else {
             return;
         };
-        let address = known.address;
-        let pending = Pending {
-            layers: order.layers,
-            before: known.held,
-            handover: order.handover,
-            since: clock::now(),
-            lasts: CARRIED_OUT,
-            is_refused: false,
-        };
-        let before = self
-            .pending
+        let is_new = self
+            .orders
             .borrow_mut()
-            .insert(order.server.clone(), pending);
-        let is_given =
-            |before: Pending| before.layers == order.layers && before.lasts == CARRIED_OUT;
-        if before.is_some_and(is_given) {
+            .give(clock::now(), &order, known.held);
+        if !is_new {
             return;
         }
+        let address = known.address;
         tokio::task::spawn_local(self.clone().place(order, address));
     }
 
@@ -81,6 +69,7 @@
             match answer {
                 Ok(Ok(StatusCode::ACCEPTED | StatusCode::OK)) => {
                     self.taken.borrow_mut().insert(name.clone(), known + 1);
+                    self.orders.borrow_mut().accept(&order);
                     return;
                 }
                 Ok(Ok(StatusCode::PRECONDITION_FAILED)) => {
@@ -104,7 +93,7 @@
                 return;
             }
             if was_known {
-                self.refused(&order);
+                self.orders.borrow_mut().refuse(&order);
                 tokio::time::sleep(AGAIN).await;
             }
             while self.is_wanted(&order) && self.is_busy(name, address).await {
@@ -113,15 +102,6 @@
         }
     }
 
-    /// Books that a server carries out another order first: the plan is not to count on it.
-    fn refused(&self, order: &Order) {
-        let mut pending = self.pending.borrow_mut();
-        let last = pending.get_mut(&order.server);
-        if let Some(last) = last.filter(|last| last.layers == order.layers) {
-            last.is_refused = true;
-        }
-    }
-
     async fn is_busy(&self, name: &Incarnation, address: SocketAddr) -> bool {
         let report = probe::report(&self.state, name, address).await;
         report.is_ok_and(|report| report.busy)
@@ -129,9 +109,7 @@
 
     /// Tells whether an order is still the last one for its server.
     fn is_wanted(&self, order: &Order) -> bool {
-        let pending = self.pending.borrow();
-        let last = pending.get(&order.server);
-        !self.is_over.get() && last.is_some_and(|last| last.layers == order.layers)
+        !self.is_over.get() && self.orders.borrow().is_wanted(order)
     }
 
     async fn send(
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -8,15 +8,13 @@
 use std::time::Duration;
 
 use jujube_core::fence::Holder as Lead;
-use jujube_core::layer::Range;
 use jujube_core::name::Service;
+use jujube_core::pipeline::assignment::Assignments;
 use jujube_core::pipeline::engine::Engine;
 use jujube_core::pipeline::placement;
-use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase as Work;
 use jujube_core::pipeline::server::Incarnation;
-use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_store::kv::Feed;
@@ -46,39 +44,6 @@
 const JOINING: Span = Span(1_300);
 /// How often all servers are asked what they hold while the store is away.
 const ASK: Duration = Duration::from_millis(1_000);
-/// How long an order may take to show in the registrations before it is given again.
-pub(super) const CARRIED_OUT: Span = Span(45_000);
-/// The same for an order of the planner before, which nobody sees through: three times what loading the
-/// layers of one server takes.
-const INHERITED: Span = Span(5_000);
-
-/// An order that was given and does not show in the registrations yet.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Pending {
-    pub(super) layers: Range,
-    /// What the server held when it was given.
-    pub(super) before: Range,
-    pub(super) handover: Handover,
-    pub(super) since: Instant,
-    /// For how long it is believed to be under way.
-    pub(super) lasts: Span,
-    /// Whether the server refused it, since it carries out another order.
-    pub(super) is_refused: bool,
-}
-
-impl Pending {
-    /// Returns what the server is about, with so many requests passing through it and its load due after a time.
-    fn phase(&self, now: Instant, requests: u64, due: Span) -> Work {
-        let gives_up = !self.layers.contains(self.before) && !self.before.is_empty();
-        let is_held_up = gives_up && self.handover == Handover::Drain && requests > 0;
-        let is_overdue = now.since(self.since) > due;
-        match self.is_refused || is_held_up || is_overdue {
-            true => Work::Waiting,
-            false => Work::Loading,
-        }
-    }
-}
-
 /// By what right a term is served.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Tenure {
@@ -97,7 +62,7 @@
     pub(super) is_over: Cell<bool>,
     /// How often the store had come back from an older copy when the term began.
     restores: u64,
-    pub(super) pending: RefCell<BTreeMap<Incarnation, Pending>>,
+    pub(super) orders: RefCell<Assignments>,
     /// How many orders each server is known to have taken.
     pub(super) taken: RefCell<BTreeMap<Incarnation, u64>>,
     /// What the last plan of each model was made from. Planning takes some milliseconds, in which
@@ -105,43 +70,6 @@
     pub(super) planned: RefCell<BTreeMap<Service, Vec<Holder>>>,
 }
 
-/// How long after a server has loaded its registration shows it here.
-const SHOWN: Span = Span(1_500);
-
-/// Returns how long after an order a server holds its layers that waits for nothing, while `loads` are under way.
-fn due(engine: &Engine, layers: Range, loads: usize) -> Span {
-    const MILLISECONDS: f64 = 1e3;
-    let share = f64::from(layers.len()) / f64::from(engine.layers.max(1));
-    let queue = match engine.loads_at_once {
-        0 => 1.0,
-        at_once => (loads as f64 / f64::from(at_once)).max(1.0),
-    };
-    let load = engine.load_seconds * MILLISECONDS * share * queue;
-    Span(load as u64 + SHOWN.0)
-}
-
-/// Returns the orders of the planner before that are being carried out.
-///
-/// A server that loads layers shows what it held before until it has them. Ordered elsewhere by a planner
-/// that does not know, it would have loaded in vain; entries that restart one after the other give the
-/// office on every second or so, and each planner would undo the moves of the one before.
-fn inherited<D>(state: &State<D>) -> BTreeMap<Incarnation, Pending> {
-    let since = clock::now();
-    let ordered = state.ordered.borrow();
-    let pending = ordered.iter().map(|(server, layers)| {
-        let pending = Pending {
-            layers: *layers,
-            before: Range::default(),
-            handover: Handover::Drain,
-            since,
-            lasts: INHERITED,
-            is_refused: false,
-        };
-        (server.clone(), pending)
-    });
-    pending.collect()
-}
-
 impl<D: Dialect, F: Feed> Term<D, F> {
     pub(super) fn new(state: &Rc<State<D>>, store: &F, lead: Lead, tenure: Tenure) -> Self {
         Self {
@@ -151,7 +79,10 @@
             tenure,
             is_over: Cell::new(false),
             restores: state.leadership.restores.get(),
-            pending: RefCell::new(inherited(state)),
+            orders: RefCell::new(Assignments::inherited(
+                clock::now(),
+                &state.ordered.borrow(),
+            )),
             taken: RefCell::default(),
             planned: RefCell::default(),
         }
@@ -343,32 +274,23 @@
 
     fn holders(&self, service: &Service, engine: &Engine) -> Vec<Holder> {
         let roster = self.state.roster.borrow();
-        let mut pending = self.pending.borrow_mut();
+        let mut orders = self.orders.borrow_mut();
         let load = self.state.load.borrow();
         let now = clock::now();
-        pending.retain(|name, order| {
-            let held = roster.get(name).map(|server| server.held);
-            let took = now.since(order.since);
-            if held == Some(order.layers) {
-                log::info!(
-                    "event=order-shown server={name} layers={} took_ms={took}",
-                    order.layers
-                );
-            }
-            held.is_some_and(|held| held != order.layers) && took <= order.lasts
-        });
-        let ordered = pending.iter();
-        let ordered = ordered.map(|(server, order)| (server.clone(), order.layers));
-        self.state.ordered.replace(ordered.collect());
+        let held = |server: &Incarnation| roster.get(server).map(|server| server.held);
+        for (server, layers, took) in orders.settle(now, held) {
+            log::info!("event=order-shown server={server} layers={layers} took_ms={took}");
+        }
+        self.state.ordered.replace(orders.accepted());
         let servers = roster.usable().filter(|server| server.service == *service);
         let servers = servers.filter(|server| engine.has(server.held));
         let holders = servers.filter_map(|server| {
             let kind = engine.kind(server.accelerator.as_ref())?;
-            let order = pending.get(&server.incarnation);
+            let order = orders.get(&server.incarnation);
             let requests = load.requests(&server.incarnation);
             let age = roster.age(now, &server.incarnation).unwrap_or_default();
             let phase = match order {
-                Some(order) => order.phase(now, requests, due(engine, order.layers, pending.len())),
+                Some(order) => order.phase(now, requests, engine, orders.len()),
                 None if server.held.is_empty() && age < JOINING => Work::Joining,
                 None => Work::Settled,
             };
