Ask a server that holds layers how many orders it took before giving it one

Cause: each new planner counted orders from nought, so the first order to every server was refused (409) and paid for. Change: one question to a server that holds layers and was not asked before.

--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use jujube_core::layer::Range;
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
@@ -42,7 +43,7 @@
     /// Sees one order through: what happened is read from the server, never assumed.
     async fn place(self: Rc<Self>, order: Order, address: SocketAddr) {
         let name = &order.server;
-        let mut known = self.taken.borrow().get(name).copied().unwrap_or(0);
+        let mut known = self.orders_taken(name, address).await;
         while self.is_wanted(&order) {
             if !self.may_order() {
                 tokio::time::sleep(AGAIN).await;
@@ -102,6 +103,21 @@
         }
     }
 
+    /// Returns how many orders a server is known to have taken.
+    ///
+    /// One that holds layers has taken orders of a planner before, and would refuse an order that names another number.
+    async fn orders_taken(&self, name: &Incarnation, address: SocketAddr) -> u64 {
+        if let Some(taken) = self.taken.borrow().get(name) {
+            return *taken;
+        }
+        let held = self.state.roster.borrow().held(&name.server);
+        if held.is_none_or(Range::is_empty) {
+            return 0;
+        }
+        let report = probe::report(&self.state, name, address).await;
+        report.map_or(0, |report| report.orders)
+    }
+
     async fn is_busy(&self, name: &Incarnation, address: SocketAddr) -> bool {
         let report = probe::report(&self.state, name, address).await;
         report.is_ok_and(|report| report.busy)
