Give an order again as the moment asks, and model how soon a whole path stands

What callers could see: streams broken off by an order that was planned while there was no path, refused, and given again when there was one.

Change: what becomes of the requests that pass is asked each time an order is given. From 200 random states a path stands within the bound that the model states, and no order breaks off a request while one does. Red: with orders given again as planned (the second), and with orders that never break off (the first).

Tried against that, not taken: only the loads that complete a path first.

--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::layer;
 use crate::layer::Range;
 use crate::name::Zone;
 use crate::pipeline::engine::Engine;
@@ -182,6 +183,18 @@
         }
     }
 
+    /// Returns the layers that no server holds, in order.
+    #[must_use]
+    pub fn missing(&self) -> Vec<Range> {
+        layer::gaps(self.engine.layers, self.nodes.iter().map(|node| node.held))
+    }
+
+    /// Tells whether every layer has a holder.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.missing().is_empty()
+    }
+
     /// Chooses the path that is predicted to end soonest.
     ///
     /// Paths inside one availability zone come first: activations between zones share one pipe.
--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -89,6 +89,17 @@
             handover: Handover::Drain,
         }
     }
+
+    /// Returns what becomes of the requests that pass if the order is given now.
+    ///
+    /// Planned while there was no path, it may be given again, after a refusal, when there is one.
+    #[must_use]
+    pub fn handover_now(&self, is_dark: bool) -> Handover {
+        match is_dark {
+            true => self.handover,
+            false => Handover::Drain,
+        }
+    }
 }
 
 /// The most of one server's memory that weights take when it fills a gap that nobody else fills.
--- /dev/null
+++ b/crates/core/tests/support/servers.rs
@@ -0,0 +1,323 @@
+//! Backend servers that give up and load layers, and a planner before them, in simulated time.
+
+use std::collections::BTreeMap;
+
+use jujube_core::layer::Range;
+use jujube_core::layer::gaps;
+use jujube_core::pipeline::assignment::Assignments;
+use jujube_core::pipeline::engine::Engine;
+use jujube_core::pipeline::placement::Handover;
+use jujube_core::pipeline::placement::Holder;
+use jujube_core::pipeline::placement::Order;
+use jujube_core::pipeline::placement::Phase;
+use jujube_core::pipeline::placement::plan;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_core::time::Instant;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use super::pipeline::engine;
+use super::pipeline::holders;
+
+/// How long one step of the simulation takes.
+pub const STEP_MS: u64 = 50;
+/// How long a day is played at most.
+pub const LONGEST_MS: u64 = 60_000;
+/// How often the planner looks, and how often it gives an order again that was refused.
+const LOOK_MS: u64 = 250;
+const AGAIN_MS: u64 = 700;
+/// How long the longest request runs.
+const RUNS_MS: u64 = 20_000;
+/// How long after a load is due it counts as held up.
+const SHOWN_MS: u64 = 1_500;
+/// How late registrations show at most.
+const LAG_MS: u64 = 1_000;
+
+/// A request that passes through layers of a server.
+#[derive(Clone, Debug)]
+struct Passing {
+    layers: Range,
+    ends: u64,
+    /// Whether an entry knows of it.
+    is_known: bool,
+}
+
+/// An order that a server carries out.
+#[derive(Clone, Debug)]
+struct Move {
+    layers: Range,
+    /// What is left to load, in milliseconds at full speed.
+    left_ms: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Server {
+    holder: Holder,
+    held: Range,
+    passing: Vec<Passing>,
+    moving: Option<Move>,
+}
+
+impl Server {
+    fn kept(&self, layers: Range) -> Range {
+        let start = self.held.start.max(layers.start);
+        let end = self.held.end.min(layers.end);
+        if start < end {
+            Range::new(start, end)
+        } else {
+            Range::default()
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        let layers = self.moving.as_ref().map(|moving| moving.layers);
+        layers.is_some_and(|layers| self.passing.iter().any(|p| !layers.contains(p.layers)))
+    }
+}
+
+/// The servers of a model.
+#[derive(Clone, Debug)]
+pub struct Servers {
+    engine: Engine,
+    all: Vec<Server>,
+    /// How many requests were broken off.
+    pub broken_off: usize,
+}
+
+impl Servers {
+    /// Tells whether requests can pass through the whole model.
+    pub fn carries(&self) -> bool {
+        gaps(
+            self.engine.layers,
+            self.all.iter().map(|server| server.held),
+        )
+        .is_empty()
+    }
+
+    fn step(&mut self, now: u64) {
+        let loading = self
+            .all
+            .iter()
+            .filter(|s| s.moving.is_some() && !s.is_waiting())
+            .count();
+        let rate = (f64::from(self.engine.loads_at_once) / loading.max(1) as f64).min(1.0);
+        for server in &mut self.all {
+            server.passing.retain(|passing| passing.ends > now);
+            if server.is_waiting() {
+                continue;
+            }
+            let Some(moving) = &mut server.moving else {
+                continue;
+            };
+            moving.left_ms -= STEP_MS as f64 * rate;
+            if moving.left_ms <= 0.0 {
+                server.held = moving.layers;
+                server.moving = None;
+            }
+        }
+    }
+
+    /// Gives a server an order; `false` when it refuses.
+    fn order(&mut self, order: &Order) -> bool {
+        let per_layer_ms = self.engine.load_seconds * 1e3 / f64::from(self.engine.layers);
+        let found = self
+            .all
+            .iter_mut()
+            .find(|s| s.holder.server == order.server);
+        let Some(server) = found.filter(|server| server.moving.is_none()) else {
+            return false;
+        };
+        if order.handover == Handover::Break {
+            let before = server.passing.len();
+            server
+                .passing
+                .retain(|passing| order.layers.contains(passing.layers));
+            self.broken_off += before - server.passing.len();
+        }
+        let kept = server.kept(order.layers);
+        let new = order.layers.len() - kept.len();
+        server.held = kept;
+        server.moving = Some(Move {
+            layers: order.layers,
+            left_ms: f64::from(new) * per_layer_ms,
+        });
+        true
+    }
+}
+
+/// Servers and the planner before them.
+pub struct Site {
+    pub servers: Servers,
+    orders: Assignments,
+    /// Orders to give, and when.
+    to_give: BTreeMap<Incarnation, (u64, Order)>,
+    /// What servers registered, oldest first.
+    registered: Vec<(u64, BTreeMap<Incarnation, Range>)>,
+    lag_ms: u64,
+}
+
+impl Site {
+    /// Draws servers that hold, wait and run anything.
+    pub fn draw(random: &mut StdRng, load_seconds: f64) -> Self {
+        let engine = Engine {
+            load_seconds,
+            ..engine()
+        };
+        let mut all = holders("a", &[("a100", 1), ("l40s", 3), ("l4", 4)]);
+        all.extend(holders("b", &[("a100", 1), ("l40s", 2), ("l4", 5)]));
+        for holder in &mut all {
+            let most = engine.fits(holder.kind, 0.9);
+            let count = random.random_range(0..=most);
+            let start = random.random_range(0..=engine.layers - count);
+            if count > 0 {
+                holder.held = Range::new(start, start + count);
+            }
+        }
+        let mut site = Self::of(engine, all, random);
+        for server in &mut site.servers.all {
+            if random.random_bool(0.15) {
+                // It carries out an order of a planner that nobody remembers.
+                let layers = server.held;
+                server.held = Range::default();
+                server.moving = Some(Move {
+                    layers,
+                    left_ms: 500.0,
+                });
+            }
+        }
+        site
+    }
+
+    fn of(engine: Engine, all: Vec<Holder>, random: &mut StdRng) -> Self {
+        let mut servers = Vec::new();
+        for holder in all {
+            let mut passing = Vec::new();
+            for _ in 0..random.random_range(0..12) {
+                passing.push(Passing {
+                    layers: holder.held,
+                    ends: random.random_range(0..RUNS_MS),
+                    is_known: random.random_bool(0.5),
+                });
+            }
+            if holder.held.is_empty() {
+                passing.clear();
+            }
+            servers.push(Server {
+                held: holder.held,
+                holder,
+                passing,
+                moving: None,
+            });
+        }
+        Self {
+            servers: Servers {
+                engine,
+                all: servers,
+                broken_off: 0,
+            },
+            orders: Assignments::default(),
+            to_give: BTreeMap::new(),
+            registered: Vec::new(),
+            lag_ms: random.random_range(0..LAG_MS),
+        }
+    }
+
+    /// Has another planner take over; it may know what the one before had accepted.
+    pub fn replace_planner(&mut self, now: u64, knows: bool) {
+        let accepted = if knows {
+            self.orders.accepted()
+        } else {
+            BTreeMap::new()
+        };
+        self.orders = Assignments::inherited(Instant(now), &accepted);
+        self.to_give.clear();
+    }
+
+    /// Returns within what time a whole path stands, in milliseconds.
+    ///
+    /// Twice a registration shows and the planner looks: at the first plan, and when it is seen what holds that up. All
+    /// memory is loaded for each, at the rate that all share. Where that takes longer than a look, a path may stand for a
+    /// moment meanwhile, and orders given then wait for requests.
+    pub fn bound_ms(&self) -> u64 {
+        let engine = &self.servers.engine;
+        let fits = self
+            .servers
+            .all
+            .iter()
+            .map(|s| engine.fits(s.holder.kind, 1.0));
+        let layers = f64::from(fits.sum::<u32>()) / f64::from(engine.layers);
+        let all_ms = (engine.load_seconds * 1e3 * layers / f64::from(engine.loads_at_once)) as u64;
+        let waits = if all_ms > LOOK_MS { RUNS_MS } else { 0 };
+        2 * (LAG_MS + LOOK_MS + all_ms) + SHOWN_MS + waits
+    }
+
+    /// Plays one step.
+    pub fn step(&mut self, now: u64) {
+        self.servers.step(now);
+        let held = |server: &Server| (server.holder.server.clone(), server.held);
+        let held = self.servers.all.iter().map(held).collect();
+        self.registered.push((now, held));
+        if now % LOOK_MS == 0 {
+            self.look(now);
+        }
+        self.give(now);
+    }
+
+    fn look(&mut self, now: u64) {
+        let seen = now.saturating_sub(self.lag_ms);
+        let known = self.registered.iter().rfind(|(at, _)| *at <= seen);
+        let Some((_, known)) = known else {
+            return;
+        };
+        let _shown = self
+            .orders
+            .settle(Instant(now), |server| known.get(server).copied());
+        let holders = self.servers.all.iter().map(|server| {
+            let name = &server.holder.server;
+            let carried = known[name];
+            let requests = server.passing.iter().filter(|p| p.is_known).count() as u64;
+            let order = self.orders.get(name);
+            let engine = &self.servers.engine;
+            let loads = self.orders.len();
+            let phase = order.map(|o| o.phase(Instant(now), requests, engine, loads));
+            Holder {
+                held: order.map_or(carried, |order| order.layers),
+                carried,
+                requests,
+                phase: phase.unwrap_or(Phase::Settled),
+                ..server.holder.clone()
+            }
+        });
+        let holders: Vec<Holder> = holders.collect();
+        for order in plan(&self.servers.engine, &holders) {
+            let known = known[&order.server];
+            if self.orders.give(Instant(now), &order, known) {
+                self.to_give.insert(order.server.clone(), (now, order));
+            }
+        }
+    }
+
+    fn give(&mut self, now: u64) {
+        let due = self.to_give.iter().filter(|(_, (at, _))| *at <= now);
+        let due: Vec<Order> = due.map(|(_, (_, order))| order.clone()).collect();
+        let is_dark = !self.servers.carries();
+        for order in due {
+            if !self.orders.is_wanted(&order) {
+                self.to_give.remove(&order.server);
+                continue;
+            }
+            let given = Order {
+                handover: order.handover_now(is_dark),
+                ..order.clone()
+            };
+            if self.servers.order(&given) {
+                self.orders.accept(&order);
+                self.to_give.remove(&order.server);
+            } else {
+                self.orders.refuse(&order);
+                let again = (now + AGAIN_MS, order.clone());
+                self.to_give.insert(order.server, again);
+            }
+        }
+    }
+}
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use jujube_core::layer;
 use jujube_core::layer::Range;
 use jujube_core::name::Service;
 use jujube_core::pipeline::chooser::Fleet;
@@ -58,8 +57,7 @@
         let mut known = self.0.borrow_mut();
         known.retain(|service, _| fleets.contains_key(service));
         for (service, fleet) in fleets {
-            let held = fleet.nodes.iter().map(|node| node.held);
-            let layers = layer::gaps(fleet.engine.layers, held);
+            let layers = fleet.missing();
             let before = known.get(service);
             if before.map_or(layers.is_empty(), |gap| gap.layers == layers) {
                 continue;
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -6,6 +6,7 @@
 
 use hyper::StatusCode;
 use jujube_core::layer::Range;
+use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
@@ -49,16 +50,17 @@
                 tokio::time::sleep(AGAIN).await;
                 continue;
             }
-            let answer = tokio::time::timeout(ANSWER, self.send(&order, address, known)).await;
+            let handover = order.handover_now(self.is_dark(&order));
+            let sent = self.send(&order, handover, address, known);
+            let answer = tokio::time::timeout(ANSWER, sent).await;
             let outcome = match &answer {
                 Ok(Ok(status)) => status.as_u16().to_string(),
                 Ok(Err(error)) => format!("{error:#}").replace(' ', "-"),
                 Err(_) => "timeout".into(),
             };
             log::info!(
-                "event=order server={name} layers={} handover={:?} held={} requests={} token={} taken={known} outcome={outcome}",
+                "event=order server={name} layers={} handover={handover:?} held={} requests={} token={} taken={known} outcome={outcome}",
                 order.layers,
-                order.handover,
                 self.state
                     .roster
                     .borrow()
@@ -123,6 +125,15 @@
         report.is_ok_and(|report| report.busy)
     }
 
+    /// Tells whether no request can pass through the whole model whose layers an order is about.
+    fn is_dark(&self, order: &Order) -> bool {
+        let roster = self.state.roster.borrow();
+        let fleets = self.state.fleets.borrow();
+        let service = roster.get(&order.server).map(|server| &server.service);
+        let fleet = service.and_then(|service| fleets.get(service));
+        fleet.is_some_and(|fleet| !fleet.is_whole())
+    }
+
     /// Tells whether an order is still the last one for its server.
     fn is_wanted(&self, order: &Order) -> bool {
         !self.is_over.get() && self.orders.borrow().is_wanted(order)
@@ -131,16 +142,12 @@
     async fn send(
         &self,
         order: &Order,
+        handover: Handover,
         address: SocketAddr,
         taken: u64,
     ) -> anyhow::Result<StatusCode> {
         self.state.metrics.count("orders");
-        let body = D::place(
-            order.layers,
-            order.handover,
-            self.lead.get().token,
-            Some(taken),
-        );
+        let body = D::place(order.layers, handover, self.lead.get().token, Some(taken));
         let pool = &self.state.pool;
         let (status, _) = pool::order::<D>(pool, &order.server, address, body).await?;
         Ok(status)
