--- a/crates/ctl/src/roll.rs
+++ b/crates/ctl/src/roll.rs
@@ -1,6 +1,7 @@
 //! Rolling configurations forward and back.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -17,11 +18,30 @@
 use jujube_program::clock;
 use jujube_store::head;
 use jujube_store::head::Swapped;
+use jujube_store::kv::Error;
 use jujube_store::kv::Revision;
 use jujube_store::kv::Store;
 
 use crate::keys::Secret;
 
+/// How often a read is asked for, and the pause before it is asked for again.
+const TRIES: u32 = 5;
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Asks for a read until it is answered.
+///
+/// The service may be slow for a moment; nothing is changed yet, so asking again harms nobody, and an operator would do
+/// the same by hand.
+async fn ask<T, F: Future<Output = Result<T, Error>>>(read: impl Fn() -> F) -> Result<T, Error> {
+    for _ in 1..TRIES {
+        if let Ok(answer) = read().await {
+            return Ok(answer);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    read().await
+}
+
 /// Who rolls, and why.
 #[derive(Clone, Debug)]
 pub struct Operator {
@@ -68,9 +88,9 @@
 ) -> Result<Generation> {
     let bundle = check(&signed.text)?;
     trust.accept(&signed)?;
-    let before = head::read(store).await?;
+    let before = ask(|| head::read(store)).await?;
     if let Some((head, _)) = &before
-        && let Some(older) = head::bundle(store, &head.bundle).await?
+        && let Some(older) = ask(|| head::bundle(store, &head.bundle)).await?
     {
         let older = check(&older.text).context("the bundle in force")?;
         let faults = bundle::guard(&older, &bundle, guard);
@@ -94,11 +114,11 @@
     trust: &Trust,
     operator: &Operator,
 ) -> Result<Generation> {
-    let before = head::read(store).await?;
-    let trail = head::audit(store).await?;
+    let before = ask(|| head::read(store)).await?;
+    let trail = ask(|| head::audit(store)).await?;
     let earlier = trail.iter().find(|head| head.generation == to);
     let earlier = earlier.with_context(|| format!("no generation {to} in the audit trail"))?;
-    let signed = head::bundle(store, &earlier.bundle).await?;
+    let signed = ask(|| head::bundle(store, &earlier.bundle)).await?;
     let signed = signed.with_context(|| format!("bundle {} is gone", earlier.bundle))?;
     check(&signed.text)?;
     trust.accept(&signed)?;
--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -321,3 +321,17 @@
     assert_eq!(back, Generation(3));
     assert_eq!(config.signed.text, signed(1).text);
 }
+
+/// Guards against a roll-out that ends because one read took too long, though nothing was changed yet.
+#[test]
+fn a_read_without_an_answer_is_asked_for_again() {
+    const READS: std::ops::Range<usize> = 0..2;
+
+    for read in READS {
+        for fault in [Fault::Down, Fault::Lost, Fault::LostAnswer] {
+            let (_, result) = run(&[(read, fault)]);
+
+            assert_eq!(result.unwrap(), Generation(2), "{fault:?} at read {read}");
+        }
+    }
+}
