--- a/crates/core/src/pipeline/placement/mend.rs
+++ b/crates/core/src/pipeline/placement/mend.rs
@@ -49,7 +49,7 @@
         if !is_whole(engine, &mended) {
             continue;
         }
-        // Room gained by a move is worth nothing while a gap is closed: the move takes layers away meanwhile.
+        // While a gap is open or being closed, a move for room takes away layers that a path needs.
         if is_closed && carries(engine, group) {
             improve(engine, &mut mended, &mut orders, rooms);
         }
