Log the digest of requests and what a lost run had shown

A request that comes again carries another identifier, so no line told whether the servers that ended one after the other had the same request in common, or only a crowd. path-chosen, sent and run-lost now carry a digest of method, host, path, customer and body. run-lost tells whether the run had shown an event. No decision changes.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -12,6 +12,7 @@
 pub mod cell;
 pub mod chooser;
 pub mod deputy;
+pub mod digest;
 pub mod document;
 pub mod era;
 pub mod liveness;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -11,8 +11,12 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use jujube_core::name::Customer;
 use jujube_core::name::Service;
+use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::document::Account;
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::document::Table;
@@ -47,6 +51,8 @@
 pub struct Admitted {
     /// The request identifier from the client.
     pub id: Arc<str>,
+    /// The digest, which repetitions of the request share.
+    pub digest: Digest,
     /// The route.
     pub route: Arc<Route>,
     /// The service.
@@ -163,17 +169,20 @@
         .pick_target(rand::random())
         .ok_or(Reason::NoServer)?
         .clone();
+    let customer = account.as_ref().map(|account| account.customer.clone());
+    let customer = customer.unwrap_or_else(|| "".into());
+    let digest = digest(&parts, &customer, &body);
     let mut headers = parts.headers;
     head::strip(&mut headers);
     head::remove_reserved::<D>(&mut headers);
     if let Some(account) = &account {
         head::set(&mut headers, D::NAMES.customer, &account.customer.0);
     }
-    let customer = account.as_ref().map(|account| account.customer.clone());
     let priority = account.as_ref().and_then(|account| account.priority);
     Ok(Admitted {
         id,
-        customer: customer.unwrap_or_else(|| "".into()),
+        digest,
+        customer,
         priority: priority.unwrap_or(route.priority),
         route,
         service,
@@ -201,6 +210,16 @@
     Ok(Some(account.clone()))
 }
 
+fn digest(parts: &Parts, customer: &Customer, body: &[u8]) -> Digest {
+    let host = parts
+        .headers
+        .get(HOST)
+        .map_or(&[][..], HeaderValue::as_bytes);
+    let path = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    let method = parts.method.as_str().as_bytes();
+    Digest::of([method, host, path.as_bytes(), customer.0.as_bytes(), body])
+}
+
 async fn read_body(mut body: Incoming, max_bytes: u64) -> Result<Bytes, Reason> {
     let mut first: Option<Bytes> = None;
     let mut buffer = BytesMut::new();
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -219,7 +219,7 @@
             .and_then(|opening| opening.current_path.first());
         let first = current_path.cloned().or_else(|| stream.first_part());
         if let Some(first) = first {
-            record_loss(state, stream, &first, loss);
+            record_loss(state, stream, &first, loss, stream.run_began.get());
         }
         // Dropping the body closes its connection, which stops the engine.
         self.upstream = Upstream::Lost;
@@ -307,6 +307,7 @@
     fn switch_to(&mut self, incomplete: Incomplete) {
         let (parts, body) = incomplete.response.into_parts();
         self.relay.restart();
+        self.registration.stream.run_began.set(None);
         self.upstream = Upstream::Reading {
             body,
             lease: Some(incomplete.lease),
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -74,6 +74,7 @@
     let now = clock::now();
     let stream = Rc::new(Stream {
         id: request.id,
+        digest: request.digest,
         service: request.service,
         route: request.route,
         path: RefCell::default(),
@@ -81,6 +82,7 @@
         planned_path: RefCell::default(),
         excluded: RefCell::default(),
         last_activity: Cell::new(now),
+        run_began: Cell::default(),
         events: Cell::new(0),
         mean_gap_ms: Cell::new(0.0),
         last_event: Cell::new(now),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -10,6 +10,7 @@
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 
@@ -124,7 +125,7 @@
         let at_fault = part_at_fault(stream, &failure);
         if matches!(failure, Failure::Unknown(_)) {
             if let Some(first) = &first {
-                record_loss(state, stream, first, stream.loss());
+                record_loss(state, stream, first, stream.loss(), None);
             }
         }
         release_path(state, stream);
@@ -297,13 +298,22 @@
 }
 
 /// Records the loss of a run and probes its engine, so that other requests avoid it if it is dead.
+/// `began` is when the run's first event arrived.
 pub(super) fn record_loss<D: Dialect>(
     state: &Rc<State<D>>,
     stream: &Stream,
     first: &Part,
     loss: Loss,
+    began: Option<Instant>,
 ) {
     let now = clock::now();
+    log::info!(
+        "event=run-lost request={} digest={} server={} loss={loss} began_ms={}",
+        stream.id,
+        stream.digest,
+        first.server,
+        began.map_or("-".into(), |began| now.since(began).to_string())
+    );
     state.failed(&first.server);
     if loss == Loss::Broken {
         state
@@ -388,8 +398,9 @@
     }
     let version = state.table().map_or(0, |table| table.document.version.0);
     log::info!(
-        "event=path-chosen request={} run={} peers={} version={version} left_ms={left} after={} earlier={} path={}",
+        "event=path-chosen request={} digest={} run={} peers={} version={version} left_ms={left} after={} earlier={} path={}",
         stream.id,
+        stream.digest,
         stream.runs() + 1,
         state.load.borrow().peers(),
         last.unwrap_or(0),
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::fmt;
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::task::Poll;
@@ -10,6 +11,7 @@
 use jujube_core::name::Service;
 use jujube_core::pipeline::attempts::Attempts;
 use jujube_core::pipeline::chooser::Demand;
+use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
@@ -33,10 +35,23 @@
     Abandoned,
 }
 
+/// The value of `loss=` in logs.
+impl fmt::Display for Loss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Broken => "broken",
+            Self::Dead => "dead",
+            Self::Abandoned => "abandoned",
+        })
+    }
+}
+
 /// A stream in flight.
 pub struct Stream {
     /// The request's identifier.
     pub id: Arc<str>,
+    /// The request's digest, which its repetitions share.
+    pub digest: Digest,
     /// The model's service.
     pub service: Service,
     /// The route.
@@ -49,6 +64,8 @@
     pub last_activity: Cell<Instant>,
     /// When the last event arrived; unlike `last_activity`, not reset when the stream is reopened.
     pub last_event: Cell<Instant>,
+    /// When the first event of the current run arrived.
+    pub(super) run_began: Cell<Option<Instant>>,
     /// The number of events received.
     pub events: Cell<u64>,
     /// The smoothed gap between events, in milliseconds.
@@ -161,6 +178,9 @@
         } else {
             self.first_event_after.set(now.since(self.arrived));
         }
+        if self.run_began.get().is_none() {
+            self.run_began.set(Some(now));
+        }
         self.last_event.set(now);
         self.last_activity.set(now);
         self.events.set(self.events.get() + 1);
--- a/crates/front/src/unary.rs
+++ b/crates/front/src/unary.rs
@@ -362,8 +362,9 @@
     let left = request.deadline.since(clock::now());
     head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
     log::info!(
-        "event=sent request={} server={} in_flight={} left_ms={left}",
+        "event=sent request={} digest={} server={} in_flight={} left_ms={left}",
         request.id,
+        request.digest,
         server.incarnation,
         state.load.borrow().requests(&server.incarnation)
     );
