Quarantine requests that crash the servers that run them

Cause: attempts were counted for one request, by its identifier, at one entry, and a server that ended under it did not count, so that each copy got up to four servers and the next copy started from nothing. State was kept for one request where the harm is done by a kind of request everywhere.

An entry records each run that was lost with its server without an event, or within 0.3 s of its first one; entries exchange these ends as sets of digest and incarnation, which may arrive repeatedly and by any way. A request with three ends, one of them seen by the entry itself, is quarantined unless another request shares all its ends; at five it is in any case. A request that ran to its end or lived for 2 s after its first event is not blamed. What is in quarantine is reported to the other entries at once and written to the store, once; entries that start read it before they serve, and write it again after an outage or a restore. A stream whose server ended before its first event has used up that server. Reports go into a message of their own, which older versions reject without losing the others.

Ruled out: the crowd (one digest is in all ends) and the planner (no end without a request).

All entries killed after the third end, an outage of the store and a restore from an older copy lead to no further end.

--- a/crates/core/src/pipeline/attempts.rs
+++ b/crates/core/src/pipeline/attempts.rs
@@ -31,6 +31,8 @@
     Lost(Instant),
     /// Its server ended with it, and its work is lost.
     Ended,
+    /// Its server ended before its first event, perhaps because of it.
+    EndedBeforeEvents,
     /// Its server outlived it.
     Spent,
 }
@@ -39,6 +41,8 @@
 struct Run {
     server: Incarnation,
     outcome: Outcome,
+    /// Whether it had an event, or is still running.
+    had_event: bool,
 }
 
 /// The servers that may have run a request, in order.
@@ -46,7 +50,8 @@
 /// A route limits the number of servers on which a request runs. Servers that ended while running
 /// it do not count, since their work is lost. A server that was alive when the request left it
 /// always counts, even if its registration is removed later; otherwise each planned exit would
-/// permit one more server. The total number of runs is limited as well, for streams that lose one
+/// permit one more server. A server that ended before the first event of the run counts as well: a
+/// request that crashes servers would otherwise get one more for each that it ends. The total number of runs is limited as well, for streams that lose one
 /// server after another.
 ///
 /// # Examples
@@ -77,7 +82,11 @@
     /// Records a run that is being sent to a server.
     pub fn begin(&mut self, server: Incarnation) {
         let outcome = Outcome::Running;
-        self.0.push(Run { server, outcome });
+        self.0.push(Run {
+            server,
+            outcome,
+            had_event: true,
+        });
     }
 
     /// Removes the last run: the server reports that it has not run the request, or never received
@@ -88,20 +97,27 @@
 
     /// Records that the run on a server broke off, or that its server was found dead.
     pub fn lost(&mut self, now: Instant, server: &Incarnation) {
-        self.end(server, Outcome::Lost(now));
+        let _run = self.end(server, Outcome::Lost(now));
+    }
+
+    /// Records that the run on a server was lost like [`Attempts::lost`], before its first event.
+    pub fn lost_before_events(&mut self, now: Instant, server: &Incarnation) {
+        if let Some(run) = self.end(server, Outcome::Lost(now)) {
+            run.had_event = false;
+        }
     }
 
     /// Records that the run on a live server failed or was cancelled.
     pub fn left(&mut self, server: &Incarnation) {
-        self.end(server, Outcome::Spent);
+        let _run = self.end(server, Outcome::Spent);
     }
 
-    fn end(&mut self, server: &Incarnation, outcome: Outcome) {
+    fn end(&mut self, server: &Incarnation, outcome: Outcome) -> Option<&mut Run> {
         let is_running_there =
             |run: &&mut Run| run.server == *server && run.outcome == Outcome::Running;
-        if let Some(run) = self.0.iter_mut().rev().find(is_running_there) {
-            run.outcome = outcome;
-        }
+        let run = self.0.iter_mut().rev().find(is_running_there)?;
+        run.outcome = outcome;
+        Some(run)
     }
 
     /// Returns whether there is a lost run whose server may have ended with it.
@@ -120,7 +136,10 @@
             if now.since(lost) > SETTLE_WINDOW {
                 run.outcome = Outcome::Spent;
             } else if matches!(liveness(&run.server), Liveness::Ended(_)) {
-                run.outcome = Outcome::Ended;
+                run.outcome = match run.had_event {
+                    true => Outcome::Ended,
+                    false => Outcome::EndedBeforeEvents,
+                };
             }
         }
     }
@@ -149,9 +168,12 @@
         let (mut spent, mut suspected) = (0, 0);
         for run in &self.0 {
             match (run.outcome, liveness(&run.server)) {
+                (Outcome::Lost(_), _) if !run.had_event => spent += 1,
                 (Outcome::Ended, _) | (Outcome::Running | Outcome::Lost(_), Liveness::Ended(_)) => {
                 }
-                (Outcome::Spent, _) | (_, Liveness::Alive) => spent += 1,
+                (Outcome::Spent | Outcome::EndedBeforeEvents, _) | (_, Liveness::Alive) => {
+                    spent += 1
+                }
                 (_, Liveness::Suspected) => suspected += 1,
             }
         }
--- a/crates/core/src/pipeline/liveness.rs
+++ b/crates/core/src/pipeline/liveness.rs
@@ -31,6 +31,12 @@
 }
 
 impl Liveness {
+    /// Returns whether the server has ended.
+    #[must_use]
+    pub fn has_ended(self) -> bool {
+        matches!(self, Self::Ended(_))
+    }
+
     /// Assesses a server.
     ///
     /// A draining server refuses new connections seconds before it exits and goes on serving the
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -23,6 +23,7 @@
 pub mod outlier;
 pub mod path;
 pub mod placement;
+pub mod quarantine;
 pub mod refusals;
 pub mod relay;
 pub mod reports;
--- /dev/null
+++ b/crates/core/src/pipeline/quarantine/mod.rs
@@ -0,0 +1,307 @@
+//! Quarantines requests that crash the backend servers that run them.
+//!
+//! A server that crashes ends everything that it runs, so each of its requests may be the cause.
+//! Every entry records which requests had only just begun on a server that ended ([`suspects`]),
+//! and shares these records with the others. A request under which several servers ended, and
+//! whose ends no other request explains, is quarantined: no entry sends it to a server again.
+
+pub mod survivors;
+pub mod suspects;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+
+use crate::pipeline::digest::Digest;
+use crate::pipeline::server::Incarnation;
+use crate::time::Instant;
+use crate::time::Span;
+
+use survivors::Survivors;
+use suspects::Suspects;
+
+/// How long after the first event of a run the end of its server may still be due to it. A server
+/// crashes within some 0.1 s of the beginning, and a busy entry sees this later.
+pub const BEGINNING: Span = Span(300);
+/// How long after its first event a run is known to have survived its beginning. Longer than
+/// [`BEGINNING`], so that a request that crashes servers late is not cleared by mistake.
+pub const SURVIVAL: Span = Span(2_000);
+
+/// How long after the loss of a run its server may be found ended for both to count as one failure.
+const SETTLE_WINDOW: Span = Span(1_000);
+/// The most lost runs that wait for the state of their servers, far more than one crash ends.
+const MAX_LOST: usize = 1_024;
+/// The most requests in quarantine; the oldest ones leave it first. Only crashes of servers add
+/// any, so callers cannot push others out at will.
+pub const MAX_QUARANTINED: usize = 256;
+/// How long an entry reports what it found out itself. Reports are repeated within a second, and
+/// the store keeps what is in quarantine.
+const REPORT_FOR: Span = Span(10_000);
+/// The most requests in quarantine per report; more are read from the store.
+const MAX_REPORTED: usize = 32;
+
+/// Where an entry learned that a request is in quarantine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// It decided so itself.
+    Own,
+    /// Another entry reported it.
+    Report,
+    /// It is in the store.
+    Store,
+}
+
+/// The value of `source=` in logs.
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Own => "own",
+            Self::Report => "report",
+            Self::Store => "store",
+        })
+    }
+}
+
+/// A run that was lost, while it is unknown whether its server ended.
+#[derive(Clone, Debug)]
+struct Lost {
+    digest: Digest,
+    server: Incarnation,
+    at: Instant,
+}
+
+/// A request in quarantine.
+#[derive(Clone, Debug)]
+struct Entry {
+    at: Instant,
+    /// The servers that ended under it, as far as known.
+    servers: BTreeSet<Incarnation>,
+    is_own: bool,
+    is_stored: bool,
+    /// When it is written to the store unless another entry has done so.
+    store_at: Instant,
+}
+
+/// What an entry knows about requests that crash servers.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::digest::Digest;
+/// # use jujube_core::pipeline::quarantine::Quarantine;
+/// # use jujube_core::time::Instant;
+/// let (mut quarantine, digest) = (Quarantine::default(), Digest(7));
+/// for (at, server) in [(0, "a"), (100, "b"), (200, "c")] {
+///     quarantine.lost(Instant(at), digest, &server.into(), None);
+///     quarantine.settle(Instant(at), |_| true);
+/// }
+/// assert_eq!(quarantine.evaluate(Instant(200)), [digest]);
+/// assert!(quarantine.contains(digest));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    lost: Vec<Lost>,
+    suspects: Suspects,
+    survivors: Survivors,
+    entries: BTreeMap<Digest, Entry>,
+    /// The requests that left a full quarantine, until they are removed from the store.
+    evicted: Vec<Digest>,
+}
+
+impl Quarantine {
+    /// Records that the run of a request on a server was lost; `began` is when its first event
+    /// arrived.
+    ///
+    /// A run that had survived its beginning is ignored: it did not crash its server.
+    pub fn lost(
+        &mut self,
+        now: Instant,
+        digest: Digest,
+        server: &Incarnation,
+        began: Option<Instant>,
+    ) {
+        if began.is_some_and(|began| now.since(began) > BEGINNING) {
+            return;
+        }
+        let is_known = |lost: &Lost| lost.digest == digest && lost.server == *server;
+        let is_full = self.lost.len() >= MAX_LOST;
+        if is_full || self.survivors.contains(digest) || self.lost.iter().any(is_known) {
+            return;
+        }
+        self.lost.push(Lost {
+            digest,
+            server: server.clone(),
+            at: now,
+        });
+    }
+
+    /// Records the lost runs whose servers have ended; returns these.
+    pub fn settle(
+        &mut self,
+        now: Instant,
+        has_ended: impl Fn(&Incarnation) -> bool,
+    ) -> Vec<(Digest, Incarnation)> {
+        let mut ended = Vec::new();
+        self.lost.retain(|lost| {
+            if has_ended(&lost.server) {
+                ended.push((lost.digest, lost.server.clone()));
+                return false;
+            }
+            now.since(lost.at) <= SETTLE_WINDOW
+        });
+        for (digest, server) in &ended {
+            self.record_end(now, *digest, server, true);
+        }
+        ended
+    }
+
+    /// Applies another entry's report that a server ended under a request.
+    pub fn receive(&mut self, now: Instant, digest: Digest, server: &Incarnation) {
+        if !self.survivors.contains(digest) {
+            self.record_end(now, digest, server, false);
+        }
+    }
+
+    fn record_end(&mut self, now: Instant, digest: Digest, server: &Incarnation, is_own: bool) {
+        match self.entries.get_mut(&digest) {
+            Some(entry) => {
+                entry.servers.insert(server.clone());
+                self.suspects.explain(now, server.clone());
+            }
+            None => self.suspects.ended(now, digest, server, is_own),
+        }
+    }
+
+    /// Records that a request ran to its end, or survived its beginning on a server.
+    pub fn survived(&mut self, digest: Digest) {
+        self.survivors.insert(digest);
+        self.suspects.remove(digest);
+        self.lost.retain(|lost| lost.digest != digest);
+    }
+
+    /// Quarantines the requests that must have crashed servers; returns those that were added.
+    pub fn evaluate(&mut self, now: Instant) -> Vec<Digest> {
+        self.suspects.expire(now);
+        let mut added = Vec::new();
+        while let Some(digest) = self.suspects.culprit() {
+            self.insert(now, digest, Source::Own, now);
+            added.push(digest);
+        }
+        added
+    }
+
+    /// Quarantines a request; returns whether it was not in quarantine before. Unless another entry
+    /// does so first, it is written to the store at `store_at`.
+    pub fn insert(
+        &mut self,
+        now: Instant,
+        digest: Digest,
+        source: Source,
+        store_at: Instant,
+    ) -> bool {
+        let is_stored = source == Source::Store;
+        if let Some(entry) = self.entries.get_mut(&digest) {
+            entry.is_stored |= is_stored;
+            return false;
+        }
+        let servers = self.suspects.remove(digest);
+        for server in &servers {
+            self.suspects.explain(now, server.clone());
+        }
+        let entry = Entry {
+            at: now,
+            servers,
+            is_own: source == Source::Own,
+            is_stored,
+            store_at,
+        };
+        self.entries.insert(digest, entry);
+        if self.entries.len() > MAX_QUARANTINED {
+            self.evict(digest);
+        }
+        true
+    }
+
+    fn evict(&mut self, added: Digest) {
+        let others = self.entries.iter().filter(|(digest, _)| **digest != added);
+        let oldest = others.min_by_key(|(_, entry)| entry.at);
+        if let Some(digest) = oldest.map(|(digest, _)| *digest) {
+            self.entries.remove(&digest);
+            self.evicted.push(digest);
+        }
+    }
+
+    /// Releases a request, because an operator removed it from the store.
+    pub fn release(&mut self, digest: Digest) -> bool {
+        self.entries.remove(&digest).is_some()
+    }
+
+    /// Returns whether a request is in quarantine.
+    #[must_use]
+    pub fn contains(&self, digest: Digest) -> bool {
+        self.entries.contains_key(&digest)
+    }
+
+    /// Returns the number of requests in quarantine.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no request is in quarantine.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the servers that are known to have ended under a request in quarantine.
+    pub fn servers(&self, digest: Digest) -> impl Iterator<Item = &Incarnation> {
+        let entry = self.entries.get(&digest);
+        entry.into_iter().flat_map(|entry| &entry.servers)
+    }
+
+    /// Returns the ends that this entry saw and reports to others.
+    #[must_use]
+    pub fn own_ends(&self, now: Instant) -> BTreeMap<Incarnation, BTreeSet<Digest>> {
+        self.suspects.own(now, REPORT_FOR)
+    }
+
+    /// Returns the requests that this entry quarantined and reports to others.
+    #[must_use]
+    pub fn own(&self, now: Instant) -> BTreeSet<Digest> {
+        let recent = |entry: &Entry| entry.is_own && now.since(entry.at) <= REPORT_FOR;
+        let own = self.entries.iter().filter(|(_, entry)| recent(entry));
+        own.map(|(digest, _)| *digest).take(MAX_REPORTED).collect()
+    }
+
+    /// Returns the requests that this entry is to write to the store now.
+    #[must_use]
+    pub fn unstored(&self, now: Instant) -> Vec<Digest> {
+        let is_due = |entry: &Entry| !entry.is_stored && entry.store_at <= now;
+        let due = self.entries.iter().filter(|(_, entry)| is_due(entry));
+        due.map(|(digest, _)| *digest).collect()
+    }
+
+    /// Records that a request in quarantine is in the store.
+    pub fn stored(&mut self, digest: Digest) {
+        if let Some(entry) = self.entries.get_mut(&digest) {
+            entry.is_stored = true;
+        }
+    }
+
+    /// Records which requests a snapshot of the store contains; the others are written again at
+    /// `store_at`, unless another entry does so first.
+    pub fn replaced(&mut self, contained: &BTreeSet<Digest>, store_at: Instant) {
+        for (digest, entry) in &mut self.entries {
+            if entry.is_stored && !contained.contains(digest) {
+                entry.is_stored = false;
+                entry.store_at = store_at;
+            }
+        }
+    }
+
+    /// Returns the requests that left the full quarantine and are still in the store.
+    pub fn take_evicted(&mut self) -> Vec<Digest> {
+        std::mem::take(&mut self.evicted)
+    }
+}
--- /dev/null
+++ b/crates/core/src/pipeline/quarantine/suspects.rs
@@ -0,0 +1,150 @@
+//! The requests under which servers ended at the beginning of their runs.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::pipeline::digest::Digest;
+use crate::pipeline::server::Incarnation;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// The number of ends at which a request is the culprit if no other request explains them.
+const MIN_ENDS: usize = 3;
+/// The number of ends at which a request is the culprit although another one shares all of them.
+const MAX_ENDS: usize = 5;
+/// How long an end counts after the latest one under the same request.
+const TTL: Span = Span(600_000);
+/// The most suspects. Those with the fewest ends leave first; only crashes of servers add any.
+const MAX_SUSPECTS: usize = 1_024;
+/// The most ends per report, those of the suspects with the most ends.
+const MAX_REPORTED: usize = 64;
+
+#[derive(Clone, Debug)]
+struct Suspect {
+    ends: BTreeMap<Incarnation, Instant>,
+    /// The ends that this entry saw itself.
+    own: BTreeSet<Incarnation>,
+    latest: Instant,
+}
+
+/// The requests under which servers ended, and these servers.
+///
+/// Ends are a set of servers for each request, so that reports may arrive repeatedly, late and by
+/// several ways. A crash is explained by the request that was quarantined for it, and no longer
+/// counts for the others that the server ran.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    by_digest: BTreeMap<Digest, Suspect>,
+    /// The servers whose ends a request in quarantine explains.
+    explained: BTreeMap<Incarnation, Instant>,
+}
+
+impl Suspects {
+    /// Records that a server ended under a request.
+    pub fn ended(&mut self, now: Instant, digest: Digest, server: &Incarnation, is_own: bool) {
+        if self.explained.contains_key(server) {
+            return;
+        }
+        let suspect = self.by_digest.entry(digest).or_insert_with(|| Suspect {
+            ends: BTreeMap::new(),
+            own: BTreeSet::new(),
+            latest: now,
+        });
+        if suspect.ends.insert(server.clone(), now).is_none() {
+            suspect.latest = now;
+        }
+        if is_own {
+            suspect.own.insert(server.clone());
+        }
+        if self.by_digest.len() > MAX_SUSPECTS {
+            self.evict(digest);
+        }
+    }
+
+    fn evict(&mut self, added: Digest) {
+        let others = self
+            .by_digest
+            .iter()
+            .filter(|(digest, _)| **digest != added);
+        let least = others.min_by_key(|(_, suspect)| (suspect.ends.len(), suspect.latest));
+        if let Some(digest) = least.map(|(digest, _)| *digest) {
+            self.by_digest.remove(&digest);
+        }
+    }
+
+    /// Removes a request; returns the servers that ended under it.
+    pub fn remove(&mut self, digest: Digest) -> BTreeSet<Incarnation> {
+        let suspect = self.by_digest.remove(&digest);
+        suspect
+            .into_iter()
+            .flat_map(|suspect| suspect.ends.into_keys())
+            .collect()
+    }
+
+    /// Records that a request in quarantine explains the end of a server.
+    pub fn explain(&mut self, now: Instant, server: Incarnation) {
+        self.by_digest.retain(|_, suspect| {
+            suspect.ends.remove(&server);
+            suspect.own.remove(&server);
+            !suspect.ends.is_empty()
+        });
+        self.explained.insert(server, now);
+    }
+
+    /// Drops ends that are too old to count.
+    pub fn expire(&mut self, now: Instant) {
+        self.by_digest
+            .retain(|_, suspect| now.since(suspect.latest) <= TTL);
+        self.explained.retain(|_, at| now.since(*at) <= TTL);
+    }
+
+    /// Returns a request that must have crashed the servers that ended under it, if there is one.
+    ///
+    /// Several servers must have ended under it, at least one of them before this entry's eyes, and
+    /// no other request may share all of these ends. Requests that lose one server after another
+    /// beside a culprit share ends with it, but rarely all of them.
+    #[must_use]
+    pub fn culprit(&self) -> Option<Digest> {
+        let mut candidates = self.by_digest.iter().filter(|(_, suspect)| {
+            let ends = suspect.ends.len();
+            ends >= MIN_ENDS && !suspect.own.is_empty()
+        });
+        let culprit = candidates.find(|(digest, suspect)| {
+            suspect.ends.len() >= MAX_ENDS || !self.is_shared(**digest, suspect)
+        });
+        culprit.map(|(digest, _)| *digest)
+    }
+
+    /// Returns whether another request shares all ends of a suspect.
+    fn is_shared(&self, digest: Digest, suspect: &Suspect) -> bool {
+        let shares = |other: &Suspect| {
+            suspect
+                .ends
+                .keys()
+                .all(|server| other.ends.contains_key(server))
+        };
+        let mut others = self.by_digest.iter().filter(|(other, _)| **other != digest);
+        others.any(|(_, other)| shares(other))
+    }
+
+    /// Returns the ends of the last `span` that this entry saw, of the suspects with the most ends
+    /// if there are too many for a report.
+    #[must_use]
+    pub fn own(&self, now: Instant, span: Span) -> BTreeMap<Incarnation, BTreeSet<Digest>> {
+        let mut recent: Vec<(&Digest, &Suspect)> = self
+            .by_digest
+            .iter()
+            .filter(|(_, suspect)| now.since(suspect.latest) <= span)
+            .collect();
+        recent.sort_by_key(|(_, suspect)| std::cmp::Reverse((suspect.ends.len(), suspect.latest)));
+        let pairs = recent.into_iter().flat_map(|(digest, suspect)| {
+            let own = suspect.own.iter();
+            own.map(|server| (server.clone(), *digest))
+        });
+        let mut reported: BTreeMap<Incarnation, BTreeSet<Digest>> = BTreeMap::new();
+        for (server, digest) in pairs.take(MAX_REPORTED) {
+            reported.entry(server).or_default().insert(digest);
+        }
+        reported
+    }
+}
--- a/crates/core/src/pipeline/summary.rs
+++ b/crates/core/src/pipeline/summary.rs
@@ -1,10 +1,12 @@
 //! State that entries exchange: requests in flight, outcomes and suspicions.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::fence::Token;
 use crate::layer::Range;
+use crate::pipeline::digest::Digest;
 use crate::pipeline::load::Usage;
 use crate::pipeline::outlier::Tally;
 use crate::pipeline::server::Incarnation;
@@ -50,6 +52,10 @@
     pub held: BTreeMap<Incarnation, Range>,
     /// Layers that the planner ordered and servers do not hold yet.
     pub ordered: BTreeMap<Incarnation, Range>,
+    /// Requests that had just begun on servers that ended.
+    pub ended_under: BTreeMap<Incarnation, BTreeSet<Digest>>,
+    /// Requests that were quarantined recently.
+    pub quarantined: BTreeSet<Digest>,
 }
 
 impl Summary {
@@ -95,5 +101,10 @@
         let ordered = other.ordered.iter();
         let ordered = ordered.map(|(server, layers)| (server.clone(), *layers));
         self.ordered.extend(ordered);
+        for (server, digests) in &other.ended_under {
+            let union = self.ended_under.entry(server.clone()).or_default();
+            union.extend(digests);
+        }
+        self.quarantined.extend(&other.quarantined);
     }
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::planner;
 use crate::pool;
 use crate::probe;
+use crate::quarantine;
 use crate::ready;
 use crate::reload;
 use crate::request;
@@ -87,6 +88,7 @@
     tokio::task::spawn_local(store_watch::expire(state.clone()));
     tokio::task::spawn_local(planner::run(state.clone(), store.clone()));
     tokio::task::spawn_local(gossip::announce(state.clone(), store.clone()));
+    tokio::task::spawn_local(quarantine::run(state.clone(), store.clone()));
     tokio::task::spawn_local(slack::run(state.clone(), store));
     tokio::task::spawn_local(run_retries(state.clone()));
     tokio::task::spawn_local(gossip::run(state.clone(), gossip));
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -7,6 +7,7 @@
 use jujube_core::layer::Range;
 use jujube_core::name::Zone;
 use jujube_core::pipeline::cell::Id;
+use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::load::Usage;
 use jujube_core::pipeline::outlier::Tally;
 use jujube_core::pipeline::reports::Fragment;
@@ -128,6 +129,77 @@
     properties: Vec<(WireIncarnation, Property)>,
 }
 
+/// The first byte of an appendix. No message begins with it, since names of entries are short.
+const APPENDIX_TAG: u8 = 0xff;
+/// The most ends of servers under requests per appendix; reports of more entries repeat the rest.
+const MAX_ENDS: usize = 256;
+/// The most requests in quarantine per appendix.
+const MAX_QUARANTINED: usize = 256;
+
+/// The last portion of a report that tells of requests that crash servers.
+///
+/// Entries of versions without it reject it, and apply the other portions.
+#[derive(Debug, Deserialize, Serialize)]
+struct Appendix {
+    entry: String,
+    zone: String,
+    scope: WireScope,
+    number: u16,
+    ended_under: Vec<(WireIncarnation, u64)>,
+    quarantined: Vec<u64>,
+}
+
+impl Appendix {
+    fn new(sender: Sender<'_>, scope: &Scope, summary: &Summary, number: u16) -> Self {
+        let ends = summary.ended_under.iter().flat_map(|(server, digests)| {
+            let digests = digests.iter();
+            digests.map(move |digest| (server.into(), digest.0))
+        });
+        let quarantined = summary.quarantined.iter().map(|digest| digest.0);
+        Self {
+            entry: sender.entry.into(),
+            zone: sender.zone.to_string(),
+            scope: scope.into(),
+            number,
+            ended_under: ends.take(MAX_ENDS).collect(),
+            quarantined: quarantined.take(MAX_QUARANTINED).collect(),
+        }
+    }
+
+    fn encode(&self) -> Option<Vec<u8>> {
+        let body = bincode::DefaultOptions::new().serialize(self).ok()?;
+        let mut bytes = vec![APPENDIX_TAG];
+        bytes.extend(body);
+        Some(bytes)
+    }
+}
+
+impl From<Appendix> for Received {
+    fn from(appendix: Appendix) -> Self {
+        let mut summary = Summary::default();
+        for (server, digest) in appendix.ended_under {
+            let digests = summary.ended_under.entry(server.into()).or_default();
+            digests.insert(Digest(digest));
+        }
+        summary.quarantined = appendix.quarantined.into_iter().map(Digest).collect();
+        Self {
+            entry: appendix.entry,
+            zone: appendix.zone.into(),
+            scope: appendix.scope.into(),
+            portion: Fragment {
+                number: appendix.number,
+                last: appendix.number,
+            },
+            summary,
+        }
+    }
+}
+
+/// Returns whether a report needs an appendix.
+fn has_appendix(summary: &Summary) -> bool {
+    !summary.ended_under.is_empty() || !summary.quarantined.is_empty()
+}
+
 /// A decoded message.
 #[derive(Debug)]
 pub(super) struct Received {
@@ -202,7 +274,9 @@
             .iter()
             .all(|bytes| bytes.len() <= MAX_MESSAGE_BYTES);
         if fits || portions >= MAX_PORTIONS {
-            return messages;
+            let appendix = has_appendix(summary)
+                .then(|| Appendix::new(sender, scope, summary, portions).encode());
+            return messages.into_iter().chain(appendix.flatten()).collect();
         }
         portions *= 2;
     }
@@ -215,6 +289,7 @@
     properties: &[(WireIncarnation, Property)],
     portions: u16,
 ) -> Vec<Vec<u8>> {
+    let last = portions - 1 + u16::from(has_appendix(summary));
     let messages = (0..portions).filter_map(|number| {
         let is_first = number == 0;
         let portion = properties.iter().skip(usize::from(number));
@@ -223,7 +298,7 @@
             zone: sender.zone.to_string(),
             scope: scope.into(),
             number,
-            last: portions - 1,
+            last,
             entries: if is_first { summary.entries as u32 } else { 0 },
             served: if is_first {
                 summary.with_store as u32
@@ -249,6 +324,12 @@
 /// The message is malformed, or a number in it is not finite and would corrupt the sums.
 pub(super) fn decode(bytes: &[u8]) -> Result<Received, Malformed> {
     let options = bincode::DefaultOptions::new().with_limit(RECEIVE_BUFFER_BYTES as u64);
+    if let [APPENDIX_TAG, appendix @ ..] = bytes {
+        let appendix: Appendix = options
+            .deserialize(appendix)
+            .map_err(|_| Malformed::Encoding)?;
+        return Ok(appendix.into());
+    }
     let message: Message = options
         .deserialize(bytes)
         .map_err(|_| Malformed::Encoding)?;
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::dialect::Dialect;
 use crate::probe;
+use crate::quarantine;
 use crate::state::State;
 use crate::store_watch;
 
@@ -151,6 +152,7 @@
     let suspects = suspicion.suspects().map(|server| (server.clone(), 1));
     let ordered = state.ordered_layers.borrow();
     let ordered = ordered.iter().filter(|_| token.is_some());
+    let quarantine = state.quarantine.borrow();
     Summary {
         entries: 1,
         with_store: u64::from(!state.is_store_unavailable()),
@@ -163,6 +165,8 @@
         suspects: suspects.collect(),
         held: state.reported_layers.borrow().clone(),
         ordered: cloned(ordered.map(|(server, layers)| (server, *layers))),
+        ended_under: quarantine.own_ends(now),
+        quarantined: quarantine.own(now),
     }
 }
 
@@ -241,6 +245,7 @@
     state
         .peers
         .set_summary(others.entries, others.with_store, others.ready);
+    quarantine::apply_reports(state, &others);
     let mut load = state.load.borrow_mut();
     load.set_others(others.entries, others.usage);
     drop(load);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 mod planner;
 mod pool;
 mod probe;
+mod quarantine;
 mod ready;
 mod reload;
 mod request;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -101,6 +101,11 @@
         Err(reason) => return refuse(&state, &id, reason, arrived),
     };
     state.retries.record_request(&admitted.service);
+    if state.is_quarantined(admitted.digest) {
+        let (route, cause) = (&admitted.route.name, format!("digest-{}", admitted.digest));
+        record_refusal(&state, &id, route, Reason::Quarantined, arrived, &cause);
+        return response::local(Reason::Quarantined, None);
+    }
     let is_model = state
         .table()
         .is_some_and(|table| table.model(&admitted.service).is_some());
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -35,6 +35,8 @@
     Overloaded,
     /// Every backend server that was tried reported that it did not run the request.
     Refused,
+    /// The request crashes the servers that run it.
+    Quarantined,
     /// A backend server may have run the request but returned no usable response.
     Failed,
     /// The request's deadline has passed.
@@ -52,9 +54,11 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::BrokenBody | Self::Malformed => StatusCode::BAD_REQUEST,
-            Self::Starting | Self::Stopping | Self::NoServer | Self::Refused => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Starting
+            | Self::Stopping
+            | Self::NoServer
+            | Self::Refused
+            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -76,6 +80,7 @@
             Self::NoServer => "no-server",
             Self::Overloaded => "overloaded",
             Self::Refused => "refused",
+            Self::Quarantined => "quarantined",
             Self::Failed => "failed",
             Self::Late => "late",
         }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -11,12 +11,14 @@
 use jujube_core::name::Service;
 use jujube_core::pipeline::cell::Location;
 use jujube_core::pipeline::chooser::Fleet;
+use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::era::Settling;
 use jujube_core::pipeline::liveness::Liveness;
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::local_health::LocalHealth;
 use jujube_core::pipeline::outlier::Outliers;
+use jujube_core::pipeline::quarantine::Quarantine;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::suspicion::Suspicion;
@@ -78,6 +80,10 @@
     pub local_health: RefCell<LocalHealth>,
     /// The failure rates of backend servers.
     pub outliers: RefCell<Outliers>,
+    /// The requests that crash backend servers.
+    pub quarantine: RefCell<Quarantine>,
+    /// Notified when a request was quarantined and is to be written to the store.
+    pub quarantine_added: tokio::sync::Notify,
     /// Notified when a crash or a refusal should be reported to the other entries at once.
     pub urgent_report: tokio::sync::Notify,
     /// The layers that servers reported to this entry, as the planner, while the store is
@@ -135,6 +141,8 @@
             suspicion: RefCell::default(),
             local_health: RefCell::new(LocalHealth::new(watchdog::TICK)),
             outliers: RefCell::default(),
+            quarantine: RefCell::default(),
+            quarantine_added: tokio::sync::Notify::new(),
             urgent_report: tokio::sync::Notify::new(),
             reported_layers: RefCell::default(),
             ordered_layers: RefCell::default(),
@@ -197,6 +205,11 @@
         self.is_store_unavailable() && self.peers.is_store_unavailable()
     }
 
+    /// Returns whether a request is in quarantine, so that no server may get it.
+    pub fn is_quarantined(&self, digest: Digest) -> bool {
+        self.quarantine.borrow().contains(digest)
+    }
+
     /// Returns the address of a registered backend server.
     pub fn address(&self, server: &Incarnation) -> Option<SocketAddr> {
         self.roster
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -28,6 +28,7 @@
 use crate::dialect::Record;
 use crate::fleet;
 use crate::gossip;
+use crate::quarantine;
 use crate::restore;
 use crate::slack;
 use crate::state::State;
@@ -194,6 +195,7 @@
         state.roster.borrow_mut().start_reread();
     }
     restore::apply_snapshot(state, store.era(), &changes);
+    quarantine::apply_snapshot(state, &changes);
     restore::mark_era(state, store, restore::shows_earlier_era(&changes)).await;
     let mut servers = Vec::new();
     let mut unreadable = Vec::new();
@@ -269,6 +271,7 @@
         apply_announcement(state, change);
         apply_piece(state, change);
         restore::apply_mark(state, change);
+        quarantine::apply_change(state, change);
         is_changed |= apply_change(state, change) != Effect::None;
     }
     restore::update_settling(state);
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -11,11 +11,14 @@
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use jujube_core::pipeline::attempts::Permission;
+use jujube_core::pipeline::quarantine::SURVIVAL;
 use jujube_core::pipeline::relay::Relay;
+use jujube_core::time::Instant;
 use jujube_program::clock;
 use tokio::sync::oneshot;
 
 use crate::dialect::Dialect;
+use crate::quarantine;
 use crate::request::Guard;
 use crate::response::Reason;
 use crate::upstream::Incomplete;
@@ -139,6 +142,7 @@
                     .observe("first_event", elapsed);
             }
             stream.record_event(now);
+            self.record_survival(now);
         }
         self.out.extend(events);
         match outcome {
@@ -147,6 +151,16 @@
         }
     }
 
+    /// Records once for each run that the request survived its beginning.
+    fn record_survival(&self, now: Instant) {
+        let stream = &self.registration.stream;
+        let began = stream.run_began.get();
+        let is_past = began.is_some_and(|began| now.since(began) >= SURVIVAL);
+        if is_past && !stream.has_survived.replace(true) {
+            quarantine::survived(&self.registration.state, stream.digest);
+        }
+    }
+
     fn finish(&mut self) -> Option<Next> {
         if let Err(fault) = self.relay.end() {
             return self.resume(&fault.to_string(), Loss::Broken);
@@ -155,6 +169,7 @@
         let state = &self.registration.state;
         let elapsed = clock::now().since(stream.arrived);
         state.metrics.count("streams_completed");
+        quarantine::survived(state, stream.digest);
         state.metrics.observe("stream", elapsed);
         log::info!(
             "event=streamed request={} events={} took_ms={elapsed} first_ms={} longest_pause_ms={} runs={} \
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -83,6 +83,7 @@
         excluded: RefCell::default(),
         last_activity: Cell::new(now),
         run_began: Cell::default(),
+        has_survived: Cell::default(),
         events: Cell::new(0),
         mean_gap_ms: Cell::new(0.0),
         last_event: Cell::new(now),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -17,6 +17,7 @@
 use crate::dialect::Dialect;
 use crate::head;
 use crate::probe;
+use crate::quarantine;
 use crate::response::Reason;
 use crate::retries::Retry;
 use crate::state::State;
@@ -93,6 +94,10 @@
             Permission::Pending if wait_briefly(stream).await => continue,
             Permission::Pending | Permission::Denied => return Err((Reason::Failed, cause)),
         }
+        if state.is_quarantined(stream.digest) {
+            let cause = format!("digest-{}", stream.digest);
+            return Err(final_refusal(stream, Reason::Quarantined, cause));
+        }
         stream.pending_interrupt.set(None);
         if stream.was_sent.get() && !wait_for_retry(state, stream).await {
             return Err(final_refusal(stream, Reason::Refused, cause));
@@ -323,10 +328,16 @@
     }
     let mut attempts = stream.attempts.borrow_mut();
     match loss {
-        Loss::Broken | Loss::Dead => attempts.lost(now, &first.server),
         Loss::Abandoned => attempts.left(&first.server),
+        Loss::Broken | Loss::Dead if began.is_none() => {
+            attempts.lost_before_events(now, &first.server);
+        }
+        Loss::Broken | Loss::Dead => attempts.lost(now, &first.server),
     }
     drop(attempts);
+    if loss != Loss::Abandoned {
+        quarantine::lost(state, stream.digest, &first.server, began);
+    }
     stream.last_loss.replace(Some((first.server.clone(), now)));
     probe::check_after_loss(state, first.server.clone(), first.address, now);
 }
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -15,6 +15,7 @@
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
+use jujube_core::pipeline::quarantine::BEGINNING;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -66,6 +67,8 @@
     pub last_event: Cell<Instant>,
     /// When the first event of the current run arrived.
     pub(super) run_began: Cell<Option<Instant>>,
+    /// Whether a run is known to have survived its beginning.
+    pub(super) has_survived: Cell<bool>,
     /// The number of events received.
     pub events: Cell<u64>,
     /// The smoothed gap between events, in milliseconds.
@@ -138,6 +141,12 @@
         }
     }
 
+    /// Returns whether the current run has only just begun, as far as its events show.
+    pub fn is_at_beginning(&self, now: Instant) -> bool {
+        let began = self.run_began.get();
+        began.is_none_or(|began| now.since(began) <= BEGINNING)
+    }
+
     /// Returns how the latest run was lost.
     pub(super) fn loss(&self) -> Loss {
         match self.pending_interrupt.get() {
--- a/crates/front/src/unary.rs
+++ b/crates/front/src/unary.rs
@@ -19,6 +19,8 @@
 use crate::body::Body;
 use crate::dialect::Dialect;
 use crate::head;
+use crate::probe;
+use crate::quarantine;
 use crate::request;
 use crate::request::Admitted;
 use crate::response;
@@ -189,6 +191,7 @@
     fn handle_outcome(&mut self, server: &Server, result: Result<Reply, Failure>) -> Option<Reply> {
         let failure = match result {
             Ok(reply) => {
+                quarantine::survived(self.state, self.request.digest);
                 let failed = reply.parts.status.is_server_error();
                 self.record_outcome(server, !failed);
                 if !failed || !self.request.route.may_repeat() {
@@ -220,7 +223,12 @@
                 self.sent -= 1;
                 self.refusals += 1;
             }
-            Failure::Unknown(_) | Failure::Failed(_) => {
+            Failure::Unknown(_) => {
+                self.may_have_run = true;
+                self.record_outcome(server, false);
+                self.record_loss(server);
+            }
+            Failure::Failed(_) => {
                 self.may_have_run = true;
                 self.record_outcome(server, false);
             }
@@ -228,6 +236,16 @@
         None
     }
 
+    /// Records that the response of a server broke off, and checks whether it has ended.
+    fn record_loss(&self, server: &Server) {
+        let (now, incarnation) = (clock::now(), &server.incarnation);
+        let mut suspicion = self.state.suspicion.borrow_mut();
+        suspicion.connection_broken(now, incarnation);
+        drop(suspicion);
+        quarantine::lost(self.state, self.request.digest, incarnation, None);
+        probe::check_after_loss(self.state, incarnation.clone(), server.address, now);
+    }
+
     /// Records the outcome of a request at a server.
     fn record_outcome(&self, server: &Server, is_success: bool) {
         if is_success {
@@ -247,7 +265,8 @@
         } else {
             1
         };
-        is_repeatable && self.sent < limit && self.refusals < MAX_REFUSALS
+        let is_quarantined = self.state.is_quarantined(self.request.digest);
+        is_repeatable && !is_quarantined && self.sent < limit && self.refusals < MAX_REFUSALS
     }
 
     /// Returns a permit for another attempt. An attempt needs no retry while no server has received
@@ -344,6 +363,10 @@
         if self.may_have_run {
             return (Reason::Failed, self.cause.clone(), None);
         }
+        if self.state.is_quarantined(self.request.digest) {
+            let cause = format!("digest-{}", self.request.digest);
+            return (Reason::Quarantined, cause, None);
+        }
         (
             Reason::Refused,
             self.cause.clone(),
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -19,6 +19,7 @@
 use crate::pool;
 use crate::probe;
 use crate::probe::Health;
+use crate::quarantine;
 use crate::state::State;
 use crate::stream;
 use crate::stream::Cause;
@@ -104,6 +105,7 @@
         tokio::time::sleep(Duration::from_millis(TICK.0)).await;
         let now = clock::now();
         state.local_health.borrow_mut().tick(now);
+        quarantine::settle(&state);
         let draining = draining(&state, now);
         let mut moved = 0;
         let streams = state.streams.by_number.borrow();
@@ -214,6 +216,7 @@
         }
         return;
     }
+    blame_for_dead_parts(state, stream, &unhealthy);
     if !is_dead && stream.slow_moves.get() >= MAX_SLOW_MOVES {
         return;
     }
@@ -239,6 +242,19 @@
     }
 }
 
+/// Records that servers further along the path ended at the beginning of a run.
+fn blame_for_dead_parts<D>(state: &State<D>, stream: &Stream, unhealthy: &[(Part, Health)]) {
+    if !stream.is_at_beginning(clock::now()) {
+        return;
+    }
+    for (part, _) in unhealthy
+        .iter()
+        .filter(|(_, health)| *health == Health::Dead)
+    {
+        quarantine::lost(state, stream.digest, &part.server, None);
+    }
+}
+
 /// Returns whether a stream is still running on a server that refuses new connections.
 ///
 /// A server that is about to exit refuses new connections but finishes its requests. Interrupting
