Judge a request by one entry's ends only once others have reported

Cause: a request that travels beside the culprit stays at one entry, which saw its third end before the culprit's other ends were reported. A suspect all of whose ends this entry saw now waits for the oldest possible report, 0.45 s; copies of a deadly request come to several entries and are judged at once.

Not taken: a wait for all suspects, which would cost servers where copies come to several entries.

--- a/crates/core/src/pipeline/quarantine/mod.rs
+++ b/crates/core/src/pipeline/quarantine/mod.rs
@@ -91,10 +91,11 @@
 /// # use jujube_core::pipeline::quarantine::Quarantine;
 /// # use jujube_core::time::Instant;
 /// let (mut quarantine, digest) = (Quarantine::default(), Digest(7));
-/// for (at, server) in [(0, "a"), (100, "b"), (200, "c")] {
-///     quarantine.lost(Instant(at), digest, &server.into(), None);
-///     quarantine.settle(Instant(at), |_| true);
+/// for server in ["a", "b"] {
+///     quarantine.lost(Instant(0), digest, &server.into(), None);
+///     quarantine.settle(Instant(0), |_| true);
 /// }
+/// quarantine.receive(Instant(200), digest, &"c".into());
 /// assert_eq!(quarantine.evaluate(Instant(200)), [digest]);
 /// assert!(quarantine.contains(digest));
 /// ```
@@ -183,7 +184,7 @@
     pub fn evaluate(&mut self, now: Instant) -> Vec<Digest> {
         self.suspects.expire(now);
         let mut added = Vec::new();
-        while let Some(digest) = self.suspects.culprit() {
+        while let Some(digest) = self.suspects.culprit(now) {
             self.insert(now, digest, Source::Own, now);
             added.push(digest);
         }
--- a/crates/core/src/pipeline/quarantine/suspects.rs
+++ b/crates/core/src/pipeline/quarantine/suspects.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::pipeline::cell::MAX_REPORT_AGE;
 use crate::pipeline::digest::Digest;
 use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
@@ -102,12 +103,17 @@
     ///
     /// Several servers must have ended under it, at least one of them before this entry's eyes, and
     /// no other request may share all of these ends. Requests that lose one server after another
-    /// beside a culprit share ends with it, but rarely all of them.
+    /// beside a culprit share ends with it, but rarely all of them. Such a request stays at one
+    /// entry, which may not have received the culprit's ends at others yet: a suspect all of whose
+    /// ends this entry saw is judged once their reports are in.
     #[must_use]
-    pub fn culprit(&self) -> Option<Digest> {
+    pub fn culprit(&self, now: Instant) -> Option<Digest> {
         let mut candidates = self.by_digest.iter().filter(|(_, suspect)| {
             let ends = suspect.ends.len();
-            ends >= MIN_ENDS && !suspect.own.is_empty()
+            let is_known_elsewhere = suspect.own.len() < ends;
+            let are_reports_in = now.since(suspect.latest) >= MAX_REPORT_AGE;
+            let is_due = is_known_elsewhere || are_reports_in;
+            ends >= MIN_ENDS && !suspect.own.is_empty() && is_due
         });
         let culprit = candidates.find(|(digest, suspect)| {
             suspect.ends.len() >= MAX_ENDS || !self.is_shared(**digest, suspect)
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,199 @@
+//! Which requests are quarantined, on single cases.
+
+use jujube_core::pipeline::attempts::Attempts;
+use jujube_core::pipeline::attempts::Permission;
+use jujube_core::pipeline::cell::MAX_REPORT_AGE;
+use jujube_core::pipeline::digest::Digest;
+use jujube_core::pipeline::liveness::Evidence;
+use jujube_core::pipeline::liveness::Liveness;
+use jujube_core::pipeline::quarantine::BEGINNING;
+use jujube_core::pipeline::quarantine::MAX_QUARANTINED;
+use jujube_core::pipeline::quarantine::Quarantine;
+use jujube_core::pipeline::quarantine::Source;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_core::time::Instant;
+
+const CULPRIT: Digest = Digest(1);
+const INNOCENT: Digest = Digest(2);
+
+/// Ends a server under some requests that had no event yet.
+fn end(quarantine: &mut Quarantine, at: u64, server: &str, digests: &[Digest]) {
+    for digest in digests {
+        quarantine.lost(Instant(at), *digest, &server.into(), None);
+    }
+    quarantine.settle(Instant(at), |_| true);
+}
+
+/// Returns what is quarantined once the reports of others about ends up to `at` are in.
+fn evaluate(quarantine: &mut Quarantine, at: u64) -> Vec<Digest> {
+    quarantine.evaluate(Instant(at).plus(MAX_REPORT_AGE))
+}
+
+#[test]
+fn three_ends_quarantine_a_request() {
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, 0, "a", &[CULPRIT, INNOCENT]);
+    end(&mut quarantine, 100, "b", &[CULPRIT]);
+    assert!(evaluate(&mut quarantine, 100).is_empty());
+
+    end(&mut quarantine, 200, "c", &[CULPRIT, INNOCENT]);
+
+    assert_eq!(evaluate(&mut quarantine, 200), [CULPRIT]);
+    assert!(!quarantine.contains(INNOCENT));
+}
+
+/// Guards against blaming requests that lost one server after another beside the culprit.
+#[test]
+fn ends_that_the_culprit_explains_do_not_count_for_others() {
+    let mut quarantine = Quarantine::default();
+    for (at, server) in [(0, "a"), (100, "b"), (200, "c")] {
+        end(&mut quarantine, at, server, &[CULPRIT, INNOCENT]);
+        assert!(
+            quarantine.evaluate(Instant(at)).is_empty(),
+            "both share all"
+        );
+    }
+    end(&mut quarantine, 300, "d", &[CULPRIT]);
+    assert_eq!(evaluate(&mut quarantine, 300), [CULPRIT]);
+
+    end(&mut quarantine, 400, "e", &[INNOCENT]);
+    end(&mut quarantine, 500, "f", &[INNOCENT]);
+
+    assert!(evaluate(&mut quarantine, 500).is_empty());
+}
+
+/// Guards against blaming a request that many callers send at once for the end of a rack, each
+/// server of which ran it.
+#[test]
+fn request_that_was_served_before_is_not_blamed() {
+    let mut quarantine = Quarantine::default();
+    quarantine.survived(INNOCENT);
+    for server in ["a", "b", "c", "d", "e"] {
+        end(&mut quarantine, 0, server, &[INNOCENT]);
+    }
+
+    assert!(evaluate(&mut quarantine, 0).is_empty());
+}
+
+#[test]
+fn run_with_earlier_events_is_not_blamed() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant(BEGINNING.0 + 1);
+    for server in ["a", "b", "c"] {
+        quarantine.lost(now, INNOCENT, &server.into(), Some(Instant(0)));
+    }
+
+    assert!(quarantine.settle(now, |_| true).is_empty());
+}
+
+#[test]
+fn run_on_a_living_server_is_not_blamed() {
+    let mut quarantine = Quarantine::default();
+    for server in ["a", "b", "c"] {
+        quarantine.lost(Instant(0), INNOCENT, &server.into(), None);
+    }
+    quarantine.settle(Instant(500), |_| false);
+    quarantine.settle(Instant(2_000), |_| false);
+
+    assert!(quarantine.settle(Instant(2_100), |_| true).is_empty());
+}
+
+/// Guards against counting one crash twice, since reports arrive repeatedly and by several ways.
+#[test]
+fn repeated_reports_of_an_end_count_once() {
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, 0, "a", &[CULPRIT]);
+    for at in 1..10 {
+        quarantine.receive(Instant(at), CULPRIT, &"a".into());
+        quarantine.receive(Instant(at), CULPRIT, &"b".into());
+    }
+    assert!(quarantine.evaluate(Instant(10)).is_empty());
+
+    quarantine.receive(Instant(11), CULPRIT, &"c".into());
+
+    assert_eq!(quarantine.evaluate(Instant(11)), [CULPRIT]);
+}
+
+/// Guards against judging a request by one entry's ends before the reports of the culprit's other
+/// ends are in.
+#[test]
+fn entry_awaits_reports_before_it_judges_by_its_own_ends() {
+    let mut quarantine = Quarantine::default();
+    for (at, server) in [(0, "a"), (100, "b"), (200, "c")] {
+        end(&mut quarantine, at, server, &[CULPRIT]);
+    }
+    let early = Instant(200 + MAX_REPORT_AGE.0 - 1);
+    assert!(quarantine.evaluate(early).is_empty());
+
+    assert_eq!(evaluate(&mut quarantine, 200), [CULPRIT]);
+}
+
+/// Guards against an entry that passes judgement on reports alone: it cannot know that the request
+/// was served where the reports come from.
+#[test]
+fn reports_alone_quarantine_nothing() {
+    let mut quarantine = Quarantine::default();
+    for server in ["a", "b", "c", "d", "e"] {
+        quarantine.receive(Instant(0), INNOCENT, &server.into());
+    }
+
+    assert!(evaluate(&mut quarantine, 0).is_empty());
+}
+
+/// Guards against a request whose copies end all suspects' servers together, so that no end tells
+/// it apart from its neighbours.
+#[test]
+fn five_shared_ends_are_enough() {
+    let mut quarantine = Quarantine::default();
+    for (at, server) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
+        end(&mut quarantine, at as u64, server, &[CULPRIT, INNOCENT]);
+    }
+
+    let added = evaluate(&mut quarantine, 5);
+
+    assert_eq!(added.len(), 1, "the other's ends are explained by it");
+}
+
+#[test]
+fn full_quarantine_releases_the_oldest() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..=MAX_QUARANTINED as u64 {
+        let digest = Digest(number);
+        assert!(quarantine.insert(Instant(number), digest, Source::Report, Instant(0)));
+    }
+
+    assert_eq!(quarantine.len(), MAX_QUARANTINED);
+    assert!(!quarantine.contains(Digest(0)));
+    assert_eq!(quarantine.take_evicted(), [Digest(0)]);
+}
+
+/// Guards against losing a quarantined request when the store is restored from an older copy.
+#[test]
+fn request_that_the_store_lost_is_written_again() {
+    let mut quarantine = Quarantine::default();
+    quarantine.insert(Instant(0), CULPRIT, Source::Own, Instant(0));
+    assert_eq!(quarantine.unstored(Instant(0)), [CULPRIT]);
+    quarantine.stored(CULPRIT);
+    assert!(quarantine.unstored(Instant(10)).is_empty());
+
+    quarantine.replaced(&[].into(), Instant(50));
+
+    assert!(quarantine.unstored(Instant(49)).is_empty());
+    assert_eq!(quarantine.unstored(Instant(50)), [CULPRIT]);
+}
+
+/// Guards against sending one request to four servers: one that ended before the first event may
+/// have ended because of it.
+#[test]
+fn server_that_ended_before_the_first_event_counts() {
+    let ended = |_: &Incarnation| Liveness::Ended(Evidence::Refuses);
+    let mut attempts = Attempts::default();
+    for (at, server) in [(0, "a"), (100, "b")] {
+        attempts.begin(server.into());
+        attempts.lost_before_events(Instant(at), &server.into());
+        attempts.settle(Instant(at), ended);
+    }
+
+    assert_eq!(attempts.permission(2, ended), Permission::Denied);
+    assert_eq!(attempts.permission(3, ended), Permission::Allowed);
+}
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -85,8 +85,8 @@
     }
     if !ended.is_empty() {
         state.urgent_report.notify_waiters();
-        evaluate(state);
     }
+    evaluate(state);
 }
 
 /// Returns whether a server on which a run was lost has ended.
