Report a quarantined request until it is in the store, and judge on time

The entry that had quarantined the request was killed while the store was away; it read the store in a gap of 0.2 s, before the other entry, which knew by report, was due to write it, and the other reported only its own decisions. The entry that started then saw four ends itself, 0.2 s apart, and each put off its judgement.

What is not in the store is now reported by every entry that knows it, and the wait for reports of others runs from the third end.

--- a/crates/core/src/pipeline/quarantine/mod.rs
+++ b/crates/core/src/pipeline/quarantine/mod.rs
@@ -267,12 +267,17 @@
         self.suspects.own(now, REPORT_FOR)
     }
 
-    /// Returns the requests that this entry quarantined and reports to others.
+    /// Returns the requests in quarantine to report to others: those that this entry quarantined, and
+    /// those that an entry which starts cannot read from the store.
     #[must_use]
-    pub fn own(&self, now: Instant) -> BTreeSet<Digest> {
-        let recent = |entry: &Entry| entry.is_own && now.since(entry.at) <= REPORT_FOR;
-        let own = self.entries.iter().filter(|(_, entry)| recent(entry));
-        own.map(|(digest, _)| *digest).take(MAX_REPORTED).collect()
+    pub fn reported(&self, now: Instant) -> BTreeSet<Digest> {
+        let is_recent = |entry: &Entry| entry.is_own && now.since(entry.at) <= REPORT_FOR;
+        let is_reported = |entry: &Entry| is_recent(entry) || !entry.is_stored;
+        let reported = self.entries.iter().filter(|(_, entry)| is_reported(entry));
+        reported
+            .map(|(digest, _)| *digest)
+            .take(MAX_REPORTED)
+            .collect()
     }
 
     /// Returns the requests that this entry is to write to the store now.
--- a/crates/core/src/pipeline/quarantine/suspects.rs
+++ b/crates/core/src/pipeline/quarantine/suspects.rs
@@ -26,6 +26,8 @@
     /// The ends that this entry saw itself.
     own: BTreeSet<Incarnation>,
     latest: Instant,
+    /// When enough servers had ended under it to judge it.
+    due_since: Option<Instant>,
 }
 
 /// The requests under which servers ended, and these servers.
@@ -50,6 +52,7 @@
             ends: BTreeMap::new(),
             own: BTreeSet::new(),
             latest: now,
+            due_since: None,
         });
         if suspect.ends.insert(server.clone(), now).is_none() {
             suspect.latest = now;
@@ -57,6 +60,9 @@
         if is_own {
             suspect.own.insert(server.clone());
         }
+        if suspect.ends.len() >= MIN_ENDS {
+            suspect.due_since.get_or_insert(now);
+        }
         if self.by_digest.len() > MAX_SUSPECTS {
             self.evict(digest);
         }
@@ -111,7 +117,8 @@
         let mut candidates = self.by_digest.iter().filter(|(_, suspect)| {
             let ends = suspect.ends.len();
             let is_known_elsewhere = suspect.own.len() < ends;
-            let are_reports_in = now.since(suspect.latest) >= MAX_REPORT_AGE;
+            let due_for = suspect.due_since.map(|since| now.since(since));
+            let are_reports_in = due_for.is_some_and(|span| span >= MAX_REPORT_AGE);
             let is_due = is_known_elsewhere || are_reports_in;
             ends >= MIN_ENDS && !suspect.own.is_empty() && is_due
         });
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -128,6 +128,30 @@
     assert_eq!(evaluate(&mut quarantine, 200), [CULPRIT]);
 }
 
+/// Guards against a judgement that each further end puts off.
+#[test]
+fn further_ends_do_not_delay_the_judgement() {
+    let mut quarantine = Quarantine::default();
+    for (number, server) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        end(&mut quarantine, number as u64 * 200, server, &[CULPRIT]);
+    }
+
+    assert_eq!(evaluate(&mut quarantine, 400), [CULPRIT]);
+}
+
+/// Guards against an entry that starts after an outage of the store and reads it before what was
+/// quarantined in the outage is written: the others must go on reporting it.
+#[test]
+fn unwritten_request_is_reported_by_all_that_know_it() {
+    let mut quarantine = Quarantine::default();
+    quarantine.insert(Instant(0), CULPRIT, Source::Report, Instant(9_000));
+    assert!(quarantine.reported(Instant(60_000)).contains(&CULPRIT));
+
+    quarantine.stored(CULPRIT);
+
+    assert!(!quarantine.reported(Instant(60_000)).contains(&CULPRIT));
+}
+
 /// Guards against an entry that passes judgement on reports alone: it cannot know that the request
 /// was served where the reports come from.
 #[test]
--- a/crates/core/tests/quarantine_model.rs
+++ b/crates/core/tests/quarantine_model.rs
@@ -166,7 +166,7 @@
             for entry in &self.entries {
                 sum.merge(&Summary {
                     ended_under: entry.own_ends(self.now),
-                    quarantined: entry.own(self.now),
+                    quarantined: entry.reported(self.now),
                     ..Summary::default()
                 });
             }
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -166,7 +166,7 @@
         held: state.reported_layers.borrow().clone(),
         ordered: cloned(ordered.map(|(server, layers)| (server, *layers))),
         ended_under: quarantine.own_ends(now),
-        quarantined: quarantine.own(now),
+        quarantined: quarantine.reported(now),
     }
 }
 
