--- a/crates/core/tests/quarantine_model.rs
+++ b/crates/core/tests/quarantine_model.rs
@@ -5,6 +5,7 @@
 //! reports, late and with losses.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::OccupiedEntry;
 
 use jujube_core::pipeline::attempts::Attempts;
 use jujube_core::pipeline::attempts::Permission;
@@ -120,7 +121,7 @@
     }
 
     fn is_due(&self, interval: Option<Span>) -> bool {
-        interval.is_some_and(|interval| self.now.0.is_multiple_of(interval.0))
+        interval.is_some_and(|interval| self.now.0 % interval.0 == 0)
     }
 
     fn run(mut self) -> Figures {
@@ -173,13 +174,11 @@
             self.reports
                 .insert(self.now.plus(self.plan.report_age), sum);
         }
-        let Some((due, _)) = self.reports.first_key_value() else {
+        let is_due = |entry: &OccupiedEntry<'_, Instant, Summary>| *entry.key() <= self.now;
+        let Some(due) = self.reports.first_entry().filter(is_due) else {
             return;
         };
-        if *due > self.now {
-            return;
-        }
-        let (_, sum) = self.reports.pop_first().unwrap();
+        let sum = due.remove();
         for entry in &mut self.entries {
             if self.random.random_bool(REPORT_LOSS) {
                 continue;
