Keep to the limits that servers name, over all entries together

Cause: nothing read the header. Evidence: arrivals at the server did not change at the naming, 27 a second before and 31 after. Ruled out: limits taken per entry (would have stayed under 4 x 8.7), and late news (no drop in the 20 s after). The class: a signal of overload that ends at the entry that gets it; refusals and slowness were shared between entries, rates were not.

Change: the limit is read from every response that belongs to its request, also rejections, errors and health checks, and reported to the other entries with its age. A response that may be older than what is known only lowers a limit. Up to as many entries as the limit has requests per second share it, chosen alike by rendezvous hashing among those in the server's zone; each paces its own. Path search and the choice of plain servers take a server beyond its share for a full one; streams under way stay. What nobody can take is refused at once with the time until this entry's share. Entries together send at least one request in 4 s, since only its answers tell that a limit ended.

The tests failed before: 97 requests in 4 s at a plain server and 173 at an engine, 35 allowed, and no refusal where the only server was at its limit.

--- a/crates/core/src/pipeline/cell.rs
+++ b/crates/core/src/pipeline/cell.rs
@@ -209,6 +209,19 @@
         self.members.len()
     }
 
+    /// Returns the names of the known entries of an availability zone, or of all zones if it has
+    /// none.
+    #[must_use]
+    pub fn nearest(&self, zone: &Zone) -> Vec<Arc<str>> {
+        let is_local = |(_, member): &(&Arc<str>, &Member)| member.location.zone == *zone;
+        let local = self.members.iter().filter(is_local);
+        let local: Vec<Arc<str>> = local.map(|(name, _)| name.clone()).collect();
+        if local.is_empty() {
+            return self.members.keys().cloned().collect();
+        }
+        local
+    }
+
     /// Returns the number of known entries whose names precede this one's.
     #[must_use]
     pub fn rank(&self) -> usize {
--- a/crates/core/src/pipeline/chooser/search.rs
+++ b/crates/core/src/pipeline/chooser/search.rs
@@ -118,6 +118,7 @@
             wait_ms: context.load.backlog.wait_ms(context.now, &candidate.server),
             herd_position: context.herd_position(&candidate.zone),
             free_kv: capacity - used,
+            is_open: context.load.limits.is_open(context.now, &candidate.server),
         }
     }
 
@@ -174,6 +175,8 @@
     herd_position: f64,
     /// Free KV capacity, in token-layers.
     free_kv: f64,
+    /// Whether it may be sent a request now, within the limit that it names.
+    is_open: bool,
 }
 
 /// The cheapest way to a position: the previous position, the candidate in between and the cost.
@@ -214,7 +217,9 @@
     } else {
         prefill_ms = priced.prefill_layer_ms * count;
         wait_ms = priced.wait_ms + priced.herd_position * prefill_ms;
-        if demand.tokens() * count > priced.free_kv {
+        // Only the first part of a path is sent the request.
+        let is_closed = from == 0 && !priced.is_open;
+        if is_closed || demand.tokens() * count > priced.free_kv {
             cost_ms += NO_CAPACITY_MS;
         }
     }
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::pipeline::backlog::Backlog;
+use crate::pipeline::limits::Limits;
 use crate::pipeline::path::Path;
 use crate::pipeline::refusals::Refusals;
 use crate::pipeline::server::Incarnation;
@@ -43,6 +44,8 @@
     pub backlog: Backlog,
     /// Servers that refuse requests.
     pub refusals: Refusals,
+    /// Limits that servers name.
+    pub limits: Limits,
     /// Reported slowness factor of each server, and when it was received.
     slowness: BTreeMap<Incarnation, (f64, Instant)>,
     /// Slowness factors that servers reported to this entry directly, for forwarding.
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -15,6 +15,7 @@
 pub mod digest;
 pub mod document;
 pub mod era;
+pub mod limits;
 pub mod liveness;
 pub mod load;
 pub mod local_health;
--- a/crates/core/src/pipeline/summary.rs
+++ b/crates/core/src/pipeline/summary.rs
@@ -7,6 +7,7 @@
 use crate::fence::Token;
 use crate::layer::Range;
 use crate::pipeline::digest::Digest;
+use crate::pipeline::limits;
 use crate::pipeline::load::Usage;
 use crate::pipeline::outlier::Tally;
 use crate::pipeline::server::Incarnation;
@@ -56,6 +57,8 @@
     pub ended_under: BTreeMap<Incarnation, BTreeSet<Digest>>,
     /// Requests that were quarantined recently.
     pub quarantined: BTreeSet<Digest>,
+    /// Limits that servers name, or no longer name.
+    pub limits: BTreeMap<Incarnation, limits::Report>,
 }
 
 impl Summary {
@@ -106,5 +109,15 @@
             union.extend(digests);
         }
         self.quarantined.extend(&other.quarantined);
+        for (server, report) in &other.limits {
+            let aged = limits::Report {
+                age: Span(report.age.0 + age.0),
+                ..*report
+            };
+            let newest = self.limits.entry(server.clone()).or_insert(aged);
+            if aged.age < newest.age {
+                *newest = aged;
+            }
+        }
     }
 }
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -42,6 +42,8 @@
     pub not_run: HeaderName,
     /// The address of the part of a path that caused a failure.
     pub server_at_fault: HeaderName,
+    /// The limit that a backend server names, in requests per second from all entries together.
+    pub limit: HeaderName,
 }
 
 /// A decoded key of the store.
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -8,6 +8,8 @@
 use jujube_core::name::Zone;
 use jujube_core::pipeline::cell::Id;
 use jujube_core::pipeline::digest::Digest;
+use jujube_core::pipeline::limits;
+use jujube_core::pipeline::limits::Rate;
 use jujube_core::pipeline::load::Usage;
 use jujube_core::pipeline::outlier::Tally;
 use jujube_core::pipeline::reports::Fragment;
@@ -136,7 +138,11 @@
 /// The most requests in quarantine per appendix.
 const MAX_QUARANTINED: usize = 256;
 
-/// The last portion of a report that tells of requests that crash servers.
+/// The most limits of servers per appendix.
+const MAX_LIMITS: usize = 256;
+
+/// The last portion of a report that tells of requests that crash servers, and of limits that
+/// servers name.
 ///
 /// Entries of versions without it reject it, and apply the other portions.
 #[derive(Debug, Deserialize, Serialize)]
@@ -147,6 +153,8 @@
     number: u16,
     ended_under: Vec<(WireIncarnation, u64)>,
     quarantined: Vec<u64>,
+    /// Servers, the limits that they name in requests per second, and the age in milliseconds.
+    limits: Vec<(WireIncarnation, Option<f64>, u32)>,
 }
 
 impl Appendix {
@@ -156,6 +164,10 @@
             digests.map(move |digest| (server.into(), digest.0))
         });
         let quarantined = summary.quarantined.iter().map(|digest| digest.0);
+        let limits = summary.limits.iter().map(|(server, report)| {
+            let rate = report.rate.map(Rate::per_second);
+            (server.into(), rate, report.age.0 as u32)
+        });
         Self {
             entry: sender.entry.into(),
             zone: sender.zone.to_string(),
@@ -163,6 +175,7 @@
             number,
             ended_under: ends.take(MAX_ENDS).collect(),
             quarantined: quarantined.take(MAX_QUARANTINED).collect(),
+            limits: limits.take(MAX_LIMITS).collect(),
         }
     }
 
@@ -174,15 +187,25 @@
     }
 }
 
-impl From<Appendix> for Received {
-    fn from(appendix: Appendix) -> Self {
+impl TryFrom<Appendix> for Received {
+    type Error = Malformed;
+
+    fn try_from(appendix: Appendix) -> Result<Self, Self::Error> {
         let mut summary = Summary::default();
         for (server, digest) in appendix.ended_under {
             let digests = summary.ended_under.entry(server.into()).or_default();
             digests.insert(Digest(digest));
         }
         summary.quarantined = appendix.quarantined.into_iter().map(Digest).collect();
-        Self {
+        for (server, rate, age) in appendix.limits {
+            let rate = rate.map(Rate::new).transpose();
+            let report = limits::Report {
+                rate: rate.map_err(|_| Malformed::NotFinite)?,
+                age: Span(u64::from(age)),
+            };
+            summary.limits.insert(server.into(), report);
+        }
+        Ok(Self {
             entry: appendix.entry,
             zone: appendix.zone.into(),
             scope: appendix.scope.into(),
@@ -191,13 +214,16 @@
                 last: appendix.number,
             },
             summary,
-        }
+        })
     }
 }
 
 /// Returns whether a report needs an appendix.
 fn has_appendix(summary: &Summary) -> bool {
-    !summary.ended_under.is_empty() || !summary.quarantined.is_empty()
+    let is_empty = summary.ended_under.is_empty()
+        && summary.quarantined.is_empty()
+        && summary.limits.is_empty();
+    !is_empty
 }
 
 /// A decoded message.
@@ -328,7 +354,7 @@
         let appendix: Appendix = options
             .deserialize(appendix)
             .map_err(|_| Malformed::Encoding)?;
-        return Ok(appendix.into());
+        return appendix.try_into();
     }
     let message: Message = options
         .deserialize(bytes)
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -22,6 +22,7 @@
 use tokio::net::UdpSocket;
 
 use crate::dialect::Dialect;
+use crate::limits;
 use crate::probe;
 use crate::quarantine;
 use crate::state::State;
@@ -167,6 +168,7 @@
         ordered: cloned(ordered.map(|(server, layers)| (server, *layers))),
         ended_under: quarantine.own_ends(now),
         quarantined: quarantine.reported(now),
+        limits: cloned(load.limits.reports(now)),
     }
 }
 
@@ -246,6 +248,7 @@
         .peers
         .set_summary(others.entries, others.with_store, others.ready);
     quarantine::apply_reports(state, &others);
+    limits::apply_reports(state, &others);
     let mut load = state.load.borrow_mut();
     load.set_others(others.entries, others.usage);
     drop(load);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod gossip;
 mod head;
+mod limits;
 mod metrics;
 mod planner;
 mod pool;
--- /dev/null
+++ b/crates/front/src/limits.rs
@@ -0,0 +1,126 @@
+//! Limits of requests per second that backend servers name in their responses.
+
+use hyper::HeaderMap;
+use jujube_core::pipeline::limits::Rate;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::summary::Summary;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+use jujube_program::clock;
+
+use crate::dialect::Dialect;
+use crate::head;
+use crate::state::State;
+
+/// Applies a server's response to a request that was sent at `sent`.
+pub fn observe<D: Dialect>(
+    state: &State<D>,
+    server: &Incarnation,
+    sent: Instant,
+    headers: &HeaderMap,
+) {
+    let named = match named::<D>(state, headers) {
+        Ok(named) => named,
+        Err(Malformed) => return,
+    };
+    let mut load = state.load.borrow_mut();
+    let is_changed = load.limits.observe(sent, clock::now(), server, named);
+    drop(load);
+    if is_changed {
+        log_change(state, server, "own");
+        divide(state);
+        state.urgent_report.notify_waiters();
+    }
+}
+
+/// Applies a server's response to a health check. It may name a limit, but is no evidence that one
+/// has ended.
+pub fn observe_check<D: Dialect>(
+    state: &State<D>,
+    server: &Incarnation,
+    sent: Instant,
+    headers: &HeaderMap,
+) {
+    if headers.contains_key(&D::NAMES.limit) {
+        observe(state, server, sent, headers);
+    }
+}
+
+/// The header's value is not a rate.
+struct Malformed;
+
+fn named<D: Dialect>(state: &State<D>, headers: &HeaderMap) -> Result<Option<Rate>, Malformed> {
+    if !headers.contains_key(&D::NAMES.limit) {
+        return Ok(None);
+    }
+    let rate = head::text(headers, &D::NAMES.limit).and_then(|text| text.parse().ok());
+    if rate.is_none() {
+        state.metrics.count("limits_malformed");
+    }
+    rate.map(Some).ok_or(Malformed)
+}
+
+/// Applies what other entries reported.
+pub fn apply_reports<D: Dialect>(state: &State<D>, others: &Summary) {
+    let now = clock::now();
+    for (server, report) in &others.limits {
+        let mut load = state.load.borrow_mut();
+        let is_changed = load.limits.receive(now, server, *report);
+        drop(load);
+        if is_changed {
+            log_change(state, server, "report");
+        }
+    }
+    divide(state);
+}
+
+/// Computes this entry's shares of the limits.
+fn divide<D>(state: &State<D>) {
+    let directory = state.peers.directory.borrow();
+    let roster = state.roster.borrow();
+    let mut load = state.load.borrow_mut();
+    load.limits.divide(&state.settings.name, |server| {
+        let zone = roster.get(server).map(|server| &server.zone);
+        directory.nearest(zone.unwrap_or(&state.settings.zone))
+    });
+}
+
+fn log_change<D>(state: &State<D>, server: &Incarnation, source: &str) {
+    let load = state.load.borrow();
+    match load.limits.get(server) {
+        Some((rate, _)) => {
+            state.metrics.count("limits_named");
+            log::info!("event=limit server={server} per_second={rate} source={source}");
+        }
+        None => log::info!("event=limit-ended server={server} source={source}"),
+    }
+}
+
+/// Records a request that is being sent to a server.
+pub fn record_sent<D>(state: &State<D>, request: &str, server: &Incarnation) {
+    let mut load = state.load.borrow_mut();
+    let Some((rate, share)) = load.limits.get(server) else {
+        return;
+    };
+    load.limits.sent(clock::now(), server);
+    state.metrics.count("requests_within_limits");
+    log::info!(
+        "event=sent-within-limit request={request} server={server} per_second={rate} share={share:.2}"
+    );
+}
+
+/// Returns whether this entry may send a request to a server now.
+pub fn is_open<D>(state: &State<D>, server: &Incarnation) -> bool {
+    state.load.borrow().limits.is_open(clock::now(), server)
+}
+
+/// Returns how long it takes until the first of some servers may get a request, if all of them are
+/// at their limits; `None` if this entry has a share of none.
+pub fn opens_after<'a, D>(
+    state: &State<D>,
+    servers: impl Iterator<Item = &'a Incarnation>,
+) -> Option<Span> {
+    let load = state.load.borrow();
+    let opens_at = servers.filter_map(|server| load.limits.opens_at(server));
+    opens_at.min().map(|at| at.since(clock::now()))
+}
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
+use hyper::Response;
 use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -203,12 +204,12 @@
 pub async fn call(
     mut lease: Lease,
     request: Request<Full<Bytes>>,
-) -> anyhow::Result<(StatusCode, Bytes)> {
+) -> anyhow::Result<Response<Bytes>> {
     let response = lease.sender.send_request(request).await?;
     let (parts, body) = response.into_parts();
     let body = body.collect().await?.to_bytes();
     lease.release(&parts.headers);
-    Ok((parts.status, body))
+    Ok(Response::from_parts(parts, body))
 }
 
 /// Sends an order to an engine.
@@ -227,7 +228,8 @@
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(body))?;
-    call(lease, request).await
+    let response = call(lease, request).await?;
+    Ok((response.status(), response.into_body()))
 }
 
 /// Returns how long to keep an idle connection; `None` if the server will close it.
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -20,6 +20,7 @@
 
 use crate::dialect::Dialect;
 use crate::dialect::Report;
+use crate::limits;
 use crate::pool;
 use crate::pool::Lease;
 use crate::state::State;
@@ -116,12 +117,13 @@
     let first = std::pin::pin!(async {
         let lease = state.pool.lease(server, address).await?;
         let is_reused = lease.is_reused;
-        let response = send_probe::<D>(lease, address).await;
+        let response = send_probe(state, server, lease, address).await;
         // The server may have closed the idle connection, which says nothing about its health.
         if response.is_ok() || !is_reused {
             return response;
         }
-        send_probe::<D>(state.pool.connect(server, address).await?, address).await
+        let lease = state.pool.connect(server, address).await?;
+        send_probe(state, server, lease, address).await
     });
     let pause = std::pin::pin!(tokio::time::sleep(SECOND_PROBE_DELAY));
     let first = match select(first, pause).await {
@@ -129,7 +131,8 @@
         Either::Right(((), first)) => first,
     };
     let second = std::pin::pin!(async {
-        send_probe::<D>(state.pool.connect(server, address).await?, address).await
+        let lease = state.pool.connect(server, address).await?;
+        send_probe(state, server, lease, address).await
     });
     match select(first, second).await {
         Either::Left((Ok(body), _)) | Either::Right((Ok(body), _)) => Ok(body),
@@ -138,15 +141,23 @@
     }
 }
 
-async fn send_probe<D: Dialect>(lease: Lease, address: SocketAddr) -> anyhow::Result<Bytes> {
+async fn send_probe<D: Dialect>(
+    state: &State<D>,
+    server: &Incarnation,
+    lease: Lease,
+    address: SocketAddr,
+) -> anyhow::Result<Bytes> {
+    let sent = clock::now();
     let request = Request::get(D::REPORT)
         .header(HOST, address.to_string())
         .body(Full::default())?;
-    let (status, body) = pool::call(lease, request).await?;
+    let response = pool::call(lease, request).await?;
+    limits::observe_check(state, server, sent, response.headers());
+    let status = response.status();
     if !status.is_success() {
         anyhow::bail!("status {status}");
     }
-    Ok(body)
+    Ok(response.into_body())
 }
 
 /// Returns the health of a server, and suspects it if it is dead.
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -16,6 +16,7 @@
 
 use crate::dialect::Dialect;
 use crate::head;
+use crate::limits;
 use crate::probe;
 use crate::quarantine;
 use crate::response::Reason;
@@ -232,7 +233,11 @@
     let is_usable = |path: &Path| {
         let suspicion = state.suspicion.borrow();
         let mut servers = path.parts().iter().map(|part| &part.server);
-        servers.all(|server| !suspicion.is_suspected(server) && !avoid.contains(server))
+        let is_first_open = path
+            .first()
+            .is_some_and(|first| limits::is_open(state, &first.server));
+        is_first_open
+            && servers.all(|server| !suspicion.is_suspected(server) && !avoid.contains(server))
     };
     if let Some(path) = planned.filter(is_usable) {
         return Some(path);
@@ -252,6 +257,10 @@
         },
     )?;
     let choice = choice.filter(|choice| !choice.is_last_resort())?;
+    let first = choice.path.first()?;
+    if !limits::is_open(state, &first.server) {
+        return None;
+    }
     let is_under_way = stream.events.get() > 0;
     if is_under_way
         && choice.lacks_capacity()
@@ -419,12 +428,13 @@
         path
     );
     set_path(state, stream, Some(path));
+    limits::record_sent(state, &stream.id, &first.server);
     stream.attempts.borrow_mut().begin(first.server.clone());
     let mut retry = stream.retry.take();
     if let Some(retry) = &mut retry {
         retry.set_sent(true);
     }
-    let sending = upstream::send::<D>(&state.pool, &first.server, first.address, &outgoing);
+    let sending = upstream::send::<D>(state, &first.server, first.address, &outgoing);
     let sending = std::pin::pin!(sending);
     let interrupted = std::pin::pin!(stream.interrupted());
     let result = match select(sending, interrupted).await {
--- a/crates/front/src/unary.rs
+++ b/crates/front/src/unary.rs
@@ -19,6 +19,7 @@
 use crate::body::Body;
 use crate::dialect::Dialect;
 use crate::head;
+use crate::limits;
 use crate::probe;
 use crate::quarantine;
 use crate::request;
@@ -43,6 +44,8 @@
 const RETRY_WAIT: Duration = Duration::from_millis(60);
 /// `Retry-After` if no server is available.
 const RETRY_AFTER_NO_SERVER: Span = Span(500);
+/// `Retry-After` if all servers are at their limits and this entry has no share of them.
+const RETRY_AFTER_NO_SHARE: Span = Span(1_000);
 /// How long before the deadline a request that may have run is answered, so that the response
 /// arrives in time.
 const DEADLINE_MARGIN: Span = Span(10);
@@ -319,6 +322,7 @@
         let suspicion = self.state.suspicion.borrow();
         let outliers = self.state.outliers.borrow();
         let local_zone = &self.state.settings.zone;
+        let now = clock::now();
         let health = |server: &&Server| {
             let incarnation = &server.incarnation;
             let is_avoided =
@@ -329,6 +333,7 @@
             .usable()
             .filter(|server| server.service == self.request.service)
             .filter(|server| !self.excluded.contains(&server.incarnation))
+            .filter(|server| load.limits.is_open(now, &server.incarnation))
             .collect();
         let best = usable.iter().map(health).min()?;
         usable.retain(|server| health(server) == best);
@@ -352,11 +357,18 @@
     }
 
     fn no_server(&self) -> Refusal {
-        (
-            Reason::NoServer,
-            "no-server".into(),
-            Some(RETRY_AFTER_NO_SERVER),
-        )
+        let roster = self.state.roster.borrow();
+        let servers = roster
+            .usable()
+            .filter(|server| server.service == self.request.service);
+        let servers: Vec<&Incarnation> = servers.map(|server| &server.incarnation).collect();
+        if servers.is_empty() {
+            let cause = "no-server".into();
+            return (Reason::NoServer, cause, Some(RETRY_AFTER_NO_SERVER));
+        }
+        let opens_after = limits::opens_after(self.state, servers.into_iter());
+        let retry_after = opens_after.unwrap_or(RETRY_AFTER_NO_SHARE);
+        (Reason::NoServer, "at-limit".into(), Some(retry_after))
     }
 
     fn refusal(&self) -> Refusal {
@@ -381,6 +393,7 @@
 /// services are a few kilobytes at most.
 async fn attempt<D: Dialect>(state: &Rc<State<D>>, request: &Admitted, server: Server) -> Outcome {
     let in_flight = InFlight::new(state, &server.incarnation);
+    limits::record_sent(state, &request.id, &server.incarnation);
     let mut outgoing = request.outgoing.clone();
     let left = request.deadline.since(clock::now());
     head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
@@ -391,8 +404,7 @@
         server.incarnation,
         state.load.borrow().requests(&server.incarnation)
     );
-    let sent =
-        upstream::send::<D>(&state.pool, &server.incarnation, server.address, &outgoing).await;
+    let sent = upstream::send::<D>(state, &server.incarnation, server.address, &outgoing).await;
     let result = match sent {
         Ok(incomplete) => {
             let (parts, body) = incomplete.response.into_parts();
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -13,11 +13,14 @@
 use hyper::Uri;
 use hyper::body::Incoming;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_program::clock;
 
 use crate::dialect::Dialect;
 use crate::head;
+use crate::limits;
 use crate::pool::Lease;
 use crate::pool::Pool;
+use crate::state::State;
 
 /// A request to a backend server; retries send the same one.
 #[derive(Clone, Debug)]
@@ -84,15 +87,17 @@
 ///
 /// There is no usable response, or the server reports that it did not run the request.
 pub async fn send<D: Dialect>(
-    pool: &Pool,
+    state: &State<D>,
     server: &Incarnation,
     address: SocketAddr,
     outgoing: &Outgoing,
 ) -> Result<Incomplete, Failure> {
+    let pool = &state.pool;
     let mut lease = lease(pool, server, address).await?;
     loop {
         let request = build_request::<D>(server, outgoing);
         let is_reused = lease.is_reused;
+        let sent_at = clock::now();
         let sent = lease.sender.try_send_request(request).await;
         let response = match sent {
             Ok(response) => response,
@@ -110,6 +115,9 @@
                 continue;
             }
         };
+        if is_own::<D>(&response, &outgoing.headers) {
+            limits::observe(state, server, sent_at, response.headers());
+        }
         return check_response::<D>(lease, response, &outgoing.headers).await;
     }
 }
@@ -137,6 +145,11 @@
     request
 }
 
+/// Returns whether a response belongs to the request with the headers `sent`.
+fn is_own<D: Dialect>(response: &Response<Incoming>, sent: &HeaderMap) -> bool {
+    response.headers().get(&D::NAMES.request) == sent.get(&D::NAMES.request)
+}
+
 /// Checks that a response belongs to the request.
 ///
 /// Compares request identifiers, so that a late duplicate response on a reused connection is not
@@ -149,8 +162,7 @@
     let names = D::NAMES;
     let headers = response.headers();
     let status = response.status();
-    let is_own = headers.get(&names.request) == sent.get(&names.request);
-    if !is_own {
+    if !is_own::<D>(&response, sent) {
         return Err(Failure::Unknown(
             "response belongs to another request".into(),
         ));
