--- a/crates/core/src/pipeline/cell.rs
+++ b/crates/core/src/pipeline/cell.rs
@@ -113,6 +113,7 @@
     home: Id,
     /// The number of relays to the other cells.
     round: usize,
+    version: u64,
 }
 
 impl Directory {
@@ -131,6 +132,7 @@
             cells: BTreeMap::new(),
             home: Id::default(),
             round: usize::MAX,
+            version: 0,
         };
         directory.regroup();
         directory
@@ -209,6 +211,12 @@
         self.members.len()
     }
 
+    /// Returns a number that grows whenever the known entries or their locations change.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the names of the known entries of an availability zone, or of all zones if it has
     /// none.
     #[must_use]
@@ -308,6 +316,7 @@
     }
 
     fn regroup(&mut self) {
+        self.version += 1;
         self.cells = group(&self.members);
         let home = self
             .cells
--- a/crates/core/src/pipeline/limits.rs
+++ b/crates/core/src/pipeline/limits.rs
@@ -90,6 +90,8 @@
     at: Instant,
     /// The requests per second that this entry may send.
     share: f64,
+    /// The limit and the version of the entries for which the share was computed.
+    divided: Option<(Rate, u64)>,
     last_sent: Option<Instant>,
 }
 
@@ -121,7 +123,7 @@
 /// # use jujube_core::time::Instant;
 /// let (mut limits, server) = (Limits::default(), "a".into());
 /// limits.observe(Instant(0), Instant(5), &server, Some(Rate::new(2.0)?));
-/// limits.divide("entry", |_| vec!["entry".into()]);
+/// limits.divide("entry", 1, |_| vec!["entry".into()]);
 /// assert!(limits.is_open(Instant(10), &server));
 /// limits.sent(Instant(10), &server);
 /// assert!(!limits.is_open(Instant(500), &server));
@@ -164,6 +166,7 @@
             rate,
             at,
             share: 0.0,
+            divided: None,
             last_sent: None,
         };
         self.0.insert(server.clone(), known);
@@ -194,11 +197,21 @@
     }
 
     /// Divides the limits among the entries that may use each server, of which this one is `own`.
-    pub fn divide(&mut self, own: &str, entries: impl Fn(&Incarnation) -> Vec<Arc<str>>) {
+    /// Does nothing for limits that were divided for the same `version` of the entries.
+    pub fn divide(
+        &mut self,
+        own: &str,
+        version: u64,
+        entries: impl Fn(&Incarnation) -> Vec<Arc<str>>,
+    ) {
         for (server, known) in &mut self.0 {
             let Some(rate) = known.rate else {
                 continue;
             };
+            if known.divided == Some((rate, version)) {
+                continue;
+            }
+            known.divided = Some((rate, version));
             let rate = rate.0.max(MIN_RATE);
             let mut entries = entries(server);
             let count = ((rate / MIN_SHARE) as usize).clamp(1, entries.len().max(1));
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -79,7 +79,9 @@
     let directory = state.peers.directory.borrow();
     let roster = state.roster.borrow();
     let mut load = state.load.borrow_mut();
-    load.limits.divide(&state.settings.name, |server| {
+    let version = directory.version();
+    let own = &state.settings.name;
+    load.limits.divide(own, version, |server| {
         let zone = roster.get(server).map(|server| &server.zone);
         directory.nearest(zone.unwrap_or(&state.settings.zone))
     });
