Do not repair the path of a quarantined request

A repair brings a request to another server without a run, so the check before each run did not see it. Found by reading; the same cause elsewhere.

--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -321,6 +321,9 @@
     avoid: &[Incarnation],
     cause: Cause,
 ) -> Repair {
+    if state.is_quarantined(stream.digest) {
+        return Repair::Failed;
+    }
     let choice = match stream::recover(state, stream, old, avoid, cause) {
         Some(Continuation::Repair(choice)) => choice,
         Some(Continuation::Reopen(_)) => return Repair::Reopen,
