--- a/crates/core/src/pipeline/quarantine/mod.rs
+++ b/crates/core/src/pipeline/quarantine/mod.rs
@@ -72,7 +72,7 @@
 
 /// A request in quarantine.
 #[derive(Clone, Debug)]
-struct Entry {
+struct Record {
     at: Instant,
     /// The servers that ended under it, as far as known.
     servers: BTreeSet<Incarnation>,
@@ -104,7 +104,7 @@
     lost: Vec<Lost>,
     suspects: Suspects,
     survivors: Survivors,
-    entries: BTreeMap<Digest, Entry>,
+    records: BTreeMap<Digest, Record>,
     /// The requests that left a full quarantine, until they are removed from the store.
     evicted: Vec<Digest>,
 }
@@ -164,9 +164,9 @@
     }
 
     fn record_end(&mut self, now: Instant, digest: Digest, server: &Incarnation, is_own: bool) {
-        match self.entries.get_mut(&digest) {
-            Some(entry) => {
-                entry.servers.insert(server.clone());
+        match self.records.get_mut(&digest) {
+            Some(record) => {
+                record.servers.insert(server.clone());
                 self.suspects.explain(now, server.clone());
             }
             None => self.suspects.ended(now, digest, server, is_own),
@@ -201,64 +201,64 @@
         store_at: Instant,
     ) -> bool {
         let is_stored = source == Source::Store;
-        if let Some(entry) = self.entries.get_mut(&digest) {
-            entry.is_stored |= is_stored;
+        if let Some(record) = self.records.get_mut(&digest) {
+            record.is_stored |= is_stored;
             return false;
         }
         let servers = self.suspects.remove(digest);
         for server in &servers {
             self.suspects.explain(now, server.clone());
         }
-        let entry = Entry {
+        let record = Record {
             at: now,
             servers,
             is_own: source == Source::Own,
             is_stored,
             store_at,
         };
-        self.entries.insert(digest, entry);
-        if self.entries.len() > MAX_QUARANTINED {
+        self.records.insert(digest, record);
+        if self.records.len() > MAX_QUARANTINED {
             self.evict(digest);
         }
         true
     }
 
     fn evict(&mut self, added: Digest) {
-        let others = self.entries.iter().filter(|(digest, _)| **digest != added);
-        let oldest = others.min_by_key(|(_, entry)| entry.at);
+        let others = self.records.iter().filter(|(digest, _)| **digest != added);
+        let oldest = others.min_by_key(|(_, record)| record.at);
         if let Some(digest) = oldest.map(|(digest, _)| *digest) {
-            self.entries.remove(&digest);
+            self.records.remove(&digest);
             self.evicted.push(digest);
         }
     }
 
     /// Releases a request, because an operator removed it from the store.
     pub fn release(&mut self, digest: Digest) -> bool {
-        self.entries.remove(&digest).is_some()
+        self.records.remove(&digest).is_some()
     }
 
     /// Returns whether a request is in quarantine.
     #[must_use]
     pub fn contains(&self, digest: Digest) -> bool {
-        self.entries.contains_key(&digest)
+        self.records.contains_key(&digest)
     }
 
     /// Returns the number of requests in quarantine.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.records.len()
     }
 
     /// Returns whether no request is in quarantine.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.records.is_empty()
     }
 
     /// Returns the servers that are known to have ended under a request in quarantine.
     pub fn servers(&self, digest: Digest) -> impl Iterator<Item = &Incarnation> {
-        let entry = self.entries.get(&digest);
-        entry.into_iter().flat_map(|entry| &entry.servers)
+        let record = self.records.get(&digest);
+        record.into_iter().flat_map(|record| &record.servers)
     }
 
     /// Returns the ends that this entry saw and reports to others.
@@ -271,9 +271,12 @@
     /// those that an entry which starts cannot read from the store.
     #[must_use]
     pub fn reported(&self, now: Instant) -> BTreeSet<Digest> {
-        let is_recent = |entry: &Entry| entry.is_own && now.since(entry.at) <= REPORT_FOR;
-        let is_reported = |entry: &Entry| is_recent(entry) || !entry.is_stored;
-        let reported = self.entries.iter().filter(|(_, entry)| is_reported(entry));
+        let is_recent = |record: &Record| record.is_own && now.since(record.at) <= REPORT_FOR;
+        let is_reported = |record: &Record| is_recent(record) || !record.is_stored;
+        let reported = self
+            .records
+            .iter()
+            .filter(|(_, record)| is_reported(record));
         reported
             .map(|(digest, _)| *digest)
             .take(MAX_REPORTED)
@@ -283,25 +286,25 @@
     /// Returns the requests that this entry is to write to the store now.
     #[must_use]
     pub fn unstored(&self, now: Instant) -> Vec<Digest> {
-        let is_due = |entry: &Entry| !entry.is_stored && entry.store_at <= now;
-        let due = self.entries.iter().filter(|(_, entry)| is_due(entry));
+        let is_due = |record: &Record| !record.is_stored && record.store_at <= now;
+        let due = self.records.iter().filter(|(_, record)| is_due(record));
         due.map(|(digest, _)| *digest).collect()
     }
 
     /// Records that a request in quarantine is in the store.
     pub fn stored(&mut self, digest: Digest) {
-        if let Some(entry) = self.entries.get_mut(&digest) {
-            entry.is_stored = true;
+        if let Some(record) = self.records.get_mut(&digest) {
+            record.is_stored = true;
         }
     }
 
     /// Records which requests a snapshot of the store contains; the others are written again at
     /// `store_at`, unless another entry does so first.
     pub fn replaced(&mut self, contained: &BTreeSet<Digest>, store_at: Instant) {
-        for (digest, entry) in &mut self.entries {
-            if entry.is_stored && !contained.contains(digest) {
-                entry.is_stored = false;
-                entry.store_at = store_at;
+        for (digest, record) in &mut self.records {
+            if record.is_stored && !contained.contains(digest) {
+                record.is_stored = false;
+                record.store_at = store_at;
             }
         }
     }
--- a/crates/core/src/pipeline/quarantine/suspects.rs
+++ b/crates/core/src/pipeline/quarantine/suspects.rs
@@ -107,8 +107,8 @@
 
     /// Returns a request that must have crashed the servers that ended under it, if there is one.
     ///
-    /// Several servers must have ended under it, at least one of them before this entry's eyes, and
-    /// no other request may share all of these ends. Requests that lose one server after another
+    /// Several servers must have ended under it, at least one of them as this entry saw itself, and no
+    /// other request may share all of these ends. Requests that lose one server after another
     /// beside a culprit share ends with it, but rarely all of them. Such a request stays at one
     /// entry, which may not have received the culprit's ends at others yet: a suspect all of whose
     /// ends this entry saw is judged once their reports are in.
--- /dev/null
+++ b/crates/front/src/gossip/appendix.rs
@@ -0,0 +1,128 @@
+//! The part of a report about requests that crash servers, and about limits that servers name.
+
+use bincode::Options;
+use jujube_core::pipeline::digest::Digest;
+use jujube_core::pipeline::limits;
+use jujube_core::pipeline::limits::Rate;
+use jujube_core::pipeline::reports::Fragment;
+use jujube_core::pipeline::reports::Scope;
+use jujube_core::pipeline::summary::Summary;
+use jujube_core::time::Span;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::message::Malformed;
+use super::message::RECEIVE_BUFFER_BYTES;
+use super::message::Received;
+use super::message::Sender;
+use super::message::WireIncarnation;
+use super::message::WireScope;
+
+/// The first byte of an appendix. No message begins with it, since names of entries are short.
+const APPENDIX_TAG: u8 = 0xff;
+/// The most ends of servers under requests per appendix; reports of more entries repeat the rest.
+const MAX_ENDS: usize = 256;
+/// The most requests in quarantine per appendix.
+const MAX_QUARANTINED: usize = 256;
+
+/// The most limits of servers per appendix.
+const MAX_LIMITS: usize = 256;
+
+/// The last portion of a report.
+///
+/// Entries of versions without it reject it, and apply the other portions.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Appendix {
+    entry: String,
+    zone: String,
+    scope: WireScope,
+    number: u16,
+    ended_under: Vec<(WireIncarnation, u64)>,
+    quarantined: Vec<u64>,
+    /// Servers, the limits that they name in requests per second, and the age in milliseconds.
+    limits: Vec<(WireIncarnation, Option<f64>, u32)>,
+}
+
+impl Appendix {
+    /// Returns whether a report needs an appendix.
+    pub(super) fn is_needed(summary: &Summary) -> bool {
+        let is_empty = summary.ended_under.is_empty()
+            && summary.quarantined.is_empty()
+            && summary.limits.is_empty();
+        !is_empty
+    }
+
+    /// Creates the appendix of a report whose other portions precede `number`.
+    pub(super) fn new(sender: Sender<'_>, scope: &Scope, summary: &Summary, number: u16) -> Self {
+        let ends = summary.ended_under.iter().flat_map(|(server, digests)| {
+            let digests = digests.iter();
+            digests.map(move |digest| (server.into(), digest.0))
+        });
+        let quarantined = summary.quarantined.iter().map(|digest| digest.0);
+        let limits = summary.limits.iter().map(|(server, report)| {
+            let rate = report.rate.map(Rate::per_second);
+            (server.into(), rate, report.age.0 as u32)
+        });
+        Self {
+            entry: sender.entry.into(),
+            zone: sender.zone.to_string(),
+            scope: scope.into(),
+            number,
+            ended_under: ends.take(MAX_ENDS).collect(),
+            quarantined: quarantined.take(MAX_QUARANTINED).collect(),
+            limits: limits.take(MAX_LIMITS).collect(),
+        }
+    }
+
+    /// Encodes the appendix.
+    pub(super) fn encode(&self) -> Option<Vec<u8>> {
+        let body = bincode::DefaultOptions::new().serialize(self).ok()?;
+        let mut bytes = vec![APPENDIX_TAG];
+        bytes.extend(body);
+        Some(bytes)
+    }
+
+    /// Decodes an appendix; returns `None` if the message is not one.
+    pub(super) fn decode(bytes: &[u8]) -> Option<Result<Self, Malformed>> {
+        let [APPENDIX_TAG, appendix @ ..] = bytes else {
+            return None;
+        };
+        let options = bincode::DefaultOptions::new().with_limit(RECEIVE_BUFFER_BYTES as u64);
+        Some(
+            options
+                .deserialize(appendix)
+                .map_err(|_| Malformed::Encoding),
+        )
+    }
+}
+
+impl TryFrom<Appendix> for Received {
+    type Error = Malformed;
+
+    fn try_from(appendix: Appendix) -> Result<Self, Self::Error> {
+        let mut summary = Summary::default();
+        for (server, digest) in appendix.ended_under {
+            let digests = summary.ended_under.entry(server.into()).or_default();
+            digests.insert(Digest(digest));
+        }
+        summary.quarantined = appendix.quarantined.into_iter().map(Digest).collect();
+        for (server, rate, age) in appendix.limits {
+            let rate = rate.map(Rate::new).transpose();
+            let report = limits::Report {
+                rate: rate.map_err(|_| Malformed::NotFinite)?,
+                age: Span(u64::from(age)),
+            };
+            summary.limits.insert(server.into(), report);
+        }
+        Ok(Self {
+            entry: appendix.entry,
+            zone: appendix.zone.into(),
+            scope: appendix.scope.into(),
+            portion: Fragment {
+                number: appendix.number,
+                last: appendix.number,
+            },
+            summary,
+        })
+    }
+}
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -7,9 +7,6 @@
 use jujube_core::layer::Range;
 use jujube_core::name::Zone;
 use jujube_core::pipeline::cell::Id;
-use jujube_core::pipeline::digest::Digest;
-use jujube_core::pipeline::limits;
-use jujube_core::pipeline::limits::Rate;
 use jujube_core::pipeline::load::Usage;
 use jujube_core::pipeline::outlier::Tally;
 use jujube_core::pipeline::reports::Fragment;
@@ -21,6 +18,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::appendix::Appendix;
+
 /// The maximum size of one message in bytes. A report of a hundred entries on a hundred servers
 /// takes some 8 kB; a larger datagram could delay probes on a link of 20 Mbit/s.
 const MAX_MESSAGE_BYTES: usize = 16_000;
@@ -31,7 +30,7 @@
 
 /// The wire form of an incarnation.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct WireIncarnation {
+pub(super) struct WireIncarnation {
     server: String,
     born: Option<u64>,
 }
@@ -90,7 +89,7 @@
 
 /// The scope of a report on the wire.
 #[derive(Debug, Deserialize, Serialize)]
-enum WireScope {
+pub(super) enum WireScope {
     Own,
     Cell(String),
     Rest,
@@ -131,101 +130,6 @@
     properties: Vec<(WireIncarnation, Property)>,
 }
 
-/// The first byte of an appendix. No message begins with it, since names of entries are short.
-const APPENDIX_TAG: u8 = 0xff;
-/// The most ends of servers under requests per appendix; reports of more entries repeat the rest.
-const MAX_ENDS: usize = 256;
-/// The most requests in quarantine per appendix.
-const MAX_QUARANTINED: usize = 256;
-
-/// The most limits of servers per appendix.
-const MAX_LIMITS: usize = 256;
-
-/// The last portion of a report that tells of requests that crash servers, and of limits that
-/// servers name.
-///
-/// Entries of versions without it reject it, and apply the other portions.
-#[derive(Debug, Deserialize, Serialize)]
-struct Appendix {
-    entry: String,
-    zone: String,
-    scope: WireScope,
-    number: u16,
-    ended_under: Vec<(WireIncarnation, u64)>,
-    quarantined: Vec<u64>,
-    /// Servers, the limits that they name in requests per second, and the age in milliseconds.
-    limits: Vec<(WireIncarnation, Option<f64>, u32)>,
-}
-
-impl Appendix {
-    fn new(sender: Sender<'_>, scope: &Scope, summary: &Summary, number: u16) -> Self {
-        let ends = summary.ended_under.iter().flat_map(|(server, digests)| {
-            let digests = digests.iter();
-            digests.map(move |digest| (server.into(), digest.0))
-        });
-        let quarantined = summary.quarantined.iter().map(|digest| digest.0);
-        let limits = summary.limits.iter().map(|(server, report)| {
-            let rate = report.rate.map(Rate::per_second);
-            (server.into(), rate, report.age.0 as u32)
-        });
-        Self {
-            entry: sender.entry.into(),
-            zone: sender.zone.to_string(),
-            scope: scope.into(),
-            number,
-            ended_under: ends.take(MAX_ENDS).collect(),
-            quarantined: quarantined.take(MAX_QUARANTINED).collect(),
-            limits: limits.take(MAX_LIMITS).collect(),
-        }
-    }
-
-    fn encode(&self) -> Option<Vec<u8>> {
-        let body = bincode::DefaultOptions::new().serialize(self).ok()?;
-        let mut bytes = vec![APPENDIX_TAG];
-        bytes.extend(body);
-        Some(bytes)
-    }
-}
-
-impl TryFrom<Appendix> for Received {
-    type Error = Malformed;
-
-    fn try_from(appendix: Appendix) -> Result<Self, Self::Error> {
-        let mut summary = Summary::default();
-        for (server, digest) in appendix.ended_under {
-            let digests = summary.ended_under.entry(server.into()).or_default();
-            digests.insert(Digest(digest));
-        }
-        summary.quarantined = appendix.quarantined.into_iter().map(Digest).collect();
-        for (server, rate, age) in appendix.limits {
-            let rate = rate.map(Rate::new).transpose();
-            let report = limits::Report {
-                rate: rate.map_err(|_| Malformed::NotFinite)?,
-                age: Span(u64::from(age)),
-            };
-            summary.limits.insert(server.into(), report);
-        }
-        Ok(Self {
-            entry: appendix.entry,
-            zone: appendix.zone.into(),
-            scope: appendix.scope.into(),
-            portion: Fragment {
-                number: appendix.number,
-                last: appendix.number,
-            },
-            summary,
-        })
-    }
-}
-
-/// Returns whether a report needs an appendix.
-fn has_appendix(summary: &Summary) -> bool {
-    let is_empty = summary.ended_under.is_empty()
-        && summary.quarantined.is_empty()
-        && summary.limits.is_empty();
-    !is_empty
-}
-
 /// A decoded message.
 #[derive(Debug)]
 pub(super) struct Received {
@@ -300,7 +204,7 @@
             .iter()
             .all(|bytes| bytes.len() <= MAX_MESSAGE_BYTES);
         if fits || portions >= MAX_PORTIONS {
-            let appendix = has_appendix(summary)
+            let appendix = Appendix::is_needed(summary)
                 .then(|| Appendix::new(sender, scope, summary, portions).encode());
             return messages.into_iter().chain(appendix.flatten()).collect();
         }
@@ -315,7 +219,7 @@
     properties: &[(WireIncarnation, Property)],
     portions: u16,
 ) -> Vec<Vec<u8>> {
-    let last = portions - 1 + u16::from(has_appendix(summary));
+    let last = portions - 1 + u16::from(Appendix::is_needed(summary));
     let messages = (0..portions).filter_map(|number| {
         let is_first = number == 0;
         let portion = properties.iter().skip(usize::from(number));
@@ -350,11 +254,8 @@
 /// The message is malformed, or a number in it is not finite and would corrupt the sums.
 pub(super) fn decode(bytes: &[u8]) -> Result<Received, Malformed> {
     let options = bincode::DefaultOptions::new().with_limit(RECEIVE_BUFFER_BYTES as u64);
-    if let [APPENDIX_TAG, appendix @ ..] = bytes {
-        let appendix: Appendix = options
-            .deserialize(appendix)
-            .map_err(|_| Malformed::Encoding)?;
-        return appendix.try_into();
+    if let Some(appendix) = Appendix::decode(bytes) {
+        return appendix?.try_into();
     }
     let message: Message = options
         .deserialize(bytes)
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -1,6 +1,7 @@
 //! Gossip between entries about load, failures, suspicions and the planner.
 
 mod announce;
+mod appendix;
 mod message;
 mod peers;
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 mod gossip;
 mod head;
 mod limits;
+mod malformed;
 mod metrics;
 mod planner;
 mod pool;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -27,6 +27,7 @@
 
 use crate::fleet::Gaps;
 use crate::gossip::Peers;
+use crate::malformed::Malformed;
 use crate::metrics::Metrics;
 use crate::planner::Leadership;
 use crate::pool::Pool;
@@ -34,7 +35,6 @@
 use crate::retries::Retries;
 use crate::retries::Retry;
 use crate::settings::Settings;
-use crate::store_watch::Malformed;
 use crate::waiting::Waiting;
 use crate::watchdog;
 use crate::watchdog::Streams;
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -1,6 +1,5 @@
 //! Watches the configuration and the registrations in the store.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::pin::pin;
 use std::rc::Rc;
@@ -395,36 +394,6 @@
     effect
 }
 
-/// The undecodable values that have been logged.
-///
-/// The whole store is read again whenever the watch history has been compacted; without this, the
-/// same malformed value would be logged each time.
-#[derive(Default)]
-pub struct Malformed(RefCell<BTreeMap<String, Revision>>);
-
-/// The maximum number of remembered keys, so that a writer of ever new keys cannot exhaust the
-/// memory.
-const MAX_MALFORMED_KEYS: usize = 1_000;
-
-impl Malformed {
-    fn log(&self, change: &Change, error: &anyhow::Error) {
-        let mut logged = self.0.borrow_mut();
-        if logged.get(&change.key) == Some(&change.revision) {
-            return;
-        }
-        if logged.len() >= MAX_MALFORMED_KEYS {
-            logged.clear();
-        }
-        logged.insert(change.key.clone(), change.revision);
-        let cause = format!("{error:#}").replace(char::is_whitespace, "-");
-        log::error!(
-            "event=malformed key={} revision={} cause={cause}",
-            change.key,
-            change.revision
-        );
-    }
-}
-
 /// Applies a configuration unless the one in force is as new.
 ///
 /// A snapshot may be older than changes already watched; applying it would route by a superseded
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -1,5 +1,7 @@
 //! Requests to plain services, each with a single buffered response.
 
+mod choice;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,18 +36,12 @@
 /// Share of the route's target after which a hedged request is sent: later than a typical response,
 /// early enough for a second one to be on time.
 const HEDGE_SHARE: f64 = 0.55;
-/// Number of random candidates from which the least loaded server is picked.
-const CANDIDATES: usize = 2;
 /// Maximum servers that may reject a request before it fails.
 const MAX_REFUSALS: u32 = 4;
 /// `Retry-After` once every server rejected the request; about the duration of one request.
 const RETRY_AFTER_REFUSED: Span = Span(60);
 /// How long a failed request waits for a retry from the budget.
 const RETRY_WAIT: Duration = Duration::from_millis(60);
-/// `Retry-After` if no server is available.
-const RETRY_AFTER_NO_SERVER: Span = Span(500);
-/// `Retry-After` if all servers are at their limits and this entry has no share of them.
-const RETRY_AFTER_NO_SHARE: Span = Span(1_000);
 /// How long before the deadline a request that may have run is answered, so that the response
 /// arrives in time.
 const DEADLINE_MARGIN: Span = Span(10);
@@ -142,7 +138,9 @@
 impl<D: Dialect> Attempts<'_, D> {
     async fn run(mut self) -> Result<Reply, Refusal> {
         let mut running = FuturesUnordered::new();
-        let first = self.pick_server().ok_or_else(|| self.no_server())?;
+        let first = self
+            .pick_server()
+            .ok_or_else(|| choice::refusal(self.state, &self.request.service))?;
         self.sent += 1;
         self.arrivals += 1;
         running.push(attempt(self.state, self.request, first));
@@ -311,43 +309,8 @@
         Some(server)
     }
 
-    /// Picks the less loaded of two random servers among those with the best health record; prefers
-    /// the local zone on ties.
-    ///
-    /// Load reports from other entries are delayed. If every entry picked the least loaded server,
-    /// all would overload the same one until the next report.
     fn pick_server(&self) -> Option<Server> {
-        let roster = self.state.roster.borrow();
-        let load = self.state.load.borrow();
-        let suspicion = self.state.suspicion.borrow();
-        let outliers = self.state.outliers.borrow();
-        let local_zone = &self.state.settings.zone;
-        let now = clock::now();
-        let health = |server: &&Server| {
-            let incarnation = &server.incarnation;
-            let is_avoided =
-                outliers.contains(incarnation) || suspicion.is_widely_suspected(incarnation);
-            (suspicion.is_suspected(incarnation), is_avoided)
-        };
-        let mut usable: Vec<&Server> = roster
-            .usable()
-            .filter(|server| server.service == self.request.service)
-            .filter(|server| !self.excluded.contains(&server.incarnation))
-            .filter(|server| load.limits.is_open(now, &server.incarnation))
-            .collect();
-        let best = usable.iter().map(health).min()?;
-        usable.retain(|server| health(server) == best);
-        usable.sort_by_cached_key(|_| rand::random::<u32>());
-        let chosen = usable.into_iter().take(CANDIDATES).min_by_key(|server| {
-            let is_remote = server.zone != *local_zone;
-            let incarnation = &server.incarnation;
-            (
-                load.requests(incarnation),
-                suspicion.peer_reports(incarnation) > 0,
-                is_remote,
-            )
-        });
-        chosen.cloned()
+        choice::pick(self.state, &self.request.service, &self.excluded)
     }
 
     /// Returns the final result once no attempt is left.
@@ -356,21 +319,6 @@
         self.fallback.ok_or(refusal)
     }
 
-    fn no_server(&self) -> Refusal {
-        let roster = self.state.roster.borrow();
-        let servers = roster
-            .usable()
-            .filter(|server| server.service == self.request.service);
-        let servers: Vec<&Incarnation> = servers.map(|server| &server.incarnation).collect();
-        if servers.is_empty() {
-            let cause = "no-server".into();
-            return (Reason::NoServer, cause, Some(RETRY_AFTER_NO_SERVER));
-        }
-        let opens_after = limits::opens_after(self.state, servers.into_iter());
-        let retry_after = opens_after.unwrap_or(RETRY_AFTER_NO_SHARE);
-        (Reason::NoServer, "at-limit".into(), Some(retry_after))
-    }
-
     fn refusal(&self) -> Refusal {
         if self.may_have_run {
             return (Reason::Failed, self.cause.clone(), None);
