Count each end of a server that restarts under its name

Two servers crashed under the deadly request, came back and crashed again, while entries could not read the store. Servers that report no start time keep their incarnation then, and a set of incarnations counted two for good.

An end now carries how often its server had ended before under the same request: a run that was sent after the last end, and lost with the server, is another one. Entries number what they saw; one that missed an end counts fewer, so that the union is never more than there were. Reports over their bound keep the ends of the requests with the most ends, where they kept the servers that sort first.

--- a/crates/core/src/pipeline/attempts.rs
+++ b/crates/core/src/pipeline/attempts.rs
@@ -51,8 +51,8 @@
 /// it do not count, since their work is lost. A server that was alive when the request left it
 /// always counts, even if its registration is removed later; otherwise each planned exit would
 /// permit one more server. A server that ended before the first event of the run counts as well: a
-/// request that crashes servers would otherwise get one more for each that it ends. The total number of runs is limited as well, for streams that lose one
-/// server after another.
+/// request that crashes servers would otherwise get one more for each that it ends. The total
+/// number of runs is limited as well, for streams that lose one server after another.
 ///
 /// # Examples
 ///
--- a/crates/core/src/pipeline/quarantine/mod.rs
+++ b/crates/core/src/pipeline/quarantine/mod.rs
@@ -5,6 +5,7 @@
 //! and shares these records with the others. A request under which several servers ended, and
 //! whose ends no other request explains, is quarantined: no entry sends it to a server again.
 
+pub mod run;
 pub mod survivors;
 pub mod suspects;
 
@@ -17,6 +18,8 @@
 use crate::time::Instant;
 use crate::time::Span;
 
+use run::End;
+use run::Run;
 use survivors::Survivors;
 use suspects::Suspects;
 
@@ -65,8 +68,7 @@
 /// A run that was lost, while it is unknown whether its server ended.
 #[derive(Clone, Debug)]
 struct Lost {
-    digest: Digest,
-    server: Incarnation,
+    run: Run,
     at: Instant,
 }
 
@@ -74,8 +76,8 @@
 #[derive(Clone, Debug)]
 struct Record {
     at: Instant,
-    /// The servers that ended under it, as far as known.
-    servers: BTreeSet<Incarnation>,
+    /// The ends of servers under it, as far as known.
+    ends: BTreeSet<End>,
     is_own: bool,
     is_stored: bool,
     /// When it is written to the store unless another entry has done so.
@@ -89,11 +91,14 @@
 /// ```
 /// # use jujube_core::pipeline::digest::Digest;
 /// # use jujube_core::pipeline::quarantine::Quarantine;
+/// # use jujube_core::pipeline::quarantine::run::Run;
 /// # use jujube_core::time::Instant;
 /// let (mut quarantine, digest) = (Quarantine::default(), Digest(7));
 /// for server in ["a", "b"] {
-///     quarantine.lost(Instant(0), digest, &server.into(), None);
-///     quarantine.settle(Instant(0), |_| true);
+///     let (sent, server) = (Instant(0), server.into());
+///     let run = Run { digest, server, sent, began: None };
+///     quarantine.lost(Instant(50), run);
+///     quarantine.settle(Instant(50), |_| true);
 /// }
 /// quarantine.receive(Instant(200), digest, &"c".into());
 /// assert_eq!(quarantine.evaluate(Instant(200)), [digest]);
@@ -110,30 +115,19 @@
 }
 
 impl Quarantine {
-    /// Records that the run of a request on a server was lost; `began` is when its first event
-    /// arrived.
+    /// Records that a run was lost.
     ///
     /// A run that had survived its beginning is ignored: it did not crash its server.
-    pub fn lost(
-        &mut self,
-        now: Instant,
-        digest: Digest,
-        server: &Incarnation,
-        began: Option<Instant>,
-    ) {
-        if began.is_some_and(|began| now.since(began) > BEGINNING) {
+    pub fn lost(&mut self, now: Instant, run: Run) {
+        if run.began.is_some_and(|began| now.since(began) > BEGINNING) {
             return;
         }
-        let is_known = |lost: &Lost| lost.digest == digest && lost.server == *server;
+        let is_known = self.lost.iter().any(|lost| lost.run == run);
         let is_full = self.lost.len() >= MAX_LOST;
-        if is_full || self.survivors.contains(digest) || self.lost.iter().any(is_known) {
+        if is_known || is_full || self.survivors.contains(run.digest) {
             return;
         }
-        self.lost.push(Lost {
-            digest,
-            server: server.clone(),
-            at: now,
-        });
+        self.lost.push(Lost { run, at: now });
     }
 
     /// Records the lost runs whose servers have ended; returns these.
@@ -141,43 +135,53 @@
         &mut self,
         now: Instant,
         has_ended: impl Fn(&Incarnation) -> bool,
-    ) -> Vec<(Digest, Incarnation)> {
-        let mut ended = Vec::new();
-        self.lost.retain(|lost| {
-            if has_ended(&lost.server) {
-                ended.push((lost.digest, lost.server.clone()));
-                return false;
-            }
-            now.since(lost.at) <= SETTLE_WINDOW
-        });
-        for (digest, server) in &ended {
-            self.record_end(now, *digest, server, true);
+    ) -> Vec<(Digest, End)> {
+        let (ended, unsettled) = std::mem::take(&mut self.lost)
+            .into_iter()
+            .partition(|lost: &Lost| has_ended(&lost.run.server));
+        self.lost = unsettled;
+        self.lost.retain(|lost| now.since(lost.at) <= SETTLE_WINDOW);
+        let ended: Vec<Lost> = ended;
+        let ended = ended
+            .into_iter()
+            .map(|lost| self.record_own_end(now, lost.run));
+        ended.collect()
+    }
+
+    fn record_own_end(&mut self, now: Instant, run: Run) -> (Digest, End) {
+        let earlier = self.suspects.earlier_ends(&run);
+        let end = End {
+            server: run.server,
+            earlier,
+        };
+        if !self.record_if_quarantined(now, run.digest, &end) {
+            self.suspects.ended_here(now, run.digest, &end);
         }
-        ended
+        (run.digest, end)
     }
 
     /// Applies another entry's report that a server ended under a request.
-    pub fn receive(&mut self, now: Instant, digest: Digest, server: &Incarnation) {
-        if !self.survivors.contains(digest) {
-            self.record_end(now, digest, server, false);
+    pub fn receive(&mut self, now: Instant, digest: Digest, end: &End) {
+        if !self.survivors.contains(digest) && !self.record_if_quarantined(now, digest, end) {
+            self.suspects.ended(now, digest, end);
         }
     }
 
-    fn record_end(&mut self, now: Instant, digest: Digest, server: &Incarnation, is_own: bool) {
-        match self.records.get_mut(&digest) {
-            Some(record) => {
-                record.servers.insert(server.clone());
-                self.suspects.explain(now, server.clone());
-            }
-            None => self.suspects.ended(now, digest, server, is_own),
-        }
+    /// Records that a server ended under a request, if that is in quarantine; returns whether it is.
+    fn record_if_quarantined(&mut self, now: Instant, digest: Digest, end: &End) -> bool {
+        let Some(record) = self.records.get_mut(&digest) else {
+            return false;
+        };
+        record.ends.insert(end.clone());
+        self.suspects.explain(now, end.server.clone());
+        true
     }
 
     /// Records that a request ran to its end, or survived its beginning on a server.
     pub fn survived(&mut self, digest: Digest) {
         self.survivors.insert(digest);
         self.suspects.remove(digest);
-        self.lost.retain(|lost| lost.digest != digest);
+        self.lost.retain(|lost| lost.run.digest != digest);
     }
 
     /// Quarantines the requests that must have crashed servers; returns those that were added.
@@ -205,13 +209,13 @@
             record.is_stored |= is_stored;
             return false;
         }
-        let servers = self.suspects.remove(digest);
-        for server in &servers {
-            self.suspects.explain(now, server.clone());
+        let ends = self.suspects.remove(digest);
+        for end in &ends {
+            self.suspects.explain(now, end.server.clone());
         }
         let record = Record {
             at: now,
-            servers,
+            ends,
             is_own: source == Source::Own,
             is_stored,
             store_at,
@@ -255,20 +259,20 @@
         self.records.is_empty()
     }
 
-    /// Returns the servers that are known to have ended under a request in quarantine.
-    pub fn servers(&self, digest: Digest) -> impl Iterator<Item = &Incarnation> {
+    /// Returns the ends of servers that are known under a request in quarantine.
+    pub fn ends(&self, digest: Digest) -> impl Iterator<Item = &End> {
         let record = self.records.get(&digest);
-        record.into_iter().flat_map(|record| &record.servers)
+        record.into_iter().flat_map(|record| &record.ends)
     }
 
     /// Returns the ends that this entry saw and reports to others.
     #[must_use]
-    pub fn own_ends(&self, now: Instant) -> BTreeMap<Incarnation, BTreeSet<Digest>> {
+    pub fn own_ends(&self, now: Instant) -> BTreeMap<End, BTreeSet<Digest>> {
         self.suspects.own(now, REPORT_FOR)
     }
 
-    /// Returns the requests in quarantine to report to others: those that this entry quarantined, and
-    /// those that an entry which starts cannot read from the store.
+    /// Returns the requests in quarantine to report to others: those that this entry quarantined,
+    /// and those that an entry which starts cannot read from the store.
     #[must_use]
     pub fn reported(&self, now: Instant) -> BTreeSet<Digest> {
         let is_recent = |record: &Record| record.is_own && now.since(record.at) <= REPORT_FOR;
--- a/crates/core/src/pipeline/quarantine/suspects.rs
+++ b/crates/core/src/pipeline/quarantine/suspects.rs
@@ -9,6 +9,9 @@
 use crate::time::Instant;
 use crate::time::Span;
 
+use super::run::End;
+use super::run::Run;
+
 /// The number of ends at which a request is the culprit if no other request explains them.
 const MIN_ENDS: usize = 3;
 /// The number of ends at which a request is the culprit although another one shares all of them.
@@ -22,9 +25,9 @@
 
 #[derive(Clone, Debug)]
 struct Suspect {
-    ends: BTreeMap<Incarnation, Instant>,
-    /// The ends that this entry saw itself.
-    own: BTreeSet<Incarnation>,
+    ends: BTreeSet<End>,
+    /// The ends that this entry saw itself, and when.
+    own: BTreeMap<End, Instant>,
     latest: Instant,
     /// When enough servers had ended under it to judge it.
     due_since: Option<Instant>,
@@ -32,7 +35,7 @@
 
 /// The requests under which servers ended, and these servers.
 ///
-/// Ends are a set of servers for each request, so that reports may arrive repeatedly, late and by
+/// Ends are a set for each request, so that reports may arrive repeatedly, late and by
 /// several ways. A crash is explained by the request that was quarantined for it, and no longer
 /// counts for the others that the server ran.
 #[derive(Clone, Debug, Default)]
@@ -43,23 +46,40 @@
 }
 
 impl Suspects {
+    /// Returns how often the server of a run ended under the same request before it was sent there,
+    /// as far as this entry saw.
+    ///
+    /// Runs that were on their way or in progress when a server ended are lost with the same end.
+    #[must_use]
+    pub fn earlier_ends(&self, run: &Run) -> u32 {
+        let suspect = self.by_digest.get(&run.digest);
+        let own = suspect.into_iter().flat_map(|suspect| &suspect.own);
+        let earlier = own.filter(|(end, at)| end.server == run.server && **at < run.sent);
+        earlier.count() as u32
+    }
+
+    /// Records that a server ended under a request, as this entry saw.
+    pub fn ended_here(&mut self, now: Instant, digest: Digest, end: &End) {
+        self.ended(now, digest, end);
+        if let Some(suspect) = self.by_digest.get_mut(&digest) {
+            suspect.own.entry(end.clone()).or_insert(now);
+        }
+    }
+
     /// Records that a server ended under a request.
-    pub fn ended(&mut self, now: Instant, digest: Digest, server: &Incarnation, is_own: bool) {
-        if self.explained.contains_key(server) {
+    pub fn ended(&mut self, now: Instant, digest: Digest, end: &End) {
+        if self.explained.contains_key(&end.server) {
             return;
         }
         let suspect = self.by_digest.entry(digest).or_insert_with(|| Suspect {
-            ends: BTreeMap::new(),
-            own: BTreeSet::new(),
+            ends: BTreeSet::new(),
+            own: BTreeMap::new(),
             latest: now,
             due_since: None,
         });
-        if suspect.ends.insert(server.clone(), now).is_none() {
+        if suspect.ends.insert(end.clone()) {
             suspect.latest = now;
         }
-        if is_own {
-            suspect.own.insert(server.clone());
-        }
         if suspect.ends.len() >= MIN_ENDS {
             suspect.due_since.get_or_insert(now);
         }
@@ -79,20 +99,17 @@
         }
     }
 
-    /// Removes a request; returns the servers that ended under it.
-    pub fn remove(&mut self, digest: Digest) -> BTreeSet<Incarnation> {
+    /// Removes a request; returns the ends of servers under it.
+    pub fn remove(&mut self, digest: Digest) -> BTreeSet<End> {
         let suspect = self.by_digest.remove(&digest);
-        suspect
-            .into_iter()
-            .flat_map(|suspect| suspect.ends.into_keys())
-            .collect()
+        suspect.map(|suspect| suspect.ends).unwrap_or_default()
     }
 
     /// Records that a request in quarantine explains the end of a server.
     pub fn explain(&mut self, now: Instant, server: Incarnation) {
         self.by_digest.retain(|_, suspect| {
-            suspect.ends.remove(&server);
-            suspect.own.remove(&server);
+            suspect.ends.retain(|end| end.server != server);
+            suspect.own.retain(|end, _| end.server != server);
             !suspect.ends.is_empty()
         });
         self.explained.insert(server, now);
@@ -107,8 +124,8 @@
 
     /// Returns a request that must have crashed the servers that ended under it, if there is one.
     ///
-    /// Several servers must have ended under it, at least one of them as this entry saw itself, and no
-    /// other request may share all of these ends. Requests that lose one server after another
+    /// Several servers must have ended under it, at least one of them as this entry saw itself, and
+    /// no other request may share all of these ends. Requests that lose one server after another
     /// beside a culprit share ends with it, but rarely all of them. Such a request stays at one
     /// entry, which may not have received the culprit's ends at others yet: a suspect all of whose
     /// ends this entry saw is judged once their reports are in.
@@ -130,12 +147,7 @@
 
     /// Returns whether another request shares all ends of a suspect.
     fn is_shared(&self, digest: Digest, suspect: &Suspect) -> bool {
-        let shares = |other: &Suspect| {
-            suspect
-                .ends
-                .keys()
-                .all(|server| other.ends.contains_key(server))
-        };
+        let shares = |other: &Suspect| suspect.ends.is_subset(&other.ends);
         let mut others = self.by_digest.iter().filter(|(other, _)| **other != digest);
         others.any(|(_, other)| shares(other))
     }
@@ -143,7 +155,7 @@
     /// Returns the ends of the last `span` that this entry saw, of the suspects with the most ends
     /// if there are too many for a report.
     #[must_use]
-    pub fn own(&self, now: Instant, span: Span) -> BTreeMap<Incarnation, BTreeSet<Digest>> {
+    pub fn own(&self, now: Instant, span: Span) -> BTreeMap<End, BTreeSet<Digest>> {
         let mut recent: Vec<(&Digest, &Suspect)> = self
             .by_digest
             .iter()
@@ -151,12 +163,12 @@
             .collect();
         recent.sort_by_key(|(_, suspect)| std::cmp::Reverse((suspect.ends.len(), suspect.latest)));
         let pairs = recent.into_iter().flat_map(|(digest, suspect)| {
-            let own = suspect.own.iter();
-            own.map(|server| (server.clone(), *digest))
+            let own = suspect.own.keys();
+            own.map(|end| (end.clone(), *digest))
         });
-        let mut reported: BTreeMap<Incarnation, BTreeSet<Digest>> = BTreeMap::new();
-        for (server, digest) in pairs.take(MAX_REPORTED) {
-            reported.entry(server).or_default().insert(digest);
+        let mut reported: BTreeMap<End, BTreeSet<Digest>> = BTreeMap::new();
+        for (end, digest) in pairs.take(MAX_REPORTED) {
+            reported.entry(end).or_default().insert(digest);
         }
         reported
     }
--- a/crates/core/src/pipeline/summary.rs
+++ b/crates/core/src/pipeline/summary.rs
@@ -10,6 +10,7 @@
 use crate::pipeline::limits;
 use crate::pipeline::load::Usage;
 use crate::pipeline::outlier::Tally;
+use crate::pipeline::quarantine::run::End;
 use crate::pipeline::server::Incarnation;
 use crate::time::Span;
 
@@ -54,7 +55,7 @@
     /// Layers that the planner ordered and servers do not hold yet.
     pub ordered: BTreeMap<Incarnation, Range>,
     /// Requests that had just begun on servers that ended.
-    pub ended_under: BTreeMap<Incarnation, BTreeSet<Digest>>,
+    pub ended_under: BTreeMap<End, BTreeSet<Digest>>,
     /// Requests that were quarantined recently.
     pub quarantined: BTreeSet<Digest>,
     /// Limits that servers name, or no longer name.
@@ -104,8 +105,8 @@
         let ordered = other.ordered.iter();
         let ordered = ordered.map(|(server, layers)| (server.clone(), *layers));
         self.ordered.extend(ordered);
-        for (server, digests) in &other.ended_under {
-            let union = self.ended_under.entry(server.clone()).or_default();
+        for (end, digests) in &other.ended_under {
+            let union = self.ended_under.entry(end.clone()).or_default();
             union.extend(digests);
         }
         self.quarantined.extend(&other.quarantined);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -10,16 +10,27 @@
 use jujube_core::pipeline::quarantine::MAX_QUARANTINED;
 use jujube_core::pipeline::quarantine::Quarantine;
 use jujube_core::pipeline::quarantine::Source;
+use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 
 const CULPRIT: Digest = Digest(1);
 const INNOCENT: Digest = Digest(2);
 
+/// Returns a run without events.
+fn run(digest: Digest, server: &str, sent: u64) -> Run {
+    Run {
+        digest,
+        server: server.into(),
+        sent: Instant(sent),
+        began: None,
+    }
+}
+
 /// Ends a server under some requests that had no event yet.
 fn end(quarantine: &mut Quarantine, at: u64, server: &str, digests: &[Digest]) {
     for digest in digests {
-        quarantine.lost(Instant(at), *digest, &server.into(), None);
+        quarantine.lost(Instant(at), run(*digest, server, at));
     }
     quarantine.settle(Instant(at), |_| true);
 }
@@ -80,7 +91,9 @@
     let mut quarantine = Quarantine::default();
     let now = Instant(BEGINNING.0 + 1);
     for server in ["a", "b", "c"] {
-        quarantine.lost(now, INNOCENT, &server.into(), Some(Instant(0)));
+        let began = Some(Instant(0));
+        let run = run(INNOCENT, server, 0);
+        quarantine.lost(now, Run { began, ..run });
     }
 
     assert!(quarantine.settle(now, |_| true).is_empty());
@@ -90,7 +103,7 @@
 fn run_on_a_living_server_is_not_blamed() {
     let mut quarantine = Quarantine::default();
     for server in ["a", "b", "c"] {
-        quarantine.lost(Instant(0), INNOCENT, &server.into(), None);
+        quarantine.lost(Instant(0), run(INNOCENT, server, 0));
     }
     quarantine.settle(Instant(500), |_| false);
     quarantine.settle(Instant(2_000), |_| false);
@@ -152,6 +165,46 @@
     assert!(!quarantine.reported(Instant(60_000)).contains(&CULPRIT));
 }
 
+/// Guards against two servers that a request crashes again and again: without a start time they keep
+/// their incarnations, and counted as two ends for good.
+#[test]
+fn server_that_ends_again_counts_again() {
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, 100, "a", &[CULPRIT]);
+    end(&mut quarantine, 200, "b", &[CULPRIT]);
+
+    end(&mut quarantine, 900, "a", &[CULPRIT]);
+
+    assert_eq!(evaluate(&mut quarantine, 900), [CULPRIT]);
+}
+
+/// Guards against counting one end of a server for each run that it broke.
+#[test]
+fn runs_that_one_end_breaks_count_once() {
+    let mut quarantine = Quarantine::default();
+    for (lost_at, sent) in [(100, 10), (120, 20), (300, 90)] {
+        quarantine.lost(Instant(lost_at), run(INNOCENT, "a", sent));
+        quarantine.settle(Instant(lost_at), |_| true);
+    }
+
+    assert!(evaluate(&mut quarantine, 300).is_empty());
+}
+
+/// Guards against counting an end twice because entries that missed some number it differently.
+#[test]
+fn ends_of_several_entries_are_never_more_than_there_were() {
+    let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
+    end(&mut first, 100, "a", &[CULPRIT]);
+    end(&mut first, 900, "a", &[CULPRIT]);
+    end(&mut second, 900, "a", &[CULPRIT]);
+
+    for (reported, _) in first.own_ends(Instant(900)) {
+        second.receive(Instant(1_000), CULPRIT, &reported);
+    }
+
+    assert!(evaluate(&mut second, 1_000).is_empty(), "it ended twice");
+}
+
 /// Guards against an entry that passes judgement on reports alone: it cannot know that the request
 /// was served where the reports come from.
 #[test]
--- a/crates/core/tests/quarantine_model.rs
+++ b/crates/core/tests/quarantine_model.rs
@@ -15,6 +15,7 @@
 use jujube_core::pipeline::quarantine::Quarantine;
 use jujube_core::pipeline::quarantine::SURVIVAL;
 use jujube_core::pipeline::quarantine::Source;
+use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::summary::Summary;
 use jujube_core::time::Instant;
@@ -67,6 +68,7 @@
     entry: usize,
     attempts: Attempts,
     server: Incarnation,
+    sent: Instant,
     first_event: Instant,
     /// When it ends its server, if it is deadly.
     crash: Option<Instant>,
@@ -183,9 +185,9 @@
             if self.random.random_bool(REPORT_LOSS) {
                 continue;
             }
-            for (server, digests) in &sum.ended_under {
+            for (end, digests) in &sum.ended_under {
                 for digest in digests {
-                    entry.receive(self.now, *digest, server);
+                    entry.receive(self.now, *digest, end);
                 }
             }
             for digest in &sum.quarantined {
@@ -230,6 +232,7 @@
             entry,
             attempts,
             server,
+            sent: self.now,
             first_event,
             crash,
             end,
@@ -273,6 +276,7 @@
             entry,
             mut attempts,
             server,
+            sent,
             ..
         } = request;
         let has_begun = request.crash.is_none() && self.now >= request.first_event;
@@ -284,7 +288,15 @@
         let ended = |_: &Incarnation| Liveness::Ended(Evidence::Refuses);
         attempts.settle(self.now, ended);
         let quarantine = &mut self.entries[entry];
-        quarantine.lost(self.now, digest, &server, began);
+        quarantine.lost(
+            self.now,
+            Run {
+                digest,
+                server,
+                sent,
+                began,
+            },
+        );
         quarantine.settle(self.now, |_| true);
         quarantine.evaluate(self.now);
         let permission = attempts.permission(LIMIT, |_| Liveness::Ended(Evidence::Refuses));
--- a/crates/front/src/gossip/appendix.rs
+++ b/crates/front/src/gossip/appendix.rs
@@ -1,9 +1,13 @@
 //! The part of a report about requests that crash servers, and about limits that servers name.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
 use bincode::Options;
 use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::limits;
 use jujube_core::pipeline::limits::Rate;
+use jujube_core::pipeline::quarantine::run::End;
 use jujube_core::pipeline::reports::Fragment;
 use jujube_core::pipeline::reports::Scope;
 use jujube_core::pipeline::summary::Summary;
@@ -20,14 +24,34 @@
 
 /// The first byte of an appendix. No message begins with it, since names of entries are short.
 const APPENDIX_TAG: u8 = 0xff;
-/// The most ends of servers under requests per appendix; reports of more entries repeat the rest.
+/// The most ends of servers under requests per appendix, those of the requests with the most ends.
 const MAX_ENDS: usize = 256;
 /// The most requests in quarantine per appendix.
 const MAX_QUARANTINED: usize = 256;
-
 /// The most limits of servers per appendix.
 const MAX_LIMITS: usize = 256;
 
+/// An end of a server under a request: the server, how often it had ended before, and the digest.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireEnd(WireIncarnation, u32, u64);
+
+/// Returns the ends to report.
+fn ends(summary: &Summary) -> Vec<WireEnd> {
+    let pairs = summary
+        .ended_under
+        .iter()
+        .flat_map(|(end, digests)| digests.iter().map(move |digest| (end, *digest)));
+    let mut pairs: Vec<(&End, Digest)> = pairs.collect();
+    let mut counts: BTreeMap<Digest, usize> = BTreeMap::new();
+    for (_, digest) in &pairs {
+        *counts.entry(*digest).or_default() += 1;
+    }
+    pairs.sort_by_key(|(_, digest)| Reverse(counts.get(digest).copied()));
+    let most = pairs.into_iter().take(MAX_ENDS);
+    most.map(|(end, digest)| WireEnd((&end.server).into(), end.earlier, digest.0))
+        .collect()
+}
+
 /// The last portion of a report.
 ///
 /// Entries of versions without it reject it, and apply the other portions.
@@ -37,7 +61,7 @@
     zone: String,
     scope: WireScope,
     number: u16,
-    ended_under: Vec<(WireIncarnation, u64)>,
+    ended_under: Vec<WireEnd>,
     quarantined: Vec<u64>,
     /// Servers, the limits that they name in requests per second, and the age in milliseconds.
     limits: Vec<(WireIncarnation, Option<f64>, u32)>,
@@ -54,10 +78,6 @@
 
     /// Creates the appendix of a report whose other portions precede `number`.
     pub(super) fn new(sender: Sender<'_>, scope: &Scope, summary: &Summary, number: u16) -> Self {
-        let ends = summary.ended_under.iter().flat_map(|(server, digests)| {
-            let digests = digests.iter();
-            digests.map(move |digest| (server.into(), digest.0))
-        });
         let quarantined = summary.quarantined.iter().map(|digest| digest.0);
         let limits = summary.limits.iter().map(|(server, report)| {
             let rate = report.rate.map(Rate::per_second);
@@ -68,7 +88,7 @@
             zone: sender.zone.to_string(),
             scope: scope.into(),
             number,
-            ended_under: ends.take(MAX_ENDS).collect(),
+            ended_under: ends(summary),
             quarantined: quarantined.take(MAX_QUARANTINED).collect(),
             limits: limits.take(MAX_LIMITS).collect(),
         }
@@ -101,8 +121,10 @@
 
     fn try_from(appendix: Appendix) -> Result<Self, Self::Error> {
         let mut summary = Summary::default();
-        for (server, digest) in appendix.ended_under {
-            let digests = summary.ended_under.entry(server.into()).or_default();
+        for WireEnd(server, earlier, digest) in appendix.ended_under {
+            let server = server.into();
+            let end = End { server, earlier };
+            let digests = summary.ended_under.entry(end).or_default();
             digests.insert(Digest(digest));
         }
         summary.quarantined = appendix.quarantined.into_iter().map(Digest).collect();
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -7,10 +7,11 @@
 
 use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::quarantine::Source;
+use jujube_core::pipeline::quarantine::run::End;
+use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::summary::Summary;
 use jujube_core::revision::Revision;
-use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_store::kv::Change;
@@ -44,28 +45,24 @@
     Span(rand::random_range(DELAY_JITTER_MS))
 }
 
-/// Returns the servers that ended under a request, for logs and the store.
-fn servers<D>(state: &State<D>, digest: Digest) -> String {
+/// Returns the ends of servers under a request, for logs and the store.
+fn ends<D>(state: &State<D>, digest: Digest) -> String {
     let quarantine = state.quarantine.borrow();
-    let servers: Vec<String> = quarantine
-        .servers(digest)
-        .map(Incarnation::to_string)
-        .collect();
-    if servers.is_empty() {
+    let ends: Vec<String> = quarantine.ends(digest).map(End::to_string).collect();
+    if ends.is_empty() {
         return "-".into();
     }
-    servers.join(",")
+    ends.join(",")
 }
 
-/// Records that the run of a request on a server was lost; `began` is when its first event arrived.
+/// Records that a run was lost.
 ///
 /// A draining server ends as planned, whatever it runs.
-pub fn lost<D>(state: &State<D>, digest: Digest, server: &Incarnation, began: Option<Instant>) {
-    if state.roster.borrow().is_draining(server) {
+pub fn lost<D>(state: &State<D>, run: Run) {
+    if state.roster.borrow().is_draining(&run.server) {
         return;
     }
-    let mut quarantine = state.quarantine.borrow_mut();
-    quarantine.lost(clock::now(), digest, server, began);
+    state.quarantine.borrow_mut().lost(clock::now(), run);
 }
 
 /// Records that a request ran to its end, or survived its beginning on a server.
@@ -79,9 +76,9 @@
     let mut quarantine = state.quarantine.borrow_mut();
     let ended = quarantine.settle(now, |server| has_ended(state, server));
     drop(quarantine);
-    for (digest, server) in &ended {
+    for (digest, end) in &ended {
         state.metrics.count("servers_ended_under_requests");
-        log::info!("event=ended-under digest={digest} server={server}");
+        log::info!("event=ended-under digest={digest} server={end}");
     }
     if !ended.is_empty() {
         state.urgent_report.notify_waiters();
@@ -110,7 +107,7 @@
 
 fn record_added<D>(state: &State<D>, digest: Digest, source: Source) {
     state.metrics.count("requests_quarantined");
-    let servers = servers(state, digest);
+    let servers = ends(state, digest);
     log::warn!("event=quarantined digest={digest} source={source} servers={servers}");
 }
 
@@ -118,9 +115,9 @@
 pub fn apply_reports<D>(state: &State<D>, others: &Summary) {
     let now = clock::now();
     let mut quarantine = state.quarantine.borrow_mut();
-    for (server, digests) in &others.ended_under {
+    for (end, digests) in &others.ended_under {
         for digest in digests {
-            quarantine.receive(now, *digest, server);
+            quarantine.receive(now, *digest, end);
         }
     }
     drop(quarantine);
@@ -198,7 +195,7 @@
     };
     let write = Write::Put {
         key: key(digest),
-        value: servers(state, digest),
+        value: ends(state, digest),
         lease: None,
     };
     let outcome = match store.swap(&[condition], &[write]).await {
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -82,6 +82,7 @@
         planned_path: RefCell::default(),
         excluded: RefCell::default(),
         last_activity: Cell::new(now),
+        run_sent: Cell::new(now),
         run_began: Cell::default(),
         has_survived: Cell::default(),
         events: Cell::new(0),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -345,7 +345,7 @@
     }
     drop(attempts);
     if loss != Loss::Abandoned {
-        quarantine::lost(state, stream.digest, &first.server, began);
+        quarantine::lost(state, stream.run_on(&first.server, began));
     }
     stream.last_loss.replace(Some((first.server.clone(), now)));
     probe::check_after_loss(state, first.server.clone(), first.address, now);
@@ -407,6 +407,7 @@
     };
     let now = clock::now();
     stream.last_activity.set(now);
+    stream.run_sent.set(now);
     stream.next_check.set(now);
     let mut outgoing = stream.outgoing.clone();
     let left = stream.deadline.since(now);
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -16,6 +16,7 @@
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::quarantine::BEGINNING;
+use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -65,6 +66,8 @@
     pub last_activity: Cell<Instant>,
     /// When the last event arrived; unlike `last_activity`, not reset when the stream is reopened.
     pub last_event: Cell<Instant>,
+    /// When the latest run was sent.
+    pub(super) run_sent: Cell<Instant>,
     /// When the first event of the current run arrived.
     pub(super) run_began: Cell<Option<Instant>>,
     /// Whether a run is known to have survived its beginning.
@@ -141,6 +144,16 @@
         }
     }
 
+    /// Returns the latest run on a server.
+    pub fn run_on(&self, server: &Incarnation, began: Option<Instant>) -> Run {
+        Run {
+            digest: self.digest,
+            server: server.clone(),
+            sent: self.run_sent.get(),
+            began,
+        }
+    }
+
     /// Returns whether the current run has only just begun, as far as its events show.
     pub fn is_at_beginning(&self, now: Instant) -> bool {
         let began = self.run_began.get();
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -13,8 +13,10 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::http::response::Parts;
+use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
+use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 
@@ -60,8 +62,8 @@
     Retry(Retry),
 }
 
-/// The result of one attempt.
-type Outcome = (Server, Result<Reply, Failure>);
+/// The server of one attempt, when it was sent, and the result.
+type Outcome = (Server, Instant, Result<Reply, Failure>);
 
 /// Serves one request.
 pub async fn serve<D: Dialect>(state: &Rc<State<D>>, request: Admitted) -> Response<Body<D>> {
@@ -168,10 +170,10 @@
                     continue;
                 }
             };
-            let Some((server, result)) = ended else {
+            let Some((server, sent, result)) = ended else {
                 return self.finish();
             };
-            match self.handle_outcome(&server, result) {
+            match self.handle_outcome(&server, sent, result) {
                 Some(reply) => return Ok(reply),
                 None if running.is_empty() => {
                     let retry = match self.retry() {
@@ -189,7 +191,12 @@
     }
 
     /// Returns the response to forward, or records the failure.
-    fn handle_outcome(&mut self, server: &Server, result: Result<Reply, Failure>) -> Option<Reply> {
+    fn handle_outcome(
+        &mut self,
+        server: &Server,
+        sent: Instant,
+        result: Result<Reply, Failure>,
+    ) -> Option<Reply> {
         let failure = match result {
             Ok(reply) => {
                 quarantine::survived(self.state, self.request.digest);
@@ -227,7 +234,7 @@
             Failure::Unknown(_) => {
                 self.may_have_run = true;
                 self.record_outcome(server, false);
-                self.record_loss(server);
+                self.record_loss(server, sent);
             }
             Failure::Failed(_) => {
                 self.may_have_run = true;
@@ -238,12 +245,18 @@
     }
 
     /// Records that the response of a server broke off, and checks whether it has ended.
-    fn record_loss(&self, server: &Server) {
+    fn record_loss(&self, server: &Server, sent: Instant) {
         let (now, incarnation) = (clock::now(), &server.incarnation);
         let mut suspicion = self.state.suspicion.borrow_mut();
         suspicion.connection_broken(now, incarnation);
         drop(suspicion);
-        quarantine::lost(self.state, self.request.digest, incarnation, None);
+        let run = Run {
+            digest: self.request.digest,
+            server: incarnation.clone(),
+            sent,
+            began: None,
+        };
+        quarantine::lost(self.state, run);
         probe::check_after_loss(self.state, incarnation.clone(), server.address, now);
     }
 
@@ -343,7 +356,8 @@
     let in_flight = InFlight::new(state, &server.incarnation);
     limits::record_sent(state, &request.id, &server.incarnation);
     let mut outgoing = request.outgoing.clone();
-    let left = request.deadline.since(clock::now());
+    let sent_at = clock::now();
+    let left = request.deadline.since(sent_at);
     head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
     log::info!(
         "event=sent request={} digest={} server={} in_flight={} left_ms={left}",
@@ -368,7 +382,7 @@
         Err(failure) => Err(failure),
     };
     drop(in_flight);
-    (server, result)
+    (server, sent_at, result)
 }
 
 /// Counts a request in flight at a server until dropped.
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -251,7 +251,7 @@
         .iter()
         .filter(|(_, health)| *health == Health::Dead)
     {
-        quarantine::lost(state, stream.digest, &part.server, None);
+        quarantine::lost(state, stream.run_on(&part.server, None));
     }
 }
 
