Write the cause of a refusal, and the decoding of reports, once

The cause of a quarantined request's refusal was formatted in three places; messages and appendices each set up the same decoder; the appendix had its own copy of the most requests in quarantine.

--- a/crates/front/src/gossip/appendix.rs
+++ b/crates/front/src/gossip/appendix.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::limits;
 use jujube_core::pipeline::limits::Rate;
+use jujube_core::pipeline::quarantine::MAX_QUARANTINED;
 use jujube_core::pipeline::quarantine::run::End;
 use jujube_core::pipeline::reports::Fragment;
 use jujube_core::pipeline::reports::Scope;
@@ -15,8 +16,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::message;
 use super::message::Malformed;
-use super::message::RECEIVE_BUFFER_BYTES;
 use super::message::Received;
 use super::message::Sender;
 use super::message::WireIncarnation;
@@ -26,8 +27,6 @@
 const APPENDIX_TAG: u8 = 0xff;
 /// The most ends of servers under requests per appendix, those of the requests with the most ends.
 const MAX_ENDS: usize = 256;
-/// The most requests in quarantine per appendix.
-const MAX_QUARANTINED: usize = 256;
 /// The most limits of servers per appendix.
 const MAX_LIMITS: usize = 256;
 
@@ -107,12 +106,7 @@
         let [APPENDIX_TAG, appendix @ ..] = bytes else {
             return None;
         };
-        let options = bincode::DefaultOptions::new().with_limit(RECEIVE_BUFFER_BYTES as u64);
-        Some(
-            options
-                .deserialize(appendix)
-                .map_err(|_| Malformed::Encoding),
-        )
+        Some(message::deserialize(appendix))
     }
 }
 
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -253,13 +253,10 @@
 ///
 /// The message is malformed, or a number in it is not finite and would corrupt the sums.
 pub(super) fn decode(bytes: &[u8]) -> Result<Received, Malformed> {
-    let options = bincode::DefaultOptions::new().with_limit(RECEIVE_BUFFER_BYTES as u64);
     if let Some(appendix) = Appendix::decode(bytes) {
         return appendix?.try_into();
     }
-    let message: Message = options
-        .deserialize(bytes)
-        .map_err(|_| Malformed::Encoding)?;
+    let message: Message = deserialize(bytes)?;
     let planner = message.planner.map(|(token, at)| (Token(token), at));
     let mut summary = Summary {
         entries: u64::from(message.entries),
@@ -283,6 +280,12 @@
     })
 }
 
+/// Deserializes a message or an appendix, of a size that fits into the receive buffer.
+pub(super) fn deserialize<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Malformed> {
+    let options = bincode::DefaultOptions::new().with_limit(RECEIVE_BUFFER_BYTES as u64);
+    options.deserialize(bytes).map_err(|_| Malformed::Encoding)
+}
+
 fn insert(summary: &mut Summary, server: Incarnation, property: Property) -> Result<(), Malformed> {
     match property {
         Property::Load { tokens, requests } => {
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -37,6 +37,11 @@
     format!("{KEY_PREFIX}{digest}")
 }
 
+/// Returns the cause of a refusal, for logs.
+pub fn cause(digest: Digest) -> String {
+    format!("digest-{digest}")
+}
+
 fn parse_key(key: &str) -> Option<Digest> {
     key.strip_prefix(KEY_PREFIX)?.parse().ok()
 }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -27,6 +27,7 @@
 use crate::body::Body;
 use crate::dialect::Dialect;
 use crate::head;
+use crate::quarantine;
 use crate::response;
 use crate::response::Reason;
 use crate::state::Lifecycle;
@@ -102,7 +103,7 @@
     };
     state.retries.record_request(&admitted.service);
     if state.is_quarantined(admitted.digest) {
-        let (route, cause) = (&admitted.route.name, format!("digest-{}", admitted.digest));
+        let (route, cause) = (&admitted.route.name, quarantine::cause(admitted.digest));
         record_refusal(&state, &id, route, Reason::Quarantined, arrived, &cause);
         return response::local(Reason::Quarantined, None);
     }
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -96,7 +96,7 @@
             Permission::Pending | Permission::Denied => return Err((Reason::Failed, cause)),
         }
         if state.is_quarantined(stream.digest) {
-            let cause = format!("digest-{}", stream.digest);
+            let cause = quarantine::cause(stream.digest);
             return Err(final_refusal(stream, Reason::Quarantined, cause));
         }
         stream.pending_interrupt.set(None);
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -337,7 +337,7 @@
             return (Reason::Failed, self.cause.clone(), None);
         }
         if self.state.is_quarantined(self.request.digest) {
-            let cause = format!("digest-{}", self.request.digest);
+            let cause = quarantine::cause(self.request.digest);
             return (Reason::Quarantined, cause, None);
         }
         (
