--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod claim;
 pub mod delta;
 pub mod fence;
+mod hash;
 pub mod head;
 pub mod layer;
 pub mod ledger;
--- a/crates/core/src/pipeline/cell.rs
+++ b/crates/core/src/pipeline/cell.rs
@@ -3,12 +3,10 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::hash;
 use crate::name::Zone;
 use crate::time::Instant;
 use crate::time::Span;
@@ -266,7 +264,7 @@
             .names(&self.home)
             .filter(|name| self.is_active(now, name));
         let mut ranked: Vec<&Arc<str>> = active.collect();
-        ranked.sort_by_key(|name| score(&self.home, name));
+        ranked.sort_by_key(|name| hash::of((&self.home, name)));
         ranked.iter().take(SPEAKERS).any(|name| **name == self.own)
     }
 
@@ -285,7 +283,7 @@
 
     fn recipients<'a>(&self, now: Instant, id: &Id, names: &'a [Arc<str>]) -> Vec<&'a Arc<str>> {
         let mut ranked: Vec<&Arc<str>> = names.iter().collect();
-        ranked.sort_by_key(|name| score(id, name));
+        ranked.sort_by_key(|name| hash::of((id, name)));
         let active = ranked.iter().copied();
         let active = active.filter(|name| self.is_active(now, name));
         let mut recipients: Vec<&Arc<str>> = active.take(SPEAKERS).collect();
@@ -347,9 +345,3 @@
     }
     cells
 }
-
-fn score(cell: &Id, name: &Arc<str>) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (cell, name).hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -7,12 +7,10 @@
 mod search;
 
 use std::collections::BTreeSet;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::hash;
 use crate::layer;
 use crate::layer::Range;
 use crate::name::Zone;
@@ -112,9 +110,7 @@
     /// Entries that choose at the same moment from the same data would all choose the same servers.
     /// A random position per zone spreads them as if a single entry chose for all.
     fn herd_position(&self, zone: &Zone) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        (self.random, zone).hash(&mut hasher);
-        let share = hasher.finish() as f64 / u64::MAX as f64;
+        let share = hash::of((self.random, zone)) as f64 / u64::MAX as f64;
         share * (self.herd_size - 1.0)
     }
 
--- a/crates/core/src/pipeline/limits.rs
+++ b/crates/core/src/pipeline/limits.rs
@@ -2,12 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::str::FromStr;
 use std::sync::Arc;
 
+use crate::hash;
 use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
@@ -137,8 +135,8 @@
     /// Applies a response to a request that was sent at `sent`: the limit that it names, if any.
     /// Returns whether this changes the limit.
     ///
-    /// Responses overtake one another. One that may be older than what is known only lowers a limit,
-    /// and does not end it.
+    /// Responses overtake one another. One that may be older than what is known only lowers a
+    /// limit, and does not end it.
     pub fn observe(
         &mut self,
         sent: Instant,
@@ -215,7 +213,7 @@
             let rate = rate.0.max(MIN_RATE);
             let mut entries = entries(server);
             let count = ((rate / MIN_SHARE) as usize).clamp(1, entries.len().max(1));
-            entries.sort_by_key(|entry| score(server, entry));
+            entries.sort_by_key(|entry| hash::of((server, entry)));
             let is_user = entries.iter().take(count).any(|entry| **entry == *own);
             known.share = if is_user { rate / count as f64 } else { 0.0 };
         }
@@ -256,9 +254,3 @@
         self.0.retain(|server, _| keep(server));
     }
 }
-
-fn score(server: &Incarnation, entry: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (server, entry).hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/core/src/subset.rs
+++ b/crates/core/src/subset.rs
@@ -6,14 +6,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 
 use crate::bundle::Bundle;
 use crate::bundle::Kind;
 use crate::bundle::Member;
 use crate::bundle::Offer;
+use crate::hash;
 use crate::layer;
 use crate::layer::Range;
 use crate::name::Accelerator;
@@ -99,14 +97,8 @@
     }
     let mut selected = Vec::new();
     for mut group in groups.into_values() {
-        group.sort_by_key(|(server, _)| score(entry, server));
+        group.sort_by_key(|(server, _)| hash::of((entry, server)));
         selected.extend(group.into_iter().take(each));
     }
     selected
 }
-
-fn score(entry: BootId, server: &Server) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (entry, server).hash(&mut hasher);
-    hasher.finish()
-}
