Record a run lost before its first event as one that its server outlived

Such a run counts against the route's limit whatever becomes of its server, which is what `left` already says; an outcome, a field and a method of its own led to the same permissions.

--- a/crates/core/src/pipeline/attempts.rs
+++ b/crates/core/src/pipeline/attempts.rs
@@ -31,9 +31,7 @@
     Lost(Instant),
     /// Its server ended with it, and its work is lost.
     Ended,
-    /// Its server ended before its first event, perhaps because of it.
-    EndedBeforeEvents,
-    /// Its server outlived it.
+    /// It counts: its server outlived it, or ended before its first event.
     Spent,
 }
 
@@ -41,8 +39,6 @@
 struct Run {
     server: Incarnation,
     outcome: Outcome,
-    /// Whether it had an event, or is still running.
-    had_event: bool,
 }
 
 /// The servers that may have run a request, in order.
@@ -82,11 +78,7 @@
     /// Records a run that is being sent to a server.
     pub fn begin(&mut self, server: Incarnation) {
         let outcome = Outcome::Running;
-        self.0.push(Run {
-            server,
-            outcome,
-            had_event: true,
-        });
+        self.0.push(Run { server, outcome });
     }
 
     /// Removes the last run: the server reports that it has not run the request, or never received
@@ -97,27 +89,21 @@
 
     /// Records that the run on a server broke off, or that its server was found dead.
     pub fn lost(&mut self, now: Instant, server: &Incarnation) {
-        let _run = self.end(server, Outcome::Lost(now));
+        self.end(server, Outcome::Lost(now));
     }
 
-    /// Records that the run on a server was lost like [`Attempts::lost`], before its first event.
-    pub fn lost_before_events(&mut self, now: Instant, server: &Incarnation) {
-        if let Some(run) = self.end(server, Outcome::Lost(now)) {
-            run.had_event = false;
-        }
-    }
-
-    /// Records that the run on a live server failed or was cancelled.
+    /// Records a run that counts whatever becomes of its server: it failed or was cancelled on a live
+    /// one, or was lost before its first event.
     pub fn left(&mut self, server: &Incarnation) {
-        let _run = self.end(server, Outcome::Spent);
+        self.end(server, Outcome::Spent);
     }
 
-    fn end(&mut self, server: &Incarnation, outcome: Outcome) -> Option<&mut Run> {
+    fn end(&mut self, server: &Incarnation, outcome: Outcome) {
         let is_running_there =
             |run: &&mut Run| run.server == *server && run.outcome == Outcome::Running;
-        let run = self.0.iter_mut().rev().find(is_running_there)?;
-        run.outcome = outcome;
-        Some(run)
+        if let Some(run) = self.0.iter_mut().rev().find(is_running_there) {
+            run.outcome = outcome;
+        }
     }
 
     /// Returns whether there is a lost run whose server may have ended with it.
@@ -135,11 +121,8 @@
             };
             if now.since(lost) > SETTLE_WINDOW {
                 run.outcome = Outcome::Spent;
-            } else if matches!(liveness(&run.server), Liveness::Ended(_)) {
-                run.outcome = match run.had_event {
-                    true => Outcome::Ended,
-                    false => Outcome::EndedBeforeEvents,
-                };
+            } else if liveness(&run.server).has_ended() {
+                run.outcome = Outcome::Ended;
             }
         }
     }
@@ -168,12 +151,9 @@
         let (mut spent, mut suspected) = (0, 0);
         for run in &self.0 {
             match (run.outcome, liveness(&run.server)) {
-                (Outcome::Lost(_), _) if !run.had_event => spent += 1,
                 (Outcome::Ended, _) | (Outcome::Running | Outcome::Lost(_), Liveness::Ended(_)) => {
                 }
-                (Outcome::Spent | Outcome::EndedBeforeEvents, _) | (_, Liveness::Alive) => {
-                    spent += 1
-                }
+                (Outcome::Spent, _) | (_, Liveness::Alive) => spent += 1,
                 (_, Liveness::Suspected) => suspected += 1,
             }
         }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -267,7 +267,7 @@
     let mut attempts = Attempts::default();
     for (at, server) in [(0, "a"), (100, "b")] {
         attempts.begin(server.into());
-        attempts.lost_before_events(Instant(at), &server.into());
+        attempts.left(&server.into());
         attempts.settle(Instant(at), ended);
     }
 
--- a/crates/core/tests/quarantine_model.rs
+++ b/crates/core/tests/quarantine_model.rs
@@ -283,7 +283,7 @@
         let began = has_begun.then_some(request.first_event);
         match began {
             Some(_) => attempts.lost(self.now, &server),
-            None => attempts.lost_before_events(self.now, &server),
+            None => attempts.left(&server),
         }
         let ended = |_: &Incarnation| Liveness::Ended(Evidence::Refuses);
         attempts.settle(self.now, ended);
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -337,11 +337,8 @@
     }
     let mut attempts = stream.attempts.borrow_mut();
     match loss {
-        Loss::Abandoned => attempts.left(&first.server),
-        Loss::Broken | Loss::Dead if began.is_none() => {
-            attempts.lost_before_events(now, &first.server);
-        }
-        Loss::Broken | Loss::Dead => attempts.lost(now, &first.server),
+        Loss::Broken | Loss::Dead if began.is_some() => attempts.lost(now, &first.server),
+        Loss::Broken | Loss::Dead | Loss::Abandoned => attempts.left(&first.server),
     }
     drop(attempts);
     if loss != Loss::Abandoned {
