Leave the beginning of a run to the quarantine

The watchdog checked itself whether a run had just begun before it reported a dead part, as Quarantine::lost does.

--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -15,7 +15,6 @@
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
-use jujube_core::pipeline::quarantine::BEGINNING;
 use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
@@ -69,7 +68,7 @@
     /// When the latest run was sent.
     pub(super) run_sent: Cell<Instant>,
     /// When the first event of the current run arrived.
-    pub(super) run_began: Cell<Option<Instant>>,
+    pub run_began: Cell<Option<Instant>>,
     /// Whether a run is known to have survived its beginning.
     pub(super) has_survived: Cell<bool>,
     /// The number of events received.
@@ -154,12 +153,6 @@
         }
     }
 
-    /// Returns whether the current run has only just begun, as far as its events show.
-    pub fn is_at_beginning(&self, now: Instant) -> bool {
-        let began = self.run_began.get();
-        began.is_none_or(|began| now.since(began) <= BEGINNING)
-    }
-
     /// Returns how the latest run was lost.
     pub(super) fn loss(&self) -> Loss {
         match self.pending_interrupt.get() {
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -242,16 +242,13 @@
     }
 }
 
-/// Records that servers further along the path ended at the beginning of a run.
+/// Records that a run was lost on dead servers further along its path, as on its first one.
 fn blame_for_dead_parts<D>(state: &State<D>, stream: &Stream, unhealthy: &[(Part, Health)]) {
-    if !stream.is_at_beginning(clock::now()) {
-        return;
-    }
     for (part, _) in unhealthy
         .iter()
         .filter(|(_, health)| *health == Health::Dead)
     {
-        quarantine::lost(state, stream.run_on(&part.server, None));
+        quarantine::lost(state, stream.run_on(&part.server, stream.run_began.get()));
     }
 }
 
