--- a/crates/core/src/pipeline/quarantine/survivors.rs
+++ b/crates/core/src/pipeline/quarantine/survivors.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Survivors {
     known: BTreeSet<Digest>,
-    /// The same requests, the oldest first.
+    /// The known requests, the oldest first.
     order: VecDeque<Digest>,
 }
 
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -269,7 +269,7 @@
         Ok((parts.status, bytes))
     }
 
-    /// The same, with the head of the answer.
+    /// Fetches a whole answer with its head.
     ///
     /// # Errors
     ///
--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -59,7 +59,7 @@
 /// microseconds of the entry's fifth of a core; requests that end well log three lines at `info`,
 /// those that fail log at `warn`, so that a flood of the first does not hide the second.
 const BUDGETS: [(Level, u64); 3] = [(Level::Error, 100), (Level::Warn, 200), (Level::Info, 300)];
-/// The same for the levels below.
+/// How many lines of the levels below `info` are written in a second.
 const BUDGET_BELOW: u64 = 200;
 
 /// Counts the lines of one level in the current second.
