--- a/crates/core/tests/support/servers.rs
+++ b/crates/core/tests/support/servers.rs
@@ -1,23 +1,30 @@
 //! A simulation of backend servers that load and unload layers, and of their planner.
 
+#![allow(dead_code, reason = "each test file uses its part")]
+
 use std::collections::BTreeMap;
 
 use jujube_core::layer::Range;
 use jujube_core::layer::gaps;
+use jujube_core::name::Zone;
 use jujube_core::pipeline::assignment::Assignments;
 use jujube_core::pipeline::model::Model;
 use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::placement::Phase;
+use jujube_core::pipeline::placement::capacity;
 use jujube_core::pipeline::placement::plan;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use rand::RngExt;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::pipeline::carried_out;
 use super::pipeline::holders;
 use super::pipeline::model;
+use super::pipeline::region;
 
 /// The duration of a simulation step.
 pub const STEP_MS: u64 = 50;
@@ -32,6 +39,15 @@
 const BLOCKED_AFTER_MS: u64 = 1_500;
 /// The maximum delay of registrations.
 const MAX_LAG_MS: u64 = 1_000;
+/// The time in which the registrations of a storm lapse, one after the other.
+const STORM_MS: u64 = 1_500;
+/// The maximum duration of a request that starts while a simulation runs.
+const MAX_NEW_REQUEST_MS: u64 = 6_000;
+/// The probability that a server gets a request in a step.
+const NEW_REQUEST_CHANCE: f64 = 0.3;
+/// KV memory of the requests in flight at normal traffic, in tokens: 79 streams per second of two
+/// seconds and 974 tokens each.
+const NORMAL_TOKENS: f64 = 154_000.0;
 
 /// A request that uses layers of a server.
 #[derive(Clone, Debug)]
@@ -54,11 +70,22 @@
 struct Server {
     holder: Holder,
     held: Range,
+    /// The layers that it reports to hold: those that it releases too until it starts to load.
+    shown: Range,
     passing: Vec<Passing>,
     moving: Option<Move>,
+    /// When it is not registered, from and to.
+    lapses: Vec<(u64, u64)>,
 }
 
 impl Server {
+    fn is_registered(&self, now: u64) -> bool {
+        !self
+            .lapses
+            .iter()
+            .any(|(from, to)| (*from..*to).contains(&now))
+    }
+
     fn kept(&self, layers: Range) -> Range {
         let start = self.held.start.max(layers.start);
         let end = self.held.end.min(layers.end);
@@ -102,17 +129,54 @@
             if server.is_waiting() {
                 continue;
             }
+            server.shown = server.held;
             let Some(moving) = &mut server.moving else {
                 continue;
             };
             moving.left_ms -= STEP_MS as f64 * rate;
             if moving.left_ms <= 0.0 {
                 server.held = moving.layers;
+                server.shown = server.held;
                 server.moving = None;
             }
         }
     }
 
+    /// Returns the share of normal traffic for which registered servers have KV capacity on complete
+    /// paths, within availability zones or, if none has one, across them.
+    fn served_share(&self, now: u64) -> f64 {
+        let mut zones: BTreeMap<Zone, Vec<Holder>> = BTreeMap::new();
+        for server in self.all.iter().filter(|server| server.is_registered(now)) {
+            let zone = zones.entry(server.holder.zone.clone()).or_default();
+            zone.push(Holder {
+                assigned: server.held,
+                ..server.holder.clone()
+            });
+        }
+        let within: f64 = zones.values().map(|zone| capacity(&self.model, zone)).sum();
+        let tokens = if within > 0.0 {
+            within
+        } else {
+            let all: Vec<Holder> = zones.into_values().flatten().collect();
+            capacity(&self.model, &all)
+        };
+        (tokens / NORMAL_TOKENS).min(1.0)
+    }
+
+    /// Starts requests on the layers that servers hold.
+    fn arrive(&mut self, now: u64, random: &mut StdRng) {
+        for server in &mut self.all {
+            let takes_requests = server.is_registered(now) && !server.held.is_empty();
+            if takes_requests && random.random_bool(NEW_REQUEST_CHANCE) {
+                server.passing.push(Passing {
+                    layers: server.held,
+                    ends: now + random.random_range(0..MAX_NEW_REQUEST_MS),
+                    is_known: true,
+                });
+            }
+        }
+    }
+
     /// Sends an order to a server; returns whether it accepts.
     fn order(&mut self, order: &Order) -> bool {
         let per_layer_ms = self.model.load_seconds * 1e3 / f64::from(self.model.layers);
@@ -150,9 +214,51 @@
     /// Registrations of the servers, oldest first.
     registered: Vec<(u64, BTreeMap<Incarnation, Range>)>,
     lag_ms: u64,
+    /// Draws the requests that start while the simulation runs, if any do.
+    arrivals: Option<StdRng>,
 }
 
 impl Site {
+    /// Draws servers of three availability zones with all layers placed, requests of entries that
+    /// were killed a moment ago, and two storms in which registrations lapse and come back.
+    pub fn draw_storms(random: &mut StdRng, load_seconds: f64) -> Self {
+        let model = Model {
+            load_seconds,
+            ..model()
+        };
+        let placed = carried_out(&region(), &plan(&model, &region()));
+        let mut site = Self::of(model, placed, random);
+        for passing in site.servers.all.iter_mut().flat_map(|s| &mut s.passing) {
+            passing.is_known = false;
+        }
+        let first = random.random_range(0..3_000);
+        let first_ends = first + random.random_range(2_000..6_000);
+        let second = first_ends + random.random_range(0..3_000);
+        let second_ends = second + random.random_range(4_000..16_000);
+        for (from, to) in [(first, first_ends), (second, second_ends)] {
+            let share = random.random_range(0.3..0.7);
+            for server in &mut site.servers.all {
+                if random.random_bool(share) {
+                    let lapses = from + random.random_range(0..STORM_MS);
+                    let returns = to + random.random_range(0..STORM_MS);
+                    server.lapses.push((lapses, returns));
+                }
+            }
+        }
+        site.arrivals = Some(StdRng::seed_from_u64(random.random()));
+        site
+    }
+
+    /// Returns the share of normal traffic that can be served.
+    pub fn served_share(&self, now: u64) -> f64 {
+        self.servers.served_share(now)
+    }
+
+    /// Simulates one step without a planner.
+    pub fn step_unplanned(&mut self, now: u64) {
+        self.servers.step(now);
+    }
+
     /// Draws servers with random layers, requests and orders in progress.
     pub fn draw(random: &mut StdRng, load_seconds: f64) -> Self {
         let model = Model {
@@ -175,6 +281,7 @@
                 // It has an order in progress from an unknown planner.
                 let layers = server.held;
                 server.held = Range::default();
+                server.shown = server.held;
                 server.moving = Some(Move {
                     layers,
                     left_ms: 500.0,
@@ -200,9 +307,11 @@
             }
             servers.push(Server {
                 held: holder.assigned,
+                shown: holder.assigned,
                 holder,
                 passing,
                 moving: None,
+                lapses: Vec::new(),
             });
         }
         Self {
@@ -215,6 +324,7 @@
             to_give: BTreeMap::new(),
             registered: Vec::new(),
             lag_ms: random.random_range(0..MAX_LAG_MS),
+            arrivals: None,
         }
     }
 
@@ -254,8 +364,12 @@
     /// Simulates one step.
     pub fn step(&mut self, now: u64) {
         self.servers.step(now);
-        let held = |server: &Server| (server.holder.server.clone(), server.held);
-        let held = self.servers.all.iter().map(held).collect();
+        if let Some(random) = &mut self.arrivals {
+            self.servers.arrive(now, random);
+        }
+        let registered = self.servers.all.iter().filter(|s| s.is_registered(now));
+        let shown = |server: &Server| (server.holder.server.clone(), server.shown);
+        let held = registered.map(shown).collect();
         self.registered.push((now, held));
         if now % PLAN_INTERVAL_MS == 0 {
             self.look(now);
@@ -272,21 +386,21 @@
         let _shown = self
             .orders
             .settle(Instant(now), |server| known.get(server).copied());
-        let holders = self.servers.all.iter().map(|server| {
+        let holders = self.servers.all.iter().filter_map(|server| {
             let name = &server.holder.server;
-            let carried = known[name];
+            let carried = *known.get(name)?;
             let requests = server.passing.iter().filter(|p| p.is_known).count() as u64;
             let order = self.orders.get(name);
             let model = &self.servers.model;
             let loads = self.orders.len();
             let phase = order.map(|o| o.phase(Instant(now), requests, model, loads));
-            Holder {
+            Some(Holder {
                 assigned: order.map_or(carried, |order| order.layers),
                 serving: carried,
                 requests,
                 phase: phase.unwrap_or(Phase::Settled),
                 ..server.holder.clone()
-            }
+            })
         });
         let holders: Vec<Holder> = holders.collect();
         for order in plan(&self.servers.model, &holders) {
