--- a/crates/core/src/pipeline/placement/gaps.rs
+++ b/crates/core/src/pipeline/placement/gaps.rs
@@ -113,16 +113,9 @@
         .iter()
         .enumerate()
         .filter(|(other, _)| *other != index);
-    let served = others.map(|(_, holder)| kept(holder));
+    let served = others.map(|(_, holder)| holder.kept());
     let own = group[index].serving;
     layer::gaps(model.layers, served)
         .iter()
         .all(|gap| gap.end <= own.start || own.end <= gap.start)
 }
-
-/// Returns the layers that a server serves now and keeps.
-fn kept(holder: &Holder) -> Range {
-    let start = holder.serving.start.max(holder.assigned.start);
-    let end = holder.serving.end.min(holder.assigned.end);
-    Range::new(start, end)
-}
--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -57,6 +57,13 @@
             phase: Phase::Settled,
         }
     }
+
+    /// Returns the layers that it serves now and keeps.
+    pub(super) fn kept(&self) -> Range {
+        let start = self.serving.start.max(self.assigned.start);
+        let end = self.serving.end.min(self.assigned.end);
+        Range::new(start, end.max(start))
+    }
 }
 
 /// What happens to requests on the layers that a server releases.
--- a/crates/core/src/pipeline/placement/layers.rs
+++ b/crates/core/src/pipeline/placement/layers.rs
@@ -76,3 +76,12 @@
     let layers = Layers::of(model, group);
     layers.capacity.into_iter().fold(f64::INFINITY, f64::min)
 }
+
+/// Returns the KV capacity of a group for requests that arrive now, in tokens.
+pub(super) fn served_capacity(model: &Model, group: &[Holder]) -> f64 {
+    let serving = group.iter().map(|holder| Holder {
+        assigned: holder.kept(),
+        ..holder.clone()
+    });
+    capacity(model, &serving.collect::<Vec<_>>())
+}
--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -52,6 +52,20 @@
     orders
 }
 
+/// Returns the KV capacity for requests that arrive now, in tokens, over the availability zones with
+/// a complete path.
+///
+/// Layers that a server was ordered to release accept no requests, although its registration shows
+/// them until its requests have ended.
+#[must_use]
+pub fn served_tokens(model: &Model, holders: &[Holder]) -> f64 {
+    let groups = groups(model, holders);
+    groups
+        .iter()
+        .map(|group| layers::served_capacity(model, group))
+        .sum()
+}
+
 /// Returns a holder with the layers that count as assigned to it.
 fn effective(holder: &Holder, is_unserved: bool) -> Holder {
     let mut holder = holder.clone();
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -112,6 +112,7 @@
             tokio::task::spawn_local(self.clone().renew(lease));
         }
         tokio::task::spawn_local(self.clone().poll_servers());
+        tokio::task::spawn_local(self.clone().log_servers());
         let mut stable_since = clock::now();
         let mut last_count = 0;
         while !self.is_over.get() {
@@ -252,6 +253,34 @@
         self.state.reported_layers.borrow_mut().clear();
     }
 
+    /// Logs what servers with layers are doing when the term begins. After the death of all entries,
+    /// nobody knows their orders, and their requests are nobody's.
+    async fn log_servers(self: Rc<Self>) {
+        for (server, address) in self.servers_with_layers() {
+            let report = probe::report(&self.state, &server, address);
+            let Ok(report) = report.await else {
+                continue;
+            };
+            let held = report.held.unwrap_or_default();
+            if report.busy || report.kv_used > 0.0 {
+                log::info!(
+                    "event=found server={server} held={held} busy={} taken={} tokens={:.0} requests={}",
+                    report.busy,
+                    report.orders,
+                    report.kv_used / f64::from(held.len().max(1)),
+                    self.state.load.borrow().requests(&server)
+                );
+            }
+        }
+    }
+
+    fn servers_with_layers(&self) -> Vec<(Incarnation, SocketAddr)> {
+        let roster = self.state.roster.borrow();
+        let servers = roster.usable().filter(|server| !server.held.is_empty());
+        let servers = servers.map(|server| (server.incarnation.clone(), server.address));
+        servers.collect()
+    }
+
     /// Returns the servers to ask: all while the store is unavailable, otherwise the slow ones.
     fn servers_to_poll(&self) -> Vec<(Incarnation, SocketAddr)> {
         let roster = self.state.roster.borrow();
@@ -288,12 +317,28 @@
             if last.is_some_and(|last| is_same_input(&last, &holders)) {
                 continue;
             }
-            for order in placement::plan(model, &holders) {
+            let orders = placement::plan(model, &holders);
+            self.log_plan(service, model, &holders, orders.len());
+            for order in orders {
                 self.start_order(order);
             }
         }
     }
 
+    /// Logs what a plan was made from: the KV capacity for requests that arrive now, and the orders
+    /// under way.
+    fn log_plan(&self, service: &Service, model: &Model, holders: &[Holder], orders: usize) {
+        let served = placement::served_tokens(model, holders);
+        self.state.metrics.count("plans");
+        self.state.served_tokens.set(served);
+        log::info!(
+            "event=planned service={service} orders={orders} servers={} served_tokens={served:.0} \
+             under_way={}",
+            holders.len(),
+            self.orders.borrow().len()
+        );
+    }
+
     fn holders(&self, service: &Service, model: &Model) -> Vec<Holder> {
         let roster = self.state.roster.borrow();
         let mut orders = self.orders.borrow_mut();
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -46,6 +46,7 @@
             ("streams", state.streams.len() as f64),
             ("waiting", state.waiting.len() as f64),
             ("slack_pieces", state.retries.pieces() as f64),
+            ("served_tokens", state.served_tokens.get()),
             ("ready", f64::from(u8::from(state.is_ready()))),
         ];
         return Response::new(Body::text(state.metrics.text(&gauges)));
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -91,6 +91,9 @@
     pub reported_layers: RefCell<BTreeMap<Incarnation, Range>>,
     /// The layers that the planner has ordered servers to hold, until the servers report them.
     pub ordered_layers: RefCell<BTreeMap<Incarnation, Range>>,
+    /// The KV capacity for requests that arrive now, in tokens, as this entry saw it when it last
+    /// planned.
+    pub served_tokens: Cell<f64>,
     /// The retry budget, including this entry's pieces of the slack.
     pub retries: Retries,
     /// The connections to backend servers.
@@ -146,6 +149,7 @@
             urgent_report: tokio::sync::Notify::new(),
             reported_layers: RefCell::default(),
             ordered_layers: RefCell::default(),
+            served_tokens: Cell::default(),
             pool: Pool::default(),
             probes: Probes::default(),
             waiting: Waiting::default(),
