--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -19,6 +19,7 @@
 pub use holder::Order;
 pub use holder::Phase;
 pub use layers::capacity;
+pub use repair::has_path;
 
 /// Returns the orders that improve the placement; none if it is good.
 ///
@@ -33,7 +34,7 @@
     if model.layers == 0 {
         return Vec::new();
     }
-    let is_unserved = !repair::has_path(model, holders);
+    let is_unserved = !has_path(model, holders);
     let holders: Vec<Holder> = holders.iter().map(|h| effective(h, is_unserved)).collect();
     let mut orders = Vec::new();
     for group in groups(model, &holders) {
@@ -70,7 +71,7 @@
 fn effective(holder: &Holder, is_unserved: bool) -> Holder {
     let mut holder = holder.clone();
     if is_unserved && holder.phase == Phase::Blocked {
-        holder.assigned = holder.serving;
+        holder.assigned = holder.kept();
     }
     holder
 }
--- a/crates/core/src/pipeline/placement/repair.rs
+++ b/crates/core/src/pipeline/placement/repair.rs
@@ -75,8 +75,12 @@
 }
 
 /// Returns whether every layer is served now.
-pub(super) fn has_path(model: &Model, group: &[Holder]) -> bool {
-    let serving = group.iter().map(|holder| holder.serving);
+///
+/// Layers that a server was ordered to release accept no requests, although its registration shows
+/// them until its requests have ended.
+#[must_use]
+pub fn has_path(model: &Model, group: &[Holder]) -> bool {
+    let serving = group.iter().map(Holder::kept);
     layer::gaps(model.layers, serving).is_empty()
 }
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -5,6 +5,7 @@
 
 use jujube_core::layer::Range;
 use jujube_core::pipeline::model::Model;
+use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase;
 use jujube_core::pipeline::placement::capacity;
@@ -200,6 +201,31 @@
     assert_eq!(plan(&model, &few), []);
 }
 
+/// Guards against waiting for requests while nothing is served, and against counting on a server
+/// that waits, since its registration still shows the layers that it releases.
+#[test]
+fn layers_that_are_being_released_make_no_path() {
+    let model = model();
+    let mut holders = settled(
+        &model,
+        &holders("a", &[("a100", 2), ("l40s", 3), ("l4", 4)]),
+    );
+    for holder in &mut holders {
+        if holder.serving.start == 0 {
+            holder.assigned = Range::new(1, holder.serving.end + 1);
+            holder.phase = Phase::Blocked;
+        }
+    }
+
+    let orders = plan(&model, &holders);
+
+    assert!(
+        orders.iter().any(|order| order.layers.start == 0),
+        "{orders:?}"
+    );
+    assert!(orders.iter().all(|order| order.handover == Handover::Break));
+}
+
 fn any_holders() -> impl Strategy<Value = Vec<Holder>> {
     let one = (0..3_usize, 0..3_usize, 0..80_u32, 0..13_u32);
     proptest::collection::vec(one, 1..24).prop_map(|servers| {
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -6,6 +6,7 @@
 
 use hyper::StatusCode;
 use jujube_core::layer::Range;
+use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::server::Incarnation;
@@ -130,11 +131,15 @@
 
     /// Returns whether no path exists through the model that an order belongs to.
     fn has_no_path(&self, order: &Order) -> bool {
-        let roster = self.state.roster.borrow();
-        let fleets = self.state.fleets.borrow();
-        let service = roster.get(&order.server).map(|server| &server.service);
-        let fleet = service.and_then(|service| fleets.get(service));
-        fleet.is_some_and(|fleet| !fleet.is_complete())
+        let server = self.state.roster.borrow().get(&order.server).cloned();
+        let (Some(server), Some(table)) = (server, self.state.table()) else {
+            return false;
+        };
+        let backend = table.document.services.get(&server.service);
+        let Some(model) = backend.and_then(|backend| backend.model.as_ref()) else {
+            return false;
+        };
+        !placement::has_path(model, &self.holders(&server.service, model))
     }
 
     /// Returns whether an order is still the latest one for its server.
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -339,7 +339,7 @@
         );
     }
 
-    fn holders(&self, service: &Service, model: &Model) -> Vec<Holder> {
+    pub(super) fn holders(&self, service: &Service, model: &Model) -> Vec<Holder> {
         let roster = self.state.roster.borrow();
         let mut orders = self.orders.borrow_mut();
         let load = self.state.load.borrow();
