--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -17,6 +17,12 @@
     /// It waits for requests on the layers that it releases, and refuses other orders until they
     /// end.
     Blocked,
+    /// Its registration lapsed, but it answers, so it is likely to register again. It gets no new
+    /// requests and no orders meanwhile.
+    Missing,
+    /// It is missing, and more registrations lapse. An order given now might take the last holder
+    /// of layers whose other holders lapse next.
+    Lapsing,
     /// It joined empty a moment ago. In a rollout the server that it replaces is about to drain,
     /// and an order before that would cause a second load.
     Joining,
@@ -58,6 +64,11 @@
         }
     }
 
+    /// Returns whether its registration lapsed.
+    pub(super) fn is_missing(&self) -> bool {
+        matches!(self.phase, Phase::Missing | Phase::Lapsing)
+    }
+
     /// Returns the layers that it serves now and keeps.
     pub(super) fn kept(&self) -> Range {
         let start = self.serving.start.max(self.assigned.start);
--- a/crates/core/src/pipeline/placement/layers.rs
+++ b/crates/core/src/pipeline/placement/layers.rs
@@ -39,7 +39,7 @@
     }
 
     pub(super) fn add(&mut self, model: &Model, holder: &Holder, sign: f64) {
-        if holder.assigned.is_empty() {
+        if holder.assigned.is_empty() || holder.is_missing() {
             return;
         }
         let each = model.kv_capacity(holder.profile, holder.assigned.len())
--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -6,6 +6,7 @@
 mod gaps;
 mod holder;
 mod layers;
+mod missing;
 mod repair;
 mod replicas;
 
@@ -38,11 +39,13 @@
     let holders: Vec<Holder> = holders.iter().map(|h| effective(h, is_unserved)).collect();
     let mut orders = Vec::new();
     for group in groups(model, &holders) {
-        if group.iter().all(|holder| holder.assigned.is_empty()) {
-            orders.extend(replicas::place(model, &group));
-        } else {
-            orders.extend(repair::repair(model, &group));
-        }
+        orders.extend(plan_group(model, &group));
+    }
+    let urgent = missing::replace(model, &holders);
+    orders.retain(|order| urgent.iter().all(|other| other.server != order.server));
+    orders.extend(urgent);
+    if holders.iter().any(|holder| holder.phase == Phase::Lapsing) {
+        orders.retain(|order| is_empty(&holders, order));
     }
     orders.retain(|order| fits_memory(model, &holders, order));
     if is_unserved {
@@ -53,18 +56,37 @@
     orders
 }
 
-/// Returns the KV capacity for requests that arrive now, in tokens, over the availability zones with
-/// a complete path.
+/// Returns whether an order is for a server without layers. Such a server gives nothing up.
+fn is_empty(holders: &[Holder], order: &Order) -> bool {
+    let holder = holders.iter().find(|holder| holder.server == order.server);
+    holder.is_some_and(|holder| holder.assigned.is_empty())
+}
+
+fn plan_group(model: &Model, group: &[Holder]) -> Vec<Order> {
+    if group.iter().all(|holder| holder.assigned.is_empty()) {
+        replicas::place(model, group)
+    } else {
+        repair::repair(model, group)
+    }
+}
+
+/// Returns the KV capacity for requests that arrive now, in tokens: over the availability zones with
+/// a complete path or, if none has one, over paths across zones.
 ///
 /// Layers that a server was ordered to release accept no requests, although its registration shows
 /// them until its requests have ended.
 #[must_use]
 pub fn served_tokens(model: &Model, holders: &[Holder]) -> f64 {
-    let groups = groups(model, holders);
-    groups
-        .iter()
-        .map(|group| layers::served_capacity(model, group))
-        .sum()
+    let zones = by_zone(holders);
+    let within = zones
+        .values()
+        .map(|zone| layers::served_capacity(model, zone));
+    let within: f64 = within.sum();
+    if within > 0.0 {
+        within
+    } else {
+        layers::served_capacity(model, holders)
+    }
 }
 
 /// Returns a holder with the layers that count as assigned to it.
@@ -86,12 +108,17 @@
     !order.layers.is_empty() && order.layers.end <= model.layers && order.layers.len() <= max_layers
 }
 
-fn groups(model: &Model, holders: &[Holder]) -> Vec<Vec<Holder>> {
+fn by_zone(holders: &[Holder]) -> BTreeMap<Zone, Vec<Holder>> {
     let mut zones: BTreeMap<Zone, Vec<Holder>> = BTreeMap::new();
     for holder in holders {
         let zone = zones.entry(holder.zone.clone()).or_default();
         zone.push(holder.clone());
     }
+    zones
+}
+
+fn groups(model: &Model, holders: &[Holder]) -> Vec<Vec<Holder>> {
+    let zones = by_zone(holders);
     let is_sufficient = |group: &[Holder]| -> bool {
         let max_layers = group
             .iter()
--- a/crates/core/src/pipeline/placement/repair.rs
+++ b/crates/core/src/pipeline/placement/repair.rs
@@ -7,7 +7,6 @@
 use super::holder::Phase;
 use super::holder::layers_beside;
 use super::layers::Layers;
-use super::layers::capacity;
 use super::layers::cost;
 use super::replicas::MIN_REPLICA_KV_TOKENS;
 use super::replicas::REPLICA_KV_TOKENS;
@@ -53,7 +52,7 @@
         }
         // While a gap is open or being closed, a move for capacity would remove layers that a path
         // needs.
-        if is_closed && has_path(model, group) {
+        if is_closed && has_path(model, group) && !group.iter().any(Holder::is_missing) {
             improve(model, &mut repaired, &mut orders, options);
         }
         return orders;
@@ -70,8 +69,10 @@
     orders
 }
 
+/// Returns whether every layer is assigned, be it to a server that is missing.
 fn is_complete(model: &Model, group: &[Holder]) -> bool {
-    capacity(model, group) > 0.0
+    let assigned = group.iter().map(|holder| holder.assigned);
+    layer::gaps(model.layers, assigned).is_empty()
 }
 
 /// Returns whether every layer is served now.
@@ -109,7 +110,9 @@
     }
     // No sequence of single moves closes the gap, and the group serves nothing: place it from
     // scratch.
-    let free = group.iter().filter(|h| h.phase != Phase::Blocked);
+    let free = group
+        .iter()
+        .filter(|h| h.phase != Phase::Blocked && !h.is_missing());
     let mut orders = replicas(model, &free.cloned().collect::<Vec<_>>());
     let assigned = |order: &Order| {
         group
@@ -127,7 +130,7 @@
     let is_served = is_complete(model, group);
     for index in 0..group.len() {
         let may_wait = is_served && group[index].phase == Phase::Joining;
-        let is_blocked = group[index].phase == Phase::Blocked;
+        let is_blocked = group[index].phase == Phase::Blocked || group[index].is_missing();
         if group[index].assigned.is_empty() && !may_wait && !is_blocked {
             let best = best_range(model, group, index, options);
             assign(group, &mut orders, index, best);
@@ -158,7 +161,7 @@
     let before = cost(model, group);
     let may_move = |index: &usize| match group[*index].phase {
         Phase::Settled => true,
-        Phase::Blocked => false,
+        Phase::Blocked | Phase::Missing | Phase::Lapsing => false,
         Phase::Joining | Phase::Loading => !is_closed,
     };
     let moves = (0..group.len()).filter(may_move).filter_map(|index| {
--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -28,6 +28,10 @@
 /// registered again, and the store has removed those that missed three heartbeats.
 pub const STALE_COPY_WINDOW: Span = Span(5_000);
 
+/// How long a server that is no longer registered may register again. A server that is cut from the
+/// store for longer counts as gone for good.
+const MISSING_TTL: Span = Span(15_000);
+
 /// A registered server and the state of its registration.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Registration {
@@ -62,6 +66,45 @@
     is_final: bool,
 }
 
+/// How long after a change another one is likely. Leases that are not renewed end within a heartbeat
+/// of each other.
+const SERIES_INTERVAL: Span = Span(1_000);
+/// How long a series may hold up orders.
+const MAX_SERIES: Span = Span(3_000);
+/// How long a series must have been over before the next one may hold up orders.
+const SERIES_PAUSE: Span = Span(2_000);
+
+/// Registrations that vanish or come back one after the other.
+#[derive(Clone, Copy, Debug)]
+struct Series {
+    first: Instant,
+    last: Instant,
+}
+
+impl Series {
+    /// Returns whether a change at this moment belongs to it.
+    fn includes(&self, now: Instant) -> bool {
+        now.since(self.last) < SERIES_PAUSE
+    }
+
+    /// Returns whether the next change is likely soon.
+    fn is_open(&self, now: Instant) -> bool {
+        now.since(self.last) < SERIES_INTERVAL && now.since(self.first) < MAX_SERIES
+    }
+}
+
+/// A server whose registration vanished although it was ready.
+#[derive(Clone, Debug)]
+struct Missing {
+    server: Server,
+    since: Instant,
+    /// The checks in a row that it has not answered with layers.
+    failed_checks: u32,
+}
+
+/// The number of checks in a row after which a missing server counts as gone.
+const MAX_FAILED_CHECKS: u32 = 2;
+
 /// The effect of a change to the roster.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Effect {
@@ -102,6 +145,10 @@
     replaced: Vec<Incarnation>,
     /// Servers whose registrations were removed.
     departed: BTreeMap<Incarnation, Departure>,
+    /// Servers that may register again.
+    missing: BTreeMap<Name, Missing>,
+    /// The latest registrations that vanished although their servers were ready, or came back.
+    series: Option<Series>,
     /// Until when the registrations may be outdated, after the store was restored from a copy.
     outdated_until: Option<Instant>,
 }
@@ -189,6 +236,9 @@
     fn insert(&mut self, now: Instant, server: Server) {
         let registration = Registration::new(server, now, now);
         let name = registration.server.incarnation.server.clone();
+        if self.missing.remove(&name).is_some() {
+            self.extend_series(now);
+        }
         self.registrations.insert(name, registration);
     }
 
@@ -282,10 +332,72 @@
         };
         let incarnation = registration.server.incarnation.clone();
         self.departed.insert(incarnation, departure);
-        self.registrations.remove(name);
+        if let Some(registration) = self.registrations.remove(name) {
+            self.miss(now, registration.server);
+        }
         Effect::Gone
     }
 
+    fn extend_series(&mut self, now: Instant) {
+        let series = self.series.filter(|series| series.includes(now));
+        let first = series.map_or(now, |series| series.first);
+        self.series = Some(Series { first, last: now });
+    }
+
+    fn miss(&mut self, now: Instant, server: Server) {
+        if server.state == State::Ready && !server.held.is_empty() {
+            self.extend_series(now);
+            let missing = Missing {
+                server,
+                since: now,
+                failed_checks: 0,
+            };
+            let name = missing.server.incarnation.server.clone();
+            self.missing.insert(name, missing);
+        }
+    }
+
+    /// Returns the servers with layers whose registrations vanished although they were ready, and
+    /// that may register again.
+    ///
+    /// A server that is cut from the store loses its registration, but keeps its layers and its
+    /// streams, and registers again after the cut. It gets no new requests meanwhile.
+    pub fn missing(&self) -> impl Iterator<Item = &Server> {
+        self.missing.values().map(|missing| &missing.server)
+    }
+
+    /// Returns whether more registrations are likely to vanish or to come back at any moment.
+    #[must_use]
+    pub fn is_lapsing(&self, now: Instant) -> bool {
+        self.series.is_some_and(|series| series.is_open(now))
+    }
+
+    /// Returns whether a server lost its registration and may register again.
+    #[must_use]
+    pub fn is_missing(&self, incarnation: &Incarnation) -> bool {
+        let missing = self.missing.get(&incarnation.server);
+        missing.is_some_and(|missing| missing.server.incarnation == *incarnation)
+    }
+
+    /// Records the layers that a missing server reports to hold, none if it does not answer a check.
+    /// Returns whether it counts as gone now.
+    pub fn checked_missing(&mut self, incarnation: &Incarnation, held: Range) -> bool {
+        let Some(missing) = self.missing.get_mut(&incarnation.server) else {
+            return false;
+        };
+        if !held.is_empty() {
+            missing.server.held = held;
+            missing.failed_checks = 0;
+            return false;
+        }
+        missing.failed_checks += 1;
+        let is_gone = missing.failed_checks >= MAX_FAILED_CHECKS;
+        if is_gone {
+            self.missing.remove(&incarnation.server);
+        }
+        is_gone
+    }
+
     /// Returns whether a server that is no longer registered may still be serving requests.
     ///
     /// Some servers leave without draining. Counting them as ended when their registration is
@@ -296,7 +408,8 @@
         departure.is_some_and(|departure| !departure.is_final)
     }
 
-    /// Marks departed servers as dead that count as ended by the suspicions.
+    /// Marks departed servers as dead that count as ended by the suspicions. A missing server that
+    /// is suspected has failed, and is not expected back.
     pub fn record_deaths(
         &mut self,
         now: Instant,
@@ -308,6 +421,8 @@
         for (incarnation, departure) in &mut self.departed {
             departure.is_final |= has_ended(incarnation);
         }
+        self.missing
+            .retain(|_, missing| !suspicion.is_suspected(&missing.server.incarnation));
     }
 
     fn may_be_outage_effect(&self, now: Instant) -> bool {
@@ -355,12 +470,19 @@
             .registrations
             .values()
             .filter(|registration| lapsed(registration));
-        let gone: Vec<Incarnation> = gone.map(|m| m.server.incarnation.clone()).collect();
+        let gone: Vec<Server> = gone.map(|m| m.server.clone()).collect();
         self.registrations
             .retain(|_, registration| !lapsed(registration));
         self.departed
             .retain(|_, departure| now.since(departure.at) < DEPARTED_TTL);
-        gone
+        self.missing
+            .retain(|_, missing| now.since(missing.since) < MISSING_TTL);
+        let incarnations = gone.iter().map(|server| server.incarnation.clone());
+        let incarnations = incarnations.collect();
+        for server in gone {
+            self.miss(now, server);
+        }
+        incarnations
     }
 
     /// Returns the servers that may get new work.
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::model::Model;
 use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Holder;
+use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::placement::Phase;
 use jujube_core::pipeline::placement::capacity;
 use jujube_core::pipeline::placement::plan;
@@ -201,6 +202,66 @@
     assert_eq!(plan(&model, &few), []);
 }
 
+/// Returns the settled placement, with the servers for which `is_lapsed` holds in `phase`.
+fn lapsed(model: &Model, phase: Phase, is_lapsed: impl Fn(&Holder) -> bool) -> Vec<Holder> {
+    let mut holders = settled(model, &region());
+    for holder in holders.iter_mut().filter(|holder| is_lapsed(holder)) {
+        holder.serving = Range::default();
+        holder.phase = phase;
+    }
+    holders
+}
+
+/// Guards against moves of serving servers to replace a server that lost its registration, still
+/// answers, and is back with its layers before the moves are done.
+#[test]
+fn a_server_that_may_be_back_is_not_replaced_while_others_serve() {
+    let model = model();
+    let holders = lapsed(&model, Phase::Missing, |holder| &*holder.zone.0 == "a");
+
+    assert_eq!(plan(&model, &holders), []);
+}
+
+/// Guards against an outage for as long as the registrations of servers are lapsed, and against
+/// moves in all zones at once, none of which serve when the registrations are back.
+#[test]
+fn missing_servers_are_replaced_in_one_zone_while_nothing_is_served() {
+    let model = model();
+    let holders = lapsed(&model, Phase::Missing, |holder| holder.assigned.start == 0);
+
+    let orders = plan(&model, &holders);
+
+    let zone = |order: &Order| {
+        holders
+            .iter()
+            .find(|h| h.server == order.server)
+            .unwrap()
+            .zone
+            .clone()
+    };
+    assert!(!orders.is_empty());
+    assert!(
+        orders.iter().all(|order| zone(order) == zone(&orders[0])),
+        "{orders:?}"
+    );
+    assert!(orders.iter().all(|order| order.handover == Handover::Break));
+}
+
+/// Guards against orders given between two of a series of lapses: the layers that they release may
+/// be those that the next server to lapse held as well.
+#[test]
+fn servers_with_layers_stay_while_registrations_lapse() {
+    let model = model();
+    let mut holders = lapsed(&model, Phase::Lapsing, |holder| holder.assigned.start == 0);
+    let joined = Holder::new("new".into(), "b".into(), profile("l4"), Range::default());
+    holders.push(joined);
+
+    let orders = plan(&model, &holders);
+
+    let servers: Vec<&str> = orders.iter().map(|order| &*order.server.server.0).collect();
+    assert_eq!(servers, ["new"]);
+}
+
 /// Guards against waiting for requests while nothing is served, and against counting on a server
 /// that waits, since its registration still shows the layers that it releases.
 #[test]
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -9,6 +9,7 @@
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::roster::LAPSE_GRACE;
 use jujube_core::pipeline::roster::Roster;
+use jujube_core::pipeline::server::Server;
 use jujube_core::pipeline::server::State;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -233,3 +234,70 @@
     let expected = [("a".into(), Effect::Unreadable), ("c".into(), Effect::Gone)];
     assert_eq!(effects, expected);
 }
+
+/// Returns a roster of servers that hold layers.
+fn with_layers(names: &[&str]) -> Roster {
+    let mut roster = Roster::default();
+    for name in names {
+        let server = Server {
+            held: Range::new(0, 8),
+            ..server(*name, State::Ready)
+        };
+        roster.registered(Instant(0), server);
+    }
+    roster
+}
+
+fn missing(roster: &Roster) -> Vec<String> {
+    let missing = roster.missing();
+    missing
+        .map(|server| server.incarnation.to_string())
+        .collect()
+}
+
+/// Guards against a server that is cut from the store and keeps its layers being taken for dead.
+#[test]
+fn a_ready_server_without_registration_is_missing_until_it_registers_again() {
+    let mut roster = with_layers(&["a", "b"]);
+
+    roster.removed(Instant(1_000), &"a".into());
+    assert!(usable(&roster) == ["b"] && missing(&roster) == ["a"]);
+
+    roster.registered(Instant(2_000), server("a", State::Ready));
+    assert!(missing(&roster).is_empty());
+}
+
+/// Guards against waiting for a server that leaves, has ended, or is cut off for good.
+#[test]
+fn a_server_that_drains_or_does_not_answer_is_not_missing() {
+    let mut roster = with_layers(&["a", "b", "c"]);
+    roster.registered(Instant(0), server("a", State::Draining));
+    for name in ["a", "b", "c"] {
+        roster.removed(Instant(1_000), &name.into());
+    }
+    assert_eq!(missing(&roster), ["b", "c"]);
+
+    assert!(!roster.checked_missing(&"b".into(), Range::default()));
+    assert!(roster.checked_missing(&"b".into(), Range::default()));
+    assert_eq!(missing(&roster), ["c"]);
+
+    roster.expire(Instant(16_000));
+    assert!(missing(&roster).is_empty());
+}
+
+/// Guards against registrations that flap and hold up all orders.
+#[test]
+fn a_series_of_lapses_holds_up_orders_for_a_limited_time() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut roster = with_layers(&names);
+    let mut held_up = 0;
+
+    for (index, name) in names.iter().enumerate() {
+        let now = Instant(1_000 + 900 * index as u64);
+        roster.removed(now, &(*name).into());
+        held_up += u64::from(roster.is_lapsing(now.plus(Span(800)))) * 900;
+    }
+
+    assert!((1_800..=3_000).contains(&held_up), "{held_up} ms");
+    assert!(!roster.is_lapsing(Instant(20_000)));
+}
--- a/crates/core/tests/served.rs
+++ b/crates/core/tests/served.rs
@@ -53,36 +53,68 @@
     means.fold(1.0, f64::min)
 }
 
-/// Checks that the planner serves the least share wherever servers left alone would.
-fn check_served_share(load_seconds: f64) {
-    let mut failed = Vec::new();
-    let (mut planned_sum, mut unplanned_sum) = (0.0, 0.0);
-    for seed in 0..DAYS {
-        let unplanned = least_share(seed, load_seconds, false);
-        let planned = least_share(seed, load_seconds, true);
-        unplanned_sum += unplanned;
-        planned_sum += planned;
-        if unplanned >= MIN_SHARE && planned < MIN_SHARE {
-            failed.push((seed, unplanned, planned));
-        }
-    }
-    println!(
-        "least share {:.3} on average, {:.3} without a planner",
-        planned_sum / DAYS as f64,
-        unplanned_sum / DAYS as f64
-    );
+/// The least shares served on a day: by servers left alone, and with a planner.
+struct Outcome {
+    seed: u64,
+    unplanned: f64,
+    planned: f64,
+}
+
+fn play_days(load_seconds: f64) -> Vec<Outcome> {
+    let days = (0..DAYS).map(|seed| Outcome {
+        seed,
+        unplanned: least_share(seed, load_seconds, false),
+        planned: least_share(seed, load_seconds, true),
+    });
+    days.collect()
+}
+
+fn mean(days: &[Outcome], share: impl Fn(&Outcome) -> f64) -> f64 {
+    days.iter().map(share).sum::<f64>() / days.len() as f64
+}
+
+/// Checks that the planner serves the required share wherever servers left alone would.
+fn check_each_day(load_seconds: f64) {
+    let days = play_days(load_seconds);
+    let is_failed = |day: &&Outcome| day.unplanned >= MIN_SHARE && day.planned < MIN_SHARE;
+    let failed = days.iter().filter(is_failed);
+    let failed: Vec<_> = failed.map(|d| (d.seed, d.unplanned, d.planned)).collect();
     assert!(failed.is_empty(), "seed, unplanned, planned: {failed:?}");
 }
 
+/// Checks that the planner serves no less than servers left alone, on average.
+fn check_mean(load_seconds: f64) {
+    let days = play_days(load_seconds);
+    let unplanned = mean(&days, |day| day.unplanned);
+    let planned = mean(&days, |day| day.planned);
+    println!("least share {planned:.3}, {unplanned:.3} without a planner");
+    assert!(
+        planned >= unplanned,
+        "{planned}, {unplanned} without a planner"
+    );
+}
+
 /// Guards against a planner that moves the servers on which requests are served, to replace servers
 /// that are back soon.
 #[test]
 fn what_servers_carry_is_served_through_lapses_where_loads_are_slow() {
-    check_served_share(FAR_SECONDS);
+    check_each_day(FAR_SECONDS);
 }
 
 /// Guards against the same where moves are short, but wait for requests.
 #[test]
 fn what_servers_carry_is_served_through_lapses_where_loads_are_quick() {
-    check_served_share(NEAR_SECONDS);
+    check_each_day(NEAR_SECONDS);
+}
+
+/// Guards against a planner with which more requests fail than without one, as loads are slow.
+#[test]
+fn the_planner_costs_no_service_through_lapses_where_loads_are_slow() {
+    check_mean(FAR_SECONDS);
+}
+
+/// Guards against the same where moves are short, but wait for requests.
+#[test]
+fn the_planner_costs_no_service_through_lapses_where_loads_are_quick() {
+    check_mean(NEAR_SECONDS);
 }
--- a/crates/core/tests/support/servers.rs
+++ b/crates/core/tests/support/servers.rs
@@ -117,6 +117,12 @@
         gaps(self.model.layers, self.all.iter().map(|server| server.held)).is_empty()
     }
 
+    /// Returns whether registered servers hold all layers of the model.
+    fn serves(&self, now: u64) -> bool {
+        let registered = self.all.iter().filter(|server| server.is_registered(now));
+        gaps(self.model.layers, registered.map(|server| server.held)).is_empty()
+    }
+
     fn step(&mut self, now: u64) {
         let loading = self
             .all
@@ -377,6 +383,22 @@
         self.give(now);
     }
 
+    /// Returns whether registrations lapsed or came back in the last second, within two of the first.
+    fn is_lapsing(&self, seen: u64) -> bool {
+        let mut series: Option<(u64, u64)> = None;
+        let all = self.servers.all.iter().flat_map(|server| &server.lapses);
+        let changes = all.flat_map(|(from, to)| [*from, *to]);
+        let mut lapsed: Vec<u64> = changes.filter(|at| *at <= seen).collect();
+        lapsed.sort_unstable();
+        for at in lapsed {
+            series = match series {
+                Some((first, last)) if at - last < 2_000 => Some((first, at)),
+                _ => Some((at, at)),
+            };
+        }
+        series.is_some_and(|(first, last)| seen - last < 1_000 && seen - first < 3_000)
+    }
+
     fn look(&mut self, now: u64) {
         let seen = now.saturating_sub(self.lag_ms);
         let known = self.registered.iter().rfind(|(at, _)| *at <= seen);
@@ -386,21 +408,32 @@
         let _shown = self
             .orders
             .settle(Instant(now), |server| known.get(server).copied());
-        let holders = self.servers.all.iter().filter_map(|server| {
+        let missing_phase = match self.is_lapsing(seen) {
+            true => Phase::Lapsing,
+            false => Phase::Missing,
+        };
+        let holders = self.servers.all.iter().map(|server| {
             let name = &server.holder.server;
-            let carried = *known.get(name)?;
+            let Some(carried) = known.get(name).copied() else {
+                return Holder {
+                    assigned: server.held,
+                    serving: Range::default(),
+                    phase: missing_phase,
+                    ..server.holder.clone()
+                };
+            };
             let requests = server.passing.iter().filter(|p| p.is_known).count() as u64;
             let order = self.orders.get(name);
             let model = &self.servers.model;
             let loads = self.orders.len();
             let phase = order.map(|o| o.phase(Instant(now), requests, model, loads));
-            Some(Holder {
+            Holder {
                 assigned: order.map_or(carried, |order| order.layers),
                 serving: carried,
                 requests,
                 phase: phase.unwrap_or(Phase::Settled),
                 ..server.holder.clone()
-            })
+            }
         });
         let holders: Vec<Holder> = holders.collect();
         for order in plan(&self.servers.model, &holders) {
@@ -414,7 +447,7 @@
     fn give(&mut self, now: u64) {
         let due = self.to_give.iter().filter(|(_, (at, _))| *at <= now);
         let due: Vec<Order> = due.map(|(_, (_, order))| order.clone()).collect();
-        let is_unserved = !self.servers.carries();
+        let is_unserved = !self.servers.serves(now);
         for order in due {
             if !self.orders.is_latest(&order) {
                 self.to_give.remove(&order.server);
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use jujube_core::fence::HeldLease;
+use jujube_core::layer::Range;
 use jujube_core::name::Service;
 use jujube_core::pipeline::assignment::Assignments;
 use jujube_core::pipeline::model::Model;
@@ -18,6 +19,7 @@
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase as Work;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::server::Server;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_store::kv::Feed;
@@ -45,6 +47,9 @@
 /// How long a server that joined empty waits for the drain of the server that it replaces, which
 /// usually follows within a second.
 const JOIN_DELAY: Span = Span(1_300);
+/// How often servers that lost their registrations are checked. Two failed checks end the wait for
+/// one.
+const MISSING_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// How often servers are asked for the layers they hold while the store is unavailable.
 const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -113,6 +118,7 @@
         }
         tokio::task::spawn_local(self.clone().poll_servers());
         tokio::task::spawn_local(self.clone().log_servers());
+        tokio::task::spawn_local(self.clone().check_missing());
         let mut stable_since = clock::now();
         let mut last_count = 0;
         while !self.is_over.get() {
@@ -281,6 +287,26 @@
         servers.collect()
     }
 
+    /// Checks the servers that lost their registrations, until the term is over.
+    async fn check_missing(self: Rc<Self>) {
+        while !self.is_over.get() {
+            tokio::time::sleep(MISSING_CHECK_INTERVAL).await;
+            let missing: Vec<Server> = self.state.roster.borrow().missing().cloned().collect();
+            let checks = missing.into_iter().map(|server| self.check(server));
+            futures::future::join_all(checks).await;
+        }
+    }
+
+    async fn check(&self, server: Server) {
+        let report = probe::report(&self.state, &server.incarnation, server.address).await;
+        let held = report.ok().and_then(|report| report.held);
+        let mut roster = self.state.roster.borrow_mut();
+        if roster.checked_missing(&server.incarnation, held.unwrap_or_default()) {
+            log::info!("event=missing-gone server={}", server.incarnation);
+            self.state.roster_changed.notify_waiters();
+        }
+    }
+
     /// Returns the servers to ask: all while the store is unavailable, otherwise the slow ones.
     fn servers_to_poll(&self) -> Vec<(Incarnation, SocketAddr)> {
         let roster = self.state.roster.borrow();
@@ -332,9 +358,10 @@
         self.state.metrics.count("plans");
         self.state.served_tokens.set(served);
         log::info!(
-            "event=planned service={service} orders={orders} servers={} served_tokens={served:.0} \
-             under_way={}",
+            "event=planned service={service} orders={orders} servers={} missing={} \
+             served_tokens={served:.0} under_way={}",
             holders.len(),
+            self.state.roster.borrow().missing().count(),
             self.orders.borrow().len()
         );
     }
@@ -380,7 +407,25 @@
             let is_leaving = load.refusals.is_leaving(now, &holder.server);
             !(is_away && is_leaving)
         });
-        staying.collect()
+        let missing_phase = match roster.is_lapsing(now) {
+            true => Work::Lapsing,
+            false => Work::Missing,
+        };
+        let missing = roster.missing().filter(|server| server.service == *service);
+        let missing = missing.filter(|server| model.contains(server.held));
+        let missing = missing.filter_map(|server| {
+            let profile = model.profile(server.accelerator.as_ref())?;
+            Some(Holder {
+                server: server.incarnation.clone(),
+                zone: server.zone.clone(),
+                profile,
+                assigned: server.held,
+                serving: Range::default(),
+                requests: 0,
+                phase: missing_phase,
+            })
+        });
+        staying.chain(missing).collect()
     }
 }
 
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -482,6 +482,6 @@
         let roster = state.roster.borrow();
         state
             .pool
-            .close_expired(|server| roster.get(server).is_some());
+            .close_expired(|server| roster.get(server).is_some() || roster.is_missing(server));
     }
 }
