--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -19,6 +19,7 @@
 pub mod liveness;
 pub mod load;
 pub mod local_health;
+pub mod missing;
 pub mod model;
 pub mod outage;
 pub mod outlier;
--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -20,8 +20,8 @@
     /// Its registration lapsed, but it answers, so it is likely to register again. It gets no new
     /// requests and no orders meanwhile.
     Missing,
-    /// It is missing, and more registrations lapse. An order given now might take the last holder
-    /// of layers whose other holders lapse next.
+    /// It is missing, and registrations lapse or come back at short intervals. An order given now
+    /// might take the last holder of layers whose other holders lapse next.
     Lapsing,
     /// It joined empty a moment ago. In a rollout the server that it replaces is about to drain,
     /// and an order before that would cause a second load.
--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -6,6 +6,7 @@
 use crate::layer::Range;
 use crate::name::Server as Name;
 use crate::pipeline::local_health::LocalHealth;
+use crate::pipeline::missing::Missing;
 use crate::pipeline::server::Incarnation;
 use crate::pipeline::server::Server;
 use crate::pipeline::server::State;
@@ -28,10 +29,6 @@
 /// registered again, and the store has removed those that missed three heartbeats.
 pub const STALE_COPY_WINDOW: Span = Span(5_000);
 
-/// How long a server that is no longer registered may register again. A server that is cut from the
-/// store for longer counts as gone for good.
-const MISSING_TTL: Span = Span(15_000);
-
 /// A registered server and the state of its registration.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Registration {
@@ -66,45 +63,6 @@
     is_final: bool,
 }
 
-/// How long after a change another one is likely. Leases that are not renewed end within a heartbeat
-/// of each other.
-const SERIES_INTERVAL: Span = Span(1_000);
-/// How long a series may hold up orders.
-const MAX_SERIES: Span = Span(3_000);
-/// How long a series must have been over before the next one may hold up orders.
-const SERIES_PAUSE: Span = Span(2_000);
-
-/// Registrations that vanish or come back one after the other.
-#[derive(Clone, Copy, Debug)]
-struct Series {
-    first: Instant,
-    last: Instant,
-}
-
-impl Series {
-    /// Returns whether a change at this moment belongs to it.
-    fn includes(&self, now: Instant) -> bool {
-        now.since(self.last) < SERIES_PAUSE
-    }
-
-    /// Returns whether the next change is likely soon.
-    fn is_open(&self, now: Instant) -> bool {
-        now.since(self.last) < SERIES_INTERVAL && now.since(self.first) < MAX_SERIES
-    }
-}
-
-/// A server whose registration vanished although it was ready.
-#[derive(Clone, Debug)]
-struct Missing {
-    server: Server,
-    since: Instant,
-    /// The checks in a row that it has not answered with layers.
-    failed_checks: u32,
-}
-
-/// The number of checks in a row after which a missing server counts as gone.
-const MAX_FAILED_CHECKS: u32 = 2;
-
 /// The effect of a change to the roster.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Effect {
@@ -145,10 +103,8 @@
     replaced: Vec<Incarnation>,
     /// Servers whose registrations were removed.
     departed: BTreeMap<Incarnation, Departure>,
-    /// Servers that may register again.
-    missing: BTreeMap<Name, Missing>,
-    /// The latest registrations that vanished although their servers were ready, or came back.
-    series: Option<Series>,
+    /// Servers whose registrations vanished and that may register again.
+    pub missing: Missing,
     /// Until when the registrations may be outdated, after the store was restored from a copy.
     outdated_until: Option<Instant>,
 }
@@ -236,9 +192,7 @@
     fn insert(&mut self, now: Instant, server: Server) {
         let registration = Registration::new(server, now, now);
         let name = registration.server.incarnation.server.clone();
-        if self.missing.remove(&name).is_some() {
-            self.extend_series(now);
-        }
+        self.missing.registered(now, &name);
         self.registrations.insert(name, registration);
     }
 
@@ -333,71 +287,11 @@
         let incarnation = registration.server.incarnation.clone();
         self.departed.insert(incarnation, departure);
         if let Some(registration) = self.registrations.remove(name) {
-            self.miss(now, registration.server);
+            self.missing.lapsed(now, registration.server);
         }
         Effect::Gone
     }
 
-    fn extend_series(&mut self, now: Instant) {
-        let series = self.series.filter(|series| series.includes(now));
-        let first = series.map_or(now, |series| series.first);
-        self.series = Some(Series { first, last: now });
-    }
-
-    fn miss(&mut self, now: Instant, server: Server) {
-        if server.state == State::Ready && !server.held.is_empty() {
-            self.extend_series(now);
-            let missing = Missing {
-                server,
-                since: now,
-                failed_checks: 0,
-            };
-            let name = missing.server.incarnation.server.clone();
-            self.missing.insert(name, missing);
-        }
-    }
-
-    /// Returns the servers with layers whose registrations vanished although they were ready, and
-    /// that may register again.
-    ///
-    /// A server that is cut from the store loses its registration, but keeps its layers and its
-    /// streams, and registers again after the cut. It gets no new requests meanwhile.
-    pub fn missing(&self) -> impl Iterator<Item = &Server> {
-        self.missing.values().map(|missing| &missing.server)
-    }
-
-    /// Returns whether more registrations are likely to vanish or to come back at any moment.
-    #[must_use]
-    pub fn is_lapsing(&self, now: Instant) -> bool {
-        self.series.is_some_and(|series| series.is_open(now))
-    }
-
-    /// Returns whether a server lost its registration and may register again.
-    #[must_use]
-    pub fn is_missing(&self, incarnation: &Incarnation) -> bool {
-        let missing = self.missing.get(&incarnation.server);
-        missing.is_some_and(|missing| missing.server.incarnation == *incarnation)
-    }
-
-    /// Records the layers that a missing server reports to hold, none if it does not answer a check.
-    /// Returns whether it counts as gone now.
-    pub fn checked_missing(&mut self, incarnation: &Incarnation, held: Range) -> bool {
-        let Some(missing) = self.missing.get_mut(&incarnation.server) else {
-            return false;
-        };
-        if !held.is_empty() {
-            missing.server.held = held;
-            missing.failed_checks = 0;
-            return false;
-        }
-        missing.failed_checks += 1;
-        let is_gone = missing.failed_checks >= MAX_FAILED_CHECKS;
-        if is_gone {
-            self.missing.remove(&incarnation.server);
-        }
-        is_gone
-    }
-
     /// Returns whether a server that is no longer registered may still be serving requests.
     ///
     /// Some servers leave without draining. Counting them as ended when their registration is
@@ -422,7 +316,7 @@
             departure.is_final |= has_ended(incarnation);
         }
         self.missing
-            .retain(|_, missing| !suspicion.is_suspected(&missing.server.incarnation));
+            .retain(|server| !suspicion.is_suspected(&server.incarnation));
     }
 
     fn may_be_outage_effect(&self, now: Instant) -> bool {
@@ -475,12 +369,11 @@
             .retain(|_, registration| !lapsed(registration));
         self.departed
             .retain(|_, departure| now.since(departure.at) < DEPARTED_TTL);
-        self.missing
-            .retain(|_, missing| now.since(missing.since) < MISSING_TTL);
+        self.missing.expire(now);
         let incarnations = gone.iter().map(|server| server.incarnation.clone());
         let incarnations = incarnations.collect();
         for server in gone {
-            self.miss(now, server);
+            self.missing.lapsed(now, server);
         }
         incarnations
     }
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -249,7 +249,7 @@
 }
 
 fn missing(roster: &Roster) -> Vec<String> {
-    let missing = roster.missing();
+    let missing = roster.missing.servers();
     missing
         .map(|server| server.incarnation.to_string())
         .collect()
@@ -277,8 +277,8 @@
     }
     assert_eq!(missing(&roster), ["b", "c"]);
 
-    assert!(!roster.checked_missing(&"b".into(), Range::default()));
-    assert!(roster.checked_missing(&"b".into(), Range::default()));
+    assert!(!roster.missing.checked(&"b".into(), Range::default()));
+    assert!(roster.missing.checked(&"b".into(), Range::default()));
     assert_eq!(missing(&roster), ["c"]);
 
     roster.expire(Instant(16_000));
@@ -295,9 +295,9 @@
     for (index, name) in names.iter().enumerate() {
         let now = Instant(1_000 + 900 * index as u64);
         roster.removed(now, &(*name).into());
-        held_up += u64::from(roster.is_lapsing(now.plus(Span(800)))) * 900;
+        held_up += u64::from(roster.missing.is_lapsing(now.plus(Span(800)))) * 900;
     }
 
     assert!((1_800..=3_000).contains(&held_up), "{held_up} ms");
-    assert!(!roster.is_lapsing(Instant(20_000)));
+    assert!(!roster.missing.is_lapsing(Instant(20_000)));
 }
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -1,5 +1,6 @@
 //! The planner: the one entry at a time that assigns the models' layers to servers.
 
+mod checks;
 mod order;
 mod term;
 
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -6,7 +6,6 @@
 use std::fmt;
 use std::fmt::Display;
 use std::fmt::Formatter;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,14 +18,12 @@
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase as Work;
 use jujube_core::pipeline::server::Incarnation;
-use jujube_core::pipeline::server::Server;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_store::kv::Feed;
 use jujube_store::kv::Lease;
 
 use crate::dialect::Dialect;
-use crate::probe;
 use crate::state::Lifecycle;
 use crate::state::State;
 use crate::store_watch;
@@ -47,12 +44,6 @@
 /// How long a server that joined empty waits for the drain of the server that it replaces, which
 /// usually follows within a second.
 const JOIN_DELAY: Span = Span(1_300);
-/// How often servers that lost their registrations are checked. Two failed checks end the wait for
-/// one.
-const MISSING_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// How often servers are asked for the layers they hold while the store is unavailable.
-const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
-
 /// The source of a planner's authority.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Authority {
@@ -232,96 +223,6 @@
         }
     }
 
-    /// Asks servers for the layers they hold while the store, the usual source, is unavailable, and
-    /// slow servers for their current slowdown.
-    ///
-    /// Other servers are not asked, because requests cost bandwidth: a slowdown shows in streams
-    /// that fall behind.
-    async fn poll_servers(self: Rc<Self>) {
-        while !self.is_over.get() {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            for (server, address) in self.servers_to_poll() {
-                if let Ok(report) = probe::report(&self.state, &server, address).await {
-                    if let Some(held) = report.held {
-                        store_watch::apply_reported_layers(&self.state, &server, held);
-                    }
-                    let mut load = self.state.load.borrow_mut();
-                    load.record_direct_slowness(clock::now(), &server, report.slowness);
-                }
-            }
-            if !self.state.roster.borrow().is_store_away() {
-                self.state.reported_layers.borrow_mut().clear();
-            }
-            let roster = self.state.roster.borrow();
-            let mut layers = self.state.reported_layers.borrow_mut();
-            layers.retain(|server, _| roster.get(server).is_some());
-        }
-        self.state.reported_layers.borrow_mut().clear();
-    }
-
-    /// Logs what servers with layers are doing when the term begins. After the death of all entries,
-    /// nobody knows their orders, and their requests are nobody's.
-    async fn log_servers(self: Rc<Self>) {
-        for (server, address) in self.servers_with_layers() {
-            let report = probe::report(&self.state, &server, address);
-            let Ok(report) = report.await else {
-                continue;
-            };
-            let held = report.held.unwrap_or_default();
-            if report.busy || report.kv_used > 0.0 {
-                log::info!(
-                    "event=found server={server} held={held} busy={} taken={} tokens={:.0} requests={}",
-                    report.busy,
-                    report.orders,
-                    report.kv_used / f64::from(held.len().max(1)),
-                    self.state.load.borrow().requests(&server)
-                );
-            }
-        }
-    }
-
-    fn servers_with_layers(&self) -> Vec<(Incarnation, SocketAddr)> {
-        let roster = self.state.roster.borrow();
-        let servers = roster.usable().filter(|server| !server.held.is_empty());
-        let servers = servers.map(|server| (server.incarnation.clone(), server.address));
-        servers.collect()
-    }
-
-    /// Checks the servers that lost their registrations, until the term is over.
-    async fn check_missing(self: Rc<Self>) {
-        while !self.is_over.get() {
-            tokio::time::sleep(MISSING_CHECK_INTERVAL).await;
-            let missing: Vec<Server> = self.state.roster.borrow().missing().cloned().collect();
-            let checks = missing.into_iter().map(|server| self.check(server));
-            futures::future::join_all(checks).await;
-        }
-    }
-
-    async fn check(&self, server: Server) {
-        let report = probe::report(&self.state, &server.incarnation, server.address).await;
-        let held = report.ok().and_then(|report| report.held);
-        let mut roster = self.state.roster.borrow_mut();
-        if roster.checked_missing(&server.incarnation, held.unwrap_or_default()) {
-            log::info!("event=missing-gone server={}", server.incarnation);
-            self.state.roster_changed.notify_waiters();
-        }
-    }
-
-    /// Returns the servers to ask: all while the store is unavailable, otherwise the slow ones.
-    fn servers_to_poll(&self) -> Vec<(Incarnation, SocketAddr)> {
-        let roster = self.state.roster.borrow();
-        let load = self.state.load.borrow();
-        let now = clock::now();
-        let servers = roster
-            .usable()
-            .filter(|server| server.accelerator.is_some())
-            .filter(|server| {
-                roster.is_store_away() || load.slowness(now, &server.incarnation) > 1.0
-            });
-        let servers = servers.map(|server| (server.incarnation.clone(), server.address));
-        servers.collect()
-    }
-
     /// Gives the orders that the current plan requires.
     fn plan(self: &Rc<Self>, is_settled: bool) {
         let Some(table) = self.state.table() else {
@@ -361,7 +262,7 @@
             "event=planned service={service} orders={orders} servers={} missing={} \
              served_tokens={served:.0} under_way={}",
             holders.len(),
-            self.state.roster.borrow().missing().count(),
+            self.state.roster.borrow().missing.servers().count(),
             self.orders.borrow().len()
         );
     }
@@ -407,11 +308,14 @@
             let is_leaving = load.refusals.is_leaving(now, &holder.server);
             !(is_away && is_leaving)
         });
-        let missing_phase = match roster.is_lapsing(now) {
+        let missing_phase = match roster.missing.is_lapsing(now) {
             true => Work::Lapsing,
             false => Work::Missing,
         };
-        let missing = roster.missing().filter(|server| server.service == *service);
+        let missing = roster
+            .missing
+            .servers()
+            .filter(|server| server.service == *service);
         let missing = missing.filter(|server| model.contains(server.held));
         let missing = missing.filter_map(|server| {
             let profile = model.profile(server.accelerator.as_ref())?;
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -481,8 +481,8 @@
             rebuild(&state);
         }
         let roster = state.roster.borrow();
-        state
-            .pool
-            .close_expired(|server| roster.get(server).is_some() || roster.is_missing(server));
+        state.pool.close_expired(|server| {
+            roster.get(server).is_some() || roster.missing.contains(server)
+        });
     }
 }
