--- a/crates/core/tests/support/servers.rs
+++ b/crates/core/tests/support/servers.rs
@@ -1,6 +1,7 @@
 //! A simulation of backend servers that load and unload layers, and of their planner.
 
 #![allow(dead_code, reason = "each test file uses its part")]
+#![allow(clippy::expect_used, reason = "a fixture that fails must panic")]
 
 use std::collections::BTreeMap;
 
@@ -8,6 +9,7 @@
 use jujube_core::layer::gaps;
 use jujube_core::name::Zone;
 use jujube_core::pipeline::assignment::Assignments;
+use jujube_core::pipeline::missing::Missing;
 use jujube_core::pipeline::model::Model;
 use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Holder;
@@ -16,7 +18,10 @@
 use jujube_core::pipeline::placement::capacity;
 use jujube_core::pipeline::placement::plan;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::server::Server as Registration;
+use jujube_core::pipeline::server::State;
 use jujube_core::time::Instant;
+use jujube_core::time::Span;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -35,6 +40,8 @@
 const RETRY_INTERVAL_MS: u64 = 700;
 /// The maximum duration of a request.
 const MAX_REQUEST_MS: u64 = 20_000;
+/// The interval between checks of servers that lost their registrations.
+const CHECK_INTERVAL_MS: u64 = 500;
 /// How long after its due time a load counts as blocked.
 const BLOCKED_AFTER_MS: u64 = 1_500;
 /// The maximum delay of registrations.
@@ -117,6 +124,12 @@
         gaps(self.model.layers, self.all.iter().map(|server| server.held)).is_empty()
     }
 
+    fn holder(&self, server: &Incarnation) -> &Holder {
+        let found = self.all.iter().map(|s| &s.holder);
+        let mut found = found.filter(|holder| holder.server == *server);
+        found.next().expect("servers of the simulation only")
+    }
+
     /// Returns whether registered servers hold all layers of the model.
     fn serves(&self, now: u64) -> bool {
         let registered = self.all.iter().filter(|server| server.is_registered(now));
@@ -220,10 +233,28 @@
     /// Registrations of the servers, oldest first.
     registered: Vec<(u64, BTreeMap<Incarnation, Range>)>,
     lag_ms: u64,
+    /// The registrations that the planner saw last.
+    known: BTreeMap<Incarnation, Range>,
+    missing: Missing,
     /// Draws the requests that start while the simulation runs, if any do.
     arrivals: Option<StdRng>,
 }
 
+/// Returns the registration of a server that holds the layers `held`.
+fn registration(holder: &Holder, held: Range) -> Registration {
+    Registration {
+        incarnation: holder.server.clone(),
+        service: "writer".into(),
+        address: ([10, 0, 0, 1], 8000).into(),
+        zone: holder.zone.clone(),
+        state: State::Ready,
+        slots: 4,
+        accelerator: None,
+        held,
+        warm_up: Span(0),
+    }
+}
+
 impl Site {
     /// Draws servers of three availability zones with all layers placed, requests of entries that
     /// were killed a moment ago, and two storms in which registrations lapse and come back.
@@ -330,6 +361,8 @@
             to_give: BTreeMap::new(),
             registered: Vec::new(),
             lag_ms: random.random_range(0..MAX_LAG_MS),
+            known: BTreeMap::new(),
+            missing: Missing::default(),
             arrivals: None,
         }
     }
@@ -383,20 +416,22 @@
         self.give(now);
     }
 
-    /// Returns whether registrations lapsed or came back in the last second, within two of the first.
-    fn is_lapsing(&self, seen: u64) -> bool {
-        let mut series: Option<(u64, u64)> = None;
-        let all = self.servers.all.iter().flat_map(|server| &server.lapses);
-        let changes = all.flat_map(|(from, to)| [*from, *to]);
-        let mut lapsed: Vec<u64> = changes.filter(|at| *at <= seen).collect();
-        lapsed.sort_unstable();
-        for at in lapsed {
-            series = match series {
-                Some((first, last)) if at - last < 2_000 => Some((first, at)),
-                _ => Some((at, at)),
-            };
+    /// Records which servers lost their registrations or are back, and checks the missing ones.
+    fn observe(&mut self, now: Instant, known: &BTreeMap<Incarnation, Range>) {
+        for server in &self.servers.all {
+            let name = &server.holder.server;
+            if known.contains_key(name) {
+                self.missing.registered(now, &name.server);
+            } else if let Some(held) = self.known.get(name) {
+                let registration = registration(&server.holder, *held);
+                self.missing.lapsed(now, registration);
+            }
+            if now.0 % CHECK_INTERVAL_MS == 0 && !known.contains_key(name) {
+                self.missing.checked(name, server.held);
+            }
         }
-        series.is_some_and(|(first, last)| seen - last < 1_000 && seen - first < 3_000)
+        self.missing.expire(now);
+        self.known = known.clone();
     }
 
     fn look(&mut self, now: u64) {
@@ -408,20 +443,23 @@
         let _shown = self
             .orders
             .settle(Instant(now), |server| known.get(server).copied());
-        let missing_phase = match self.is_lapsing(seen) {
+        let known = known.clone();
+        self.observe(Instant(now), &known);
+        let missing_phase = match self.missing.is_lapsing(Instant(now)) {
             true => Phase::Lapsing,
             false => Phase::Missing,
         };
-        let holders = self.servers.all.iter().map(|server| {
+        let missing = self.missing.servers().map(|server| Holder {
+            assigned: server.held,
+            serving: Range::default(),
+            phase: missing_phase,
+            ..self.servers.holder(&server.incarnation).clone()
+        });
+        let registered = self.servers.all.iter();
+        let registered = registered.filter(|server| known.contains_key(&server.holder.server));
+        let registered = registered.map(|server| {
             let name = &server.holder.server;
-            let Some(carried) = known.get(name).copied() else {
-                return Holder {
-                    assigned: server.held,
-                    serving: Range::default(),
-                    phase: missing_phase,
-                    ..server.holder.clone()
-                };
-            };
+            let carried = known[name];
             let requests = server.passing.iter().filter(|p| p.is_known).count() as u64;
             let order = self.orders.get(name);
             let model = &self.servers.model;
@@ -435,7 +473,7 @@
                 ..server.holder.clone()
             }
         });
-        let holders: Vec<Holder> = holders.collect();
+        let holders: Vec<Holder> = registered.chain(missing).collect();
         for order in plan(&self.servers.model, &holders) {
             let known = known[&order.server];
             if self.orders.record(Instant(now), &order, known) {
