--- a/crates/core/src/pipeline/placement/missing.rs
+++ b/crates/core/src/pipeline/placement/missing.rs
@@ -25,8 +25,11 @@
 pub(super) fn replace(model: &Model, holders: &[Holder]) -> Vec<Order> {
     let present = holders.iter().filter(|holder| !holder.is_missing());
     let present: Vec<Holder> = present.map(|holder| effective(holder, true)).collect();
+    if present.len() == holders.len() {
+        return Vec::new();
+    }
     let required = MIN_SERVED_SHARE * tokens_with_missing(model, holders);
-    if present.len() == holders.len() || served_tokens(model, holders) >= required {
+    if served_tokens(model, holders) >= required {
         return Vec::new();
     }
     let mut groups = groups(model, &present);
--- a/crates/core/tests/support/servers.rs
+++ b/crates/core/tests/support/servers.rs
@@ -7,7 +7,6 @@
 
 use jujube_core::layer::Range;
 use jujube_core::layer::gaps;
-use jujube_core::name::Zone;
 use jujube_core::pipeline::assignment::Assignments;
 use jujube_core::pipeline::missing::Missing;
 use jujube_core::pipeline::model::Model;
@@ -15,8 +14,8 @@
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::placement::Phase;
-use jujube_core::pipeline::placement::capacity;
 use jujube_core::pipeline::placement::plan;
+use jujube_core::pipeline::placement::served_tokens;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server as Registration;
 use jujube_core::pipeline::server::State;
@@ -164,21 +163,13 @@
     /// Returns the share of normal traffic for which registered servers have KV capacity on complete
     /// paths, within availability zones or, if none has one, across them.
     fn served_share(&self, now: u64) -> f64 {
-        let mut zones: BTreeMap<Zone, Vec<Holder>> = BTreeMap::new();
-        for server in self.all.iter().filter(|server| server.is_registered(now)) {
-            let zone = zones.entry(server.holder.zone.clone()).or_default();
-            zone.push(Holder {
-                assigned: server.held,
-                ..server.holder.clone()
-            });
-        }
-        let within: f64 = zones.values().map(|zone| capacity(&self.model, zone)).sum();
-        let tokens = if within > 0.0 {
-            within
-        } else {
-            let all: Vec<Holder> = zones.into_values().flatten().collect();
-            capacity(&self.model, &all)
-        };
+        let registered = self.all.iter().filter(|server| server.is_registered(now));
+        let holders = registered.map(|server| Holder {
+            assigned: server.held,
+            serving: server.held,
+            ..server.holder.clone()
+        });
+        let tokens = served_tokens(&self.model, &holders.collect::<Vec<_>>());
         (tokens / NORMAL_TOKENS).min(1.0)
     }
 
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -44,6 +44,7 @@
 /// How long a server that joined empty waits for the drain of the server that it replaces, which
 /// usually follows within a second.
 const JOIN_DELAY: Span = Span(1_300);
+
 /// The source of a planner's authority.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Authority {
