--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate is for measuring. It drives the real programs and the stand-ins; it simulates no
 //! cluster, and nothing that serves depends on it.
 
+pub mod account;
 pub mod arrivals;
 pub mod bound;
 pub mod compare;
--- a/crates/programs/src/bin/jujube-load.rs
+++ b/crates/programs/src/bin/jujube-load.rs
@@ -9,6 +9,9 @@
 use anyhow::Result;
 use anyhow::bail;
 use jujube_core::path::Policy;
+use jujube_core::time::Span;
+use jujube_load::account::Account;
+use jujube_load::account::Target;
 use jujube_load::bound;
 use jujube_load::compare;
 use jujube_load::compare::Load;
@@ -21,6 +24,9 @@
 use jujube_program::arguments::Tool;
 use pico_args::Arguments;
 
+/// The window over which the account counts requests.
+const ACCOUNT_WINDOW: Span = Span(2_000);
+
 const HELP: &str = "\
 jujube-load: load and experiments
 
@@ -31,6 +37,8 @@
   jujube-load compare BUNDLE --model NAME --key KEY [--streams N] [--seconds N]
                                                ways of choosing paths, against the bound
   jujube-load slopes                           slopes for docs/CAPACITY.md, as a table
+  jujube-load account LOG [--first-event MS] [--pause MS] [--plot FILE]
+                                               late and lost requests by cause, from entries' logs
   jujube-load --help | --version
 
 EXIT CODES:
@@ -56,6 +64,7 @@
     Report(Vec<PathBuf>, PathBuf),
     Compare(Load),
     Slopes,
+    Account(PathBuf, Target, Option<PathBuf>),
 }
 
 impl Command {
@@ -78,6 +87,11 @@
             }
             "compare" => Self::Compare(load(&mut arguments)?),
             "slopes" => Self::Slopes,
+            "account" => {
+                let target = target(&mut arguments)?;
+                let plot = arguments.opt_value_from_str("--plot")?;
+                Self::Account(arguments.free_from_str()?, target, plot)
+            }
             _ => bail!("unknown command `{name}`; see --help"),
         };
         arguments::finish(arguments)?;
@@ -109,11 +123,30 @@
                 let slopes = slopes::measure(say)?;
                 print!("{}", slopes::page(&slopes)?);
             }
+            Self::Account(path, target, plot) => {
+                let log = std::fs::read_to_string(&path).context(path.display().to_string())?;
+                let account = Account::read(log.lines(), target, ACCOUNT_WINDOW);
+                print!("{}", account.page()?);
+                if let Some(plot) = plot {
+                    account.plot(&plot)?;
+                }
+            }
         }
         Ok(())
     }
 }
 
+fn target(arguments: &mut Arguments) -> Result<Target> {
+    let mut milliseconds = |name: &'static str, usual: u64| -> Result<Span> {
+        let given = arguments.opt_value_from_str(name)?;
+        Ok(Span(given.unwrap_or(usual)))
+    };
+    Ok(Target {
+        first_event: milliseconds("--first-event", 600)?,
+        pause: milliseconds("--pause", 300)?,
+    })
+}
+
 fn load(arguments: &mut Arguments) -> Result<Load> {
     let model = arguments.value_from_str("--model")?;
     let key = arguments.value_from_str("--key")?;
