Compute what a placement costs once for all ranges and once for each kind of server

Ruled out: planning less often; the planner's thread was busy for seconds at its first plan already. Change: totals outside a range are summed once, servers of one kind with the same layers are tried once, redundancy is counted by layer, and orders are looked up by server. Tests of 300, 1,000 and 3,000 servers without network.

--- a/crates/core/src/pipeline/placement/gaps.rs
+++ b/crates/core/src/pipeline/placement/gaps.rs
@@ -36,6 +36,10 @@
     let mut orders: Vec<Order> = Vec::new();
     for _ in 0..MAX_CLOSING {
         let gaps = layer::gaps(model.layers, group.iter().map(|holder| holder.assigned));
+        if gaps.is_empty() {
+            break;
+        }
+        let holders = holders_of_layers(model, group);
         let is_free = |index: &usize| {
             let holder = &group[*index];
             let is_ordered = orders.iter().any(|order| order.server == holder.server);
@@ -45,7 +49,10 @@
         let free = (0..group.len()).filter(is_free);
         let choices = free.flat_map(|index| {
             let ways = gaps.iter().map(move |gap| (index, *gap));
-            ways.flat_map(|(index, gap)| choices(model, group, index, gap, kv_tokens))
+            let holders = &holders;
+            ways.flat_map(|(index, gap)| {
+                choices(model, &group[index], index, holders, gap, kv_tokens)
+            })
         });
         let best = choices.min_by(|a, b| {
             let by_cost = a.cost.total_cmp(&b.cost);
@@ -64,12 +71,12 @@
 /// Returns the ways in which a server can close a gap or a part of it.
 fn choices(
     model: &Model,
-    group: &[Holder],
+    holder: &Holder,
     index: usize,
+    holders: &[u32],
     gap: Range,
     kv_tokens: f64,
 ) -> Vec<Choice> {
-    let holder = &group[index];
     let mut choices = Vec::new();
     let mut offer = |layers: Range, closes: u32, delayed: f64| {
         if closes > 0 {
@@ -91,7 +98,7 @@
         let layers = Range::new(gap.end - added, holder.assigned.end);
         offer(layers, added, ADD_COST);
     }
-    if is_redundant(model, group, index) {
+    if is_redundant(holder, holders) {
         let count = layers_beside(model, holder.profile, kv_tokens).min(gap.len());
         let delayed = RELEASE_COST + holder.requests as f64;
         offer(Range::new(gap.start, gap.start + count), count, delayed);
@@ -107,15 +114,23 @@
     layers_beside(model, holder.profile, used.max(kv_tokens))
 }
 
+/// Returns the number of servers that serve each layer and keep it.
+fn holders_of_layers(model: &Model, group: &[Holder]) -> Vec<u32> {
+    let mut holders = vec![0; model.layers as usize];
+    for range in group.iter().map(Holder::kept) {
+        let end = range.end.min(model.layers) as usize;
+        let kept = holders.get_mut(range.start as usize..end);
+        kept.into_iter().flatten().for_each(|count| *count += 1);
+    }
+    holders
+}
+
 /// Returns whether others serve every layer that a server serves.
-fn is_redundant(model: &Model, group: &[Holder], index: usize) -> bool {
-    let others = group
-        .iter()
-        .enumerate()
-        .filter(|(other, _)| *other != index);
-    let served = others.map(|(_, holder)| holder.kept());
-    let own = group[index].serving;
-    layer::gaps(model.layers, served)
-        .iter()
-        .all(|gap| gap.end <= own.start || own.end <= gap.start)
+fn is_redundant(holder: &Holder, holders: &[u32]) -> bool {
+    let (own, kept) = (holder.serving, holder.kept());
+    let mut layers = own.start..own.end.min(holders.len() as u32);
+    layers.all(|layer| {
+        let is_kept = kept.start <= layer && layer < kept.end;
+        holders[layer as usize] > u32::from(is_kept)
+    })
 }
--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -1,5 +1,7 @@
 //! Backend servers and the orders that a plan gives them.
 
+use std::collections::BTreeMap;
+
 use crate::layer::Range;
 use crate::name::Zone;
 use crate::pipeline::model::Model;
@@ -135,10 +137,14 @@
 
 /// Returns the holders as they are after the orders complete.
 pub(super) fn apply(group: &[Holder], orders: &[Order]) -> Vec<Holder> {
+    let ordered: BTreeMap<&Incarnation, Range> = orders
+        .iter()
+        .map(|order| (&order.server, order.layers))
+        .collect();
     let mut group = group.to_vec();
     for holder in &mut group {
-        let order = orders.iter().find(|order| order.server == holder.server);
-        holder.assigned = order.map_or(holder.assigned, |order| order.layers);
+        let layers = ordered.get(&holder.server).copied();
+        holder.assigned = layers.unwrap_or(holder.assigned);
     }
     group
 }
--- a/crates/core/src/pipeline/placement/layers.rs
+++ b/crates/core/src/pipeline/placement/layers.rs
@@ -1,16 +1,15 @@
 //! KV capacity per layer, and the cost that the planner minimizes.
 
 use super::holder::Holder;
+use crate::layer::Range;
 use crate::pipeline::model::Model;
+use crate::pipeline::model::Profile;
 
 /// Capacity added to every layer when computing costs, in tokens. It keeps the cost of a layer
 /// without a holder finite, and is small so that the first holder of a layer lowers the cost most.
 const BASE_CAPACITY_TOKENS: f64 = 500.0;
-
-/// Returns the cost of a group's placement.
-pub(super) fn cost(model: &Model, group: &[Holder]) -> f64 {
-    Layers::of(model, group).cost()
-}
+/// The power of the mean over layers.
+const SCARCITY_POWER: i32 = 8;
 
 /// Totals over the holders of each layer.
 #[derive(Clone, Debug)]
@@ -42,8 +41,7 @@
         if holder.assigned.is_empty() || holder.is_missing() {
             return;
         }
-        let each = model.kv_capacity(holder.profile, holder.assigned.len())
-            / f64::from(holder.assigned.len());
+        let each = capacity_of_each(model, holder.profile, holder.assigned.len());
         let end = holder.assigned.end.min(self.capacity.len() as u32);
         for layer in holder.assigned.start as usize..end as usize {
             self.capacity[layer] += sign * each;
@@ -58,16 +56,98 @@
     /// minimum gives the other layers some weight, so that each of several moves that together
     /// close a gap lowers the cost.
     pub(super) fn cost(&self) -> f64 {
-        let mut step_factor = 0.0;
-        let mut scarcity = 0.0;
-        for (capacity, weighted) in self.capacity.iter().zip(&self.weighted) {
-            let capacity = capacity.max(0.0);
-            step_factor += (weighted + BASE_CAPACITY_TOKENS * self.slowest)
-                / (capacity + BASE_CAPACITY_TOKENS);
-            scarcity += (capacity + BASE_CAPACITY_TOKENS).recip().powi(8);
+        self.total(0..self.capacity.len(), Addition::default())
+            .cost()
+    }
+
+    /// Returns the range of `count` layers with the lowest cost for one more server, and that cost.
+    ///
+    /// The layers outside a range cost the same with the server as without it, so their totals are
+    /// computed once for all ranges.
+    pub(super) fn best_range(
+        &self,
+        model: &Model,
+        profile: Profile,
+        count: u32,
+    ) -> Option<(Range, f64)> {
+        let added = Addition {
+            capacity: capacity_of_each(model, profile, count),
+            step_factor: profile.step_factor,
+        };
+        let size = self.capacity.len();
+        let without: Vec<Total> = (0..size)
+            .map(|layer| self.of_layer(layer, Addition::default()))
+            .collect();
+        let with: Vec<Total> = (0..size).map(|layer| self.of_layer(layer, added)).collect();
+        let mut before = Total::default();
+        let mut after = vec![Total::default(); size + 1];
+        for layer in (0..size).rev() {
+            after[layer] = after[layer + 1].plus(without[layer]);
+        }
+        let mut best: Option<(Range, f64)> = None;
+        for start in 0..=size.saturating_sub(count as usize) {
+            let end = (start + count as usize).min(size);
+            let inside = with[start..end]
+                .iter()
+                .fold(before, |sum, layer| sum.plus(*layer));
+            let cost = inside.plus(after[end]).cost();
+            if best.is_none_or(|(_, lowest)| cost < lowest) {
+                best = Some((Range::new(start as u32, start as u32 + count), cost));
+            }
+            before = without
+                .get(start)
+                .map_or(before, |layer| before.plus(*layer));
         }
-        step_factor * scarcity.powf(1.0 / 8.0)
+        best
     }
+
+    fn total(&self, layers: std::ops::Range<usize>, added: Addition) -> Total {
+        let each = layers.map(|layer| self.of_layer(layer, added));
+        each.fold(Total::default(), Total::plus)
+    }
+
+    fn of_layer(&self, layer: usize, added: Addition) -> Total {
+        let capacity = (self.capacity[layer] + added.capacity).max(0.0) + BASE_CAPACITY_TOKENS;
+        let weighted = self.weighted[layer] + added.capacity * added.step_factor;
+        Total {
+            step_factor: (weighted + BASE_CAPACITY_TOKENS * self.slowest) / capacity,
+            scarcity: capacity.recip().powi(SCARCITY_POWER),
+        }
+    }
+}
+
+/// What one more server adds to each layer that it holds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Addition {
+    /// KV capacity, in tokens.
+    capacity: f64,
+    step_factor: f64,
+}
+
+/// The parts of the cost, summed over layers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Total {
+    step_factor: f64,
+    scarcity: f64,
+}
+
+impl Total {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            step_factor: self.step_factor + other.step_factor,
+            scarcity: self.scarcity + other.scarcity,
+        }
+    }
+
+    fn cost(self) -> f64 {
+        // The root of the power in `SCARCITY_POWER`.
+        self.step_factor * self.scarcity.sqrt().sqrt().sqrt()
+    }
+}
+
+/// Returns the KV capacity of each of `count` layers on a server, in tokens.
+fn capacity_of_each(model: &Model, profile: Profile, count: u32) -> f64 {
+    model.kv_capacity(profile, count) / f64::from(count.max(1))
 }
 
 /// Returns the KV capacity of a group, in tokens: that of the layer with the least.
--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::name::Zone;
 use crate::pipeline::model::Model;
+use crate::pipeline::server::Incarnation;
 
 pub use holder::Handover;
 pub use holder::Holder;
@@ -44,10 +45,17 @@
     let urgent = missing::replace(model, &holders);
     orders.retain(|order| urgent.iter().all(|other| other.server != order.server));
     orders.extend(urgent);
-    if holders.iter().any(|holder| holder.phase == Phase::Lapsing) {
-        orders.retain(|order| is_empty(&holders, order));
-    }
-    orders.retain(|order| fits_memory(model, &holders, order));
+    let by_server: BTreeMap<&Incarnation, &Holder> = holders
+        .iter()
+        .map(|holder| (&holder.server, holder))
+        .collect();
+    let is_lapsing = holders.iter().any(|holder| holder.phase == Phase::Lapsing);
+    orders.retain(|order| {
+        let holder = by_server.get(&order.server);
+        holder.is_some_and(|holder| {
+            fits_memory(model, holder, order) && !(is_lapsing && !holder.assigned.is_empty())
+        })
+    });
     if is_unserved {
         for order in &mut orders {
             order.handover = Handover::Break;
@@ -56,12 +64,6 @@
     orders
 }
 
-/// Returns whether an order is for a server without layers. Such a server gives nothing up.
-fn is_empty(holders: &[Holder], order: &Order) -> bool {
-    let holder = holders.iter().find(|holder| holder.server == order.server);
-    holder.is_some_and(|holder| holder.assigned.is_empty())
-}
-
 fn plan_group(model: &Model, group: &[Holder]) -> Vec<Order> {
     if group.iter().all(|holder| holder.assigned.is_empty()) {
         replicas::place(model, group)
@@ -100,11 +102,8 @@
 
 /// Returns whether an order fits the server's memory. A server ordered to hold more would crash
 /// with all its requests.
-fn fits_memory(model: &Model, holders: &[Holder], order: &Order) -> bool {
-    let holder = holders.iter().find(|holder| holder.server == order.server);
-    let max_layers = holder.map_or(0, |holder| {
-        model.max_layers(holder.profile, holder::MAX_WEIGHT_SHARE)
-    });
+fn fits_memory(model: &Model, holder: &Holder, order: &Order) -> bool {
+    let max_layers = model.max_layers(holder.profile, holder::MAX_WEIGHT_SHARE);
     !order.layers.is_empty() && order.layers.end <= model.layers && order.layers.len() <= max_layers
 }
 
--- a/crates/core/src/pipeline/placement/repair.rs
+++ b/crates/core/src/pipeline/placement/repair.rs
@@ -1,5 +1,7 @@
 //! Repair of a running group: layers for joining servers, and moves after a loss.
 
+use std::collections::BTreeSet;
+
 use super::gaps::MAX_CLOSING;
 use super::gaps::close;
 use super::holder::Holder;
@@ -7,13 +9,13 @@
 use super::holder::Phase;
 use super::holder::layers_beside;
 use super::layers::Layers;
-use super::layers::cost;
 use super::replicas::MIN_REPLICA_KV_TOKENS;
 use super::replicas::REPLICA_KV_TOKENS;
 use super::replicas::replicas;
 use crate::layer;
 use crate::layer::Range;
 use crate::pipeline::model::Model;
+use crate::pipeline::model::Profile;
 
 /// Minimum relative cost reduction for a move. A moving server serves nothing for seconds.
 const MIN_GAIN: f64 = 0.2;
@@ -129,12 +131,17 @@
 fn fill(model: &Model, group: &mut [Holder], options: &[f64]) -> Vec<Order> {
     let mut orders = Vec::new();
     let is_served = is_complete(model, group);
-    for index in 0..group.len() {
-        let may_wait = is_served && group[index].phase == Phase::Joining;
-        let is_blocked = group[index].phase == Phase::Blocked || group[index].is_missing();
-        if group[index].assigned.is_empty() && !may_wait && !is_blocked {
-            let best = best_range(model, group, index, options);
-            assign(group, &mut orders, index, best);
+    let mut layers = Layers::of(model, group);
+    for holder in group {
+        let may_wait = is_served && holder.phase == Phase::Joining;
+        let is_blocked = holder.phase == Phase::Blocked || holder.is_missing();
+        if !holder.assigned.is_empty() || may_wait || is_blocked {
+            continue;
+        }
+        if let Some((range, _)) = best_range(model, &layers, holder.profile, options) {
+            holder.assigned = range;
+            layers.add(model, holder, 1.0);
+            orders.push(Order::new(holder.server.clone(), range));
         }
     }
     orders
@@ -159,69 +166,63 @@
     min_gain: f64,
 ) -> bool {
     let is_closed = is_complete(model, group);
-    let before = cost(model, group);
+    let layers = Layers::of(model, group);
+    let before = layers.cost();
     let may_move = |index: &usize| match group[*index].phase {
         Phase::Settled => true,
         Phase::Joining => !is_closed,
         // It would refuse the order.
         Phase::Loading | Phase::Blocked | Phase::Missing | Phase::Lapsing => false,
     };
-    let moves = (0..group.len()).filter(may_move).filter_map(|index| {
-        let (layers, after) = best_range(model, group, index, options)?;
-        Some((index, layers, after))
+    // Servers of one kind with the same layers make the same moves; a large group has few kinds.
+    let mut kinds = BTreeSet::new();
+    let is_first_of_kind = |index: &usize| kinds.insert(kind(&group[*index]));
+    let movable = (0..group.len()).filter(may_move);
+    let moves = movable.filter(is_first_of_kind).filter_map(|index| {
+        let holder = &group[index];
+        let mut others = layers.clone();
+        others.add(model, holder, -1.0);
+        let (range, after) = best_range(model, &others, holder.profile, options)?;
+        Some((index, range, after))
     });
     let best = moves.min_by(|a, b| a.2.total_cmp(&b.2));
     let gain = best.filter(|(_, _, after)| *after < before * (1.0 - min_gain));
-    let Some((index, layers, after)) = gain else {
+    let Some((index, range, _)) = gain else {
         return false;
     };
-    assign(group, orders, index, Some((layers, after)));
+    let holder = &mut group[index];
+    holder.assigned = range;
+    orders.retain(|order| order.server != holder.server);
+    orders.push(Order::new(holder.server.clone(), range));
     true
 }
 
-fn assign(
-    group: &mut [Holder],
-    orders: &mut Vec<Order>,
-    index: usize,
-    choice: Option<(Range, f64)>,
-) {
-    let Some((layers, _)) = choice else {
-        return;
-    };
-    group[index].assigned = layers;
-    let server = group[index].server.clone();
-    orders.retain(|order| order.server != server);
-    orders.push(Order::new(server, layers));
+/// Returns what decides where a server moves: its layers and its profile.
+fn kind(holder: &Holder) -> (Range, [u64; 3]) {
+    let Profile {
+        memory_mb,
+        step_factor,
+        prefill_factor,
+    } = holder.profile;
+    let profile = [memory_mb, step_factor, prefill_factor].map(f64::to_bits);
+    (holder.assigned, profile)
 }
 
-/// Returns the range for one server with the lowest cost of the group, and that cost.
+/// Returns the range with the lowest cost for a server beside `others`, and that cost.
 fn best_range(
     model: &Model,
-    group: &[Holder],
-    index: usize,
+    others: &Layers,
+    profile: Profile,
     options: &[f64],
 ) -> Option<(Range, f64)> {
-    let holder = &group[index];
-    let mut others = Layers::of(model, group);
-    others.add(model, holder, -1.0);
     let counts = options
         .iter()
-        .map(|kv_tokens| layers_beside(model, holder.profile, *kv_tokens));
+        .map(|kv_tokens| layers_beside(model, profile, *kv_tokens));
     let mut counts: Vec<u32> = counts.collect();
     counts.retain(|count| *count > 0);
     counts.dedup();
-    let mut best: Option<(Range, f64)> = None;
-    for count in counts {
-        for start in 0..=model.layers - count.min(model.layers) {
-            let mut moved = holder.clone();
-            moved.assigned = Range::new(start, start + count);
-            let mut layers = others.clone();
-            layers.add(model, &moved, 1.0);
-            let cost = layers.cost();
-            if best.is_none_or(|(_, lowest)| cost < lowest) {
-                best = Some((moved.assigned, cost));
-            }
-        }
-    }
-    best
+    let ranges = counts
+        .into_iter()
+        .filter_map(|count| others.best_range(model, profile, count));
+    ranges.min_by(|a, b| a.1.total_cmp(&b.1))
 }
--- a/crates/core/src/pipeline/placement/replicas.rs
+++ b/crates/core/src/pipeline/placement/replicas.rs
@@ -1,5 +1,7 @@
 //! Replicas: groups of servers that together hold one copy of the model.
 
+use std::collections::BTreeSet;
+
 use super::holder::Holder;
 use super::holder::Order;
 use super::holder::apply;
@@ -8,6 +10,7 @@
 use super::repair::fill_and_improve;
 use crate::layer::Range;
 use crate::pipeline::model::Model;
+use crate::pipeline::server::Incarnation;
 
 /// KV capacity of each server of a replica, in tokens.
 ///
@@ -45,7 +48,8 @@
     while let Some(replica) =
         fastest_replica(model, &left).or_else(|| remaining_replica(model, &left, &orders))
     {
-        left.retain(|holder| replica.iter().all(|order| order.server != holder.server));
+        let taken: BTreeSet<&Incarnation> = replica.iter().map(|order| &order.server).collect();
+        left.retain(|holder| !taken.contains(&holder.server));
         orders.extend(replica);
     }
     orders
--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod control;
+mod plan;
 mod state;
 
 use std::fmt::Write;
@@ -75,7 +76,12 @@
 /// A bundle that was made for the measurement does not hold.
 pub fn measure(progress: impl Fn(&str)) -> Result<Vec<Slope>> {
     let mut slopes = Vec::new();
-    for work in [control::measure, config::measure, state::measure] {
+    for work in [
+        control::measure,
+        plan::measure,
+        config::measure,
+        state::measure,
+    ] {
         let measured = work()?;
         for slope in &measured {
             progress(slope.what);
