Choose paths among a few servers of each kind, and step only over layers that a server holds

Cause: the search for a path tried every server between every two positions: 15 ms a choice at 3,000 servers on a whole core. Ruled out: the size of the store's answers (a batch of 300 registrations takes 7 ms on the smallest entries). Change: a choice looks at four random servers of each kind (accelerator and layers) of a zone, and at all only where these lack capacity; the search visits only the servers that hold the layers before a position. Fleets with at most four servers of a kind choose as before.

--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -4,9 +4,10 @@
 //! steps between the positions where held ranges start and end. Dynamic programming over these
 //! positions finds the path with the earliest predicted end.
 
+mod sample;
 mod search;
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -23,6 +24,8 @@
 use crate::pipeline::suspicion::Suspicion;
 use crate::time::Instant;
 
+use sample::Kinds;
+
 /// A backend server that a path may use.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -64,7 +67,15 @@
     pub model: Arc<Model>,
     /// The servers that hold layers.
     pub candidates: Vec<Candidate>,
-    zones: BTreeSet<Zone>,
+    zones: BTreeMap<Zone, Kinds>,
+}
+
+/// Which servers a search looks at.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Scope {
+    /// A few of each kind.
+    Sample,
+    All,
 }
 
 /// Cost of a server without free KV capacity: it is used only if there is no other.
@@ -169,14 +180,10 @@
     /// Creates the fleet of a model.
     #[must_use]
     pub fn new(model: Arc<Model>, candidates: Vec<Candidate>) -> Self {
-        let zones = candidates
-            .iter()
-            .map(|candidate| candidate.zone.clone())
-            .collect();
         Self {
             model,
+            zones: Kinds::by_zone(&candidates),
             candidates,
-            zones,
         }
     }
 
@@ -200,12 +207,27 @@
     /// Paths within one availability zone come first, because all traffic between zones shares one
     /// link.
     pub fn choose(&self, demand: Demand, context: &Context<'_>) -> Option<Choice> {
+        let mut best = self.cheapest_zone(demand, context, Scope::Sample);
+        let is_sufficient = best.as_ref().is_some_and(|best| !best.lacks_capacity());
+        if !is_sufficient && self.zones.values().any(Kinds::is_larger_than_sample) {
+            best = self.cheapest_zone(demand, context, Scope::All);
+        }
+        if best.as_ref().is_some_and(|best| !best.is_last_resort()) {
+            return best;
+        }
+        let across = self.search(self.candidates.iter(), demand, context, None);
+        match (best, across) {
+            (Some(best), Some(across)) if across.cost_ms < best.cost_ms => Some(across),
+            (None, across) => across,
+            (best, _) => best,
+        }
+    }
+
+    /// Chooses the cheapest path within one availability zone.
+    fn cheapest_zone(&self, demand: Demand, context: &Context<'_>, scope: Scope) -> Option<Choice> {
         let mut best: Option<Choice> = None;
-        for zone in &self.zones {
-            let candidates = self
-                .candidates
-                .iter()
-                .filter(|candidate| candidate.zone == *zone);
+        for zone in self.zones.keys() {
+            let candidates = self.within(zone, context, scope, None);
             let Some(mut choice) = self.search(candidates, demand, context, None) else {
                 continue;
             };
@@ -219,15 +241,37 @@
                 best = Some(choice);
             }
         }
-        if best.as_ref().is_some_and(|best| !best.is_last_resort()) {
-            return best;
-        }
-        let across = self.search(self.candidates.iter(), demand, context, None);
-        match (best, across) {
-            (Some(best), Some(across)) if across.cost_ms < best.cost_ms => Some(across),
-            (None, across) => across,
-            (best, _) => best,
-        }
+        best
+    }
+
+    /// Returns servers of an availability zone, those on the path `old` in any case.
+    fn within<'a>(
+        &'a self,
+        zone: &Zone,
+        context: &Context<'_>,
+        scope: Scope,
+        old: Option<&'a Path>,
+    ) -> impl Iterator<Item = &'a Candidate> {
+        let kinds = self.zones.get(zone);
+        let chosen = kinds.map(|kinds| match scope {
+            Scope::Sample => kinds.sample(context.random),
+            Scope::All => kinds.all(),
+        });
+        let chosen = chosen.unwrap_or_default();
+        let is_left_out = {
+            let chosen = chosen.clone();
+            move |index: &usize| chosen.binary_search(index).is_err()
+        };
+        let kept = old.into_iter().flat_map(|path| path.parts());
+        let kept = kept.filter_map(|part| {
+            let mut servers = self.candidates.iter();
+            servers.position(|candidate| candidate.server == part.server)
+        });
+        let kept = kept.filter(is_left_out);
+        chosen
+            .into_iter()
+            .chain(kept)
+            .map(|index| &self.candidates[index])
     }
 
     /// Chooses a new path for a running request on `old`.
@@ -241,16 +285,16 @@
             .iter()
             .find(|candidate| candidate.server == first.server);
         let zone = zone.map(|candidate| &candidate.zone)?;
-        let local = self
-            .candidates
-            .iter()
-            .filter(|candidate| candidate.zone == *zone);
-        let local = self.search(local, demand, context, Some(old));
-        if local
-            .as_ref()
-            .is_some_and(|choice| !choice.is_last_resort())
-        {
-            return local;
+        for scope in [Scope::Sample, Scope::All] {
+            let local = self.within(zone, context, scope, Some(old));
+            let local = self.search(local, demand, context, Some(old));
+            let is_sufficient = match scope {
+                Scope::Sample => |choice: &Choice| !choice.lacks_capacity(),
+                Scope::All => |choice: &Choice| !choice.is_last_resort(),
+            };
+            if local.as_ref().is_some_and(is_sufficient) {
+                return local;
+            }
         }
         let across = self.search(self.candidates.iter(), demand, context, Some(old));
         across.filter(|choice| !choice.is_last_resort())
--- a/crates/core/src/pipeline/chooser/search.rs
+++ b/crates/core/src/pipeline/chooser/search.rs
@@ -51,16 +51,25 @@
             .collect();
         let first = old.and_then(Path::first);
         let positions = self.positions(&candidates, first);
+        let spans: Vec<(usize, usize)> = candidates
+            .iter()
+            .map(|priced| span(&positions, priced.candidate.held))
+            .collect();
         let mut reached: Vec<Option<Step>> = vec![None; positions.len()];
         for to in 1..positions.len() {
-            reached[to] = (0..to)
+            // Only the servers that hold the layers before the position lead to it.
+            let leading: Vec<usize> = (0..candidates.len())
+                .filter(|index| spans[*index].0 < to && to <= spans[*index].1)
+                .collect();
+            let earliest = leading.iter().map(|index| spans[*index].0).min();
+            reached[to] = (earliest.unwrap_or(to)..to)
                 .filter(|from| *from == 0 || reached[*from].is_some())
-                .flat_map(|from| (0..candidates.len()).map(move |index| (from, index)))
+                .flat_map(|from| leading.iter().map(move |index| (from, *index)))
                 .filter(|(from, index)| {
                     let layers = Range::new(positions[*from], positions[to]);
                     let candidate = candidates[*index].candidate;
                     let is_first = |f: &Part| f.server == candidate.server && f.layers == layers;
-                    candidate.held.contains(layers)
+                    spans[*index].0 <= *from
                         && (*from > 0 || first.is_none_or(is_first))
                         && !visits(&reached, *from, *index)
                 })
@@ -164,6 +173,12 @@
     }
 }
 
+/// Returns the indices of the positions where a range starts and ends.
+fn span(positions: &[u32], held: Range) -> (usize, usize) {
+    let index = |position: u32| positions.partition_point(|before| *before < position);
+    (index(held.start), index(held.end))
+}
+
 /// A candidate with its cost to the request.
 struct Priced<'a> {
     candidate: &'a Candidate,
--- a/crates/core/tests/size.rs
+++ b/crates/core/tests/size.rs
@@ -1,14 +1,23 @@
 //! Placement of hundreds to thousands of servers: what a plan gives out, and that little moves.
 
+#![allow(clippy::unwrap_used, reason = "a test that fails must panic")]
+
 #[path = "support/pipeline.rs"]
 mod pipeline;
 
+use jujube_core::pipeline::chooser::Context;
+use jujube_core::pipeline::chooser::Demand;
+use jujube_core::pipeline::load::Load;
+use jujube_core::pipeline::outlier::Outliers;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase;
 use jujube_core::pipeline::placement::plan;
 use jujube_core::pipeline::placement::served_tokens;
+use jujube_core::pipeline::suspicion::Suspicion;
+use jujube_core::time::Instant;
 
 use pipeline::carried_out;
+use pipeline::fleet;
 use pipeline::holders;
 use pipeline::model;
 
@@ -119,3 +128,41 @@
         "tokens a server at each size: {each:?}"
     );
 }
+
+const DEMAND: Demand = Demand {
+    prompt_tokens: 760.0,
+    answer_tokens: 200.0,
+};
+
+/// Guards against requests that crowd on the servers that a sample happens to name, and against
+/// full samples that hide free servers.
+#[test]
+fn a_thousand_streams_spread_over_the_servers() {
+    let (model, empty) = (model(), empty(1_000));
+    let placed = serving(&carried_out(&empty, &plan(&model, &empty)));
+    let fleet = fleet(&model, &placed);
+    let mut load = Load::default();
+
+    let chosen = (0..1_000).map(|random| {
+        let context = Context {
+            now: Instant(0),
+            load: &load,
+            suspicion: &Suspicion::default(),
+            outliers: &Outliers::default(),
+            avoid: &[],
+            local_zone: &ZONES[random as usize % ZONES.len()].into(),
+            herd_size: 1.0,
+            random,
+        };
+        let choice = fleet.choose(DEMAND, &context).unwrap();
+        load.start_path(&choice.path, DEMAND.tokens());
+        choice.lacks_capacity()
+    });
+
+    assert!(chosen.collect::<Vec<_>>().iter().all(|lacks| !lacks));
+    let most = placed
+        .iter()
+        .map(|holder| load.requests(&holder.server))
+        .max();
+    assert!(most <= Some(100), "{most:?} streams at one server");
+}
--- a/crates/load/src/slopes/plan.rs
+++ b/crates/load/src/slopes/plan.rs
@@ -1,12 +1,23 @@
-//! What a placement plan costs the planner.
+//! What a placement plan costs the planner, and a path among the placed servers an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use anyhow::Result;
 use jujube_core::layer::Range;
+use jujube_core::pipeline::chooser::Candidate;
+use jujube_core::pipeline::chooser::Context;
+use jujube_core::pipeline::chooser::Demand;
+use jujube_core::pipeline::chooser::Fleet;
+use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::model::Model;
 use jujube_core::pipeline::model::Profile;
+use jujube_core::pipeline::outlier::Outliers;
 use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Order;
+use jujube_core::pipeline::suspicion::Suspicion;
+use jujube_core::time::Instant;
 
 use super::Slope;
 use super::micros;
@@ -23,6 +34,7 @@
     let mut first = Vec::new();
     let mut idle = Vec::new();
     let mut loss = Vec::new();
+    let mut paths = Vec::new();
     for size in SIZES {
         let model = model();
         let empty = holders(size);
@@ -35,11 +47,13 @@
         first.push((size as f64, time(&empty)));
         idle.push((size as f64, time(&settled)));
         loss.push((size as f64, time(&left)));
+        paths.push((size as f64, path(&model, &settled)));
     }
     Ok(vec![
         slope("first placement planned", first),
         slope("settled placement planned again", idle),
         slope("placement planned after the loss of one server", loss),
+        slope("path chosen among the placed servers", paths),
     ])
 }
 
@@ -52,6 +66,36 @@
     }
 }
 
+/// Returns the time to choose a path while nothing runs, in milliseconds.
+fn path(model: &Model, holders: &[Holder]) -> f64 {
+    const DEMAND: Demand = Demand {
+        prompt_tokens: 760.0,
+        answer_tokens: 140.0,
+    };
+    let candidates = holders.iter().map(|holder| Candidate {
+        server: holder.server.clone(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: holder.zone.clone(),
+        held: holder.assigned,
+        profile: holder.profile,
+        kv_capacity: model.kv_capacity(holder.profile, holder.assigned.len()),
+    });
+    let fleet = Fleet::new(Arc::new(model.clone()), candidates.collect());
+    let (load, suspicion, outliers) = (Load::default(), Suspicion::default(), Outliers::default());
+    let local_zone = ZONES[0].into();
+    let context = Context {
+        now: Instant(0),
+        load: &load,
+        suspicion: &suspicion,
+        outliers: &outliers,
+        avoid: &[],
+        local_zone: &local_zone,
+        herd_size: 1.0,
+        random: 1,
+    };
+    micros(shortest(RUNS, || drop(fleet.choose(DEMAND, &context)))) / MICROS_PER_MS
+}
+
 fn model() -> Model {
     let profile = |memory_mb: f64, step_factor: f64, prefill_factor: f64| Profile {
         memory_mb,
