--- a/crates/core/src/pipeline/placement/layers.rs
+++ b/crates/core/src/pipeline/placement/layers.rs
@@ -62,8 +62,7 @@
 
     /// Returns the range of `count` layers with the lowest cost for one more server, and that cost.
     ///
-    /// The layers outside a range cost the same with the server as without it, so their totals are
-    /// computed once for all ranges.
+    /// What a layer costs with the server and without it is computed once for all ranges.
     pub(super) fn best_range(
         &self,
         model: &Model,
@@ -80,17 +79,11 @@
             .collect();
         let with: Vec<Total> = (0..size).map(|layer| self.of_layer(layer, added)).collect();
         let mut before = Total::default();
-        let mut after = vec![Total::default(); size + 1];
-        for layer in (0..size).rev() {
-            after[layer] = after[layer + 1].plus(without[layer]);
-        }
         let mut best: Option<(Range, f64)> = None;
         for start in 0..=size.saturating_sub(count as usize) {
             let end = (start + count as usize).min(size);
-            let inside = with[start..end]
-                .iter()
-                .fold(before, |sum, layer| sum.plus(*layer));
-            let cost = inside.plus(after[end]).cost();
+            let rest = with[start..end].iter().chain(&without[end..]);
+            let cost = rest.fold(before, |sum, layer| sum.plus(*layer)).cost();
             if best.is_none_or(|(_, lowest)| cost < lowest) {
                 best = Some((Range::new(start as u32, start as u32 + count), cost));
             }
@@ -140,8 +133,7 @@
     }
 
     fn cost(self) -> f64 {
-        // The root of the power in `SCARCITY_POWER`.
-        self.step_factor * self.scarcity.sqrt().sqrt().sqrt()
+        self.step_factor * self.scarcity.powf(f64::from(SCARCITY_POWER).recip())
     }
 }
 
--- a/crates/core/src/pipeline/placement/repair.rs
+++ b/crates/core/src/pipeline/placement/repair.rs
@@ -131,17 +131,17 @@
 fn fill(model: &Model, group: &mut [Holder], options: &[f64]) -> Vec<Order> {
     let mut orders = Vec::new();
     let is_served = is_complete(model, group);
-    let mut layers = Layers::of(model, group);
-    for holder in group {
+    for index in 0..group.len() {
+        let holder = &group[index];
         let may_wait = is_served && holder.phase == Phase::Joining;
         let is_blocked = holder.phase == Phase::Blocked || holder.is_missing();
         if !holder.assigned.is_empty() || may_wait || is_blocked {
             continue;
         }
+        let layers = Layers::of(model, group);
         if let Some((range, _)) = best_range(model, &layers, holder.profile, options) {
-            holder.assigned = range;
-            layers.add(model, holder, 1.0);
             orders.push(Order::new(holder.server.clone(), range));
+            group[index].assigned = range;
         }
     }
     orders
