Hold requests while an entry does not know its configuration and its servers yet

Cause: entries that start while the store is silent refused every request at once. Change: such a request waits until both are known, for six tenths of its time at most, 500 at an entry; the wait ends with the entry's shutdown and with the caller's connection. event=held, the gauge held, requests_held_total.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -15,6 +15,7 @@
 pub mod digest;
 pub mod document;
 pub mod era;
+pub mod hold;
 pub mod limits;
 pub mod liveness;
 pub mod load;
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -101,7 +101,7 @@
     tokio::task::spawn_local(accept(state.clone(), listener, closing));
     shutdown::terminated().await?;
     log::info!("event=stopping in_flight={}", state.in_flight.get());
-    state.lifecycle.set(Lifecycle::Draining);
+    state.enter(Lifecycle::Draining);
     drain(&state, &trigger).await;
     log::info!("event=stopped in_flight={}", state.in_flight.get());
     logs::flush();
@@ -126,7 +126,7 @@
     let timeout = tokio::time::sleep(stop);
     let drained = async {
         tokio::time::sleep(DRAIN_TIME).await;
-        state.lifecycle.set(Lifecycle::Closing);
+        state.enter(Lifecycle::Closing);
         closing.stop();
         while state.in_flight.get() > 0 {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod gossip;
 mod head;
+mod hold;
 mod limits;
 mod malformed;
 mod metrics;
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -45,6 +45,7 @@
             ("in_flight", state.in_flight.get() as f64),
             ("streams", state.streams.len() as f64),
             ("waiting", state.waiting.len() as f64),
+            ("held", state.held.len() as f64),
             ("slack_pieces", state.retries.pieces() as f64),
             ("served_tokens", state.served_tokens.get()),
             ("ready", f64::from(u8::from(state.is_ready()))),
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -97,6 +97,9 @@
     state.metrics.count("requests");
     let id = head::text(request.headers(), &D::NAMES.request).unwrap_or("-");
     let id: Arc<str> = id.into();
+    if !state.is_initialized() {
+        wait_for_start(&state, &request, &id).await;
+    }
     let admitted = match admit(&state, request, id.clone(), arrived).await {
         Ok(admitted) => admitted,
         Err(reason) => return refuse(&state, &id, reason, arrived),
@@ -116,6 +119,17 @@
     unary::serve(&state, admitted).await
 }
 
+/// Waits until the configuration and the registrations are known, or the entry is about to end.
+async fn wait_for_start<D: Dialect>(state: &State<D>, request: &Request<Incoming>, id: &str) {
+    let arrived = clock::now();
+    let time = head::number(request.headers(), &D::NAMES.deadline).map(Span);
+    let can_go_on = || state.is_initialized() || state.lifecycle.get() == Lifecycle::Closing;
+    let is_over = state.held.wait(time, can_go_on).await;
+    state.metrics.count("requests_held");
+    let waited = clock::now().since(arrived);
+    log::info!("event=held request={id} for=start waited_ms={waited} is_over={is_over}");
+}
+
 fn refuse<D>(state: &State<D>, id: &str, reason: Reason, arrived: Instant) -> Response<Body<D>> {
     let retry_after = match reason {
         Reason::Starting if clock::now().since(state.started) < SLOW_START => {
@@ -156,13 +170,13 @@
     id: Arc<str>,
     arrived: Instant,
 ) -> Result<Admitted, Reason> {
-    let table = state.table().ok_or(Reason::Starting)?;
-    if !state.registrations_read.get() {
-        return Err(Reason::Starting);
-    }
     if state.lifecycle.get() == Lifecycle::Closing {
         return Err(Reason::Stopping);
     }
+    if !state.registrations_read.get() {
+        return Err(Reason::Starting);
+    }
+    let table = state.table().ok_or(Reason::Starting)?;
     let host = head::text(request.headers(), &HOST).ok_or(Reason::Malformed)?;
     let route = table.route(host, request.uri().path()).cloned();
     let route = route.ok_or(Reason::NoRoute)?;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -27,6 +27,7 @@
 
 use crate::fleet::Gaps;
 use crate::gossip::Peers;
+use crate::hold::Held;
 use crate::malformed::Malformed;
 use crate::metrics::Metrics;
 use crate::planner::Leadership;
@@ -102,6 +103,8 @@
     pub probes: Probes,
     /// The other entries.
     pub peers: Peers,
+    /// The requests that wait for what they need to become known.
+    pub held: Held,
     /// The requests waiting for capacity.
     pub waiting: Waiting,
     /// The streams in flight.
@@ -152,6 +155,7 @@
             served_tokens: Cell::default(),
             pool: Pool::default(),
             probes: Probes::default(),
+            held: Held::default(),
             waiting: Waiting::default(),
             streams: Streams::default(),
             metrics: Metrics::default(),
@@ -168,10 +172,20 @@
         self.table.borrow().clone()
     }
 
+    /// Returns whether the configuration and the registrations are known.
+    pub fn is_initialized(&self) -> bool {
+        self.table.borrow().is_some() && self.registrations_read.get()
+    }
+
     /// Returns whether callers may be sent to this entry.
     pub fn is_ready(&self) -> bool {
-        let is_initialized = self.table.borrow().is_some() && self.registrations_read.get();
-        is_initialized && self.lifecycle.get() == Lifecycle::Serving
+        self.is_initialized() && self.lifecycle.get() == Lifecycle::Serving
+    }
+
+    /// Begins the next stage of a graceful shutdown.
+    pub fn enter(&self, lifecycle: Lifecycle) {
+        self.lifecycle.set(lifecycle);
+        self.held.check();
     }
 
     /// Acquires a retry for a request; `None` if the retry budget is exhausted.
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -462,6 +462,7 @@
         state.suspect(&replaced, "restarted");
     }
     state.roster_changed.notify_waiters();
+    state.held.check();
 }
 
 /// How often expired registrations and idle connections are removed. The grace period ends two
