Let few entries look at the store more often than many

Cause: every entry paused for a quarter of the time limit after each answer with changes, whether four entries or a hundred asked. What four entries learn late of servers that join, load or leave delays a quarter of all requests each.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -24,6 +24,7 @@
 pub mod model;
 pub mod outage;
 pub mod outlier;
+pub mod pace;
 pub mod path;
 pub mod placement;
 pub mod quarantine;
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -12,6 +12,7 @@
 use jujube_core::layer::Range;
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::document::Table;
+use jujube_core::pipeline::pace;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
@@ -52,9 +53,6 @@
 /// The wait of one call after the connection to the store was lost, short so that the recovery is
 /// noticed even if nothing changes.
 const WAIT_AFTER_LOSS: Span = Span(300);
-/// The fraction of the time limit, as a divisor, that passes between an answer with changes and the
-/// next call. Changes come in bursts, and every entry pays for each call.
-const PAUSE_DIVISOR: u64 = 4;
 /// The part of the time limit reserved for the next call after an answer that contained only keys
 /// of entries. Such changes may wait longer than a configuration. A slow store answers within a
 /// third of a second, and decoding a large snapshot takes as long on the smallest VMs.
@@ -290,7 +288,7 @@
 fn pause_after<D>(state: &State<D>, changes: &[Change]) -> Span {
     let is_of_entry = |change: &Change| change.key.starts_with(ENTRY_KEYS);
     let apply = state.settings.limits.apply;
-    let usual = Span(apply.0 / PAUSE_DIVISOR);
+    let usual = pace::pause(apply, state.peers.directory.borrow().count());
     let pause = match changes.iter().all(is_of_entry) {
         true => usual.max(Span(apply.0.saturating_sub(CALL_RESERVE.0))),
         false => usual,
