--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -53,7 +53,7 @@
     orders.retain(|order| {
         let holder = by_server.get(&order.server);
         holder.is_some_and(|holder| {
-            fits_memory(model, holder, order) && !(is_lapsing && !holder.assigned.is_empty())
+            fits_memory(model, holder, order) && (!is_lapsing || holder.assigned.is_empty())
         })
     });
     if is_unserved {
