Let held requests go on over 0.4 s, so that an entry that starts learns the limits of servers first

Cause: an entry that starts knows no limits of servers. Ruled out: load; it fails alone as well. Change: requests that waited for longer than 0.4 s go on after a random part of it. They are late already.

--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -45,6 +45,10 @@
 const RETRY_AFTER_OUTAGE_MS: std::ops::Range<u64> = 2_000..5_000;
 /// `Retry-After` while the entry shuts down; other entries can serve the request.
 const RETRY_AFTER_STOPPING: Span = Span(50);
+/// The time over which requests that waited for longer than this go on. An entry that starts knows no limits
+/// of servers: sent at once, all that it held would go to a server beyond the limit that its first
+/// response names.
+const RELEASE_SPREAD: Span = Span(400);
 /// Maximum pause between two frames of a request body.
 const BODY_PAUSE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -125,6 +129,10 @@
     let time = head::number(request.headers(), &D::NAMES.deadline).map(Span);
     let can_go_on = || state.is_initialized() || state.lifecycle.get() == Lifecycle::Closing;
     let is_over = state.held.wait(time, can_go_on).await;
+    if clock::now().since(arrived) > RELEASE_SPREAD {
+        let pause = rand::random_range(0..RELEASE_SPREAD.0);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
     state.metrics.count("requests_held");
     let waited = clock::now().since(arrived);
     log::info!("event=held request={id} for=start waited_ms={waited} is_over={is_over}");
