Say once what the reading of the whole change found twice or larger than needed

Ruled out: one fixture for the worlds of the lapses and the deadly requests, and one type for missing servers and refusals: alike in shape only.

--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -207,11 +207,7 @@
     /// Paths within one availability zone come first, because all traffic between zones shares one
     /// link.
     pub fn choose(&self, demand: Demand, context: &Context<'_>) -> Option<Choice> {
-        let mut best = self.cheapest_zone(demand, context, Scope::Sample);
-        let is_sufficient = best.as_ref().is_some_and(|best| !best.lacks_capacity());
-        if !is_sufficient && self.zones.values().any(Kinds::is_larger_than_sample) {
-            best = self.cheapest_zone(demand, context, Scope::All);
-        }
+        let best = self.widen(|scope| self.cheapest_zone(demand, context, scope));
         if best.as_ref().is_some_and(|best| !best.is_last_resort()) {
             return best;
         }
@@ -223,6 +219,19 @@
         }
     }
 
+    /// Searches a few servers of each kind, and all of them only if these lack capacity.
+    fn widen(&self, search: impl Fn(Scope) -> Option<Choice>) -> Option<Choice> {
+        let choice = search(Scope::Sample);
+        let is_sufficient = choice
+            .as_ref()
+            .is_some_and(|choice| !choice.lacks_capacity());
+        let leaves_servers_out = || self.zones.values().any(Kinds::is_larger_than_sample);
+        if is_sufficient || !leaves_servers_out() {
+            return choice;
+        }
+        search(Scope::All)
+    }
+
     /// Chooses the cheapest path within one availability zone.
     fn cheapest_zone(&self, demand: Demand, context: &Context<'_>, scope: Scope) -> Option<Choice> {
         let mut best: Option<Choice> = None;
@@ -285,16 +294,15 @@
             .iter()
             .find(|candidate| candidate.server == first.server);
         let zone = zone.map(|candidate| &candidate.zone)?;
-        for scope in [Scope::Sample, Scope::All] {
+        let local = self.widen(|scope| {
             let local = self.within(zone, context, scope, Some(old));
-            let local = self.search(local, demand, context, Some(old));
-            let is_sufficient = match scope {
-                Scope::Sample => |choice: &Choice| !choice.lacks_capacity(),
-                Scope::All => |choice: &Choice| !choice.is_last_resort(),
-            };
-            if local.as_ref().is_some_and(is_sufficient) {
-                return local;
-            }
+            self.search(local, demand, context, Some(old))
+        });
+        if local
+            .as_ref()
+            .is_some_and(|choice| !choice.is_last_resort())
+        {
+            return local;
         }
         let across = self.search(self.candidates.iter(), demand, context, Some(old));
         across.filter(|choice| !choice.is_last_resort())
--- a/crates/core/src/pipeline/chooser/sample.rs
+++ b/crates/core/src/pipeline/chooser/sample.rs
@@ -14,6 +14,9 @@
 /// small entry's processor.
 const MAX_OF_KIND: usize = 4;
 
+/// The layers that servers of a kind hold, and the key of their accelerator's profile.
+type Kind = (Range, [u64; 3]);
+
 /// The servers of an availability zone by kind: those of one kind have the same accelerator and
 /// hold the same layers.
 #[derive(Clone, Debug, Default)]
@@ -22,9 +25,9 @@
 impl Kinds {
     /// Groups candidates, which are named by their indices, by zone and kind.
     pub(super) fn by_zone(candidates: &[Candidate]) -> BTreeMap<Zone, Self> {
-        let mut zones: BTreeMap<Zone, BTreeMap<(Range, u64), Vec<usize>>> = BTreeMap::new();
+        let mut zones: BTreeMap<Zone, BTreeMap<Kind, Vec<usize>>> = BTreeMap::new();
         for (index, candidate) in candidates.iter().enumerate() {
-            let kind = (candidate.held, candidate.profile.step_factor.to_bits());
+            let kind = (candidate.held, candidate.profile.key());
             let kinds = zones.entry(candidate.zone.clone()).or_default();
             kinds.entry(kind).or_default().push(index);
         }
--- a/crates/core/src/pipeline/hold.rs
+++ b/crates/core/src/pipeline/hold.rs
@@ -2,8 +2,8 @@
 
 use crate::time::Span;
 
-/// The share of its time that a request may wait. With the rest it can still be served, or its caller
-/// can return once more.
+/// The share of its time that a request may wait. With the rest it can still be served, or its
+/// caller can return once more.
 const MAX_SHARE: f64 = 0.6;
 /// The assumed time of a request that names none.
 const USUAL_TIME: Span = Span(2_500);
--- a/crates/core/src/pipeline/model.rs
+++ b/crates/core/src/pipeline/model.rs
@@ -16,6 +16,24 @@
     pub prefill_factor: f64,
 }
 
+impl Profile {
+    /// Returns a key that equal profiles share, for grouping servers by accelerator.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::model::Profile;
+    /// let profile = Profile { memory_mb: 36_000.0, step_factor: 3.1, prefill_factor: 3.2 };
+    /// let slower = Profile { step_factor: 15.0, ..profile };
+    /// assert_eq!(profile.key(), profile.key());
+    /// assert_ne!(profile.key(), slower.key());
+    /// ```
+    #[must_use]
+    pub fn key(self) -> [u64; 3] {
+        [self.memory_mb, self.step_factor, self.prefill_factor].map(f64::to_bits)
+    }
+}
+
 /// A model whose layers are distributed over backend servers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Model {
--- a/crates/core/src/pipeline/pace.rs
+++ b/crates/core/src/pipeline/pace.rs
@@ -2,12 +2,13 @@
 
 use crate::time::Span;
 
-/// The shortest and the longest pause after an answer with changes, as a share of the time within which changes
-/// must be in force. Changes come in bursts, and one look after the longest leaves time for a second.
+/// The shortest and the longest pause after an answer with changes, as a share of the time within
+/// which changes must be in force. Changes come in bursts, and one look after the longest leaves
+/// time for a second.
 const MIN_SHARE: f64 = 0.125;
 const MAX_SHARE: f64 = 0.25;
-/// The number of entries at which the pause is the longest. Every entry pays for its own calls, while a late look
-/// delays its requests only: few entries serve many requests each.
+/// The number of entries at which the pause is the longest. Every entry pays for its own calls,
+/// while a late look delays its requests only: few entries serve many requests each.
 const MANY_ENTRIES: f64 = 24.0;
 
 /// Returns the pause of each of `entries` entries after an answer with changes, which must be in force
--- a/crates/core/src/pipeline/placement/layers.rs
+++ b/crates/core/src/pipeline/placement/layers.rs
@@ -56,8 +56,8 @@
     /// minimum gives the other layers some weight, so that each of several moves that together
     /// close a gap lowers the cost.
     pub(super) fn cost(&self) -> f64 {
-        self.total(0..self.capacity.len(), Addition::default())
-            .cost()
+        let layers = self.totals(Addition::default());
+        layers.fold(Total::default(), Total::plus).cost()
     }
 
     /// Returns the range of `count` layers with the lowest cost for one more server, and that cost.
@@ -74,10 +74,8 @@
             step_factor: profile.step_factor,
         };
         let size = self.capacity.len();
-        let without: Vec<Total> = (0..size)
-            .map(|layer| self.of_layer(layer, Addition::default()))
-            .collect();
-        let with: Vec<Total> = (0..size).map(|layer| self.of_layer(layer, added)).collect();
+        let without: Vec<Total> = self.totals(Addition::default()).collect();
+        let with: Vec<Total> = self.totals(added).collect();
         let mut before = Total::default();
         let mut best: Option<(Range, f64)> = None;
         for start in 0..=size.saturating_sub(count as usize) {
@@ -94,9 +92,9 @@
         best
     }
 
-    fn total(&self, layers: std::ops::Range<usize>, added: Addition) -> Total {
-        let each = layers.map(|layer| self.of_layer(layer, added));
-        each.fold(Total::default(), Total::plus)
+    /// Returns the parts of the cost of each layer, if a server added to all of them.
+    fn totals(&self, added: Addition) -> impl Iterator<Item = Total> {
+        (0..self.capacity.len()).map(move |layer| self.of_layer(layer, added))
     }
 
     fn of_layer(&self, layer: usize, added: Addition) -> Total {
--- a/crates/core/src/pipeline/placement/repair.rs
+++ b/crates/core/src/pipeline/placement/repair.rs
@@ -176,7 +176,10 @@
     };
     // Servers of one kind with the same layers make the same moves; a large group has few kinds.
     let mut kinds = BTreeSet::new();
-    let is_first_of_kind = |index: &usize| kinds.insert(kind(&group[*index]));
+    let is_first_of_kind = |index: &usize| {
+        let holder = &group[*index];
+        kinds.insert((holder.assigned, holder.profile.key()))
+    };
     let movable = (0..group.len()).filter(may_move);
     let moves = movable.filter(is_first_of_kind).filter_map(|index| {
         let holder = &group[index];
@@ -197,17 +200,6 @@
     true
 }
 
-/// Returns what decides where a server moves: its layers and its profile.
-fn kind(holder: &Holder) -> (Range, [u64; 3]) {
-    let Profile {
-        memory_mb,
-        step_factor,
-        prefill_factor,
-    } = holder.profile;
-    let profile = [memory_mb, step_factor, prefill_factor].map(f64::to_bits);
-    (holder.assigned, profile)
-}
-
 /// Returns the range with the lowest cost for a server beside `others`, and that cost.
 fn best_range(
     model: &Model,
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -21,8 +21,8 @@
 
 /// The timeout of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Orders and questions that a planner has under way at the same time. An entry with a tenth of a core
-/// completes each in some 6 ms, so that all end well within their timeouts.
+/// Orders and questions that a planner has under way at the same time. An entry with a tenth of a
+/// core completes each in some 6 ms, so that all end well within their timeouts.
 pub(super) const MAX_EXCHANGES: usize = 32;
 /// The pause before a refused or unanswered order is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
@@ -34,7 +34,7 @@
     /// The server still executes another order, or has executed one that this planner does not know.
     Conflict,
     /// There is none, or one that says nothing about the order.
-    None,
+    Inconclusive,
 }
 
 /// What a server reports about an order that it did not accept.
@@ -79,7 +79,7 @@
             match answer {
                 Answer::Settled => return,
                 Answer::Conflict => {}
-                Answer::None => tokio::time::sleep(RETRY_PAUSE).await,
+                Answer::Inconclusive => tokio::time::sleep(RETRY_PAUSE).await,
             }
             match self.ask(&order, address, &mut accepted).await {
                 Progress::Held => return,
@@ -107,7 +107,7 @@
             return Answer::Settled;
         }
         if !self.may_order() {
-            return Answer::None;
+            return Answer::Inconclusive;
         }
         let taken = match *accepted {
             Some(taken) => taken,
@@ -146,7 +146,7 @@
                 Answer::Settled
             }
             Ok(Ok(StatusCode::CONFLICT)) => Answer::Conflict,
-            _ => Answer::None,
+            _ => Answer::Inconclusive,
         }
     }
 
@@ -203,8 +203,9 @@
 
     /// Returns what happens to requests on the layers that an order releases, if it is sent now.
     ///
-    /// A server without layers has no requests, so it needs no check: with a check of all servers for each
-    /// order, a planner of a thousand empty servers was busy for longer than its orders may take.
+    /// A server without layers has no requests, so it needs no check: with a check of all servers
+    /// for each order, a planner of a thousand empty servers was busy for longer than its orders
+    /// may take.
     fn handover(&self, order: &Order) -> Handover {
         let held = self.state.roster.borrow().held(&order.server.server);
         if held.is_none_or(Range::is_empty) || order.handover == Handover::Drain {
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -76,8 +76,8 @@
     /// How often the store had been restored when the term began.
     restores: u64,
     pub(super) orders: RefCell<Assignments>,
-    /// Limits the exchanges with servers at the same time. A thousand orders sent at once time out on the
-    /// planner's own processor.
+    /// Limits the exchanges with servers at the same time. A thousand orders sent at once time out
+    /// on the planner's own processor.
     pub(super) exchanges: Semaphore,
     /// The number of orders that each server is known to have accepted.
     pub(super) accepted: RefCell<BTreeMap<Incarnation, u64>>,
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -45,9 +45,9 @@
 const RETRY_AFTER_OUTAGE_MS: std::ops::Range<u64> = 2_000..5_000;
 /// `Retry-After` while the entry shuts down; other entries can serve the request.
 const RETRY_AFTER_STOPPING: Span = Span(50);
-/// The time over which requests that waited for longer than this go on. An entry that starts knows no limits
-/// of servers: sent at once, all that it held would go to a server beyond the limit that its first
-/// response names.
+/// The time over which requests that waited for longer than this go on. An entry that starts knows
+/// no limits of servers: sent at once, all that it held would go to a server beyond the limit that
+/// its first response names.
 const RELEASE_SPREAD: Span = Span(400);
 /// Maximum pause between two frames of a request body.
 const BODY_PAUSE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -102,7 +102,7 @@
     let id = head::text(request.headers(), &D::NAMES.request).unwrap_or("-");
     let id: Arc<str> = id.into();
     if !state.is_initialized() {
-        wait_for_start(&state, &request, &id).await;
+        wait_for_start(&state, &request, &id, arrived).await;
     }
     let admitted = match admit(&state, request, id.clone(), arrived).await {
         Ok(admitted) => admitted,
@@ -124,8 +124,12 @@
 }
 
 /// Waits until the configuration and the registrations are known, or the entry is about to end.
-async fn wait_for_start<D: Dialect>(state: &State<D>, request: &Request<Incoming>, id: &str) {
-    let arrived = clock::now();
+async fn wait_for_start<D: Dialect>(
+    state: &State<D>,
+    request: &Request<Incoming>,
+    id: &str,
+    arrived: Instant,
+) {
     let time = head::number(request.headers(), &D::NAMES.deadline).map(Span);
     let can_go_on = || state.is_initialized() || state.lifecycle.get() == Lifecycle::Closing;
     let is_over = state.held.wait(time, can_go_on).await;
--- a/crates/load/src/account.rs
+++ b/crates/load/src/account.rs
@@ -34,6 +34,15 @@
     pub pause: Span,
 }
 
+impl Default for Target {
+    fn default() -> Self {
+        Self {
+            first_event: Span(600),
+            pause: Span(300),
+        }
+    }
+}
+
 /// Why a request was late or lost.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Cause {
@@ -76,7 +85,7 @@
 /// # use jujube_load::account::Account;
 /// # use jujube_load::account::Cause;
 /// # use jujube_load::account::Target;
-/// let target = Target { first_event: Span(600), pause: Span(300) };
+/// let target = Target::default();
 /// let log = "time=9000 event=streamed took_ms=2000 first_ms=80 longest_pause_ms=420 runs=1 repairs=1";
 /// let account = Account::read(log.lines(), target, Span(2_000));
 /// assert_eq!(account.total(&Cause::PauseAfterRepair), 1);
--- a/crates/programs/src/bin/jujube-load.rs
+++ b/crates/programs/src/bin/jujube-load.rs
@@ -137,13 +137,14 @@
 }
 
 fn target(arguments: &mut Arguments) -> Result<Target> {
-    let mut milliseconds = |name: &'static str, usual: u64| -> Result<Span> {
+    let mut milliseconds = |name: &'static str, usual: Span| -> Result<Span> {
         let given = arguments.opt_value_from_str(name)?;
-        Ok(Span(given.unwrap_or(usual)))
+        Ok(given.map_or(usual, Span))
     };
+    let usual = Target::default();
     Ok(Target {
-        first_event: milliseconds("--first-event", 600)?,
-        pause: milliseconds("--pause", 300)?,
+        first_event: milliseconds("--first-event", usual.first_event)?,
+        pause: milliseconds("--pause", usual.pause)?,
     })
 }
 
