Log how many servers load at the same time, and what they load

What: `planned` has `loads` and `layers_loading`, `order-shown` the orders that were under way. Cause: the hypotheses on the first path after all layers were lost differ in how many loads share the rate; no line told it.

--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -71,6 +71,12 @@
         matches!(self.phase, Phase::Missing | Phase::Lapsing)
     }
 
+    /// Returns the number of layers that its order has it load.
+    #[must_use]
+    pub fn layers_to_load(&self) -> u32 {
+        self.assigned.len() - self.kept().len()
+    }
+
     /// Returns the layers that it serves now and keeps.
     pub(super) fn kept(&self) -> Range {
         let start = self.serving.start.max(self.assigned.start);
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -259,18 +259,22 @@
         }
     }
 
-    /// Logs what a plan was made from: the KV capacity for requests that arrive now, and the orders
-    /// under way.
+    /// Logs what a plan was made from: the KV capacity for requests that arrive now, the orders under
+    /// way, and the loads among them, which share a rate.
     fn log_plan(&self, service: &Service, model: &Model, holders: &[Holder], orders: usize) {
         let served = placement::served_tokens(model, holders);
         self.state.metrics.count("plans");
         self.state.served_tokens.set(served);
+        let loading = holders.iter().filter(|h| h.phase == Work::Loading);
+        let loads: Vec<u32> = loading.map(Holder::layers_to_load).collect();
         log::info!(
             "event=planned service={service} orders={orders} servers={} missing={} \
-             served_tokens={served:.0} under_way={}",
+             served_tokens={served:.0} under_way={} loads={} layers_loading={}",
             holders.len(),
             self.state.roster.borrow().missing.servers().count(),
-            self.orders.borrow().len()
+            self.orders.borrow().len(),
+            loads.len(),
+            loads.iter().sum::<u32>()
         );
     }
 
@@ -280,8 +284,11 @@
         let load = self.state.load.borrow();
         let now = clock::now();
         let held = |server: &Incarnation| roster.get(server).map(|server| server.held);
+        let under_way = orders.len();
         for (server, layers, duration) in orders.settle(now, held) {
-            log::info!("event=order-shown server={server} layers={layers} took_ms={duration}");
+            log::info!(
+                "event=order-shown server={server} layers={layers} took_ms={duration} under_way={under_way}"
+            );
         }
         self.state.ordered_layers.replace(orders.accepted());
         let servers = roster.usable().filter(|server| server.service == *service);
