Bring about a first path that comes after the target: loads that start at once and share the rate

Cause: not mended yet. All loads of a placement start at once; beyond the concurrent ones each takes proportionally longer, so all end together.

--- a/crates/core/tests/returns.rs
+++ b/crates/core/tests/returns.rs
@@ -5,6 +5,8 @@
 //! current requests have passed or are aborted; loads share a rate. Registrations lag, and a
 //! planner may start without state.
 
+#[path = "support/fleets.rs"]
+mod fleets;
 #[path = "support/pipeline.rs"]
 mod pipeline;
 #[path = "support/servers.rs"]
--- a/crates/core/tests/served.rs
+++ b/crates/core/tests/served.rs
@@ -3,6 +3,8 @@
 //! The entries are back at once and know of no orders. Two storms of lapses follow, each of a third
 //! to two thirds of the servers, with new planners and loads under way.
 
+#[path = "support/fleets.rs"]
+mod fleets;
 #[path = "support/pipeline.rs"]
 mod pipeline;
 #[path = "support/servers.rs"]
--- a/crates/core/tests/support/servers.rs
+++ b/crates/core/tests/support/servers.rs
@@ -25,6 +25,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::fleets::Fleet;
 use super::pipeline::carried_out;
 use super::pipeline::holders;
 use super::pipeline::model;
@@ -47,6 +48,10 @@
 const MAX_LAG_MS: u64 = 1_000;
 /// The time in which the registrations of a storm lapse, one after the other.
 const STORM_MS: u64 = 1_500;
+/// The time in which all servers register after a loss of power.
+const RETURN_MS: u64 = 1_000;
+/// The maximum share of servers that do not return from a loss of power.
+const MAX_LOST_SHARE: f64 = 0.2;
 /// The maximum duration of a request that starts while a simulation runs.
 const MAX_NEW_REQUEST_MS: u64 = 6_000;
 /// The probability that a server gets a request in a step.
@@ -162,7 +167,7 @@
 
     /// Returns the share of normal traffic for which registered servers have KV capacity on complete
     /// paths, within availability zones or, if none has one, across them.
-    fn served_share(&self, now: u64) -> f64 {
+    fn served_share(&self, now: u64, normal_tokens: f64) -> f64 {
         let registered = self.all.iter().filter(|server| server.is_registered(now));
         let holders = registered.map(|server| Holder {
             assigned: server.held,
@@ -170,7 +175,7 @@
             ..server.holder.clone()
         });
         let tokens = served_tokens(&self.model, &holders.collect::<Vec<_>>());
-        (tokens / NORMAL_TOKENS).min(1.0)
+        (tokens / normal_tokens).min(1.0)
     }
 
     /// Starts requests on the layers that servers hold.
@@ -229,6 +234,10 @@
     missing: Missing,
     /// Draws the requests that start while the simulation runs, if any do.
     arrivals: Option<StdRng>,
+    /// KV memory of the requests in flight at normal traffic, in tokens.
+    normal_tokens: f64,
+    /// When the planner first plans.
+    planned_from: u64,
 }
 
 /// Returns the registration of a server that holds the layers `held`.
@@ -277,9 +286,43 @@
         site
     }
 
+    /// Draws servers that return without layers, one after the other, from a loss of power.
+    ///
+    /// A planner first plans at a random time up to `planned_by`. Some servers do not return, and
+    /// some still hold layers if `survivors` is the probability.
+    pub fn draw_return(
+        random: &mut StdRng,
+        fleet: &Fleet,
+        survivors: f64,
+        planned_by: u64,
+    ) -> Self {
+        let placed = carried_out(&fleet.holders, &plan(&fleet.model, &fleet.holders));
+        let mut returned = placed;
+        let lost_share = random.random_range(0.0..MAX_LOST_SHARE);
+        returned.retain(|_| !random.random_bool(lost_share));
+        for holder in &mut returned {
+            if !random.random_bool(survivors) {
+                *holder = Holder::new(
+                    holder.server.clone(),
+                    holder.zone.clone(),
+                    holder.profile,
+                    Range::default(),
+                );
+            }
+        }
+        let mut site = Self::of(fleet.model.clone(), returned, random);
+        for server in &mut site.servers.all {
+            server.lapses.push((0, random.random_range(0..RETURN_MS)));
+        }
+        site.arrivals = Some(StdRng::seed_from_u64(random.random()));
+        site.normal_tokens = fleet.normal_tokens;
+        site.planned_from = random.random_range(0..planned_by / STEP_MS) * STEP_MS;
+        site
+    }
+
     /// Returns the share of normal traffic that can be served.
     pub fn served_share(&self, now: u64) -> f64 {
-        self.servers.served_share(now)
+        self.servers.served_share(now, self.normal_tokens)
     }
 
     /// Simulates one step without a planner.
@@ -355,6 +398,8 @@
             known: BTreeMap::new(),
             missing: Missing::default(),
             arrivals: None,
+            normal_tokens: NORMAL_TOKENS,
+            planned_from: 0,
         }
     }
 
@@ -401,7 +446,7 @@
         let shown = |server: &Server| (server.holder.server.clone(), server.shown);
         let held = registered.map(shown).collect();
         self.registered.push((now, held));
-        if now % PLAN_INTERVAL_MS == 0 {
+        if now % PLAN_INTERVAL_MS == 0 && now >= self.planned_from {
             self.look(now);
         }
         self.give(now);
