Take a server for gone when another one has its address

Callers saw: after all servers started again, requests and orders went to servers that were dead, until their registrations ran out. Cause: a process that starts at a dead server's address answers its health checks and takes its orders. So the dead server's suspicion was cleared, its layers counted as held again, and an order meant for it had another server load layers that the plan did not know of (409 for that server's own order). Class: an address taken for an identity; answers said nothing of who gave them. Change: a server that writes its registration has its address, so another one registered there has ended, as after a restart (not by a listing, which may be old, nor after a restore); orders name the server that they are for, and one that another server refuses as misdirected shows the same. Ruled out: the order's header alone (trial): reports answer all the same, so dead servers stayed in the plan. Tests: `a_server_whose_address_another_one_has_is_gone` and `a_missing_server_whose_address_another_one_has_is_not_expected_back` fail on the code before.

--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -61,6 +61,8 @@
     at: Instant,
     /// Whether the server no longer serves any requests: it was draining, or has died.
     is_final: bool,
+    /// Whether another server has its address. Its registration may be listed until it expires.
+    is_displaced: bool,
 }
 
 /// The effect of a change to the roster.
@@ -153,11 +155,51 @@
     }
 
     /// Applies a registration that was written.
-    pub fn registered(&mut self, now: Instant, mut server: Server) -> Effect {
+    ///
+    /// The server that writes it has its address. Another one that is still registered there has
+    /// ended, although whatever is sent to it is answered.
+    pub fn registered(&mut self, now: Instant, server: Server) -> Effect {
+        let address = server.address;
+        let name = server.incarnation.server.clone();
+        if !self.may_be_outdated(now) {
+            self.departed.retain(|departed, departure| {
+                !departure.is_displaced || *departed != server.incarnation
+            });
+            let is_other =
+                |other: &Server| other.address == address && other.incarnation.server != name;
+            let registered = self.registrations.values().map(|other| &other.server);
+            let displaced = registered.filter(|other| is_other(other));
+            let displaced: Vec<Incarnation> = displaced.map(|s| s.incarnation.clone()).collect();
+            for other in &displaced {
+                self.displaced(now, other);
+            }
+            self.missing.retain(|missing| !is_other(missing));
+        }
+        self.apply(now, server)
+    }
+
+    /// Records that another server has the address of this one, which has ended.
+    pub fn displaced(&mut self, now: Instant, incarnation: &Incarnation) {
+        if self.get(incarnation).is_none() {
+            return;
+        }
+        self.registrations.remove(&incarnation.server);
+        self.replaced.push(incarnation.clone());
+        let departure = Departure {
+            at: now,
+            is_final: true,
+            is_displaced: true,
+        };
+        self.departed.insert(incarnation.clone(), departure);
+    }
+
+    /// Applies a registration as it is listed.
+    fn apply(&mut self, now: Instant, mut server: Server) -> Effect {
         let name = server.incarnation.server.clone();
         let may_be_outdated = self.may_be_outdated(now);
         let Some(before) = self.registrations.get(&name).cloned() else {
-            if may_be_outdated && self.departed.contains_key(&server.incarnation) {
+            let departure = self.departed.get(&server.incarnation);
+            if departure.is_some_and(|departure| departure.is_displaced || may_be_outdated) {
                 return Effect::None;
             }
             self.insert(now, server);
@@ -283,6 +325,7 @@
         let departure = Departure {
             at: now,
             is_final: registration.draining_since.is_some(),
+            is_displaced: false,
         };
         let incarnation = registration.server.incarnation.clone();
         self.departed.insert(incarnation, departure);
@@ -349,7 +392,7 @@
         }
         for server in servers {
             let name = server.incarnation.server.clone();
-            let effect = self.registered(now, server);
+            let effect = self.apply(now, server);
             effects.push((name, effect));
         }
         effects.retain(|(_, effect)| *effect != Effect::None);
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -48,6 +48,61 @@
     assert!(usable(&roster).is_empty());
 }
 
+/// Returns a server at the address of another one.
+fn server_at_address_of(other: &str, name: &str) -> Server {
+    Server {
+        address: server(other, State::Ready).address,
+        ..server(name, State::Ready)
+    }
+}
+
+/// Guards against a dead server that counts as alive because another one answers at its address.
+#[test]
+fn a_server_whose_address_another_one_has_is_gone() {
+    let mut roster = with(&["dead", "other"]);
+    let returned = server_at_address_of("dead", "returned");
+
+    roster.registered(Instant(0), returned.clone());
+
+    assert_eq!(usable(&roster), ["other", "returned"]);
+    assert_eq!(roster.take_replaced(), ["dead".into()]);
+    let listed = vec![server("dead", State::Ready), returned];
+    roster.replace(Instant(500), listed, &[]);
+    assert_eq!(
+        usable(&roster),
+        ["returned"],
+        "it is listed until it expires"
+    );
+}
+
+/// Guards against a live server that is taken for dead by a registration that the store restored.
+#[test]
+fn a_restored_registration_displaces_no_server() {
+    let mut roster = with(&["live"]);
+
+    roster.restored(Instant(0));
+    roster.registered(Instant(100), server_at_address_of("live", "departed"));
+
+    assert!(usable(&roster).contains(&"live".into()));
+}
+
+/// Guards against waiting for a server that lost its registration and whose address another one has.
+#[test]
+fn a_missing_server_whose_address_another_one_has_is_not_expected_back() {
+    let mut roster = with(&[]);
+    let holding = Server {
+        held: Range::new(0, 8),
+        ..server("dead", State::Ready)
+    };
+    roster.registered(Instant(0), holding);
+    roster.removed(Instant(100), &"dead".into());
+    assert_eq!(roster.missing.servers().count(), 1);
+
+    roster.registered(Instant(200), server_at_address_of("dead", "returned"));
+
+    assert_eq!(roster.missing.servers().count(), 0);
+}
+
 /// Guards against refused requests after an outage of the store, in which all registrations expire.
 /// Live servers register again within two seconds; until then they count.
 #[test]
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -16,6 +16,7 @@
 use crate::dialect::Dialect;
 use crate::pool;
 use crate::probe;
+use crate::store_watch;
 
 use super::term::Term;
 
@@ -145,6 +146,11 @@
                 self.state.leadership.refused(self.lease.get().token);
                 Answer::Settled
             }
+            Ok(Ok(StatusCode::MISDIRECTED_REQUEST)) => {
+                // Another server has its address.
+                store_watch::displace(&self.state, server);
+                Answer::Settled
+            }
             Ok(Ok(StatusCode::CONFLICT)) => Answer::Conflict,
             _ => Answer::Inconclusive,
         }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -227,6 +227,7 @@
     let request = Request::post(D::ORDER)
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
+        .header(D::NAMES.expected_server, &*server.server.0)
         .body(Full::new(body))?;
     let response = call(lease, request).await?;
     Ok((response.status(), response.into_body()))
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -431,6 +431,13 @@
     rebuild(state);
 }
 
+/// Removes a server at whose address another one has answered.
+pub fn displace<D>(state: &State<D>, server: &Incarnation) {
+    log::info!("event=displaced server={server}");
+    state.roster.borrow_mut().displaced(clock::now(), server);
+    rebuild(state);
+}
+
 /// Rebuilds the state derived from the configuration and the registrations.
 pub fn rebuild<D>(state: &State<D>) {
     let Some(table) = state.table() else {
