Drop an order that a server refused once it holds layers that the plan did not know of

Callers saw: layers that had just been loaded were gone again, and with them the only path, after the planner changed during a recovery. Cause: a planner that does not know the orders under way orders servers that still load. They refuse, and got the same order again as soon as they were done, although they held other layers by then, which the plan never counted. Class: a decision carried out after what it was made from has changed. Change: such an order waits until the registration shows what the server reports, and is dropped if that is not what it was planned from; the next plan decides. Test: `a_refused_order_is_dropped_when_its_server_holds_other_layers` fails on the code before.

--- a/crates/core/src/pipeline/assignment.rs
+++ b/crates/core/src/pipeline/assignment.rs
@@ -156,8 +156,8 @@
         last.is_some_and(|last| last.layers == order.layers)
     }
 
-    /// Removes completed and timed-out orders, and returns the completed ones with the time that
-    /// they took.
+    /// Removes completed, outdated and timed-out orders, and returns the completed ones with the time
+    /// that they took.
     ///
     /// `held` returns the layers that a server holds, or `None` if it is gone.
     pub fn settle(
@@ -172,7 +172,10 @@
             if held == Some(assignment.layers) {
                 completed.push((server.clone(), assignment.layers, took));
             }
-            held.is_some_and(|held| held != assignment.layers) && took <= assignment.timeout
+            let is_in_progress = held.is_some_and(|held| held != assignment.layers);
+            // What it refused the order for has ended, with layers that the plan did not know of.
+            let is_outdated = assignment.is_refused && held != Some(assignment.before);
+            is_in_progress && !is_outdated && took <= assignment.timeout
         });
         completed
     }
--- a/crates/core/tests/assignments.rs
+++ b/crates/core/tests/assignments.rs
@@ -124,3 +124,19 @@
     assert_eq!(completed.len(), 1);
     assert!(orders.is_empty());
 }
+
+/// Guards against an order that takes away the layers that a server has just loaded for an earlier
+/// planner.
+#[test]
+fn a_refused_order_is_dropped_when_its_server_holds_other_layers() {
+    let mut orders = Assignments::default();
+    let order = order(Handover::Break);
+    orders.record(Instant(0), &order, HELD);
+    orders.refuse(&order);
+
+    orders.settle(Instant(100), |_| Some(HELD));
+    assert!(orders.is_latest(&order));
+    orders.settle(Instant(700), |_| Some(Range::new(40, 48)));
+
+    assert!(!orders.is_latest(&order));
+}
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -179,8 +179,11 @@
         Progress::Refused
     }
 
+    /// Waits until a server that refused an order is done with the one that it executes, and its
+    /// registration shows what it holds then. If that is not what the plan was made from, the order
+    /// is not the latest one any more.
     async fn wait_until_idle(&self, order: &Order, address: SocketAddr) {
-        while self.is_current(order) && self.is_busy(&order.server, address).await {
+        while self.is_current(order) && !self.is_idle(&order.server, address).await {
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
@@ -201,10 +204,15 @@
         report.map_or(0, |report| report.orders)
     }
 
-    async fn is_busy(&self, server: &Incarnation, address: SocketAddr) -> bool {
+    /// Returns whether a server executes no order and its registration shows the layers that it holds.
+    async fn is_idle(&self, server: &Incarnation, address: SocketAddr) -> bool {
         let _exchange = self.exchanges.acquire().await;
-        let report = probe::report(&self.state, server, address).await;
-        report.is_ok_and(|report| report.busy)
+        let Ok(report) = probe::report(&self.state, server, address).await else {
+            return true;
+        };
+        let registered = self.state.roster.borrow().held(&server.server);
+        let is_shown = report.held.is_none() || report.held == registered;
+        !report.busy && is_shown
     }
 
     /// Returns what happens to requests on the layers that an order releases, if it is sent now.
