Load what a first path needs first, and no more at a time than has the full rate

Callers saw: every stream refused at once (no path) for 14 s and more after servers had returned without layers; under a quarter served later than 12 s. Cause: the planner gave all orders of a placement in one go. Loads beyond the concurrent ones share the storage's rate, so 30 loads each took six times as long and all ended together, the parts of the first path among the last. Class: work that shares a resource started all at once, without an order by what is waited for. Evidence: the record (15 layers after 14.9 s, 2.6 s alone); own lines (33 loads of 366 layers 0.8 s after the first order); a model with a shared rate: 33 of 40 and more returns without a path at 12 s; process test: the first stream after 8 of 8 loads. Change: - `plan` says what servers are to hold, `schedule` which of it now: no more loads at a time than have the full rate, first those that give a group its first copy soonest (a copy with little room counts as slower), then other groups' first copies, then further ones. A gap that nobody loads yet waits for no load of a further copy. - A placement that is planned again while half of it is done leads to the same layers: empty servers get what is left of the placement of the whole group. - The number of loads rises where three loads in a row end much sooner than configured, as before the first request; an order of another planner, or one that was refused, is no measure. - An empty server that refuses orders loads for a planner that is gone and counts as loading. Orders taken over last as long as their load. - The wait for servers that join ends when as many as before are back, and while no path exists also holds where some hold layers; 2.5 s at most (unbounded before). - A zone that replaces missing servers is chosen by time instead of layers. Process test: at most half of the loads.

--- a/crates/core/src/layer.rs
+++ b/crates/core/src/layer.rs
@@ -51,6 +51,14 @@
         self.len() == 0
     }
 
+    /// Returns the layers that are in both ranges; an empty range if none is.
+    #[must_use]
+    pub fn intersection(self, other: Self) -> Self {
+        let start = self.start.max(other.start);
+        let end = self.end.min(other.end);
+        Self::new(start, end.max(start))
+    }
+
     /// Returns whether every layer of `other` is in this range.
     #[must_use]
     pub fn contains(self, other: Self) -> bool {
--- a/crates/core/src/pipeline/assignment.rs
+++ b/crates/core/src/pipeline/assignment.rs
@@ -29,9 +29,38 @@
     since: Instant,
     /// How long the order is assumed to be in progress.
     timeout: Span,
+    /// Whether an earlier planner sent it.
+    is_inherited: bool,
     is_accepted: bool,
+    /// When the server began to carry it out, if this planner knows.
+    begun: Option<Instant>,
     /// Whether the server refused the order because it still executes another one.
     is_refused: bool,
+    /// Whether the server refused it at any time. The order that it executed then may have loaded a
+    /// part of the layers.
+    was_refused: bool,
+}
+
+/// An order whose layers appeared in its server's registration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Completed {
+    /// The server.
+    pub server: Incarnation,
+    /// The layers that it holds now.
+    pub layers: Range,
+    /// The time from the plan until the registration showed them.
+    pub took: Span,
+    /// The load, if this planner knows when the server began it.
+    pub load: Option<Load>,
+}
+
+/// A load that ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// The number of layers loaded.
+    pub layers: u32,
+    /// The time from the server's acceptance until its registration showed them.
+    pub took: Span,
 }
 
 impl Assignment {
@@ -45,15 +74,28 @@
         let releases_layers = !self.before.is_empty() && !self.layers.contains(self.before);
         let is_blocked = releases_layers && self.handover == Handover::Drain && requests > 0;
         let is_overdue = now.since(self.since) > expected_duration(model, self.layers, loads);
+        if self.is_refused && self.before.is_empty() && !is_overdue {
+            return Phase::Busy;
+        }
         match self.is_refused || is_blocked || is_overdue {
             true => Phase::Blocked,
             false => Phase::Loading,
         }
     }
+
+    /// Returns the load that has ended by now, if this planner knows when it began.
+    fn load(&self, now: Instant) -> Option<Load> {
+        let kept = self.layers.intersection(self.before);
+        Some(Load {
+            layers: self.layers.len() - kept.len(),
+            took: now.since(self.begun?),
+        })
+    }
 }
 
 /// Returns the time that an order takes if nothing blocks it, while `loads` orders are in progress.
-fn expected_duration(model: &Model, layers: Range, loads: usize) -> Span {
+#[must_use]
+pub fn expected_duration(model: &Model, layers: Range, loads: usize) -> Span {
     const MILLISECONDS: f64 = 1e3;
     let share = f64::from(layers.len()) / f64::from(model.layers.max(1));
     let queue = match model.concurrent_loads {
@@ -91,18 +133,26 @@
     /// Returns the orders that servers accepted from the previous planner.
     ///
     /// A loading server's registration shows its old layers. Without this, every new planner would
-    /// undo the moves of the previous one during a rolling restart of the entries.
+    /// undo the moves of the previous one during a rolling restart of the entries. `expected` is the
+    /// time that an order takes, in which it is not given again.
     #[must_use]
-    pub fn inherited(now: Instant, accepted: &BTreeMap<Incarnation, Range>) -> Self {
+    pub fn inherited(
+        now: Instant,
+        accepted: &BTreeMap<Incarnation, Range>,
+        expected: impl Fn(&Incarnation, Range) -> Span,
+    ) -> Self {
         let assignments = accepted.iter().map(|(server, layers)| {
             let assignment = Assignment {
                 layers: *layers,
                 before: Range::default(),
                 handover: Handover::Drain,
                 since: now,
-                timeout: INHERITED_TIMEOUT,
+                timeout: INHERITED_TIMEOUT.max(expected(server, *layers)),
+                is_inherited: true,
                 is_accepted: true,
+                begun: None,
                 is_refused: false,
+                was_refused: false,
             };
             (server.clone(), assignment)
         });
@@ -120,13 +170,14 @@
             handover: order.handover,
             since: now,
             timeout: ORDER_TIMEOUT,
+            is_inherited: false,
             is_accepted: false,
+            begun: None,
             is_refused: false,
+            was_refused: false,
         };
         let previous = self.assignments.insert(order.server.clone(), assignment);
-        previous.is_none_or(|previous| {
-            previous.layers != order.layers || previous.timeout != ORDER_TIMEOUT
-        })
+        previous.is_none_or(|previous| previous.layers != order.layers || previous.is_inherited)
     }
 
     /// Records that a server accepted an order.
@@ -137,10 +188,19 @@
         }
     }
 
+    /// Records that a server accepted an order and begins to carry it out.
+    pub fn begin(&mut self, now: Instant, order: &Order) {
+        self.accept(order);
+        if let Some(assignment) = self.last(order) {
+            assignment.begun = (!assignment.was_refused).then_some(now);
+        }
+    }
+
     /// Records that a server refused an order because it still executes another one.
     pub fn refuse(&mut self, order: &Order) {
         if let Some(assignment) = self.last(order) {
             assignment.is_refused = true;
+            assignment.was_refused = true;
         }
     }
 
@@ -149,6 +209,13 @@
         (last.layers == order.layers).then_some(last)
     }
 
+    /// Returns whether a server has refused an order, although it may have accepted it since.
+    #[must_use]
+    pub fn was_refused(&self, order: &Order) -> bool {
+        let last = self.assignments.get(&order.server);
+        last.is_some_and(|last| last.layers == order.layers && last.was_refused)
+    }
+
     /// Returns whether an order is the latest one for its server.
     #[must_use]
     pub fn is_latest(&self, order: &Order) -> bool {
@@ -156,21 +223,25 @@
         last.is_some_and(|last| last.layers == order.layers)
     }
 
-    /// Removes completed, outdated and timed-out orders, and returns the completed ones with the time
-    /// that they took.
+    /// Removes completed, outdated and timed-out orders, and returns the completed ones.
     ///
     /// `held` returns the layers that a server holds, or `None` if it is gone.
     pub fn settle(
         &mut self,
         now: Instant,
         held: impl Fn(&Incarnation) -> Option<Range>,
-    ) -> Vec<(Incarnation, Range, Span)> {
+    ) -> Vec<Completed> {
         let mut completed = Vec::new();
         self.assignments.retain(|server, assignment| {
             let took = now.since(assignment.since);
             let held = held(server);
             if held == Some(assignment.layers) {
-                completed.push((server.clone(), assignment.layers, took));
+                completed.push(Completed {
+                    server: server.clone(),
+                    layers: assignment.layers,
+                    took,
+                    load: assignment.load(now),
+                });
             }
             let is_in_progress = held.is_some_and(|held| held != assignment.layers);
             // What it refused the order for has ended, with layers that the plan did not know of.
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 pub mod assignment;
 pub mod attempts;
 pub mod backlog;
+pub mod bandwidth;
 pub mod budget;
 pub mod cell;
 pub mod chooser;
@@ -34,5 +35,6 @@
 pub mod reserve;
 pub mod roster;
 pub mod server;
+pub mod settling;
 pub mod summary;
 pub mod suspicion;
--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -19,6 +19,9 @@
     /// It waits for requests on the layers that it releases, and refuses other orders until they
     /// end.
     Blocked,
+    /// It is empty and refuses orders, so it loads other layers than planned, on the order of a planner
+    /// that is gone.
+    Busy,
     /// Its registration lapsed, but it answers, so it is likely to register again. It gets no new
     /// requests and no orders meanwhile.
     Missing,
@@ -66,6 +69,21 @@
         }
     }
 
+    /// Returns whether it loads layers.
+    #[must_use]
+    pub fn is_loading(&self) -> bool {
+        match self.phase {
+            Phase::Loading => self.layers_to_load() > 0,
+            Phase::Busy => true,
+            _ => false,
+        }
+    }
+
+    /// Returns whether it refuses orders.
+    pub(super) fn refuses_orders(&self) -> bool {
+        matches!(self.phase, Phase::Blocked | Phase::Busy)
+    }
+
     /// Returns whether its registration lapsed.
     pub(super) fn is_missing(&self) -> bool {
         matches!(self.phase, Phase::Missing | Phase::Lapsing)
@@ -79,9 +97,7 @@
 
     /// Returns the layers that it serves now and keeps.
     pub(super) fn kept(&self) -> Range {
-        let start = self.serving.start.max(self.assigned.start);
-        let end = self.serving.end.min(self.assigned.end);
-        Range::new(start, end.max(start))
+        self.serving.intersection(self.assigned)
     }
 }
 
--- a/crates/core/src/pipeline/placement/missing.rs
+++ b/crates/core/src/pipeline/placement/missing.rs
@@ -9,6 +9,7 @@
 use super::layers::capacity;
 use super::layers::served_capacity;
 use super::plan_group;
+use super::schedule::load_time;
 use super::served_tokens;
 use crate::pipeline::model::Model;
 
@@ -19,7 +20,7 @@
 /// Returns orders that replace missing servers in one group, if too few requests are served without
 /// them.
 ///
-/// Takes the group that has the least to load, among those that make enough room if any does. In
+/// Takes the group that loads soonest, among those that make enough room if any does. In
 /// the other groups each server stays where its layers are needed when the missing servers are
 /// back.
 pub(super) fn replace(model: &Model, holders: &[Holder]) -> Vec<Order> {
@@ -41,11 +42,12 @@
     let plans = groups.iter().map(|group| {
         let orders = plan_group(model, group);
         let tokens = capacity(model, &apply(group, &orders));
-        let loads: u32 = orders.iter().map(|order| order.layers.len()).sum();
-        (tokens < required, loads, orders)
+        let loads = orders.iter().map(|order| order.layers.len());
+        let time = load_time(loads, model.concurrent_loads as usize);
+        (tokens < required, time, orders)
     });
-    let plans = plans.filter(|(_, loads, _)| *loads > 0);
-    let best = plans.min_by_key(|(lacks_room, loads, _)| (*lacks_room, *loads));
+    let plans = plans.filter(|(.., orders)| !orders.is_empty());
+    let best = plans.min_by(|a, b| (a.0.cmp(&b.0)).then_with(|| a.1.total_cmp(&b.1)));
     best.map(|(.., orders)| orders).unwrap_or_default()
 }
 
--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -9,6 +9,7 @@
 mod missing;
 mod repair;
 mod replicas;
+mod schedule;
 
 use std::collections::BTreeMap;
 
@@ -22,6 +23,7 @@
 pub use holder::Phase;
 pub use layers::capacity;
 pub use repair::has_path;
+pub use schedule::schedule;
 
 /// Returns the orders that improve the placement; none if it is good.
 ///
@@ -65,11 +67,8 @@
 }
 
 fn plan_group(model: &Model, group: &[Holder]) -> Vec<Order> {
-    if group.iter().all(|holder| holder.assigned.is_empty()) {
-        replicas::place(model, group)
-    } else {
-        repair::repair(model, group)
-    }
+    let placed = replicas::place_rest(model, group);
+    placed.unwrap_or_else(|| repair::repair(model, group))
 }
 
 /// Returns the KV capacity for requests that arrive now, in tokens: over the availability zones with
@@ -94,7 +93,7 @@
 /// Returns a holder with the layers that count as assigned to it.
 fn effective(holder: &Holder, is_unserved: bool) -> Holder {
     let mut holder = holder.clone();
-    if is_unserved && holder.phase == Phase::Blocked {
+    if is_unserved && holder.refuses_orders() {
         holder.assigned = holder.kept();
     }
     holder
--- a/crates/core/src/pipeline/placement/repair.rs
+++ b/crates/core/src/pipeline/placement/repair.rs
@@ -73,7 +73,7 @@
 }
 
 /// Returns whether every layer is assigned, be it to a server that is missing.
-fn is_complete(model: &Model, group: &[Holder]) -> bool {
+pub(super) fn is_complete(model: &Model, group: &[Holder]) -> bool {
     let assigned = group.iter().map(|holder| holder.assigned);
     layer::gaps(model.layers, assigned).is_empty()
 }
@@ -134,7 +134,7 @@
     for index in 0..group.len() {
         let holder = &group[index];
         let may_wait = is_served && holder.phase == Phase::Joining;
-        let is_blocked = holder.phase == Phase::Blocked || holder.is_missing();
+        let is_blocked = holder.refuses_orders() || holder.is_missing();
         if !holder.assigned.is_empty() || may_wait || is_blocked {
             continue;
         }
@@ -172,7 +172,7 @@
         Phase::Settled => true,
         Phase::Joining => !is_closed,
         // It would refuse the order.
-        Phase::Loading | Phase::Blocked | Phase::Missing | Phase::Lapsing => false,
+        Phase::Loading | Phase::Blocked | Phase::Busy | Phase::Missing | Phase::Lapsing => false,
     };
     // Servers of one kind with the same layers make the same moves; a large group has few kinds.
     let mut kinds = BTreeSet::new();
--- a/crates/core/src/pipeline/placement/replicas.rs
+++ b/crates/core/src/pipeline/placement/replicas.rs
@@ -1,15 +1,19 @@
 //! Replicas: groups of servers that together hold one copy of the model.
 
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use super::holder::Holder;
 use super::holder::Order;
+use super::holder::Phase;
 use super::holder::apply;
 use super::holder::layers_beside;
 use super::layers::capacity;
 use super::repair::fill_and_improve;
+use super::repair::is_complete;
 use crate::layer::Range;
 use crate::pipeline::model::Model;
+use crate::pipeline::model::Profile;
 use crate::pipeline::server::Incarnation;
 
 /// KV capacity of each server of a replica, in tokens.
@@ -37,6 +41,44 @@
     orders
 }
 
+/// Places the empty servers of a group whose other servers hold what [`place`] gives servers of their
+/// kind; `None` if one holds anything else.
+///
+/// Loads start a few at a time, so a placement is planned again before it is complete, possibly by
+/// another planner, and must lead to the same layers.
+pub(super) fn place_rest(model: &Model, group: &[Holder]) -> Option<Vec<Order>> {
+    if group.iter().any(Holder::is_missing) || group.iter().all(|h| !h.assigned.is_empty()) {
+        return None;
+    }
+    let emptied = group.iter().map(|holder| {
+        let (server, zone) = (holder.server.clone(), holder.zone.clone());
+        Holder::new(server, zone, holder.profile, Range::default())
+    });
+    let mut targets: VecDeque<(Profile, Range)> = VecDeque::new();
+    for order in place(model, &emptied.collect::<Vec<_>>()) {
+        let holder = group.iter().find(|holder| holder.server == order.server)?;
+        targets.push_back((holder.profile, order.layers));
+    }
+    for holder in group.iter().filter(|holder| !holder.assigned.is_empty()) {
+        let is_own = |target: &(Profile, Range)| *target == (holder.profile, holder.assigned);
+        targets.remove(targets.iter().position(is_own)?);
+    }
+    let is_served = is_complete(model, group);
+    let mut orders = Vec::new();
+    for holder in group.iter().filter(|holder| holder.assigned.is_empty()) {
+        let may_wait = is_served && holder.phase == Phase::Joining;
+        if may_wait || holder.refuses_orders() {
+            continue;
+        }
+        let is_fit = |(profile, _): &(Profile, Range)| *profile == holder.profile;
+        let target = targets.iter().position(is_fit);
+        if let Some((_, layers)) = target.and_then(|index| targets.remove(index)) {
+            orders.push(Order::new(holder.server.clone(), layers));
+        }
+    }
+    Some(orders)
+}
+
 /// Divides a group into replicas.
 pub(super) fn replicas(model: &Model, group: &[Holder]) -> Vec<Order> {
     let mut left = group.to_vec();
--- a/crates/core/tests/assignments.rs
+++ b/crates/core/tests/assignments.rs
@@ -11,6 +11,7 @@
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::placement::Phase;
 use jujube_core::time::Instant;
+use jujube_core::time::Span;
 
 use pipeline::model;
 
@@ -42,7 +43,7 @@
     orders.record(Instant(0), &lost, HELD);
     orders.accept(&accepted);
 
-    let next = Assignments::inherited(Instant(9), &orders.accepted());
+    let next = Assignments::inherited(Instant(9), &orders.accepted(), |_, _| Span(0));
 
     assert_eq!(
         next.accepted(),
--- a/crates/core/tests/support/servers.rs
+++ b/crates/core/tests/support/servers.rs
@@ -8,17 +8,22 @@
 use jujube_core::layer::Range;
 use jujube_core::layer::gaps;
 use jujube_core::pipeline::assignment::Assignments;
+use jujube_core::pipeline::assignment::expected_duration;
+use jujube_core::pipeline::bandwidth::Bandwidth;
 use jujube_core::pipeline::missing::Missing;
 use jujube_core::pipeline::model::Model;
 use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::placement::Phase;
+use jujube_core::pipeline::placement::has_path;
 use jujube_core::pipeline::placement::plan;
+use jujube_core::pipeline::placement::schedule;
 use jujube_core::pipeline::placement::served_tokens;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server as Registration;
 use jujube_core::pipeline::server::State;
+use jujube_core::pipeline::settling::Settling;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use rand::RngExt;
@@ -69,6 +74,14 @@
     is_known: bool,
 }
 
+/// A server's answer to an order.
+enum Answer {
+    Begins,
+    Holds,
+    /// It still executes another order.
+    Refuses,
+}
+
 /// An order in progress at a server.
 #[derive(Clone, Debug)]
 struct Move {
@@ -192,16 +205,25 @@
         }
     }
 
-    /// Sends an order to a server; returns whether it accepts.
-    fn order(&mut self, order: &Order) -> bool {
+    /// Returns whether a server reports the same layers as its registration.
+    fn shows(&self, server: &Incarnation, registered: Option<Range>) -> bool {
+        let found = self.all.iter().find(|s| s.holder.server == *server);
+        found.is_some_and(|found| Some(found.shown) == registered)
+    }
+
+    /// Sends an order to a server.
+    fn order(&mut self, order: &Order) -> Answer {
         let per_layer_ms = self.model.load_seconds * 1e3 / f64::from(self.model.layers);
         let found = self
             .all
             .iter_mut()
             .find(|s| s.holder.server == order.server);
         let Some(server) = found.filter(|server| server.moving.is_none()) else {
-            return false;
+            return Answer::Refuses;
         };
+        if server.held == order.layers {
+            return Answer::Holds;
+        }
         if order.handover == Handover::Break {
             let before = server.passing.len();
             server
@@ -216,7 +238,7 @@
             layers: order.layers,
             left_ms: f64::from(new) * per_layer_ms,
         });
-        true
+        Answer::Begins
     }
 }
 
@@ -236,6 +258,8 @@
     arrivals: Option<StdRng>,
     /// KV memory of the requests in flight at normal traffic, in tokens.
     normal_tokens: f64,
+    bandwidth: Bandwidth,
+    settling: Settling,
     /// When the planner first plans.
     planned_from: u64,
 }
@@ -399,6 +423,8 @@
             missing: Missing::default(),
             arrivals: None,
             normal_tokens: NORMAL_TOKENS,
+            bandwidth: Bandwidth::default(),
+            settling: Settling::default(),
             planned_from: 0,
         }
     }
@@ -410,7 +436,11 @@
         } else {
             BTreeMap::new()
         };
-        self.orders = Assignments::inherited(Instant(now), &accepted);
+        let model = &self.servers.model;
+        let expected = |_: &Incarnation, layers| expected_duration(model, layers, accepted.len());
+        self.orders = Assignments::inherited(Instant(now), &accepted, expected);
+        self.bandwidth = Bandwidth::default();
+        self.settling = Settling::default();
         self.to_give.clear();
     }
 
@@ -476,9 +506,14 @@
         let Some((_, known)) = known else {
             return;
         };
-        let _shown = self
+        let loads = self.orders.len();
+        let shown = self
             .orders
             .settle(Instant(now), |server| known.get(server).copied());
+        for load in shown.iter().filter_map(|completed| completed.load) {
+            let model = &self.servers.model;
+            self.bandwidth.record(Instant(now), model, load, loads);
+        }
         let known = known.clone();
         self.observe(Instant(now), &known);
         let missing_phase = match self.missing.is_lapsing(Instant(now)) {
@@ -510,7 +545,14 @@
             }
         });
         let holders: Vec<Holder> = registered.chain(missing).collect();
-        for order in plan(&self.servers.model, &holders) {
+        let model = &self.servers.model;
+        let has_path = has_path(model, &holders);
+        let settling = &mut self.settling;
+        if settling.must_wait(Instant(now), has_path, holders.len()) {
+            return;
+        }
+        let concurrent = self.bandwidth.concurrent_loads(Instant(now), model);
+        for order in schedule(model, &holders, plan(model, &holders), concurrent) {
             let known = known[&order.server];
             if self.orders.record(Instant(now), &order, known) {
                 self.to_give.insert(order.server.clone(), (now, order));
@@ -531,14 +573,21 @@
                 handover: order.effective_handover(is_unserved),
                 ..order.clone()
             };
-            if self.servers.order(&given) {
-                self.orders.accept(&order);
-                self.to_give.remove(&order.server);
-            } else {
-                self.orders.refuse(&order);
-                let again = (now + RETRY_INTERVAL_MS, order.clone());
-                self.to_give.insert(order.server, again);
+            let shown = self.known.get(&order.server).copied();
+            if self.orders.was_refused(&order) && !self.servers.shows(&order.server, shown) {
+                continue;
+            }
+            match self.servers.order(&given) {
+                Answer::Begins => self.orders.begin(Instant(now), &order),
+                Answer::Holds => self.orders.accept(&order),
+                Answer::Refuses => {
+                    self.orders.refuse(&order);
+                    let again = (now + RETRY_INTERVAL_MS, order.clone());
+                    self.to_give.insert(order.server, again);
+                    continue;
+                }
             }
+            self.to_give.remove(&order.server);
         }
     }
 }
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -135,9 +135,13 @@
             self.lease.get().token
         );
         match answer {
-            Ok(Ok(StatusCode::ACCEPTED | StatusCode::OK)) => {
+            Ok(Ok(status @ (StatusCode::ACCEPTED | StatusCode::OK))) => {
                 self.accepted.borrow_mut().insert(server.clone(), taken + 1);
-                self.orders.borrow_mut().accept(order);
+                let mut orders = self.orders.borrow_mut();
+                match status {
+                    StatusCode::ACCEPTED => orders.begin(clock::now(), order),
+                    _ => orders.accept(order),
+                }
                 Answer::Settled
             }
             Ok(Ok(StatusCode::PRECONDITION_FAILED)) => {
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -13,11 +13,17 @@
 use jujube_core::layer::Range;
 use jujube_core::name::Service;
 use jujube_core::pipeline::assignment::Assignments;
+use jujube_core::pipeline::assignment::Completed;
+use jujube_core::pipeline::assignment::Load;
+use jujube_core::pipeline::assignment::expected_duration;
+use jujube_core::pipeline::bandwidth::Bandwidth;
 use jujube_core::pipeline::model::Model;
 use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Holder;
 use jujube_core::pipeline::placement::Phase as Work;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::settling::SETTLE_TIME;
+use jujube_core::pipeline::settling::Settling;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_store::kv::Feed;
@@ -36,9 +42,6 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
 /// How often the plan is checked when nothing changes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// How long the number of registrations must have been stable before empty servers are first
-/// placed, so that all of them are known.
-const SETTLE_TIME: Span = Span(700);
 const _: () = assert!(
     SETTLE_TIME.0 > store_watch::MAX_PLANNER_PAUSE.0,
     "the settle time must exceed the planner's pause between two calls"
@@ -83,7 +86,18 @@
     pub(super) accepted: RefCell<BTreeMap<Incarnation, u64>>,
     /// The input of the last plan of each model. Planning blocks the event loop for some
     /// milliseconds, and the same input gives the same plan.
-    pub(super) planned: RefCell<BTreeMap<Service, Vec<Holder>>>,
+    planned: RefCell<BTreeMap<Service, Input>>,
+    /// How fast the servers of each model load.
+    bandwidths: RefCell<BTreeMap<Service, Bandwidth>>,
+    settlings: RefCell<BTreeMap<Service, Settling>>,
+}
+
+/// What a model's orders are decided from.
+#[derive(Clone, Debug)]
+struct Input {
+    holders: Vec<Holder>,
+    /// The number of servers that may load at the same time.
+    concurrent: usize,
 }
 
 impl<D: Dialect, F: Feed> Term<D, F> {
@@ -100,13 +114,12 @@
             authority,
             is_over: Cell::new(false),
             restores: state.leadership.restores.get(),
-            orders: RefCell::new(Assignments::inherited(
-                clock::now(),
-                &state.ordered_layers.borrow(),
-            )),
+            orders: RefCell::new(inherited_orders(state)),
             exchanges: Semaphore::new(MAX_EXCHANGES),
             accepted: RefCell::default(),
             planned: RefCell::default(),
+            bandwidths: RefCell::default(),
+            settlings: RefCell::default(),
         }
     }
 
@@ -117,8 +130,6 @@
         tokio::task::spawn_local(self.clone().poll_servers());
         tokio::task::spawn_local(self.clone().log_servers());
         tokio::task::spawn_local(self.clone().check_missing());
-        let mut stable_since = clock::now();
-        let mut last_count = 0;
         while !self.is_over.get() {
             if self.state.lifecycle.get() != Lifecycle::Serving {
                 self.resign().await;
@@ -130,14 +141,8 @@
             }
             let changed = self.state.roster_changed.notified();
             let _changed_or_timeout = tokio::time::timeout(CHECK_INTERVAL, changed).await;
-            let count = self.state.roster.borrow().usable().count();
-            if count != last_count {
-                last_count = count;
-                stable_since = clock::now();
-            }
             if self.may_order() {
-                let is_settled = clock::now().since(stable_since) >= SETTLE_TIME;
-                self.plan(is_settled);
+                self.plan();
             }
         }
         self.is_over.set(true);
@@ -230,46 +235,89 @@
         }
     }
 
-    /// Gives the orders that the current plan requires.
-    fn plan(self: &Rc<Self>, is_settled: bool) {
+    /// Gives the orders that the current plan requires and that have their turn.
+    fn plan(self: &Rc<Self>) {
         let Some(table) = self.state.table() else {
             return;
         };
-        for (service, backend) in &table.document.services {
-            let Some(model) = &backend.model else {
-                continue;
+        let services = table.document.services.iter();
+        let models =
+            services.filter_map(|(service, backend)| Some((service, backend.model.as_ref()?)));
+        let models: Vec<_> = models
+            .map(|(service, model)| (service, model, self.holders(service, model)))
+            .collect();
+        let loads = |holders: &[Holder]| holders.iter().filter(|h| h.is_loading()).count();
+        let all_loads: usize = models.iter().map(|(.., holders)| loads(holders)).sum();
+        for (service, model, holders) in models {
+            let others = all_loads - loads(&holders);
+            let concurrent = self.concurrent_loads(service, model, others);
+            let input = Input {
+                holders,
+                concurrent,
             };
-            let holders = self.holders(service, model);
-            let is_empty = holders.iter().all(|holder| holder.assigned.is_empty());
-            if is_empty && !is_settled {
-                continue;
-            }
-            let last = self
-                .planned
-                .borrow_mut()
-                .insert(service.clone(), holders.clone());
-            if last.is_some_and(|last| is_same_input(&last, &holders)) {
-                continue;
-            }
-            let orders = placement::plan(model, &holders);
-            self.log_plan(service, model, &holders, orders.len());
-            for order in orders {
-                self.start_order(order);
-            }
+            self.plan_model(service, model, input);
+        }
+    }
+
+    /// Returns how many servers of a model may load at the same time while `others` servers of other
+    /// models load from the same storage.
+    fn concurrent_loads(&self, service: &Service, model: &Model, others: usize) -> usize {
+        let mut bandwidths = self.bandwidths.borrow_mut();
+        let bandwidth = bandwidths.entry(service.clone()).or_default();
+        let all = bandwidth.concurrent_loads(clock::now(), model);
+        all.saturating_sub(others).max(1)
+    }
+
+    fn plan_model(self: &Rc<Self>, service: &Service, model: &Model, input: Input) {
+        if self.must_wait(service, model, &input.holders) {
+            return;
+        }
+        let mut planned = self.planned.borrow_mut();
+        let last = planned.insert(service.clone(), input.clone());
+        drop(planned);
+        if last.is_some_and(|last| is_same_input(&last, &input)) {
+            return;
         }
+        let orders = placement::plan(model, &input.holders);
+        let wanted = orders.len();
+        let orders = placement::schedule(model, &input.holders, orders, input.concurrent);
+        self.log_plan(service, model, &input, orders.len(), wanted);
+        for order in orders {
+            self.start_order(order);
+        }
+    }
+
+    /// Returns whether to wait for more servers before the plan.
+    fn must_wait(&self, service: &Service, model: &Model, holders: &[Holder]) -> bool {
+        let has_path = placement::has_path(model, holders);
+        let mut settlings = self.settlings.borrow_mut();
+        let settling = settlings.entry(service.clone()).or_default();
+        settling.must_wait(clock::now(), has_path, holders.len())
     }
 
     /// Logs what a plan was made from: the KV capacity for requests that arrive now, the orders under
     /// way, and the loads among them, which share a rate.
-    fn log_plan(&self, service: &Service, model: &Model, holders: &[Holder], orders: usize) {
+    fn log_plan(
+        &self,
+        service: &Service,
+        model: &Model,
+        input: &Input,
+        orders: usize,
+        wanted: usize,
+    ) {
+        let Input {
+            holders,
+            concurrent,
+        } = input;
         let served = placement::served_tokens(model, holders);
         self.state.metrics.count("plans");
         self.state.served_tokens.set(served);
-        let loading = holders.iter().filter(|h| h.phase == Work::Loading);
+        let loading = holders.iter().filter(|holder| holder.is_loading());
         let loads: Vec<u32> = loading.map(Holder::layers_to_load).collect();
         log::info!(
             "event=planned service={service} orders={orders} servers={} missing={} \
-             served_tokens={served:.0} under_way={} loads={} layers_loading={}",
+             served_tokens={served:.0} under_way={} loads={} layers_loading={} wanted={wanted} \
+             concurrent={concurrent}",
             holders.len(),
             self.state.roster.borrow().missing.servers().count(),
             self.orders.borrow().len(),
@@ -278,6 +326,22 @@
         );
     }
 
+    /// Records how long a server loaded while `loads` servers did.
+    fn record_load(&self, server: &Incarnation, load: Load, loads: usize) {
+        let roster = self.state.roster.borrow();
+        let service = roster.get(server).map(|server| server.service.clone());
+        let (Some(service), Some(table)) = (service, self.state.table()) else {
+            return;
+        };
+        let backend = table.document.services.get(&service);
+        let Some(model) = backend.and_then(|backend| backend.model.as_ref()) else {
+            return;
+        };
+        let mut bandwidths = self.bandwidths.borrow_mut();
+        let bandwidth = bandwidths.entry(service).or_default();
+        bandwidth.record(clock::now(), model, load, loads);
+    }
+
     pub(super) fn holders(&self, service: &Service, model: &Model) -> Vec<Holder> {
         let roster = self.state.roster.borrow();
         let mut orders = self.orders.borrow_mut();
@@ -285,10 +349,19 @@
         let now = clock::now();
         let held = |server: &Incarnation| roster.get(server).map(|server| server.held);
         let under_way = orders.len();
-        for (server, layers, duration) in orders.settle(now, held) {
+        for completed in orders.settle(now, held) {
+            let Completed {
+                server,
+                layers,
+                took,
+                load,
+            } = completed;
             log::info!(
-                "event=order-shown server={server} layers={layers} took_ms={duration} under_way={under_way}"
+                "event=order-shown server={server} layers={layers} took_ms={took} under_way={under_way}"
             );
+            if let Some(load) = load {
+                self.record_load(&server, load, under_way);
+            }
         }
         self.state.ordered_layers.replace(orders.accepted());
         let servers = roster.usable().filter(|server| server.service == *service);
@@ -347,9 +420,25 @@
     }
 }
 
+/// Returns the orders that servers accepted from the previous planner.
+fn inherited_orders<D>(state: &State<D>) -> Assignments {
+    let accepted = state.ordered_layers.borrow();
+    let (roster, table) = (state.roster.borrow(), state.table());
+    let expected = |server: &Incarnation, layers: Range| {
+        let service = roster.get(server).map(|server| &server.service);
+        let services = table.as_ref().map(|table| &table.document.services);
+        let backend = service.and_then(|service| services?.get(service));
+        let model = backend.and_then(|backend| backend.model.as_ref());
+        model.map_or(Span::default(), |model| {
+            expected_duration(model, layers, accepted.len())
+        })
+    };
+    Assignments::inherited(clock::now(), &accepted, expected)
+}
+
 /// Returns whether two inputs give the same plan; the numbers of requests affect only which servers
 /// move, not whether any do.
-fn is_same_input(before: &[Holder], now: &[Holder]) -> bool {
+fn is_same_input(before: &Input, now: &Input) -> bool {
     let is_same = |(before, now): (&Holder, &Holder)| {
         let Holder {
             server,
@@ -366,5 +455,7 @@
             && *serving == now.serving
             && *phase == now.phase
     };
-    before.len() == now.len() && before.iter().zip(now).all(is_same)
+    let is_same_size = before.holders.len() == now.holders.len();
+    let mut pairs = before.holders.iter().zip(&now.holders);
+    before.concurrent == now.concurrent && is_same_size && pairs.all(is_same)
 }
