--- a/crates/core/src/pipeline/placement/replicas.rs
+++ b/crates/core/src/pipeline/placement/replicas.rs
@@ -1,5 +1,6 @@
 //! Replicas: groups of servers that together hold one copy of the model.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
@@ -26,6 +27,9 @@
 /// requests that the memory is of more use as KV capacity of the other replicas.
 pub(super) const MIN_REPLICA_KV_TOKENS: f64 = 30_000.0;
 
+/// The key of an accelerator's profile.
+type Kind = [u64; 3];
+
 /// Places an empty group in replicas, the fastest accelerators first.
 ///
 /// Requests hold memory only while they run, so a replica of fast accelerators serves several times
@@ -36,7 +40,10 @@
     let mut orders = replicas(model, group);
     let placed = apply(group, &orders);
     if capacity(model, &placed) > 0.0 {
-        orders.extend(fill_and_improve(model, &placed));
+        let rest = fill_and_improve(model, &placed);
+        let moved: BTreeSet<&Incarnation> = rest.iter().map(|order| &order.server).collect();
+        orders.retain(|order| !moved.contains(&order.server));
+        orders.extend(rest);
     }
     orders
 }
@@ -54,14 +61,25 @@
         let (server, zone) = (holder.server.clone(), holder.zone.clone());
         Holder::new(server, zone, holder.profile, Range::default())
     });
-    let mut targets: VecDeque<(Profile, Range)> = VecDeque::new();
+    let profiles: BTreeMap<&Incarnation, Profile> = group
+        .iter()
+        .map(|holder| (&holder.server, holder.profile))
+        .collect();
+    let mut held: BTreeMap<(Kind, Range), usize> = BTreeMap::new();
+    for holder in group.iter().filter(|holder| !holder.assigned.is_empty()) {
+        let key = (holder.profile.key(), holder.assigned);
+        *held.entry(key).or_default() += 1;
+    }
+    let mut left: BTreeMap<Kind, VecDeque<Range>> = BTreeMap::new();
     for order in place(model, &emptied.collect::<Vec<_>>()) {
-        let holder = group.iter().find(|holder| holder.server == order.server)?;
-        targets.push_back((holder.profile, order.layers));
+        let kind = profiles.get(&order.server)?.key();
+        match held.get_mut(&(kind, order.layers)) {
+            Some(count) if *count > 0 => *count -= 1,
+            _ => left.entry(kind).or_default().push_back(order.layers),
+        }
     }
-    for holder in group.iter().filter(|holder| !holder.assigned.is_empty()) {
-        let is_own = |target: &(Profile, Range)| *target == (holder.profile, holder.assigned);
-        targets.remove(targets.iter().position(is_own)?);
+    if held.values().any(|count| *count > 0) {
+        return None;
     }
     let is_served = is_complete(model, group);
     let mut orders = Vec::new();
@@ -70,9 +88,8 @@
         if may_wait || holder.refuses_orders() {
             continue;
         }
-        let is_fit = |(profile, _): &(Profile, Range)| *profile == holder.profile;
-        let target = targets.iter().position(is_fit);
-        if let Some((_, layers)) = target.and_then(|index| targets.remove(index)) {
+        let left = left.get_mut(&holder.profile.key());
+        if let Some(layers) = left.and_then(VecDeque::pop_front) {
             orders.push(Order::new(holder.server.clone(), layers));
         }
     }
--- a/crates/core/src/pipeline/placement/schedule.rs
+++ b/crates/core/src/pipeline/placement/schedule.rs
@@ -33,7 +33,8 @@
 /// If all orders were given at once, all loads would end late and together, and no request could be
 /// served until then. The first copy of the model that a group of servers can complete soonest
 /// comes first, then the first copies of other groups, then further ones. Orders that load nothing
-/// are not held back. While a layer is neither held nor loaded, loads of further copies hold up none of the first.
+/// are not held back. While a layer is neither held nor loaded, loads of further copies hold up
+/// none of the first.
 ///
 /// # Examples
 ///
@@ -79,9 +80,12 @@
     let mut free = concurrent.saturating_sub(loading.len());
     if !is_coming(model, holders) {
         let first = copies.next().map(|copy| copy.orders).unwrap_or_default();
-        let needed = loading
-            .iter()
-            .filter(|holder| closes_gap(model, holders, holder));
+        let gaps = layer::gaps(model.layers, holders.iter().map(Holder::kept));
+        let closes_gap = |holder: &&&Holder| {
+            let mut closed = gaps.iter().map(|gap| gap.intersection(holder.assigned));
+            closed.any(|closed| !closed.is_empty())
+        };
+        let needed = loading.iter().filter(closes_gap);
         let urgent = first.len().min(concurrent.saturating_sub(needed.count()));
         given.extend(first.into_iter().take(urgent));
         free = free.saturating_sub(urgent);
@@ -116,13 +120,15 @@
 ) -> Vec<Copy> {
     let mut copies = Vec::new();
     let groups = groups(model, holders);
-    let group_of = |order: &Order| {
-        let is_member = |group: &Vec<Holder>| group.iter().any(|h| h.server == order.server);
-        groups.iter().position(is_member)
-    };
+    let members = groups
+        .iter()
+        .enumerate()
+        .flat_map(|(index, group)| group.iter().map(move |holder| (&holder.server, index)));
+    let group_of: BTreeMap<&Incarnation, usize> = members.collect();
     let mut by_group: BTreeMap<Option<usize>, Vec<Order>> = BTreeMap::new();
     for order in orders {
-        by_group.entry(group_of(&order)).or_default().push(order);
+        let group = group_of.get(&order.server).copied();
+        by_group.entry(group).or_default().push(order);
     }
     let group = |index: Option<usize>| index.map_or(holders, |index| groups[index].as_slice());
     let planned = by_group.iter().map(|(index, orders)| {
@@ -185,13 +191,3 @@
     });
     layer::gaps(model.layers, coming).is_empty()
 }
-
-/// Returns whether a server loads a layer that no server serves.
-fn closes_gap(model: &Model, holders: &[Holder], loading: &Holder) -> bool {
-    let mut served = vec![0; model.layers as usize];
-    holders
-        .iter()
-        .for_each(|holder| add(&mut served, holder.kept()));
-    let layers = loading.assigned.start as usize..loading.assigned.end as usize;
-    served.get(layers).is_some_and(|served| served.contains(&0))
-}
