Say once how long a load takes, and which servers await layers

What the reading of the whole change found twice: the time of a load at full speed (bandwidth and assignments), and which empty servers get layers now (a placement that goes on and the repair of a running group). One method each, in the model and the holder.

--- a/crates/core/src/pipeline/assignment.rs
+++ b/crates/core/src/pipeline/assignment.rs
@@ -96,13 +96,11 @@
 /// Returns the time that an order takes if nothing blocks it, while `loads` orders are in progress.
 #[must_use]
 pub fn expected_duration(model: &Model, layers: Range, loads: usize) -> Span {
-    const MILLISECONDS: f64 = 1e3;
-    let share = f64::from(layers.len()) / f64::from(model.layers.max(1));
     let queue = match model.concurrent_loads {
         0 => 1.0,
         concurrent => (loads as f64 / f64::from(concurrent)).max(1.0),
     };
-    let load = model.load_seconds * MILLISECONDS * share * queue;
+    let load = model.load_ms(layers.len()) * queue;
     Span(load as u64 + REGISTRATION_DELAY.0)
 }
 
--- a/crates/core/src/pipeline/bandwidth.rs
+++ b/crates/core/src/pipeline/bandwidth.rs
@@ -52,13 +52,10 @@
 impl Bandwidth {
     /// Records a load that ended while `loads` servers loaded.
     pub fn record(&mut self, now: Instant, model: &Model, load: Load, loads: usize) {
-        const MILLISECONDS: f64 = 1e3;
         if load.layers == 0 {
             return;
         }
-        let share = f64::from(load.layers) / f64::from(model.layers.max(1));
-        let expected = model.load_seconds * MILLISECONDS * share;
-        let speedup = expected / (load.took.0 as f64).max(1.0);
+        let speedup = model.load_ms(load.layers) / (load.took.0 as f64).max(1.0);
         self.observed.push_back(Observation {
             at: now,
             loads: loads as f64 * speedup,
--- a/crates/core/src/pipeline/model.rs
+++ b/crates/core/src/pipeline/model.rs
@@ -95,6 +95,22 @@
         layers.end <= self.layers
     }
 
+    /// Returns the time to load `layers` layers at full speed, in milliseconds.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::model::Model;
+    /// let model = Model { layers: 80, load_seconds: 16.0, ..Model::default() };
+    /// assert_eq!(model.load_ms(20), 4_000.0);
+    /// ```
+    #[must_use]
+    pub fn load_ms(&self, layers: u32) -> f64 {
+        const MILLISECONDS: f64 = 1e3;
+        let share = f64::from(layers) / f64::from(self.layers.max(1));
+        self.load_seconds * MILLISECONDS * share
+    }
+
     /// Returns the KV capacity left beside the weights of `held` layers, in token-layers.
     #[must_use]
     pub fn kv_capacity(&self, profile: Profile, held: u32) -> f64 {
--- a/crates/core/src/pipeline/placement/holder.rs
+++ b/crates/core/src/pipeline/placement/holder.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Returns whether it is empty and is to get layers now. While every layer has a holder, a server
+    /// that has just joined waits.
+    pub(super) fn awaits_layers(&self, is_complete: bool) -> bool {
+        let may_wait = is_complete && self.phase == Phase::Joining;
+        self.assigned.is_empty() && !may_wait && !self.refuses_orders() && !self.is_missing()
+    }
+
     /// Returns whether it refuses orders.
     pub(super) fn refuses_orders(&self) -> bool {
         matches!(self.phase, Phase::Blocked | Phase::Busy)
--- a/crates/core/src/pipeline/placement/repair.rs
+++ b/crates/core/src/pipeline/placement/repair.rs
@@ -133,9 +133,7 @@
     let is_served = is_complete(model, group);
     for index in 0..group.len() {
         let holder = &group[index];
-        let may_wait = is_served && holder.phase == Phase::Joining;
-        let is_blocked = holder.refuses_orders() || holder.is_missing();
-        if !holder.assigned.is_empty() || may_wait || is_blocked {
+        if !holder.awaits_layers(is_served) {
             continue;
         }
         let layers = Layers::of(model, group);
--- a/crates/core/src/pipeline/placement/replicas.rs
+++ b/crates/core/src/pipeline/placement/replicas.rs
@@ -6,7 +6,6 @@
 
 use super::holder::Holder;
 use super::holder::Order;
-use super::holder::Phase;
 use super::holder::apply;
 use super::holder::layers_beside;
 use super::layers::capacity;
@@ -83,11 +82,7 @@
     }
     let is_served = is_complete(model, group);
     let mut orders = Vec::new();
-    for holder in group.iter().filter(|holder| holder.assigned.is_empty()) {
-        let may_wait = is_served && holder.phase == Phase::Joining;
-        if may_wait || holder.refuses_orders() {
-            continue;
-        }
+    for holder in group.iter().filter(|h| h.awaits_layers(is_served)) {
         let left = left.get_mut(&holder.profile.key());
         if let Some(layers) = left.and_then(VecDeque::pop_front) {
             orders.push(Order::new(holder.server.clone(), layers));
