--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -33,7 +33,33 @@
     }
 }
 
+/// The text is not a number of seconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("not a number of seconds")]
+pub struct NotSeconds;
+
 impl Span {
+    /// Parses the value of a `Retry-After` header: seconds, with or without a fraction.
+    ///
+    /// # Errors
+    ///
+    /// The value is a date, negative or not a finite number.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::time::Span;
+    /// assert_eq!(Span::parse_retry_after("1.5"), Ok(Span(1_500)));
+    /// assert!(Span::parse_retry_after("-1").is_err());
+    /// ```
+    pub fn parse_retry_after(text: &str) -> Result<Self, NotSeconds> {
+        let seconds: f64 = text.trim().parse().map_err(|_| NotSeconds)?;
+        if !seconds.is_finite() || seconds < 0.0 {
+            return Err(NotSeconds);
+        }
+        Ok(Self((seconds * 1e3).ceil() as u64))
+    }
+
     /// Returns the value of a `Retry-After` header: whole seconds, rounded up, at least 1.
     ///
     /// # Examples
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod malformed;
 mod metrics;
+mod notices;
 mod planner;
 mod pool;
 mod probe;
--- /dev/null
+++ b/crates/front/src/notices.rs
@@ -0,0 +1,54 @@
+//! What backend servers say about themselves in the heads of their responses.
+
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+
+use crate::dialect::Dialect;
+use crate::head;
+use crate::limits;
+use crate::state::State;
+
+/// Applies a server's response to a request that was sent at `sent`.
+pub fn observe<D: Dialect, B>(
+    state: &State<D>,
+    server: &Incarnation,
+    request: &str,
+    sent: Instant,
+    response: &Response<B>,
+) {
+    limits::observe(state, server, sent, response.headers());
+    if let Some(rest) = rest(state, response.status(), response.headers()) {
+        state.metrics.count("rests_asked");
+        log::info!("event=rest-asked server={server} request={request} for_ms={rest}");
+    }
+}
+
+/// Applies a server's response to a health check, which shows less than one to a request.
+pub fn observe_check<D: Dialect, B>(
+    state: &State<D>,
+    server: &Incarnation,
+    sent: Instant,
+    response: &Response<B>,
+) {
+    limits::observe_check(state, server, sent, response.headers());
+}
+
+/// Returns for how long a server that turns a request away wants no further ones.
+fn rest<D>(state: &State<D>, status: StatusCode, headers: &HeaderMap) -> Option<Span> {
+    let is_turned_away =
+        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
+    if !is_turned_away || !headers.contains_key(RETRY_AFTER) {
+        return None;
+    }
+    let text = head::text(headers, &RETRY_AFTER);
+    let rest = text.and_then(|text| Span::parse_retry_after(text).ok());
+    if rest.is_none() {
+        state.metrics.count("rests_malformed");
+    }
+    rest
+}
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -20,7 +20,7 @@
 
 use crate::dialect::Dialect;
 use crate::dialect::Report;
-use crate::limits;
+use crate::notices;
 use crate::pool;
 use crate::pool::Lease;
 use crate::state::State;
@@ -152,7 +152,7 @@
         .header(HOST, address.to_string())
         .body(Full::default())?;
     let response = pool::call(lease, request).await?;
-    limits::observe_check(state, server, sent, response.headers());
+    notices::observe_check(state, server, sent, &response);
     let status = response.status();
     if !status.is_success() {
         anyhow::bail!("status {status}");
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -17,7 +17,7 @@
 
 use crate::dialect::Dialect;
 use crate::head;
-use crate::limits;
+use crate::notices;
 use crate::pool::Lease;
 use crate::pool::Pool;
 use crate::state::State;
@@ -116,7 +116,8 @@
             }
         };
         if is_own::<D>(&response, &outgoing.headers) {
-            limits::observe(state, server, sent_at, response.headers());
+            let id = head::text(&outgoing.headers, &D::NAMES.request);
+            notices::observe(state, server, id.unwrap_or("-"), sent_at, &response);
         }
         return check_response::<D>(lease, response, &outgoing.headers).await;
     }
