Keep to the rest that servers ask an entry for, behind one gate for all that is sent

Cause: nothing read Retry-After in a server's response. Plain requests kept no refusals at all; streams left a refusing server alone for 0.2, 0.4, 0.8, 1.6 s, whatever it asked for, and as a price only. Ruled out: a rest that is read and then forgotten, or kept on one way only (rest-asked in the test that failed: at 0, 216, 649, 1479, 3106 ms, no served stream on that server in between).

Change: core::pipeline::rests keeps the latest end of all rests by incarnation; one request after it, the others once that one has been answered. Load::opens_at joins it with the limits: the one question that the choice of a path, a path planned before, plain requests, hedges and retries ask. A first server that may not be sent a request costs more than full servers and less than suspected ones, so that the path begins elsewhere, in another zone too; a server that rests counts as full further along a path. A server may ask for rest while a request waits for its connection: it is asked about again before sending. Where all rest, callers are told at once when the first one may get a request. Rest is not a refusal, so it does not add up to leaving. Other entries are not told: a server turns single entries away.

--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -80,6 +80,9 @@
 
 /// Cost of a server without free KV capacity: it is used only if there is no other.
 pub(super) const NO_CAPACITY_MS: f64 = 1e7;
+/// Cost of a first server that may not be sent a request now: more than that of a path of servers
+/// without free capacity, which may still accept the request.
+pub(super) const CLOSED_MS: f64 = 5e8;
 /// Cost of a suspected server: it is used only if no other path is complete.
 pub(super) const SUSPECT_MS: f64 = 1e9;
 /// Predicted pause up to which a repair is preferred over reopening the request, which uses an
@@ -169,6 +172,13 @@
         self.cost_ms >= NO_CAPACITY_MS
     }
 
+    /// Returns whether the request cannot be sent along the path now: its first server may not be
+    /// sent one, or it uses a suspected server.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.cost_ms >= CLOSED_MS
+    }
+
     /// Returns whether the path uses a suspected server.
     #[must_use]
     pub fn is_last_resort(&self) -> bool {
@@ -196,6 +206,12 @@
         )
     }
 
+    /// Returns the servers that a path can begin with.
+    pub fn first_servers(&self) -> impl Iterator<Item = &Incarnation> {
+        let first = self.candidates.iter().filter(|c| c.held.start == 0);
+        first.map(|candidate| &candidate.server)
+    }
+
     /// Returns whether every layer is held by some server.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -208,7 +224,7 @@
     /// link.
     pub fn choose(&self, demand: Demand, context: &Context<'_>) -> Option<Choice> {
         let best = self.widen(|scope| self.cheapest_zone(demand, context, scope));
-        if best.as_ref().is_some_and(|best| !best.is_last_resort()) {
+        if best.as_ref().is_some_and(|best| !best.is_closed()) {
             return best;
         }
         let across = self.search(self.candidates.iter(), demand, context, None);
--- a/crates/core/src/pipeline/chooser/search.rs
+++ b/crates/core/src/pipeline/chooser/search.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::CLOSED_MS;
 use super::Candidate;
 use super::Choice;
 use super::Context;
@@ -94,7 +95,8 @@
         let is_full = context
             .load
             .refusals
-            .contains(context.now, &candidate.server);
+            .contains(context.now, &candidate.server)
+            || context.load.rests.contains(context.now, &candidate.server);
         let capacity = if is_full {
             0.0
         } else {
@@ -129,7 +131,7 @@
             wait_ms: context.load.backlog.wait_ms(context.now, &candidate.server),
             herd_position: context.herd_position(&candidate.zone),
             free_kv: capacity - used,
-            is_open: context.load.limits.is_open(context.now, &candidate.server),
+            is_open: context.load.is_open(context.now, &candidate.server),
         }
     }
 
@@ -192,7 +194,7 @@
     herd_position: f64,
     /// Free KV capacity, in token-layers.
     free_kv: f64,
-    /// Whether it may be sent a request now, within the limit that it names.
+    /// Whether it may be sent a request now.
     is_open: bool,
 }
 
@@ -235,8 +237,10 @@
         prefill_ms = priced.prefill_layer_ms * count;
         wait_ms = priced.wait_ms + priced.herd_position * prefill_ms;
         // Only the first part of a path is sent the request.
-        let is_closed = from == 0 && !priced.is_open;
-        if is_closed || demand.tokens() * count > priced.free_kv {
+        if from == 0 && !priced.is_open {
+            cost_ms += CLOSED_MS;
+        }
+        if demand.tokens() * count > priced.free_kv {
             cost_ms += NO_CAPACITY_MS;
         }
     }
--- a/crates/core/src/pipeline/limits.rs
+++ b/crates/core/src/pipeline/limits.rs
@@ -228,11 +228,11 @@
         known.opens_at().is_some_and(|at| at <= now)
     }
 
-    /// Returns when this entry may send the next request to a server that names a limit; `None` if
-    /// it has no share.
+    /// Returns when this entry may send the next request to a server; `None` if it has no share of
+    /// the limit that the server names.
     #[must_use]
     pub fn opens_at(&self, server: &Incarnation) -> Option<Instant> {
-        self.0.get(server).and_then(Known::opens_at)
+        self.0.get(server).map_or(Some(Instant(0)), Known::opens_at)
     }
 
     /// Records a request that is being sent to a server.
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -6,6 +6,7 @@
 use crate::pipeline::limits::Limits;
 use crate::pipeline::path::Path;
 use crate::pipeline::refusals::Refusals;
+use crate::pipeline::rests::Rests;
 use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
@@ -46,6 +47,8 @@
     pub refusals: Refusals,
     /// Limits that servers name.
     pub limits: Limits,
+    /// The rest that servers ask this entry for.
+    pub rests: Rests,
     /// Reported slowness factor of each server, and when it was received.
     slowness: BTreeMap<Incarnation, (f64, Instant)>,
     /// Slowness factors that servers reported to this entry directly, for forwarding.
@@ -140,6 +143,40 @@
         self.others = servers;
     }
 
+    /// Returns when this entry may send the next request to a server, by all that the server said;
+    /// `None` if no time is known.
+    #[must_use]
+    pub fn opens_at(&self, server: &Incarnation) -> Option<Instant> {
+        let limit = self.limits.opens_at(server)?;
+        Some(limit.max(self.rests.opens_at(server)))
+    }
+
+    /// Returns whether a server accepts requests of this entry now, by all that it said, although
+    /// the first one after its rest may still be unanswered.
+    #[must_use]
+    pub fn is_allowed(&self, now: Instant, server: &Incarnation) -> bool {
+        self.limits.is_open(now, server) && !self.rests.contains(now, server)
+    }
+
+    /// Returns whether this entry may send a request to a server now.
+    #[must_use]
+    pub fn is_open(&self, now: Instant, server: &Incarnation) -> bool {
+        self.opens_at(server).is_some_and(|at| at <= now)
+    }
+
+    /// Records a request that is being sent to a server.
+    pub fn sent(&mut self, now: Instant, server: &Incarnation) {
+        self.limits.sent(now, server);
+        self.rests.sent(now, server);
+    }
+
+    /// Keeps what servers said only for those that are still registered.
+    pub fn retain(&mut self, keep: impl Fn(&Incarnation) -> bool) {
+        self.backlog.retain(&keep);
+        self.limits.retain(&keep);
+        self.rests.retain(&keep);
+    }
+
     /// Returns the number of other entries that report.
     #[must_use]
     pub fn peers(&self) -> u64 {
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -33,6 +33,7 @@
 pub mod relay;
 pub mod reports;
 pub mod reserve;
+pub mod rests;
 pub mod roster;
 pub mod server;
 pub mod settling;
--- /dev/null
+++ b/crates/front/src/gate.rs
@@ -0,0 +1,73 @@
+//! Whether requests may be sent to backend servers now, by what the servers said.
+
+use jujube_core::name::Service;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_core::time::Span;
+use jujube_program::clock;
+
+use crate::limits;
+use crate::state::State;
+
+/// When to retry if this entry has no share of the limits that all servers name.
+const RETRY_AFTER_NO_SHARE: Span = Span(1_000);
+
+/// Returns whether this entry may send a request to a server now.
+pub fn is_open<D>(state: &State<D>, server: &Incarnation) -> bool {
+    state.load.borrow().is_open(clock::now(), server)
+}
+
+/// Returns whether a server that was chosen wants no request any more.
+///
+/// Between the choice and the sending lies the time to connect, in which a response to another
+/// request may have asked for rest.
+pub fn is_unwanted<D>(state: &State<D>, server: &Incarnation) -> bool {
+    state.load.borrow().rests.contains(clock::now(), server)
+}
+
+/// Records a request that is being sent to a server.
+pub fn record_sent<D>(state: &State<D>, request: &str, server: &Incarnation) {
+    limits::log_sent(state, request, server);
+    state.load.borrow_mut().sent(clock::now(), server);
+}
+
+/// When the first of some servers may get a request, and what it waits for.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Opening {
+    /// How long it takes; zero if one may get a request now.
+    pub after: Span,
+    /// The cause for logs.
+    pub cause: &'static str,
+}
+
+impl Opening {
+    /// Returns when a server may get a request.
+    fn of<D>(state: &State<D>, server: &Incarnation) -> Self {
+        let load = state.load.borrow();
+        let now = clock::now();
+        let is_resting = load.rests.contains(now, server);
+        let after = match load.opens_at(server) {
+            // The first request after a rest may be answered at any moment.
+            _ if load.is_allowed(now, server) => Span(0),
+            Some(opens_at) => opens_at.since(now),
+            None => RETRY_AFTER_NO_SHARE,
+        };
+        Self {
+            after,
+            cause: if is_resting { "at-rest" } else { "at-limit" },
+        }
+    }
+
+    /// Returns when the first of some servers may get a request; `None` if there are no servers.
+    pub fn first<'a, D>(
+        state: &State<D>,
+        servers: impl Iterator<Item = &'a Incarnation>,
+    ) -> Option<Self> {
+        servers.map(|server| Self::of(state, server)).min()
+    }
+
+    /// Returns when a path of a model may be sent a request; `None` if there is no path.
+    pub fn of_model<D>(state: &State<D>, service: &Service) -> Option<Self> {
+        let fleets = state.fleets.borrow();
+        Self::first(state, fleets.get(service)?.first_servers())
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 mod daemon;
 pub mod dialect;
 mod fleet;
+mod gate;
 mod gossip;
 mod head;
 mod hold;
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -5,7 +5,6 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::summary::Summary;
 use jujube_core::time::Instant;
-use jujube_core::time::Span;
 use jujube_program::clock;
 
 use crate::dialect::Dialect;
@@ -98,31 +97,13 @@
     }
 }
 
-/// Records a request that is being sent to a server.
-pub fn record_sent<D>(state: &State<D>, request: &str, server: &Incarnation) {
-    let mut load = state.load.borrow_mut();
-    let Some((rate, share)) = load.limits.get(server) else {
+/// Logs a request that is being sent to a server that names a limit.
+pub fn log_sent<D>(state: &State<D>, request: &str, server: &Incarnation) {
+    let Some((rate, share)) = state.load.borrow().limits.get(server) else {
         return;
     };
-    load.limits.sent(clock::now(), server);
     state.metrics.count("requests_within_limits");
     log::info!(
         "event=sent-within-limit request={request} server={server} per_second={rate} share={share:.2}"
     );
 }
-
-/// Returns whether this entry may send a request to a server now.
-pub fn is_open<D>(state: &State<D>, server: &Incarnation) -> bool {
-    state.load.borrow().limits.is_open(clock::now(), server)
-}
-
-/// Returns how long it takes until the first of some servers may get a request, if all of them are
-/// at their limits; `None` if this entry has a share of none.
-pub fn opens_after<'a, D>(
-    state: &State<D>,
-    servers: impl Iterator<Item = &'a Incarnation>,
-) -> Option<Span> {
-    let load = state.load.borrow();
-    let opens_at = servers.filter_map(|server| load.limits.opens_at(server));
-    opens_at.min().map(|at| at.since(clock::now()))
-}
--- a/crates/front/src/notices.rs
+++ b/crates/front/src/notices.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
+use jujube_program::clock;
 
 use crate::dialect::Dialect;
 use crate::head;
@@ -22,10 +23,16 @@
     response: &Response<B>,
 ) {
     limits::observe(state, server, sent, response.headers());
-    if let Some(rest) = rest(state, response.status(), response.headers()) {
-        state.metrics.count("rests_asked");
-        log::info!("event=rest-asked server={server} request={request} for_ms={rest}");
-    }
+    let mut load = state.load.borrow_mut();
+    let Some(rest) = rest(state, response.status(), response.headers()) else {
+        if load.rests.answered(sent, server) {
+            log::info!("event=rest-over server={server} request={request}");
+        }
+        return;
+    };
+    load.rests.asked(clock::now(), server, rest);
+    state.metrics.count("rests_asked");
+    log::info!("event=rest-asked server={server} request={request} for_ms={rest}");
 }
 
 /// Applies a server's response to a health check, which shows less than one to a request.
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -457,8 +457,7 @@
     }
     let is_known = |server: &Incarnation| roster.get(server).is_some();
     state.suspicion.borrow_mut().retain(is_known);
-    state.load.borrow_mut().backlog.retain(is_known);
-    state.load.borrow_mut().limits.retain(is_known);
+    state.load.borrow_mut().retain(is_known);
     state.outliers.borrow_mut().retain(is_known);
     drop(roster);
     for replaced in state.roster.borrow_mut().take_replaced() {
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::body::Body;
 use crate::dialect::Dialect;
+use crate::gate::Opening;
 use crate::head;
 use crate::request;
 use crate::request::Admitted;
@@ -120,10 +121,11 @@
     };
     let permit = match waiting::admit(&state, admission).await {
         Ok(permit) => permit,
-        Err(retry_after) => {
+        Err(rejection) => {
             let (route, reason) = (&stream.route.name, Reason::Overloaded);
-            request::record_refusal(&state, &stream.id, route, reason, stream.arrived, "no-room");
-            return response::local(reason, Some(retry_after));
+            let cause = rejection.cause;
+            request::record_refusal(&state, &stream.id, route, reason, stream.arrived, cause);
+            return response::local(reason, Some(rejection.retry_after));
         }
     };
     match open(&state, &stream, last, open::Progress::NotStarted).await {
@@ -153,6 +155,9 @@
                 Reason::Refused => Some(RETRY_AFTER_REFUSED),
                 _ => None,
             };
+            let opening = Opening::of_model(&state, &stream.service);
+            let opens_after = opening.map_or(Span(0), |opening| opening.after);
+            let retry_after = retry_after.map(|after| after.max(opens_after));
             let route = &stream.route.name;
             request::record_refusal(&state, &stream.id, route, reason, stream.arrived, &cause);
             response::local(reason, retry_after)
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -15,8 +15,8 @@
 use jujube_program::clock;
 
 use crate::dialect::Dialect;
+use crate::gate;
 use crate::head;
-use crate::limits;
 use crate::probe;
 use crate::quarantine;
 use crate::response::Reason;
@@ -142,12 +142,15 @@
                 }
                 continue;
             }
+            Failure::Unwanted => continue,
             Failure::NotRun { .. } => {
                 rejections += 1;
                 if let Some(part) = at_fault {
                     avoid.push(part.server.clone());
-                    state.refused(&part.server);
-                    probe::check(state, part.server, part.address);
+                    if !gate::is_unwanted(state, &part.server) {
+                        state.refused(&part.server);
+                        probe::check(state, part.server, part.address);
+                    }
                 }
                 if rejections >= MAX_REFUSALS {
                     if !wait_briefly(stream).await {
@@ -235,7 +238,7 @@
         let mut servers = path.parts().iter().map(|part| &part.server);
         let is_first_open = path
             .first()
-            .is_some_and(|first| limits::is_open(state, &first.server));
+            .is_some_and(|first| gate::is_open(state, &first.server));
         is_first_open
             && servers.all(|server| !suspicion.is_suspected(server) && !avoid.contains(server))
     };
@@ -256,11 +259,7 @@
             (fleet.choose(demand, context), fleet.clone(), demand)
         },
     )?;
-    let choice = choice.filter(|choice| !choice.is_last_resort())?;
-    let first = choice.path.first()?;
-    if !limits::is_open(state, &first.server) {
-        return None;
-    }
+    let choice = choice.filter(|choice| !choice.is_closed())?;
     let is_under_way = stream.events.get() > 0;
     if is_under_way
         && choice.lacks_capacity()
@@ -426,7 +425,7 @@
         path
     );
     set_path(state, stream, Some(path));
-    limits::record_sent(state, &stream.id, &first.server);
+    gate::record_sent(state, &stream.id, &first.server);
     stream.attempts.borrow_mut().begin(first.server.clone());
     let mut retry = stream.retry.take();
     if let Some(retry) = &mut retry {
@@ -442,7 +441,7 @@
     if !matches!(result, Ok(_) | Err(Failure::Unknown(_))) {
         stream.attempts.borrow_mut().take_back();
     }
-    if !matches!(result, Err(Failure::NotSent(_))) {
+    if !matches!(result, Err(Failure::NotSent(_) | Failure::Unwanted)) {
         stream.was_sent.set(true);
     } else if let Some(mut retry) = retry {
         retry.set_sent(false);
--- a/crates/front/src/unary/choice.rs
+++ b/crates/front/src/unary/choice.rs
@@ -6,7 +6,7 @@
 use jujube_core::time::Span;
 use jujube_program::clock;
 
-use crate::limits;
+use crate::gate::Opening;
 use crate::response::Reason;
 use crate::state::State;
 
@@ -16,8 +16,6 @@
 const CANDIDATES: usize = 2;
 /// `Retry-After` if no server is available.
 const RETRY_AFTER_NO_SERVER: Span = Span(500);
-/// `Retry-After` if all servers are at their limits and this entry has no share of them.
-const RETRY_AFTER_NO_SHARE: Span = Span(1_000);
 
 /// Picks the less loaded of two random servers among those with the best health record; prefers
 /// the local zone on ties.
@@ -39,13 +37,14 @@
         let incarnation = &server.incarnation;
         let is_avoided =
             outliers.contains(incarnation) || suspicion.is_widely_suspected(incarnation);
-        (suspicion.is_suspected(incarnation), is_avoided)
+        let is_tried = !load.is_open(now, incarnation);
+        (suspicion.is_suspected(incarnation), is_tried, is_avoided)
     };
     let mut usable: Vec<&Server> = roster
         .usable()
         .filter(|server| server.service == *service)
         .filter(|server| !excluded.contains(&server.incarnation))
-        .filter(|server| load.limits.is_open(now, &server.incarnation))
+        .filter(|server| load.is_allowed(now, &server.incarnation))
         .collect();
     let best = usable.iter().map(health).min()?;
     usable.retain(|server| health(server) == best);
@@ -62,16 +61,18 @@
     chosen.cloned()
 }
 
-/// Returns the refusal of a request for which there is no server.
-pub(super) fn refusal<D>(state: &State<D>, service: &Service) -> Refusal {
+/// Returns when the first server of a service may get a request; `None` if there is no server.
+pub(super) fn opening<D>(state: &State<D>, service: &Service) -> Option<Opening> {
     let roster = state.roster.borrow();
     let servers = roster.usable().filter(|server| server.service == *service);
-    let servers: Vec<&Incarnation> = servers.map(|server| &server.incarnation).collect();
-    if servers.is_empty() {
-        let cause = "no-server".into();
-        return (Reason::NoServer, cause, Some(RETRY_AFTER_NO_SERVER));
-    }
-    let opens_after = limits::opens_after(state, servers.into_iter());
-    let retry_after = opens_after.unwrap_or(RETRY_AFTER_NO_SHARE);
-    (Reason::NoServer, "at-limit".into(), Some(retry_after))
+    Opening::first(state, servers.map(|server| &server.incarnation))
+}
+
+/// Returns the refusal of a request for which there is no server.
+pub(super) fn refusal<D>(state: &State<D>, service: &Service) -> Refusal {
+    let opening = opening(state, service).unwrap_or(Opening {
+        after: RETRY_AFTER_NO_SERVER,
+        cause: "no-server",
+    });
+    (Reason::NoServer, opening.cause.into(), Some(opening.after))
 }
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -22,8 +22,8 @@
 
 use crate::body::Body;
 use crate::dialect::Dialect;
+use crate::gate;
 use crate::head;
-use crate::limits;
 use crate::probe;
 use crate::quarantine;
 use crate::request;
@@ -227,6 +227,10 @@
                 self.arrivals -= 1;
                 self.state.suspect(&server.incarnation, "not-sent");
             }
+            Failure::Unwanted => {
+                self.sent -= 1;
+                self.arrivals -= 1;
+            }
             Failure::NotRun { .. } => {
                 self.sent -= 1;
                 self.refusals += 1;
@@ -340,11 +344,10 @@
             let cause = quarantine::cause(self.request.digest);
             return (Reason::Quarantined, cause, None);
         }
-        (
-            Reason::Refused,
-            self.cause.clone(),
-            Some(RETRY_AFTER_REFUSED),
-        )
+        let opening = choice::opening(self.state, &self.request.service);
+        let opens_after = opening.map_or(Span(0), |opening| opening.after);
+        let retry_after = opens_after.max(RETRY_AFTER_REFUSED);
+        (Reason::Refused, self.cause.clone(), Some(retry_after))
     }
 }
 
@@ -354,7 +357,7 @@
 /// services are a few kilobytes at most.
 async fn attempt<D: Dialect>(state: &Rc<State<D>>, request: &Admitted, server: Server) -> Outcome {
     let in_flight = InFlight::new(state, &server.incarnation);
-    limits::record_sent(state, &request.id, &server.incarnation);
+    gate::record_sent(state, &request.id, &server.incarnation);
     let mut outgoing = request.outgoing.clone();
     let sent_at = clock::now();
     let left = request.deadline.since(sent_at);
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -16,6 +16,7 @@
 use jujube_program::clock;
 
 use crate::dialect::Dialect;
+use crate::gate;
 use crate::head;
 use crate::notices;
 use crate::pool::Lease;
@@ -48,6 +49,8 @@
 pub enum Failure {
     /// Nothing was sent; the backend server is unreachable.
     NotSent(String),
+    /// Nothing was sent: the backend server wants no requests any more.
+    Unwanted,
     /// The backend server reports that it did not run the request.
     NotRun {
         /// The response status.
@@ -65,6 +68,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotSent(cause) => write!(f, "not-sent({cause})"),
+            Self::Unwanted => f.write_str("unwanted"),
             Self::NotRun { status, at_fault } => {
                 let status = status.as_u16();
                 match at_fault {
@@ -95,6 +99,10 @@
     let pool = &state.pool;
     let mut lease = lease(pool, server, address).await?;
     loop {
+        if gate::is_unwanted(state, server) {
+            lease.release(&HeaderMap::new());
+            return Err(Failure::Unwanted);
+        }
         let request = build_request::<D>(server, outgoing);
         let is_reused = lease.is_reused;
         let sent_at = clock::now();
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -19,6 +19,7 @@
 use jujube_program::clock;
 use tokio::sync::oneshot;
 
+use crate::gate::Opening;
 use crate::state::State;
 use crate::stream;
 
@@ -112,12 +113,30 @@
     pub target: Span,
 }
 
+/// A request that is not admitted.
+#[derive(Clone, Copy, Debug)]
+pub struct Rejection {
+    /// When to retry.
+    pub retry_after: Span,
+    /// The cause for logs.
+    pub cause: &'static str,
+}
+
+impl Rejection {
+    fn no_room(retry_after: Span) -> Self {
+        Self {
+            retry_after,
+            cause: "no-room",
+        }
+    }
+}
+
 /// Waits until there is capacity for a request.
 ///
 /// # Errors
 ///
-/// The request was rejected or waited too long; returns when to retry.
-pub async fn admit<D>(state: &Rc<State<D>>, request: Request<'_>) -> Result<Permit<D>, Span> {
+/// The request waited too long, or it is certain that it would.
+pub async fn admit<D>(state: &Rc<State<D>>, request: Request<'_>) -> Result<Permit<D>, Rejection> {
     let arrived = clock::now();
     let ticket = Ticket(state.waiting.next.get());
     state.waiting.next.set(ticket.0 + 1);
@@ -129,7 +148,16 @@
         max_wait: Span((request.target.0 as f64 * MAX_WAIT_SHARE) as u64),
     };
     let has_capacity = has_capacity(state, request.service, request.demand);
-    let waiting = enqueue(state, &request, &share, ticket, has_capacity)?;
+    let closed = Opening::of_model(state, request.service)
+        .filter(|opening| !has_capacity && opening.after > share.max_wait);
+    if let Some(opening) = closed {
+        return Err(Rejection {
+            retry_after: opening.after,
+            cause: opening.cause,
+        });
+    }
+    let waiting = enqueue(state, &request, &share, ticket, has_capacity);
+    let waiting = waiting.map_err(Rejection::no_room)?;
     let Some(admitted) = waiting else {
         return Ok(permit(state, &request));
     };
@@ -148,7 +176,10 @@
         log::info!("event=admitted request={} waited_ms={waited}", request.id);
         return Ok(permit(state, &request));
     }
-    Err(retry_after(state, request.service))
+    let opening = Opening::of_model(state, request.service);
+    let opens_after = opening.map_or(Span(0), |opening| opening.after);
+    let retry_after = retry_after(state, request.service).max(opens_after);
+    Err(Rejection::no_room(retry_after))
 }
 
 fn permit<D>(state: &Rc<State<D>>, request: &Request<'_>) -> Permit<D> {
