Send no new requests to servers that say in their responses that they are leaving

What callers saw: nothing; they were served.

Cause: nothing read Server-Leaving. A server counted as leaving by its registration only. Ruled out: late application of the registration; it stays ready in the tests.

Change: Roster::announced_leaving keeps the word by incarnation, whatever is registered later, until the server starts anew or has long departed. From then on the server is like one registered as draining: no new requests, streams move after a second, the planner has its layers loaded elsewhere. When its registration is removed it may still serve, as it never registered as draining, so that its requests do not run on one server more. A request that waits for its connection is not sent. Only the value 1 is the word, and not in response to a misdirected request. Health checks tell it too, also of a server that lost its registration.

Open: other entries are not told; each learns it from its own responses.

--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -37,8 +37,11 @@
     since: Instant,
     /// Until when the server counts after its registration expired around an outage.
     lapses_at: Option<Instant>,
-    /// When it was first seen draining.
+    /// When it was first seen draining, by its registration or its own word.
     draining_since: Option<Instant>,
+    /// Whether its registration said that it drains. Such a registration is removed when the server
+    /// exits; one that never says so may be removed before.
+    is_registered_draining: bool,
 }
 
 impl Registration {
@@ -51,8 +54,15 @@
             since,
             lapses_at: None,
             draining_since: is_draining.then_some(draining_since),
+            is_registered_draining: is_draining,
         }
     }
+
+    /// Records at `now` that the server drains, although its registration does not say so.
+    fn set_draining(&mut self, now: Instant) {
+        self.server.state = State::Draining;
+        self.draining_since.get_or_insert(now);
+    }
 }
 
 /// A removed registration.
@@ -103,6 +113,8 @@
     is_away: bool,
     /// Replaced incarnations that [`Roster::take_replaced`] has not returned yet.
     replaced: Vec<Incarnation>,
+    /// Servers that said that they are leaving. They do not take that back.
+    leaving: BTreeSet<Incarnation>,
     /// Servers whose registrations were removed.
     departed: BTreeMap<Incarnation, Departure>,
     /// Servers whose registrations vanished and that may register again.
@@ -178,6 +190,26 @@
         self.apply(now, server)
     }
 
+    /// Records that a server said that it is leaving. It gets no new work, whatever its registration
+    /// says.
+    pub fn announced_leaving(&mut self, now: Instant, incarnation: &Incarnation) -> Effect {
+        let is_known = self.get(incarnation).is_some() || self.departed.contains_key(incarnation);
+        if !is_known || !self.leaving.insert(incarnation.clone()) {
+            return Effect::None;
+        }
+        self.missing
+            .retain(|missing| missing.incarnation != *incarnation);
+        let Some(registration) = self.registrations.get_mut(&incarnation.server) else {
+            return Effect::None;
+        };
+        let was_ready = registration.server.state == State::Ready;
+        registration.set_draining(now);
+        match was_ready {
+            true => Effect::Draining,
+            false => Effect::None,
+        }
+    }
+
     /// Records that another server has the address of this one, which has ended.
     pub fn displaced(&mut self, now: Instant, incarnation: &Incarnation) {
         if self.get(incarnation).is_none() {
@@ -218,9 +250,12 @@
         if may_be_outdated && before.draining_since.is_some() && server.state == State::Ready {
             server.state = State::Draining;
         }
-        let draining = server.state == State::Draining;
-        let registration =
+        let mut registration =
             Registration::new(server, before.since, before.draining_since.unwrap_or(now));
+        if self.leaving.contains(known) {
+            registration.set_draining(before.draining_since.unwrap_or(now));
+        }
+        let draining = registration.server.state == State::Draining;
         self.registrations.insert(name, registration.clone());
         if before == registration {
             return Effect::None;
@@ -232,7 +267,10 @@
     }
 
     fn insert(&mut self, now: Instant, server: Server) {
-        let registration = Registration::new(server, now, now);
+        let mut registration = Registration::new(server, now, now);
+        if self.leaving.contains(&registration.server.incarnation) {
+            registration.set_draining(now);
+        }
         let name = registration.server.incarnation.server.clone();
         self.missing.registered(now, &name);
         self.registrations.insert(name, registration);
@@ -324,7 +362,7 @@
         }
         let departure = Departure {
             at: now,
-            is_final: registration.draining_since.is_some(),
+            is_final: registration.is_registered_draining,
             is_displaced: false,
         };
         let incarnation = registration.server.incarnation.clone();
@@ -413,6 +451,11 @@
         self.departed
             .retain(|_, departure| now.since(departure.at) < DEPARTED_TTL);
         self.missing.expire(now);
+        self.leaving.retain(|incarnation| {
+            let registration = self.registrations.get(&incarnation.server);
+            registration.is_some_and(|r| r.server.incarnation == *incarnation)
+                || self.departed.contains_key(incarnation)
+        });
         let incarnations = gone.iter().map(|server| server.incarnation.clone());
         let incarnations = incarnations.collect();
         for server in gone {
--- /dev/null
+++ b/crates/core/tests/leaving.rs
@@ -0,0 +1,130 @@
+//! Servers that say that they are leaving while their registrations say that they are ready.
+
+#[path = "support/registry.rs"]
+mod registry;
+
+use jujube_core::layer::Range;
+use jujube_core::pipeline::liveness::Liveness;
+use jujube_core::pipeline::local_health::LocalHealth;
+use jujube_core::pipeline::roster::Effect;
+use jujube_core::pipeline::roster::Roster;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::server::Server;
+use jujube_core::pipeline::server::StartTime;
+use jujube_core::pipeline::server::State;
+use jujube_core::pipeline::suspicion::Suspicion;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+use registry::server;
+
+fn leaver() -> Incarnation {
+    server("a", State::Ready).incarnation
+}
+
+/// Returns a roster in which server `a` said that it is leaving, and `b` did not.
+fn with_leaver() -> Roster {
+    let mut roster = Roster::default();
+    for name in ["a", "b"] {
+        roster.registered(Instant(0), server(name, State::Ready));
+    }
+    let effect = roster.announced_leaving(Instant(10), &leaver());
+    assert_eq!(effect, Effect::Draining);
+    roster
+}
+
+fn usable(roster: &Roster) -> Vec<String> {
+    let names = roster.usable().map(|server| server.incarnation.to_string());
+    names.collect()
+}
+
+#[test]
+fn server_that_says_it_is_leaving_gets_nothing_new() {
+    let roster = with_leaver();
+
+    assert_eq!(usable(&roster), ["b"]);
+    assert!(roster.is_draining(&leaver()));
+    assert_eq!(roster.draining(Instant(1_010), Span(1_000)).count(), 1);
+}
+
+/// Guards against work for a leaver after its registration was written or listed again as ready,
+/// or was away for a while.
+#[test]
+fn registration_as_ready_does_not_take_the_word_back() {
+    let mut roster = with_leaver();
+    let ready = || vec![server("a", State::Ready), server("b", State::Ready)];
+
+    roster.registered(Instant(20), server("a", State::Ready));
+    assert_eq!(usable(&roster), ["b"]);
+    roster.replace(Instant(30), ready(), &[]);
+    assert_eq!(usable(&roster), ["b"]);
+    roster.removed(Instant(40), &"a".into());
+    roster.registered(Instant(50), server("a", State::Ready));
+    assert_eq!(usable(&roster), ["b"]);
+    roster.unreadable(&"a".into());
+    roster.registered(Instant(60), server("a", State::Ready));
+    assert_eq!(usable(&roster), ["b"]);
+}
+
+/// Guards against holding a server that started anew under its name to the word of before.
+#[test]
+fn restarted_server_is_used() {
+    let mut roster = with_leaver();
+    let restarted = Server {
+        incarnation: Incarnation::new("a".into(), Some(StartTime(7))),
+        ..server("a", State::Ready)
+    };
+
+    roster.registered(Instant(20), restarted);
+
+    assert_eq!(usable(&roster), ["a@7", "b"]);
+}
+
+/// Guards against taking a leaver for ended, and running its requests once more, when its
+/// registration is removed: unlike one that was registered as draining, it may serve on.
+#[test]
+fn unregistered_leaver_may_still_serve() {
+    let mut roster = with_leaver();
+
+    roster.removed(Instant(20), &"a".into());
+
+    assert!(roster.may_linger(&leaver()));
+    let (suspicion, health) = (Suspicion::default(), LocalHealth::new(Span(25)));
+    let liveness = Liveness::assess(&leaver(), Instant(30), &roster, &suspicion, &health);
+    assert_eq!(liveness, Liveness::Alive);
+}
+
+/// Guards against waiting for the layers of a server that lost its registration and then says that
+/// it is leaving.
+#[test]
+fn missing_server_that_says_it_is_leaving_is_not_waited_for() {
+    let mut roster = Roster::default();
+    let holder = Server {
+        held: Range::new(0, 8),
+        ..server("a", State::Ready)
+    };
+    roster.registered(Instant(0), holder);
+    roster.removed(Instant(10), &"a".into());
+    assert_eq!(roster.missing.servers().count(), 1);
+
+    roster.announced_leaving(Instant(20), &leaver());
+
+    assert_eq!(roster.missing.servers().count(), 0);
+}
+
+/// Guards against words of servers that nobody knows, which would be kept for good.
+#[test]
+fn word_of_an_unknown_server_changes_nothing() {
+    let mut roster = with_leaver();
+
+    assert_eq!(
+        roster.announced_leaving(Instant(20), &"c".into()),
+        Effect::None
+    );
+    assert_eq!(
+        roster.announced_leaving(Instant(20), &leaver()),
+        Effect::None
+    );
+
+    roster.registered(Instant(30), server("c", State::Ready));
+    assert_eq!(usable(&roster), ["b", "c"]);
+}
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -44,6 +44,8 @@
     pub server_at_fault: HeaderName,
     /// The limit that a backend server names, in requests per second from all entries together.
     pub limit: HeaderName,
+    /// Set to 1 by a backend server that is leaving.
+    pub leaving: HeaderName,
 }
 
 /// A decoded key of the store.
--- a/crates/front/src/gate.rs
+++ b/crates/front/src/gate.rs
@@ -19,8 +19,13 @@
 /// Returns whether a server that was chosen wants no request any more.
 ///
 /// Between the choice and the sending lies the time to connect, in which a response to another
-/// request may have asked for rest.
+/// request may have asked for rest or said that the server is leaving.
 pub fn is_unwanted<D>(state: &State<D>, server: &Incarnation) -> bool {
+    is_resting(state, server) || state.roster.borrow().is_draining(server)
+}
+
+/// Returns whether a server has asked this entry for rest that is not over.
+pub fn is_resting<D>(state: &State<D>, server: &Incarnation) -> bool {
     state.load.borrow().rests.contains(clock::now(), server)
 }
 
--- a/crates/front/src/notices.rs
+++ b/crates/front/src/notices.rs
@@ -13,6 +13,10 @@
 use crate::head;
 use crate::limits;
 use crate::state::State;
+use crate::store_watch;
+
+/// The word of a server that is leaving.
+const LEAVING: &str = "1";
 
 /// Applies a server's response to a request that was sent at `sent`.
 pub fn observe<D: Dialect, B>(
@@ -23,6 +27,7 @@
     response: &Response<B>,
 ) {
     limits::observe(state, server, sent, response.headers());
+    observe_leaving(state, server, response);
     let mut load = state.load.borrow_mut();
     let Some(rest) = rest(state, response.status(), response.headers()) else {
         if load.rests.answered(sent, server) {
@@ -43,6 +48,17 @@
     response: &Response<B>,
 ) {
     limits::observe_check(state, server, sent, response.headers());
+    observe_leaving(state, server, response);
+}
+
+/// Applies a server's word that it is leaving.
+fn observe_leaving<D: Dialect, B>(state: &State<D>, server: &Incarnation, response: &Response<B>) {
+    // A misdirected request may have reached another server, at an address that it took over.
+    let is_from_server = response.status() != StatusCode::MISDIRECTED_REQUEST;
+    let word = head::text(response.headers(), &D::NAMES.leaving);
+    if is_from_server && word.is_some_and(|word| word.trim() == LEAVING) {
+        store_watch::apply_leaving(state, server);
+    }
 }
 
 /// Returns for how long a server that turns a request away wants no further ones.
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -431,6 +431,19 @@
     rebuild(state);
 }
 
+/// Records that a server says that it is leaving.
+pub fn apply_leaving<D>(state: &State<D>, server: &Incarnation) {
+    let mut roster = state.roster.borrow_mut();
+    let effect = roster.announced_leaving(clock::now(), server);
+    drop(roster);
+    if effect == Effect::None {
+        return;
+    }
+    state.metrics.count("servers_leaving");
+    log::info!("event=leaving server={server}");
+    rebuild(state);
+}
+
 /// Removes a server at whose address another one has answered.
 pub fn displace<D>(state: &State<D>, server: &Incarnation) {
     log::info!("event=displaced server={server}");
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -147,7 +147,7 @@
                 rejections += 1;
                 if let Some(part) = at_fault {
                     avoid.push(part.server.clone());
-                    if !gate::is_unwanted(state, &part.server) {
+                    if !gate::is_resting(state, &part.server) {
                         state.refused(&part.server);
                         probe::check(state, part.server, part.address);
                     }
