Divide a limit anew when the server's zone becomes known

Cause: a report on the limit of a server that is not registered at the moment was divided as if the server were in the entry's own zone, and the share was kept for as long as the same entries were known. Once the server was registered again, an entry in each zone took the whole limit. Class: a cached result whose key lacks one of its inputs.

Change: the zone is part of what a share was computed from; a server that is not registered has no users; shares are computed after each change of registrations, before the next request.

--- a/crates/core/src/pipeline/limits.rs
+++ b/crates/core/src/pipeline/limits.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use crate::hash;
+use crate::name::Zone;
 use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
 use crate::time::Span;
@@ -81,15 +82,25 @@
     pub age: Span,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// What an entry's share of a limit is computed from.
+#[derive(Clone, Debug, PartialEq)]
+struct Basis {
+    rate: Rate,
+    /// The server's zone; `None` while it is not registered.
+    zone: Option<Zone>,
+    /// The version of the known entries.
+    entries: u64,
+}
+
+#[derive(Clone, Debug)]
 struct Known {
     rate: Option<Rate>,
     /// When the response arrived that says so, here or at another entry.
     at: Instant,
     /// The requests per second that this entry may send.
     share: f64,
-    /// The limit and the version of the entries for which the share was computed.
-    divided: Option<(Rate, u64)>,
+    /// What the share was computed from.
+    divided: Option<Basis>,
     last_sent: Option<Instant>,
 }
 
@@ -121,7 +132,7 @@
 /// # use jujube_core::time::Instant;
 /// let (mut limits, server) = (Limits::default(), "a".into());
 /// limits.observe(Instant(0), Instant(5), &server, Some(Rate::new(2.0)?));
-/// limits.divide("entry", 1, |_| vec!["entry".into()]);
+/// limits.divide("entry", 1, |_| Some("zone".into()), |_| vec!["entry".into()]);
 /// assert!(limits.is_open(Instant(10), &server));
 /// limits.sent(Instant(10), &server);
 /// assert!(!limits.is_open(Instant(500), &server));
@@ -194,24 +205,33 @@
         reports.filter(|(_, report)| report.rate.is_some() || report.age <= REPORT_END_FOR)
     }
 
-    /// Divides the limits among the entries that may use each server, of which this one is `own`.
-    /// Does nothing for limits that were divided for the same `version` of the entries.
+    /// Divides the limits among the entries nearest to each server's zone, of which this one is
+    /// `own`. Does nothing for limits that were divided on the same basis; `version` is that of the
+    /// entries.
+    ///
+    /// A server without a zone is not registered. Nothing is sent to it, and it has no users.
     pub fn divide(
         &mut self,
         own: &str,
         version: u64,
-        entries: impl Fn(&Incarnation) -> Vec<Arc<str>>,
+        zone: impl Fn(&Incarnation) -> Option<Zone>,
+        nearest: impl Fn(&Zone) -> Vec<Arc<str>>,
     ) {
         for (server, known) in &mut self.0 {
             let Some(rate) = known.rate else {
                 continue;
             };
-            if known.divided == Some((rate, version)) {
+            let basis = Basis {
+                rate,
+                zone: zone(server),
+                entries: version,
+            };
+            if known.divided.as_ref() == Some(&basis) {
                 continue;
             }
-            known.divided = Some((rate, version));
             let rate = rate.0.max(MIN_RATE);
-            let mut entries = entries(server);
+            let mut entries = basis.zone.as_ref().map(&nearest).unwrap_or_default();
+            known.divided = Some(basis);
             let count = ((rate / MIN_SHARE) as usize).clamp(1, entries.len().max(1));
             entries.sort_by_key(|entry| hash::of((server, entry)));
             let is_user = entries.iter().take(count).any(|entry| **entry == *own);
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use jujube_core::name::Zone;
 use jujube_core::pipeline::limits::Limits;
 use jujube_core::pipeline::limits::Rate;
 use jujube_core::pipeline::limits::Report;
@@ -22,7 +23,7 @@
 fn alone(observed: Option<Rate>) -> Limits {
     let mut limits = Limits::default();
     limits.observe(Instant(0), Instant(10), &server(), observed);
-    limits.divide("a", 1, |_| vec!["a".into()]);
+    limits.divide("a", 1, |_| Some("z".into()), |_| vec!["a".into()]);
     limits
 }
 
@@ -110,7 +111,7 @@
             .collect()
     };
     other.receive(Instant(20), &server(), reports(&user, 20)[&server()]);
-    other.divide("b", 1, |_| vec!["a".into()]);
+    other.divide("b", 1, |_| Some("z".into()), |_| vec!["a".into()]);
     assert!(!other.is_open(Instant(20), &server()));
 
     user.observe(Instant(30), Instant(40), &server(), None);
@@ -126,7 +127,7 @@
     let shares = names.iter().map(|name| {
         let mut limits = Limits::default();
         limits.observe(Instant(0), Instant(0), &server(), rate(3.5));
-        limits.divide(name, 1, |_| names.clone());
+        limits.divide(name, 1, |_| Some("z".into()), |_| names.clone());
         limits.get(&server()).map_or(0.0, |(_, share)| share)
     });
     let shares: Vec<f64> = shares.filter(|share| *share > 0.0).collect();
@@ -134,3 +135,24 @@
     assert_eq!(shares.len(), 3);
     assert!((shares.iter().sum::<f64>() - 3.5).abs() < 1e-9);
 }
+
+/// Guards against a share that was computed while the server was not registered, or was in another
+/// zone: entries of several zones would each take the whole limit.
+#[test]
+fn share_follows_the_zone_of_a_server() {
+    let nearest = |zone: &Zone| match &*zone.0 {
+        "a" => vec!["in-a".into()],
+        _ => vec!["in-b".into()],
+    };
+    let mut limits = Limits::default();
+    limits.observe(Instant(0), Instant(10), &server(), rate(5.0));
+    let mut share = |zone: Option<&str>| {
+        limits.divide("in-b", 1, |_| zone.map(Zone::from), nearest);
+        limits.get(&server()).map(|(_, share)| share)
+    };
+
+    assert_eq!(share(None), Some(0.0));
+    assert_eq!(share(Some("a")), Some(0.0));
+    assert_eq!(share(Some("b")), Some(5.0));
+    assert_eq!(share(None), Some(0.0));
+}
--- a/crates/core/tests/limits_model.rs
+++ b/crates/core/tests/limits_model.rs
@@ -220,7 +220,12 @@
                     limits.receive(Instant(now), server, aged);
                 }
             }
-            limits.divide(&name(number), self.version, |_| known.clone());
+            limits.divide(
+                &name(number),
+                self.version,
+                |_| Some("z".into()),
+                |_| known.clone(),
+            );
         }
     }
 
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -1,6 +1,7 @@
 //! Limits of requests per second that backend servers name in their responses.
 
 use hyper::HeaderMap;
+use jujube_core::name::Zone;
 use jujube_core::pipeline::limits::Rate;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::summary::Summary;
@@ -74,16 +75,15 @@
 }
 
 /// Computes this entry's shares of the limits.
-fn divide<D>(state: &State<D>) {
+pub fn divide<D>(state: &State<D>) {
     let directory = state.peers.directory.borrow();
     let roster = state.roster.borrow();
     let mut load = state.load.borrow_mut();
     let version = directory.version();
     let own = &state.settings.name;
-    load.limits.divide(own, version, |server| {
-        let zone = roster.get(server).map(|server| &server.zone);
-        directory.nearest(zone.unwrap_or(&state.settings.zone))
-    });
+    let zone = |server: &Incarnation| Some(roster.get(server)?.zone.clone());
+    let nearest = |zone: &Zone| directory.nearest(zone);
+    load.limits.divide(own, version, zone, nearest);
 }
 
 fn log_change<D>(state: &State<D>, server: &Incarnation, source: &str) {
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -28,6 +28,7 @@
 use crate::dialect::Record;
 use crate::fleet;
 use crate::gossip;
+use crate::limits;
 use crate::quarantine;
 use crate::restore;
 use crate::slack;
@@ -479,6 +480,7 @@
     state.load.borrow_mut().retain(is_known);
     state.outliers.borrow_mut().retain(is_known);
     drop(roster);
+    limits::divide(state);
     for replaced in replaced {
         // Streams through the old incarnation switch paths at once instead of waiting for a
         // timeout.
