Look for an opening only when there is no room, and name what a refused stream waits for

A model of thousands of servers cost each admitted request a pass over those that a path can begin with; the first open one now ends it, and with room there is none. refused cause=no-path becomes at-rest or at-limit where that is what keeps the first servers closed.

--- a/crates/front/src/gate.rs
+++ b/crates/front/src/gate.rs
@@ -67,7 +67,15 @@
         state: &State<D>,
         servers: impl Iterator<Item = &'a Incarnation>,
     ) -> Option<Self> {
-        servers.map(|server| Self::of(state, server)).min()
+        let mut first: Option<Self> = None;
+        for server in servers {
+            let opening = Self::of(state, server);
+            if opening.after == Span(0) {
+                return Some(opening);
+            }
+            first = Some(first.map_or(opening, |first| first.min(opening)));
+        }
+        first
     }
 
     /// Returns when a path of a model may be sent a request; `None` if there is no path.
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -16,6 +16,7 @@
 
 use crate::dialect::Dialect;
 use crate::gate;
+use crate::gate::Opening;
 use crate::head;
 use crate::probe;
 use crate::quarantine;
@@ -106,7 +107,12 @@
         let path = match next_path(state, stream, &avoid) {
             Some(path) => path,
             None if wait_briefly(stream).await => continue,
-            None => return Err(final_refusal(stream, Reason::NoServer, "no-path".into())),
+            None => {
+                let opening = Opening::of_model(state, &stream.service);
+                let closed = opening.filter(|opening| opening.after > Span(0));
+                let cause = closed.map_or("no-path", |opening| opening.cause);
+                return Err(final_refusal(stream, Reason::NoServer, cause.into()));
+            }
         };
         let sent = send(state, stream, path, last);
         let failure = match sent.await {
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -148,13 +148,15 @@
         max_wait: Span((request.target.0 as f64 * MAX_WAIT_SHARE) as u64),
     };
     let has_capacity = has_capacity(state, request.service, request.demand);
-    let closed = Opening::of_model(state, request.service)
-        .filter(|opening| !has_capacity && opening.after > share.max_wait);
-    if let Some(opening) = closed {
-        return Err(Rejection {
-            retry_after: opening.after,
-            cause: opening.cause,
-        });
+    if !has_capacity {
+        // Waiting does not help if no path opens in time.
+        let opening = Opening::of_model(state, request.service);
+        if let Some(opening) = opening.filter(|opening| opening.after > share.max_wait) {
+            return Err(Rejection {
+                retry_after: opening.after,
+                cause: opening.cause,
+            });
+        }
     }
     let waiting = enqueue(state, &request, &share, ticket, has_capacity);
     let waiting = waiting.map_err(Rejection::no_room)?;
