Tell other entries which servers said that they are leaving

What callers saw: streams through a leaver as a later part of their paths would break when it exits, and its layers would be loaded elsewhere only after that, where the planner or the entry had no response from it.

Cause: the word stayed with the entry that got it. It is true for all and final, unlike a rest. Whoever was told reports it, so that it outlasts the first to hear.

--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -210,6 +210,14 @@
         }
     }
 
+    /// Returns the registered servers that said that they are leaving, for other entries.
+    ///
+    /// Also those that other entries reported: a word outlasts the entry that heard it.
+    pub fn announced_leavers(&self) -> impl Iterator<Item = &Incarnation> {
+        let leaving = self.leaving.iter();
+        leaving.filter(|incarnation| self.get(incarnation).is_some())
+    }
+
     /// Records that another server has the address of this one, which has ended.
     pub fn displaced(&mut self, now: Instant, incarnation: &Incarnation) {
         if self.get(incarnation).is_none() {
--- a/crates/core/src/pipeline/summary.rs
+++ b/crates/core/src/pipeline/summary.rs
@@ -60,6 +60,8 @@
     pub quarantined: BTreeSet<Digest>,
     /// Limits that servers name, or no longer name.
     pub limits: BTreeMap<Incarnation, limits::Report>,
+    /// Servers that said that they are leaving.
+    pub leaving: BTreeSet<Incarnation>,
 }
 
 impl Summary {
@@ -110,6 +112,7 @@
             union.extend(digests);
         }
         self.quarantined.extend(&other.quarantined);
+        self.leaving.extend(other.leaving.iter().cloned());
         for (server, report) in &other.limits {
             let aged = limits::Report {
                 age: Span(report.age.0 + age.0),
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -12,6 +12,7 @@
 use jujube_core::pipeline::server::Server;
 use jujube_core::pipeline::server::StartTime;
 use jujube_core::pipeline::server::State;
+use jujube_core::pipeline::summary::Summary;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -128,3 +129,21 @@
     roster.registered(Instant(30), server("c", State::Ready));
     assert_eq!(usable(&roster), ["b", "c"]);
 }
+
+/// Guards against a word that is lost with the entry that heard it: whoever was told reports it, as
+/// long as the server is registered.
+#[test]
+fn word_is_reported_while_its_server_is_registered() {
+    let mut roster = with_leaver();
+    let told = |roster: &Roster| roster.announced_leavers().cloned().collect::<Vec<_>>();
+    let mut sum = Summary::default();
+
+    sum.merge(&Summary {
+        leaving: told(&roster).into_iter().collect(),
+        ..Summary::default()
+    });
+    assert_eq!(sum.leaving, [leaver()].into());
+    roster.removed(Instant(20), &"a".into());
+
+    assert!(told(&roster).is_empty());
+}
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -19,6 +19,7 @@
 use serde::Serialize;
 
 use super::appendix::Appendix;
+use super::leavers::Leavers;
 
 /// The maximum size of one message in bytes. A report of a hundred entries on a hundred servers
 /// takes some 8 kB; a larger datagram could delay probes on a link of 20 Mbit/s.
@@ -204,9 +205,14 @@
             .iter()
             .all(|bytes| bytes.len() <= MAX_MESSAGE_BYTES);
         if fits || portions >= MAX_PORTIONS {
-            let appendix = Appendix::is_needed(summary)
-                .then(|| Appendix::new(sender, scope, summary, portions).encode());
-            return messages.into_iter().chain(appendix.flatten()).collect();
+            let has_appendix = Appendix::is_needed(summary);
+            let appendix =
+                has_appendix.then(|| Appendix::new(sender, scope, summary, portions).encode());
+            let number = portions + u16::from(has_appendix);
+            let leavers = Leavers::is_needed(summary)
+                .then(|| Leavers::new(sender, scope, summary, number).encode());
+            let messages = messages.into_iter().chain(appendix.flatten());
+            return messages.chain(leavers.flatten()).collect();
         }
         portions *= 2;
     }
@@ -219,7 +225,8 @@
     properties: &[(WireIncarnation, Property)],
     portions: u16,
 ) -> Vec<Vec<u8>> {
-    let last = portions - 1 + u16::from(Appendix::is_needed(summary));
+    let appended = u16::from(Appendix::is_needed(summary)) + u16::from(Leavers::is_needed(summary));
+    let last = portions - 1 + appended;
     let messages = (0..portions).filter_map(|number| {
         let is_first = number == 0;
         let portion = properties.iter().skip(usize::from(number));
@@ -256,6 +263,9 @@
     if let Some(appendix) = Appendix::decode(bytes) {
         return appendix?.try_into();
     }
+    if let Some(leavers) = Leavers::decode(bytes) {
+        return Ok(leavers?.into());
+    }
     let message: Message = deserialize(bytes)?;
     let planner = message.planner.map(|(token, at)| (Token(token), at));
     let mut summary = Summary {
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod appendix;
+mod leavers;
 mod message;
 mod peers;
 
@@ -155,6 +156,7 @@
     let ordered = state.ordered_layers.borrow();
     let ordered = ordered.iter().filter(|_| token.is_some());
     let quarantine = state.quarantine.borrow();
+    let roster = state.roster.borrow();
     Summary {
         entries: 1,
         with_store: u64::from(!state.is_store_unavailable()),
@@ -170,6 +172,7 @@
         ended_under: quarantine.own_ends(now),
         quarantined: quarantine.reported(now),
         limits: cloned(load.limits.reports(now)),
+        leaving: roster.announced_leavers().cloned().collect(),
     }
 }
 
@@ -250,6 +253,9 @@
         .set_summary(others.entries, others.with_store, others.ready);
     quarantine::apply_reports(state, &others);
     limits::apply_reports(state, &others);
+    for server in &others.leaving {
+        store_watch::apply_leaving(state, server, "report");
+    }
     let mut load = state.load.borrow_mut();
     load.set_others(others.entries, others.usage);
     drop(load);
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -432,8 +432,8 @@
     rebuild(state);
 }
 
-/// Records that a server says that it is leaving.
-pub fn apply_leaving<D>(state: &State<D>, server: &Incarnation) {
+/// Records that a server says that it is leaving, as this entry heard or another one reported.
+pub fn apply_leaving<D>(state: &State<D>, server: &Incarnation, source: &str) {
     let mut roster = state.roster.borrow_mut();
     let effect = roster.announced_leaving(clock::now(), server);
     drop(roster);
@@ -441,7 +441,7 @@
         return;
     }
     state.metrics.count("servers_leaving");
-    log::info!("event=leaving server={server}");
+    log::info!("event=leaving server={server} source={source}");
     rebuild(state);
 }
 
