Ask the part that turned a request away for its rest, not only the server that relayed it

Cause: the rest was kept for the server that answered. at-server names the one that turned the request away. Change: both are left alone, as either may have asked. The part counts as full until its rest is over, and until the first request along a path through it has had its first event. Where no path is left, callers are told when it opens, at once if waiting in the queue cannot help.

--- a/crates/core/src/pipeline/chooser/search.rs
+++ b/crates/core/src/pipeline/chooser/search.rs
@@ -96,7 +96,7 @@
             .load
             .refusals
             .contains(context.now, &candidate.server)
-            || context.load.rests.contains(context.now, &candidate.server);
+            || !context.load.rests.is_open(context.now, &candidate.server);
         let capacity = if is_full {
             0.0
         } else {
--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -164,6 +164,16 @@
         self.opens_at(server).is_some_and(|at| at <= now)
     }
 
+    /// Records a request that is being sent along a path, to its first server.
+    pub fn sent_along(&mut self, now: Instant, path: &Path) {
+        for (number, part) in path.parts().iter().enumerate() {
+            match number {
+                0 => self.sent(now, &part.server),
+                _ => self.rests.sent(now, &part.server),
+            }
+        }
+    }
+
     /// Records a request that is being sent to a server.
     pub fn sent(&mut self, now: Instant, server: &Incarnation) {
         self.limits.sent(now, server);
--- a/crates/core/src/pipeline/rests.rs
+++ b/crates/core/src/pipeline/rests.rs
@@ -99,6 +99,12 @@
         next_trial.unwrap_or(rest.until)
     }
 
+    /// Returns whether this entry may send a request to a server now, as far as its rest goes.
+    #[must_use]
+    pub fn is_open(&self, now: Instant, server: &Incarnation) -> bool {
+        self.opens_at(server) <= now
+    }
+
     /// Returns whether a server wants no requests now.
     #[must_use]
     pub fn contains(&self, now: Instant, server: &Incarnation) -> bool {
--- a/crates/front/src/gate.rs
+++ b/crates/front/src/gate.rs
@@ -1,6 +1,8 @@
 //! Whether requests may be sent to backend servers now, by what the servers said.
 
 use jujube_core::name::Service;
+use jujube_core::pipeline::path::Part;
+use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -29,6 +31,27 @@
     state.load.borrow().rests.contains(clock::now(), server)
 }
 
+/// Records a request that is being sent along a path.
+pub fn record_sent_along<D>(state: &State<D>, request: &str, path: &Path) {
+    if let Some(first) = path.first() {
+        limits::log_sent(state, request, &first.server);
+    }
+    state.load.borrow_mut().sent_along(clock::now(), path);
+}
+
+/// Records that a later part of a path turned a request away and wants no others for a time.
+///
+/// The first server relays its response, and may be all that it speaks for.
+pub fn record_rest_of_part<D>(state: &State<D>, request: &str, part: &Part, rest: Span) {
+    let server = &part.server;
+    state
+        .load
+        .borrow_mut()
+        .rests
+        .asked(clock::now(), server, rest);
+    log::info!("event=rest-asked server={server} request={request} for_ms={rest} source=path");
+}
+
 /// Records a request that is being sent to a server.
 pub fn record_sent<D>(state: &State<D>, request: &str, server: &Incarnation) {
     limits::log_sent(state, request, server);
@@ -78,6 +101,14 @@
         first
     }
 
+    /// Returns when the last of the later parts of a path that rest may get a request; `None` if
+    /// none rests.
+    pub fn of_later_parts<D>(state: &State<D>, path: &Path) -> Option<Self> {
+        let later = path.parts().iter().skip(1).map(|part| &part.server);
+        let resting = later.filter(|server| is_resting(state, server));
+        resting.map(|server| Self::of(state, server)).max()
+    }
+
     /// Returns when a path of a model may be sent a request; `None` if there is no path.
     pub fn of_model<D>(state: &State<D>, service: &Service) -> Option<Self> {
         let fleets = state.fleets.borrow();
--- a/crates/front/src/notices.rs
+++ b/crates/front/src/notices.rs
@@ -18,14 +18,15 @@
 /// The word of a server that is leaving.
 const LEAVING: &str = "1";
 
-/// Applies a server's response to a request that was sent at `sent`.
+/// Applies a server's response to a request that was sent at `sent`. Returns the rest that it asks
+/// for.
 pub fn observe<D: Dialect, B>(
     state: &State<D>,
     server: &Incarnation,
     request: &str,
     sent: Instant,
     response: &Response<B>,
-) {
+) -> Option<Span> {
     limits::observe(state, server, sent, response.headers());
     observe_leaving(state, server, response);
     let mut load = state.load.borrow_mut();
@@ -33,11 +34,12 @@
         if load.rests.answered(sent, server) {
             log::info!("event=rest-over server={server} request={request}");
         }
-        return;
+        return None;
     };
     load.rests.asked(clock::now(), server, rest);
     state.metrics.count("rests_asked");
     log::info!("event=rest-asked server={server} request={request} for_ms={rest}");
+    Some(rest)
 }
 
 /// Applies a server's response to a health check, which shows less than one to a request.
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -149,10 +149,14 @@
                 continue;
             }
             Failure::Unwanted => continue,
-            Failure::NotRun { .. } => {
+            Failure::NotRun { rest, .. } => {
                 rejections += 1;
                 if let Some(part) = at_fault {
                     avoid.push(part.server.clone());
+                    let is_first = first.is_some_and(|first| first.server == part.server);
+                    if let Some(rest) = rest.filter(|_| !is_first) {
+                        gate::record_rest_of_part(state, &stream.id, &part, rest);
+                    }
                     if !gate::is_resting(state, &part.server) {
                         state.refused(&part.server);
                         probe::check(state, part.server, part.address);
@@ -430,8 +434,8 @@
         earlier_servers(state, stream),
         path
     );
+    gate::record_sent_along(state, &stream.id, &path);
     set_path(state, stream, Some(path));
-    gate::record_sent(state, &stream.id, &first.server);
     stream.attempts.borrow_mut().begin(first.server.clone());
     let mut retry = stream.retry.take();
     if let Some(retry) = &mut retry {
--- a/crates/front/src/stream/path.rs
+++ b/crates/front/src/stream/path.rs
@@ -44,6 +44,8 @@
         let mut load = self.state.load.borrow_mut();
         for part in path.iter().flat_map(Path::parts) {
             load.refusals.took(&part.server);
+            load.rests
+                .answered(self.stream.run_sent.get(), &part.server);
         }
     }
 }
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -13,6 +13,7 @@
 use hyper::Uri;
 use hyper::body::Incoming;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::time::Span;
 use jujube_program::clock;
 
 use crate::dialect::Dialect;
@@ -57,6 +58,8 @@
         status: StatusCode,
         /// The address of the part of the path that caused the rejection, if reported.
         at_fault: Option<SocketAddr>,
+        /// The rest that is asked for.
+        rest: Option<Span>,
     },
     /// The backend server ran the request and returned an error.
     Failed(StatusCode),
@@ -69,7 +72,9 @@
         match self {
             Self::NotSent(cause) => write!(f, "not-sent({cause})"),
             Self::Unwanted => f.write_str("unwanted"),
-            Self::NotRun { status, at_fault } => {
+            Self::NotRun {
+                status, at_fault, ..
+            } => {
                 let status = status.as_u16();
                 match at_fault {
                     Some(address) => write!(f, "not-run({status}, at {address})"),
@@ -123,11 +128,13 @@
                 continue;
             }
         };
-        if is_own::<D>(&response, &outgoing.headers) {
-            let id = head::text(&outgoing.headers, &D::NAMES.request);
-            notices::observe(state, server, id.unwrap_or("-"), sent_at, &response);
+        if !is_own::<D>(&response, &outgoing.headers) {
+            let cause = "response belongs to another request";
+            return Err(Failure::Unknown(cause.into()));
         }
-        return check_response::<D>(lease, response, &outgoing.headers).await;
+        let id = head::text(&outgoing.headers, &D::NAMES.request);
+        let rest = notices::observe(state, server, id.unwrap_or("-"), sent_at, &response);
+        return check_response::<D>(lease, response, rest).await;
     }
 }
 
@@ -155,32 +162,31 @@
 }
 
 /// Returns whether a response belongs to the request with the headers `sent`.
+///
+/// Compares request identifiers, so that a late duplicate response on a reused connection is not
+/// forwarded to another client.
 fn is_own<D: Dialect>(response: &Response<Incoming>, sent: &HeaderMap) -> bool {
     response.headers().get(&D::NAMES.request) == sent.get(&D::NAMES.request)
 }
 
-/// Checks that a response belongs to the request.
-///
-/// Compares request identifiers, so that a late duplicate response on a reused connection is not
-/// forwarded to another client.
+/// Checks that a response is usable; `rest` is what it asks for.
 async fn check_response<D: Dialect>(
     lease: Lease,
     response: Response<Incoming>,
-    sent: &HeaderMap,
+    rest: Option<Span>,
 ) -> Result<Incomplete, Failure> {
     let names = D::NAMES;
     let headers = response.headers();
     let status = response.status();
-    if !is_own::<D>(&response, sent) {
-        return Err(Failure::Unknown(
-            "response belongs to another request".into(),
-        ));
-    }
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         let at_fault = head::text(headers, &names.server_at_fault);
         let at_fault = at_fault.and_then(|text| text.trim().parse().ok());
         discard_body(lease, response).await;
-        return Err(Failure::NotRun { status, at_fault });
+        return Err(Failure::NotRun {
+            status,
+            at_fault,
+            rest,
+        });
     }
     if status.is_success() && !headers.contains_key(&names.signature) {
         return Err(Failure::Unknown(
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -147,17 +147,17 @@
         priority: request.priority,
         max_wait: Span((request.target.0 as f64 * MAX_WAIT_SHARE) as u64),
     };
-    let has_capacity = has_capacity(state, request.service, request.demand);
-    if !has_capacity {
+    let room = room(state, request.service, request.demand);
+    if let Room::Opens(opening) = room {
         // Waiting does not help if no path opens in time.
-        let opening = Opening::of_model(state, request.service);
-        if let Some(opening) = opening.filter(|opening| opening.after > share.max_wait) {
+        if opening.after > share.max_wait {
             return Err(Rejection {
                 retry_after: opening.after,
                 cause: opening.cause,
             });
         }
     }
+    let has_capacity = room == Room::Free;
     let waiting = enqueue(state, &request, &share, ticket, has_capacity);
     let waiting = waiting.map_err(Rejection::no_room)?;
     let Some(admitted) = waiting else {
@@ -263,14 +263,29 @@
     Span(INITIAL_DURATION.0 / 2 + spread + waiting * 10)
 }
 
-fn has_capacity<D>(state: &State<D>, service: &Service, demand: Demand) -> bool {
+/// Whether there is room for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Room {
+    Free,
+    Taken,
+    /// Servers without which there is no path say when they may get a request.
+    Opens(Opening),
+}
+
+fn room<D>(state: &State<D>, service: &Service, demand: Demand) -> Room {
     let choice = stream::choose_with(state, service, &[], 1.0, |fleet, context| {
         fleet.choose(demand, context)
     });
-    // Without any path, waiting does not help; the request fails immediately.
-    choice
-        .flatten()
-        .is_none_or(|choice| !choice.lacks_capacity() || choice.is_last_resort())
+    let Some(choice) = choice.flatten() else {
+        // Without any path, waiting does not help; the request fails immediately.
+        return Room::Free;
+    };
+    if !choice.lacks_capacity() || choice.is_last_resort() {
+        return Room::Free;
+    }
+    let first = Opening::of_model(state, service).filter(|_| choice.is_closed());
+    let later = Opening::of_later_parts(state, &choice.path);
+    first.max(later).map_or(Room::Taken, Room::Opens)
 }
 
 /// Admits waiting requests as capacity becomes available. Never returns.
@@ -295,7 +310,7 @@
     let Some((ticket, demand)) = next_waiting(state, service) else {
         return false;
     };
-    if !has_capacity(state, service, demand) {
+    if room(state, service, demand) != Room::Free {
         return false;
     }
     let mut queues = state.waiting.queues.borrow_mut();
