Ask a start that replaces a leaver whether it is leaving too, before its first request

Cause: until then its word was taken for that of the earlier start and dropped with it. Ruled out: moving the word to the new start, as with a rest: had the earlier one said it, the new one would never be used. Change: a start that replaces a leaver gets no requests until it has answered a health check, which tells the word, or for 2 s.

--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -29,6 +29,9 @@
 /// registered again, and the store has removed those that missed three heartbeats.
 pub const STALE_COPY_WINDOW: Span = Span(5_000);
 
+/// How long a start that replaced a leaver gets no requests while it does not answer health checks.
+const CONFIRM_TIMEOUT: Span = Span(2_000);
+
 /// A registered server and the state of its registration.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Registration {
@@ -115,6 +118,8 @@
     replaced: Vec<Incarnation>,
     /// Servers that said that they are leaving. They do not take that back.
     leaving: BTreeSet<Incarnation>,
+    /// Starts that replaced one which had said that it is leaving, and since when.
+    unconfirmed: BTreeMap<Incarnation, Instant>,
     /// Servers whose registrations were removed.
     departed: BTreeMap<Incarnation, Departure>,
     /// Servers whose registrations vanished and that may register again.
@@ -197,6 +202,7 @@
         if !is_known || !self.leaving.insert(incarnation.clone()) {
             return Effect::None;
         }
+        self.unconfirmed.remove(incarnation);
         self.missing
             .retain(|missing| missing.incarnation != *incarnation);
         let Some(registration) = self.registrations.get_mut(&incarnation.server) else {
@@ -251,8 +257,8 @@
             server.incarnation = known.clone();
         }
         if server.incarnation != *known {
-            self.replaced.push(known.clone());
-            self.insert(now, server);
+            let known = known.clone();
+            self.replace_start(now, known, server);
             return Effect::Restarted;
         }
         if may_be_outdated && before.draining_since.is_some() && server.state == State::Ready {
@@ -274,6 +280,37 @@
         Effect::Changed
     }
 
+    /// Registers a later start of a server.
+    ///
+    /// Until it is known, its responses are taken for those of the earlier start. If that one said
+    /// that it is leaving, the later one may have said so, and has to be asked before it gets
+    /// requests.
+    fn replace_start(&mut self, now: Instant, earlier: Incarnation, server: Server) {
+        if self.leaving.contains(&earlier) {
+            self.unconfirmed.insert(server.incarnation.clone(), now);
+        }
+        self.replaced.push(earlier);
+        self.insert(now, server);
+    }
+
+    /// Returns the starts that have to be asked whether they are leaving.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = &Incarnation> {
+        self.unconfirmed.keys()
+    }
+
+    /// Records whether a start answered a health check, in which it would have said that it is
+    /// leaving. Returns whether it may get requests from now on.
+    pub fn checked(&mut self, now: Instant, incarnation: &Incarnation, is_answered: bool) -> bool {
+        let Some(since) = self.unconfirmed.get(incarnation) else {
+            return false;
+        };
+        let is_over = is_answered || now.since(*since) >= CONFIRM_TIMEOUT;
+        if is_over {
+            self.unconfirmed.remove(incarnation);
+        }
+        is_over
+    }
+
     fn insert(&mut self, now: Instant, server: Server) {
         let mut registration = Registration::new(server, now, now);
         if self.leaving.contains(&registration.server.incarnation) {
@@ -344,8 +381,7 @@
         let mut server = known.clone();
         let earlier = std::mem::replace(&mut server.incarnation, incarnation.clone());
         server.held = held;
-        self.replaced.push(earlier);
-        self.insert(now, server);
+        self.replace_start(now, earlier, server);
         Effect::Restarted
     }
 
@@ -459,11 +495,15 @@
         self.departed
             .retain(|_, departure| now.since(departure.at) < DEPARTED_TTL);
         self.missing.expire(now);
-        self.leaving.retain(|incarnation| {
+        let is_registered = |incarnation: &Incarnation| {
             let registration = self.registrations.get(&incarnation.server);
             registration.is_some_and(|r| r.server.incarnation == *incarnation)
-                || self.departed.contains_key(incarnation)
+        };
+        self.leaving.retain(|incarnation| {
+            is_registered(incarnation) || self.departed.contains_key(incarnation)
         });
+        self.unconfirmed
+            .retain(|incarnation, _| is_registered(incarnation));
         let incarnations = gone.iter().map(|server| server.incarnation.clone());
         let incarnations = incarnations.collect();
         for server in gone {
@@ -478,7 +518,9 @@
             .registrations
             .values()
             .map(|registration| &registration.server);
-        servers.filter(|server| server.state == State::Ready)
+        servers.filter(|server| {
+            server.state == State::Ready && !self.unconfirmed.contains_key(&server.incarnation)
+        })
     }
 
     /// Returns how long this incarnation of a server has been registered, as far as this entry has
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -93,6 +93,7 @@
     tokio::task::spawn_local(run_retries(state.clone()));
     tokio::task::spawn_local(gossip::run(state.clone(), gossip));
     tokio::task::spawn_local(probe::probe_suspects(state.clone()));
+    tokio::task::spawn_local(probe::confirm_starts(state.clone()));
     tokio::task::spawn_local(probe::check_closed(state.clone()));
     tokio::task::spawn_local(watchdog::run(state.clone()));
     tokio::task::spawn_local(waiting::run(state.clone()));
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use futures::future::Either;
+use futures::future::join_all;
 use futures::future::select;
 use http_body_util::Full;
 use hyper::Request;
@@ -256,6 +257,28 @@
     }
 }
 
+/// How often starts that replaced a leaver are checked.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Asks starts that replaced a leaver whether they are leaving too. Never returns.
+pub async fn confirm_starts<D: Dialect>(state: Rc<State<D>>) {
+    loop {
+        tokio::time::sleep(CONFIRM_INTERVAL).await;
+        let starts: Vec<Incarnation> = state.roster.borrow().unconfirmed().cloned().collect();
+        join_all(starts.iter().map(|server| confirm_start(&state, server))).await;
+    }
+}
+
+async fn confirm_start<D: Dialect>(state: &State<D>, server: &Incarnation) {
+    let Some(address) = state.address(server) else {
+        return;
+    };
+    state.metrics.count("probes");
+    // Applies the word in the response, if it is there.
+    let report = report(state, server, address).await;
+    store_watch::apply_check(state, server, report.is_ok());
+}
+
 /// How often suspected servers are checked for due probes.
 const SUSPECT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -445,6 +445,17 @@
     rebuild(state);
 }
 
+/// Records whether a start that replaced a leaver answered a health check.
+pub fn apply_check<D>(state: &State<D>, server: &Incarnation, is_answered: bool) {
+    let mut roster = state.roster.borrow_mut();
+    let may_get_requests = roster.checked(clock::now(), server, is_answered);
+    drop(roster);
+    if may_get_requests {
+        log::info!("event=not-leaving server={server} is_answered={is_answered}");
+        rebuild(state);
+    }
+}
+
 /// Removes a server at whose address another one has answered.
 pub fn displace<D>(state: &State<D>, server: &Incarnation) {
     log::info!("event=displaced server={server}");
