Apply a word of leaving only to the start that said it, also around restores

Before: the two new tests in core/tests/leaving.rs red; after: green, as the tests of rosters, restores and returns.

--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -205,7 +205,9 @@
         self.unconfirmed.remove(incarnation);
         self.missing
             .retain(|missing| missing.incarnation != *incarnation);
-        let Some(registration) = self.registrations.get_mut(&incarnation.server) else {
+        let registration = self.registrations.get_mut(&incarnation.server);
+        let is_of_start = |known: &&mut Registration| known.server.incarnation == *incarnation;
+        let Some(registration) = registration.filter(is_of_start) else {
             return Effect::None;
         };
         let was_ready = registration.server.state == State::Ready;
@@ -261,14 +263,14 @@
             self.replace_start(now, known, server);
             return Effect::Restarted;
         }
-        if may_be_outdated && before.draining_since.is_some() && server.state == State::Ready {
-            server.state = State::Draining;
-        }
-        let mut registration =
-            Registration::new(server, before.since, before.draining_since.unwrap_or(now));
-        if self.leaving.contains(known) {
-            registration.set_draining(before.draining_since.unwrap_or(now));
+        let since = before.draining_since.unwrap_or(now);
+        let was_draining = before.draining_since.is_some() && server.state == State::Ready;
+        let is_leaving = self.leaving.contains(known);
+        let mut registration = Registration::new(server, before.since, since);
+        if is_leaving || (may_be_outdated && was_draining) {
+            registration.set_draining(since);
         }
+        registration.is_registered_draining |= may_be_outdated && before.is_registered_draining;
         let draining = registration.server.state == State::Draining;
         self.registrations.insert(name, registration.clone());
         if before == registration {
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -180,3 +180,33 @@
 
     assert!(told(&roster).is_empty());
 }
+
+/// Guards against a late word of a departed start that drains the one registered after it.
+#[test]
+fn word_of_a_departed_start_says_nothing_about_the_later_one() {
+    let mut roster = Roster::default();
+    let later = Server {
+        incarnation: Incarnation::new("a".into(), Some(StartTime(7))),
+        ..server("a", State::Ready)
+    };
+    roster.registered(Instant(0), server("a", State::Ready));
+    roster.removed(Instant(10), &"a".into());
+    roster.registered(Instant(20), later);
+
+    roster.announced_leaving(Instant(30), &leaver());
+
+    assert_eq!(usable(&roster), ["a@7"]);
+}
+
+/// Guards against taking a leaver for ended that never registered as draining, after the store was
+/// restored from a copy that lists it as ready.
+#[test]
+fn unregistered_leaver_may_still_serve_after_a_restore() {
+    let mut roster = with_leaver();
+    roster.restored(Instant(20));
+    roster.registered(Instant(30), server("a", State::Ready));
+
+    roster.removed(Instant(6_000), &"a".into());
+
+    assert!(roster.may_linger(&leaver()));
+}
