Keep what leavers say in a module of its own, and do what the change did twice once

Cause: read again as a whole, the change had the roster grow by a matter of its own, gossip messages that encode and decode the same way twice, three places that compute the later of two times, a rebuild for each leaver of a report, and an entry that woke twenty times a second for starts to ask, also while there were none.

Change, behaviour as before: core::pipeline::leavers holds who said that it is leaving and which starts have to be asked, Roster uses its own lookup there; message::encode_tagged and decode_tagged serve appendix and leavers; Opening::not_before; one rebuild for all leavers of a report; the task that asks starts sleeps until the registered servers change; sent_along and the early rejection in the queue without nesting.

Tests: calls of the moved methods renamed, assertions as they were.

--- a/crates/core/src/pipeline/load.rs
+++ b/crates/core/src/pipeline/load.rs
@@ -166,11 +166,11 @@
 
     /// Records a request that is being sent along a path, to its first server.
     pub fn sent_along(&mut self, now: Instant, path: &Path) {
-        for (number, part) in path.parts().iter().enumerate() {
-            match number {
-                0 => self.sent(now, &part.server),
-                _ => self.rests.sent(now, &part.server),
-            }
+        if let Some(first) = path.first() {
+            self.limits.sent(now, &first.server);
+        }
+        for part in path.parts() {
+            self.rests.sent(now, &part.server);
         }
     }
 
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -17,6 +17,7 @@
 pub mod document;
 pub mod era;
 pub mod hold;
+pub mod leavers;
 pub mod limits;
 pub mod liveness;
 pub mod load;
--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -5,6 +5,7 @@
 
 use crate::layer::Range;
 use crate::name::Server as Name;
+use crate::pipeline::leavers::Leavers;
 use crate::pipeline::local_health::LocalHealth;
 use crate::pipeline::missing::Missing;
 use crate::pipeline::server::Incarnation;
@@ -29,9 +30,6 @@
 /// registered again, and the store has removed those that missed three heartbeats.
 pub const STALE_COPY_WINDOW: Span = Span(5_000);
 
-/// How long a start that replaced a leaver gets no requests while it does not answer health checks.
-const CONFIRM_TIMEOUT: Span = Span(2_000);
-
 /// A registered server and the state of its registration.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Registration {
@@ -116,10 +114,8 @@
     is_away: bool,
     /// Replaced incarnations that [`Roster::take_replaced`] has not returned yet.
     replaced: Vec<Incarnation>,
-    /// Servers that said that they are leaving. They do not take that back.
-    leaving: BTreeSet<Incarnation>,
-    /// Starts that replaced one which had said that it is leaving, and since when.
-    unconfirmed: BTreeMap<Incarnation, Instant>,
+    /// Servers that said that they are leaving.
+    pub leavers: Leavers,
     /// Servers whose registrations were removed.
     departed: BTreeMap<Incarnation, Departure>,
     /// Servers whose registrations vanished and that may register again.
@@ -199,10 +195,9 @@
     /// says.
     pub fn announced_leaving(&mut self, now: Instant, incarnation: &Incarnation) -> Effect {
         let is_known = self.get(incarnation).is_some() || self.departed.contains_key(incarnation);
-        if !is_known || !self.leaving.insert(incarnation.clone()) {
+        if !is_known || !self.leavers.announced(incarnation) {
             return Effect::None;
         }
-        self.unconfirmed.remove(incarnation);
         self.missing
             .retain(|missing| missing.incarnation != *incarnation);
         let registration = self.registrations.get_mut(&incarnation.server);
@@ -222,8 +217,8 @@
     ///
     /// Also those that other entries reported: a word outlasts the entry that heard it.
     pub fn announced_leavers(&self) -> impl Iterator<Item = &Incarnation> {
-        let leaving = self.leaving.iter();
-        leaving.filter(|incarnation| self.get(incarnation).is_some())
+        let leavers = self.leavers.iter();
+        leavers.filter(|incarnation| self.get(incarnation).is_some())
     }
 
     /// Records that another server has the address of this one, which has ended.
@@ -265,7 +260,7 @@
         }
         let since = before.draining_since.unwrap_or(now);
         let was_draining = before.draining_since.is_some() && server.state == State::Ready;
-        let is_leaving = self.leaving.contains(known);
+        let is_leaving = self.leavers.contains(known);
         let mut registration = Registration::new(server, before.since, since);
         if is_leaving || (may_be_outdated && was_draining) {
             registration.set_draining(since);
@@ -283,39 +278,15 @@
     }
 
     /// Registers a later start of a server.
-    ///
-    /// Until it is known, its responses are taken for those of the earlier start. If that one said
-    /// that it is leaving, the later one may have said so, and has to be asked before it gets
-    /// requests.
     fn replace_start(&mut self, now: Instant, earlier: Incarnation, server: Server) {
-        if self.leaving.contains(&earlier) {
-            self.unconfirmed.insert(server.incarnation.clone(), now);
-        }
+        self.leavers.replaced(now, &earlier, &server.incarnation);
         self.replaced.push(earlier);
         self.insert(now, server);
     }
 
-    /// Returns the starts that have to be asked whether they are leaving.
-    pub fn unconfirmed(&self) -> impl Iterator<Item = &Incarnation> {
-        self.unconfirmed.keys()
-    }
-
-    /// Records whether a start answered a health check, in which it would have said that it is
-    /// leaving. Returns whether it may get requests from now on.
-    pub fn checked(&mut self, now: Instant, incarnation: &Incarnation, is_answered: bool) -> bool {
-        let Some(since) = self.unconfirmed.get(incarnation) else {
-            return false;
-        };
-        let is_over = is_answered || now.since(*since) >= CONFIRM_TIMEOUT;
-        if is_over {
-            self.unconfirmed.remove(incarnation);
-        }
-        is_over
-    }
-
     fn insert(&mut self, now: Instant, server: Server) {
         let mut registration = Registration::new(server, now, now);
-        if self.leaving.contains(&registration.server.incarnation) {
+        if self.leavers.contains(&registration.server.incarnation) {
             registration.set_draining(now);
         }
         let name = registration.server.incarnation.server.clone();
@@ -497,15 +468,10 @@
         self.departed
             .retain(|_, departure| now.since(departure.at) < DEPARTED_TTL);
         self.missing.expire(now);
-        let is_registered = |incarnation: &Incarnation| {
-            let registration = self.registrations.get(&incarnation.server);
-            registration.is_some_and(|r| r.server.incarnation == *incarnation)
-        };
-        self.leaving.retain(|incarnation| {
-            is_registered(incarnation) || self.departed.contains_key(incarnation)
-        });
-        self.unconfirmed
-            .retain(|incarnation, _| is_registered(incarnation));
+        self.leavers.retain(
+            |incarnation| find(&self.registrations, incarnation).is_some(),
+            |incarnation| self.departed.contains_key(incarnation),
+        );
         let incarnations = gone.iter().map(|server| server.incarnation.clone());
         let incarnations = incarnations.collect();
         for server in gone {
@@ -521,7 +487,7 @@
             .values()
             .map(|registration| &registration.server);
         servers.filter(|server| {
-            server.state == State::Ready && !self.unconfirmed.contains_key(&server.incarnation)
+            server.state == State::Ready && !self.leavers.is_unconfirmed(&server.incarnation)
         })
     }
 
@@ -581,7 +547,15 @@
     }
 
     fn registration(&self, incarnation: &Incarnation) -> Option<&Registration> {
-        let registration = self.registrations.get(&incarnation.server)?;
-        (registration.server.incarnation == *incarnation).then_some(registration)
+        find(&self.registrations, incarnation)
     }
 }
+
+/// Returns the registration of a server, unless it is that of another start.
+fn find<'a>(
+    registrations: &'a BTreeMap<Name, Registration>,
+    incarnation: &Incarnation,
+) -> Option<&'a Registration> {
+    let registration = registrations.get(&incarnation.server)?;
+    (registration.server.incarnation == *incarnation).then_some(registration)
+}
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -84,11 +84,11 @@
     let (mut roster, restarted) = with_restarted_leaver();
     assert_eq!(usable(&roster), ["b"]);
 
-    assert!(!roster.checked(Instant(30), &restarted, false));
-    assert!(roster.checked(Instant(40), &restarted, true));
+    assert!(!roster.leavers.checked(Instant(30), &restarted, false));
+    assert!(roster.leavers.checked(Instant(40), &restarted, true));
 
     assert_eq!(usable(&roster), ["a@7", "b"]);
-    assert_eq!(roster.unconfirmed().count(), 0);
+    assert_eq!(roster.leavers.unconfirmed().count(), 0);
 }
 
 /// Guards against requests to a server that restarted, said that it is leaving before its new
@@ -99,7 +99,7 @@
 
     roster.announced_leaving(Instant(30), &restarted);
 
-    assert!(!roster.checked(Instant(30), &restarted, true));
+    assert!(!roster.leavers.checked(Instant(30), &restarted, true));
     assert_eq!(usable(&roster), ["b"]);
 }
 
@@ -108,7 +108,7 @@
 fn restarted_server_is_used_after_a_while_without_answers() {
     let (mut roster, restarted) = with_restarted_leaver();
 
-    assert!(roster.checked(Instant(5_000), &restarted, false));
+    assert!(roster.leavers.checked(Instant(5_000), &restarted, false));
 
     assert_eq!(usable(&roster), ["a@7", "b"]);
 }
--- a/crates/front/src/gate.rs
+++ b/crates/front/src/gate.rs
@@ -109,6 +109,11 @@
         resting.map(|server| Self::of(state, server)).max()
     }
 
+    /// Returns the later of a time that is known otherwise and that of an opening, if there is one.
+    pub fn not_before(opening: Option<Self>, after: Span) -> Span {
+        opening.map_or(after, |opening| opening.after.max(after))
+    }
+
     /// Returns when a path of a model may be sent a request; `None` if there is no path.
     pub fn of_model<D>(state: &State<D>, service: &Service) -> Option<Self> {
         let fleets = state.fleets.borrow();
--- a/crates/front/src/gossip/appendix.rs
+++ b/crates/front/src/gossip/appendix.rs
@@ -3,7 +3,6 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use bincode::Options;
 use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::limits;
 use jujube_core::pipeline::limits::Rate;
@@ -95,18 +94,12 @@
 
     /// Encodes the appendix.
     pub(super) fn encode(&self) -> Option<Vec<u8>> {
-        let body = bincode::DefaultOptions::new().serialize(self).ok()?;
-        let mut bytes = vec![APPENDIX_TAG];
-        bytes.extend(body);
-        Some(bytes)
+        message::encode_tagged(APPENDIX_TAG, self)
     }
 
     /// Decodes an appendix; returns `None` if the message is not one.
     pub(super) fn decode(bytes: &[u8]) -> Option<Result<Self, Malformed>> {
-        let [APPENDIX_TAG, appendix @ ..] = bytes else {
-            return None;
-        };
-        Some(message::deserialize(appendix))
+        message::decode_tagged(APPENDIX_TAG, bytes)
     }
 }
 
--- a/crates/front/src/gossip/leavers.rs
+++ b/crates/front/src/gossip/leavers.rs
@@ -1,6 +1,5 @@
 //! The part of a report about servers that said that they are leaving.
 
-use bincode::Options;
 use jujube_core::pipeline::reports::Fragment;
 use jujube_core::pipeline::reports::Scope;
 use jujube_core::pipeline::summary::Summary;
@@ -52,18 +51,12 @@
 
     /// Encodes the portion.
     pub(super) fn encode(&self) -> Option<Vec<u8>> {
-        let body = bincode::DefaultOptions::new().serialize(self).ok()?;
-        let mut bytes = vec![LEAVERS_TAG];
-        bytes.extend(body);
-        Some(bytes)
+        message::encode_tagged(LEAVERS_TAG, self)
     }
 
     /// Decodes the portion; returns `None` if the message is another one.
     pub(super) fn decode(bytes: &[u8]) -> Option<Result<Self, Malformed>> {
-        let [LEAVERS_TAG, leavers @ ..] = bytes else {
-            return None;
-        };
-        Some(message::deserialize(leavers))
+        message::decode_tagged(LEAVERS_TAG, bytes)
     }
 }
 
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -290,8 +290,25 @@
     })
 }
 
+/// Encodes a message of a kind of its own, which begins with `tag`.
+pub(super) fn encode_tagged(tag: u8, message: &impl Serialize) -> Option<Vec<u8>> {
+    let body = bincode::DefaultOptions::new().serialize(message).ok()?;
+    let mut bytes = vec![tag];
+    bytes.extend(body);
+    Some(bytes)
+}
+
+/// Decodes a message that begins with `tag`; returns `None` if it is of another kind.
+pub(super) fn decode_tagged<'a, T: Deserialize<'a>>(
+    tag: u8,
+    bytes: &'a [u8],
+) -> Option<Result<T, Malformed>> {
+    let (first, body) = bytes.split_first()?;
+    (*first == tag).then(|| deserialize(body))
+}
+
 /// Deserializes a message or an appendix, of a size that fits into the receive buffer.
-pub(super) fn deserialize<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Malformed> {
+fn deserialize<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Malformed> {
     let options = bincode::DefaultOptions::new().with_limit(RECEIVE_BUFFER_BYTES as u64);
     options.deserialize(bytes).map_err(|_| Malformed::Encoding)
 }
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -253,9 +253,7 @@
         .set_summary(others.entries, others.with_store, others.ready);
     quarantine::apply_reports(state, &others);
     limits::apply_reports(state, &others);
-    for server in &others.leaving {
-        store_watch::apply_leaving(state, server, "report");
-    }
+    store_watch::apply_leaving(state, &others.leaving, "report");
     let mut load = state.load.borrow_mut();
     load.set_others(others.entries, others.usage);
     drop(load);
--- a/crates/front/src/notices.rs
+++ b/crates/front/src/notices.rs
@@ -59,7 +59,7 @@
     let is_from_server = response.status() != StatusCode::MISDIRECTED_REQUEST;
     let word = head::text(response.headers(), &D::NAMES.leaving);
     if is_from_server && word.is_some_and(|word| word.trim() == LEAVING) {
-        store_watch::apply_leaving(state, server, "own");
+        store_watch::apply_leaving(state, [server], "own");
     }
 }
 
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -263,8 +263,18 @@
 /// Asks starts that replaced a leaver whether they are leaving too. Never returns.
 pub async fn confirm_starts<D: Dialect>(state: Rc<State<D>>) {
     loop {
+        let starts: Vec<Incarnation> = state
+            .roster
+            .borrow()
+            .leavers
+            .unconfirmed()
+            .cloned()
+            .collect();
+        if starts.is_empty() {
+            state.roster_changed.notified().await;
+            continue;
+        }
         tokio::time::sleep(CONFIRM_INTERVAL).await;
-        let starts: Vec<Incarnation> = state.roster.borrow().unconfirmed().cloned().collect();
         join_all(starts.iter().map(|server| confirm_start(&state, server))).await;
     }
 }
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -432,23 +432,30 @@
     rebuild(state);
 }
 
-/// Records that a server says that it is leaving, as this entry heard or another one reported.
-pub fn apply_leaving<D>(state: &State<D>, server: &Incarnation, source: &str) {
-    let mut roster = state.roster.borrow_mut();
-    let effect = roster.announced_leaving(clock::now(), server);
-    drop(roster);
-    if effect == Effect::None {
-        return;
+/// Records that servers say that they are leaving, as this entry heard or others reported.
+pub fn apply_leaving<'a, D>(
+    state: &State<D>,
+    servers: impl IntoIterator<Item = &'a Incarnation>,
+    source: &str,
+) {
+    let mut is_changed = false;
+    for server in servers {
+        let mut roster = state.roster.borrow_mut();
+        if roster.announced_leaving(clock::now(), server) != Effect::None {
+            is_changed = true;
+            state.metrics.count("servers_leaving");
+            log::info!("event=leaving server={server} source={source}");
+        }
+    }
+    if is_changed {
+        rebuild(state);
     }
-    state.metrics.count("servers_leaving");
-    log::info!("event=leaving server={server} source={source}");
-    rebuild(state);
 }
 
 /// Records whether a start that replaced a leaver answered a health check.
 pub fn apply_check<D>(state: &State<D>, server: &Incarnation, is_answered: bool) {
     let mut roster = state.roster.borrow_mut();
-    let may_get_requests = roster.checked(clock::now(), server, is_answered);
+    let may_get_requests = roster.leavers.checked(clock::now(), server, is_answered);
     drop(roster);
     if may_get_requests {
         log::info!("event=not-leaving server={server} is_answered={is_answered}");
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -156,8 +156,7 @@
                 _ => None,
             };
             let opening = Opening::of_model(&state, &stream.service);
-            let opens_after = opening.map_or(Span(0), |opening| opening.after);
-            let retry_after = retry_after.map(|after| after.max(opens_after));
+            let retry_after = retry_after.map(|after| Opening::not_before(opening, after));
             let route = &stream.route.name;
             request::record_refusal(&state, &stream.id, route, reason, stream.arrived, &cause);
             response::local(reason, retry_after)
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -23,6 +23,7 @@
 use crate::body::Body;
 use crate::dialect::Dialect;
 use crate::gate;
+use crate::gate::Opening;
 use crate::head;
 use crate::probe;
 use crate::quarantine;
@@ -345,8 +346,7 @@
             return (Reason::Quarantined, cause, None);
         }
         let opening = choice::opening(self.state, &self.request.service);
-        let opens_after = opening.map_or(Span(0), |opening| opening.after);
-        let retry_after = opens_after.max(RETRY_AFTER_REFUSED);
+        let retry_after = Opening::not_before(opening, RETRY_AFTER_REFUSED);
         (Reason::Refused, self.cause.clone(), Some(retry_after))
     }
 }
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -131,6 +131,15 @@
     }
 }
 
+impl From<Opening> for Rejection {
+    fn from(opening: Opening) -> Self {
+        Self {
+            retry_after: opening.after,
+            cause: opening.cause,
+        }
+    }
+}
+
 /// Waits until there is capacity for a request.
 ///
 /// # Errors
@@ -148,14 +157,10 @@
         max_wait: Span((request.target.0 as f64 * MAX_WAIT_SHARE) as u64),
     };
     let room = room(state, request.service, request.demand);
-    if let Room::Opens(opening) = room {
+    match room {
         // Waiting does not help if no path opens in time.
-        if opening.after > share.max_wait {
-            return Err(Rejection {
-                retry_after: opening.after,
-                cause: opening.cause,
-            });
-        }
+        Room::Opens(opening) if opening.after > share.max_wait => return Err(opening.into()),
+        Room::Free | Room::Taken | Room::Opens(_) => {}
     }
     let has_capacity = room == Room::Free;
     let waiting = enqueue(state, &request, &share, ticket, has_capacity);
@@ -179,9 +184,11 @@
         return Ok(permit(state, &request));
     }
     let opening = Opening::of_model(state, request.service);
-    let opens_after = opening.map_or(Span(0), |opening| opening.after);
-    let retry_after = retry_after(state, request.service).max(opens_after);
-    Err(Rejection::no_room(retry_after))
+    let retry_after = retry_after(state, request.service);
+    Err(Rejection::no_room(Opening::not_before(
+        opening,
+        retry_after,
+    )))
 }
 
 fn permit<D>(state: &Rc<State<D>>, request: &Request<'_>) -> Permit<D> {
