Read an answer of the store for as long as the link carries it, and scale times of calls

Cause: in the whole fleet (470 entries), 163 entries that the store had turned away for 9 s asked for what had changed meanwhile: twelve configurations of 110 kB.

Ruled out: the rate of calls (376 a second of 16,000) and processor time (it was not counted). Change: only the head of an answer has a time, and each pause within it; the times of renewals and answers grow with the contact time (6 s there, 3 s on the first deployments, where they stay).

--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jujube_core::pipeline::cell::Location;
+use jujube_core::pipeline::pace::Times;
 use jujube_core::pipeline::reserve::LeaseId;
 use jujube_core::revision::Revision;
 use jujube_program::clock;
@@ -19,11 +20,6 @@
 use super::Announcement;
 use super::ENTRIES;
 
-/// How often the lease is renewed. A failed renewal is also how a silent store is detected, within
-/// the three seconds after which no change may be missed.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1_300);
-/// How long a renewal may take; a slow store answers within a third of a second.
-const RENEW_TIMEOUT: Duration = Duration::from_millis(800);
 /// The pause before a failed announcement or renewal is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -97,17 +93,20 @@
 
 /// Renews the lease until it has expired or this announcement has been replaced.
 async fn renew<D, F: Feed>(state: &State<D>, store: &F, lease: Lease) {
-    let mut pause = RENEW_INTERVAL;
+    let times = Times::within(state.settings.limits.contact);
+    let interval = Duration::from_millis(times.renew_interval.0);
+    let timeout = Duration::from_millis(times.renew_timeout.0);
+    let mut pause = interval;
     loop {
         tokio::time::sleep(pause).await;
         let sent_at = clock::now();
-        let renewal = tokio::time::timeout(RENEW_TIMEOUT, store.renew(lease)).await;
+        let renewal = tokio::time::timeout(timeout, store.renew(lease)).await;
         let renewal = renewal.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())));
         let mut reserve = state.retries.reserve.borrow_mut();
         pause = match renewal {
             Ok(true) => {
                 reserve.renewed(sent_at);
-                RENEW_INTERVAL
+                interval
             }
             Ok(false) => {
                 reserve.lost();
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -289,6 +290,37 @@
         let answer = tokio::time::timeout(within, exchange).await;
         answer.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())))
     }
+
+    /// Fetches a whole answer whose size is not known beforehand, with its head.
+    ///
+    /// The head must come within `head`; from then on each pause may last for `pause`. With one time
+    /// for all of it, an answer that the link carries more slowly than that is never read: each
+    /// attempt is cut off and repeated.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::fetch`].
+    pub async fn fetch_large(
+        &self,
+        request: Request<Body>,
+        head: Duration,
+        pause: Duration,
+    ) -> Result<(Parts, Bytes), Error> {
+        let timeout = |_| Error::Unknown("timeout".into());
+        let response = tokio::time::timeout(head, self.send(request)).await;
+        let (parts, mut body) = response.map_err(timeout)??.into_parts();
+        let mut bytes = BytesMut::new();
+        loop {
+            let frame = tokio::time::timeout(pause, body.frame()).await;
+            let Some(frame) = frame.map_err(timeout)? else {
+                return Ok((parts, bytes.freeze()));
+            };
+            let frame = frame.map_err(|e| Error::Unknown(e.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+    }
 }
 
 fn describe(error: &dyn std::error::Error) -> String {
