Send messages about loans without holding the state across the await

Cause: clippy refuses a RefCell reference that is held across an await point; the drop before it does not count. Change: the loans are computed in functions of their own; the message is sent by its type, so gossip/mod.rs stays small. Conclusion: no functional change.

--- a/crates/front/src/gossip/loan.rs
+++ b/crates/front/src/gossip/loan.rs
@@ -1,10 +1,15 @@
 //! The messages about loans of fractions of limits.
 
+use std::net::SocketAddr;
+
 use jujube_core::pipeline::limits::Fraction;
 use jujube_core::pipeline::limits::MAX_ROWS;
 use jujube_core::pipeline::server::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::net::UdpSocket;
+
+use crate::state::State;
 
 use super::message;
 use super::message::Malformed;
@@ -57,8 +62,19 @@
 }
 
 impl Loan {
+    /// Sends the message to an entry. A lost one is made up for by the next.
+    pub async fn send<D>(&self, state: &State<D>, socket: &UdpSocket, address: SocketAddr) {
+        let Some(bytes) = self.encode() else {
+            return;
+        };
+        state.metrics.count("gossip_sent");
+        if socket.send_to(&bytes, address).await.is_err() {
+            state.metrics.count("gossip_not_sent");
+        }
+    }
+
     /// Encodes the message.
-    pub(super) fn encode(&self) -> Option<Vec<u8>> {
+    fn encode(&self) -> Option<Vec<u8>> {
         let rows = self.rows.iter();
         let rows = rows.map(|(server, fraction)| (server.into(), fraction.get()));
         let wire = WireLoan {
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -149,17 +149,6 @@
     }
 }
 
-/// Sends a message about loans. A lost one is made up for by the next.
-pub async fn send_loan<D>(state: &State<D>, socket: &UdpSocket, address: SocketAddr, loan: &Loan) {
-    let Some(bytes) = loan.encode() else {
-        return;
-    };
-    state.metrics.count("gossip_sent");
-    if socket.send_to(&bytes, address).await.is_err() {
-        state.metrics.count("gossip_not_sent");
-    }
-}
-
 /// Returns this entry's own report.
 fn own_report<D>(state: &State<D>) -> Summary {
     let load = state.load.borrow();
--- a/crates/front/src/loans.rs
+++ b/crates/front/src/loans.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jujube_core::pipeline::limits::Fraction;
 use jujube_core::pipeline::limits::Granted;
 use jujube_core::pipeline::limits::Request;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
 use tokio::net::UdpSocket;
 
-use crate::gossip;
 use crate::gossip::Kind;
 use crate::gossip::Loan;
 use crate::state::State;
@@ -35,9 +35,7 @@
 /// Asks once; returns whether anything is wanted.
 async fn ask<D>(state: &State<D>, socket: &UdpSocket) -> bool {
     let own = &state.settings.name;
-    let mut load = state.load.borrow_mut();
-    let requests = load.limits.requests(clock::now(), own);
-    drop(load);
+    let requests = due_requests(state);
     let is_any = !requests.is_empty();
     for Request { to, number, rows } in requests {
         let address = state.peers.directory.borrow().address(&to);
@@ -50,11 +48,16 @@
             number,
             rows,
         };
-        gossip::send_loan(state, socket, address, &request).await;
+        request.send(state, socket, address).await;
     }
     is_any
 }
 
+fn due_requests<D>(state: &State<D>) -> Vec<Request> {
+    let mut load = state.load.borrow_mut();
+    load.limits.requests(clock::now(), &state.settings.name)
+}
+
 /// Records a request that wants one of some servers, for the demand at those closed by their limits.
 pub fn record_demand<'a, D>(state: &State<D>, servers: impl Iterator<Item = &'a Incarnation>) {
     let mut load = state.load.borrow_mut();
@@ -82,16 +85,10 @@
     if state.peers.directory.borrow().address(&entry) != Some(address) {
         return;
     }
-    let mut load = state.load.borrow_mut();
-    let lent = load.limits.lend(clock::now(), &entry, &request.rows);
-    drop(load);
+    let lent = lend_to(state, &entry, &request.rows);
     if lent.is_empty() {
         return;
     }
-    for (server, share) in reported(&lent) {
-        state.metrics.count("limit_loans_lent");
-        log::info!("event=limit-lent server={server} to={entry} share={share:.2}");
-    }
     let rows = lent.into_iter().map(|row| (row.server, row.fraction));
     let grant = Loan {
         kind: Kind::Grant,
@@ -99,7 +96,22 @@
         number: request.number,
         rows: rows.collect(),
     };
-    gossip::send_loan(state, socket, address, &grant).await;
+    grant.send(state, socket, address).await;
+}
+
+/// Lends what this entry does not need to another one.
+fn lend_to<D>(
+    state: &State<D>,
+    entry: &Arc<str>,
+    wanted: &[(Incarnation, Fraction)],
+) -> Vec<Granted> {
+    let mut load = state.load.borrow_mut();
+    let lent = load.limits.lend(clock::now(), entry, wanted);
+    for (server, share) in reported(&lent) {
+        state.metrics.count("limit_loans_lent");
+        log::info!("event=limit-lent server={server} to={entry} share={share:.2}");
+    }
+    lent
 }
 
 /// Uses what another entry lends.
