Decide in core how much memory an entry may hold, and for whom

Change: `pipeline::memory::MemoryBudget` counts reserved bytes by cause and owner and names the owners to evict. Read-ahead grows only while a quarter of the capacity stays unreserved, and one owner may read ahead at most as much as is then free for read-ahead. `evictable` is empty if evicting everyone who may be evicted would not make enough room, since that would end responses for nothing. A transfer to read-ahead beyond three quarters is not done; a later release of these bytes as read-ahead does nothing, and they are counted until the owner is closed.

Conclusion: whole; nothing uses it yet.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -22,6 +22,7 @@
 pub mod liveness;
 pub mod load;
 pub mod local_health;
+pub mod memory;
 pub mod missing;
 pub mod model;
 pub mod outage;
