Share the memory budget between an entry's tasks

Change: `front::memory::Memory` holds the budget; `Reservation` is one owner in it, closed on drop. A refused request body or response evicts owners that may be evicted; read-ahead evicts nobody. An owner that would have to be evicted itself is refused instead, so that an idle caller does not evict one that was idle for less long. An evicted owner is closed in the budget at once, although its connection ends a little later. `room` takes 25 ms at least: each release wakes all that wait. It also returns after a release that happened between the refusal and the wait. `evicted` returns the idle time and what was held, for the log.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,11 @@
 mod hold;
 mod limits;
 mod malformed;
+#[allow(
+    dead_code,
+    reason = "responses and read-ahead are to use the rest of it"
+)]
+mod memory;
 mod metrics;
 mod notices;
 mod planner;
--- /dev/null
+++ b/crates/front/src/memory.rs
@@ -0,0 +1,224 @@
+//! The memory budget of an entry, as its tasks use it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujube_core::pipeline::memory::Cause;
+use jujube_core::pipeline::memory::MemoryBudget;
+use jujube_core::pipeline::memory::OutOfMemory;
+use jujube_core::pipeline::memory::Owner;
+use jujube_core::pipeline::memory::Size;
+use jujube_core::time::Span;
+use jujube_program::clock;
+use tokio::sync::Notify;
+
+/// How long a wait for room takes at least. Each release wakes all that wait, which may be hundreds
+/// of slow callers, and with busy callers there are thousands of releases a second.
+const MIN_ROOM_WAIT: Duration = Duration::from_millis(25);
+
+/// The memory that is held for callers and servers.
+pub struct Memory {
+    budget: RefCell<MemoryBudget>,
+    /// The number of releases so far.
+    releases: Cell<u64>,
+    released: Notify,
+    evictions: RefCell<BTreeMap<Owner, Rc<Eviction>>>,
+}
+
+/// Tells one owner that it was evicted.
+#[derive(Default)]
+struct Eviction {
+    evicted: Cell<Option<Evicted>>,
+    happened: Notify,
+}
+
+/// An owner was evicted; its connection has to end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Evicted {
+    /// How long its caller had taken nothing.
+    pub idle: Span,
+    /// What it held.
+    pub held: Size,
+}
+
+impl Memory {
+    /// Creates a budget of which nothing is held.
+    pub fn new(capacity: Size) -> Self {
+        Self {
+            budget: RefCell::new(MemoryBudget::new(capacity)),
+            releases: Cell::new(0),
+            released: Notify::new(),
+            evictions: RefCell::default(),
+        }
+    }
+
+    /// Opens an owner that holds nothing.
+    pub fn open(memory: &Rc<Self>) -> Reservation {
+        let owner = memory.budget.borrow_mut().open(clock::now());
+        let eviction = Rc::new(Eviction::default());
+        let mut evictions = memory.evictions.borrow_mut();
+        evictions.insert(owner, eviction.clone());
+        Reservation {
+            memory: memory.clone(),
+            owner,
+            eviction,
+            releases_at_refusal: Cell::new(0),
+        }
+    }
+
+    /// Returns the capacity.
+    pub fn capacity(&self) -> Size {
+        self.budget.borrow().capacity()
+    }
+
+    /// Returns how much all owners hold for a cause.
+    pub fn held_for(&self, cause: Cause) -> Size {
+        self.budget.borrow().held_for(cause)
+    }
+
+    /// Evicts owners so that `size` fits for `owner`; returns whether any was evicted.
+    ///
+    /// An owner that would have to be evicted itself gets nothing, and nobody is evicted: the callers
+    /// of the others have waited less long.
+    fn make_room(&self, owner: Owner, size: Size) -> bool {
+        let now = clock::now();
+        let evictable = self.budget.borrow().evictable(now, size);
+        if evictable.is_empty() || evictable.contains(&owner) {
+            return false;
+        }
+        for evicted in evictable {
+            self.evict(evicted);
+        }
+        true
+    }
+
+    fn evict(&self, owner: Owner) {
+        let budget = self.budget.borrow();
+        let evicted = Evicted {
+            idle: budget.idle(clock::now(), owner).unwrap_or_default(),
+            held: budget.held_by(owner),
+        };
+        drop(budget);
+        if let Some(eviction) = self.evictions.borrow().get(&owner) {
+            eviction.evicted.set(Some(evicted));
+            eviction.happened.notify_waiters();
+        }
+        self.close(owner);
+    }
+
+    fn close(&self, owner: Owner) {
+        let held = self.budget.borrow().held_by(owner);
+        self.budget.borrow_mut().close(owner);
+        self.evictions.borrow_mut().remove(&owner);
+        self.notify_released(held);
+    }
+
+    fn notify_released(&self, size: Size) {
+        if size > Size(0) {
+            self.releases.set(self.releases.get() + 1);
+            self.released.notify_waiters();
+        }
+    }
+}
+
+/// The memory of one owner: a request with its connection. All of it is released on drop.
+///
+/// An owner that was evicted holds nothing, and every reservation of it is refused.
+pub struct Reservation {
+    memory: Rc<Memory>,
+    owner: Owner,
+    eviction: Rc<Eviction>,
+    /// The number of releases by all owners when a reservation was last refused.
+    releases_at_refusal: Cell<u64>,
+}
+
+impl Reservation {
+    /// Reserves memory. If there is no room for a request body or a response, evicts owners whose
+    /// callers take nothing; read-ahead evicts nobody.
+    ///
+    /// # Errors
+    ///
+    /// There is no room, or this owner was evicted.
+    pub fn reserve(&self, cause: Cause, size: Size) -> Result<(), OutOfMemory> {
+        let reserve = || {
+            let mut budget = self.memory.budget.borrow_mut();
+            budget.reserve(self.owner, cause, size)
+        };
+        let mut reserved = reserve();
+        let may_evict = cause != Cause::ReadAhead && !self.is_evicted();
+        if reserved.is_err() && may_evict && self.memory.make_room(self.owner, size) {
+            reserved = reserve();
+        }
+        if reserved.is_err() {
+            self.releases_at_refusal.set(self.memory.releases.get());
+        }
+        reserved
+    }
+
+    /// Releases memory that is held for a cause. Does nothing if less is held.
+    pub fn release(&self, cause: Cause, size: Size) {
+        let mut budget = self.memory.budget.borrow_mut();
+        let held = budget.held();
+        budget.release(self.owner, cause, size);
+        let released = Size(held.0 - budget.held().0);
+        drop(budget);
+        self.memory.notify_released(released);
+    }
+
+    /// Moves memory from one cause to another. Does nothing if less is held, or if read-ahead would
+    /// use the part of the capacity that it leaves free.
+    pub fn transfer(&self, from: Cause, to: Cause, size: Size) {
+        let mut budget = self.memory.budget.borrow_mut();
+        budget.transfer(self.owner, from, to, size);
+    }
+
+    /// Records that the caller has taken bytes.
+    pub fn progressed(&self) {
+        let mut budget = self.memory.budget.borrow_mut();
+        budget.progressed(clock::now(), self.owner);
+    }
+
+    /// Records whether data is waiting that the caller does not take.
+    pub fn set_waiting(&self, is_waiting: bool) {
+        let mut budget = self.memory.budget.borrow_mut();
+        budget.set_waiting(clock::now(), self.owner, is_waiting);
+    }
+
+    /// Returns how much this owner holds.
+    pub fn held(&self) -> Size {
+        self.memory.budget.borrow().held_by(self.owner)
+    }
+
+    /// Waits until something was released, by any owner, since a reservation was last refused.
+    pub async fn room(&self) {
+        tokio::time::sleep(MIN_ROOM_WAIT).await;
+        let released = self.memory.released.notified();
+        if self.memory.releases.get() == self.releases_at_refusal.get() {
+            released.await;
+        }
+    }
+
+    /// Waits until this owner is evicted. Its connection has to end then.
+    pub async fn evicted(&self) -> Evicted {
+        loop {
+            let happened = self.eviction.happened.notified();
+            if let Some(evicted) = self.eviction.evicted.get() {
+                return evicted;
+            }
+            happened.await;
+        }
+    }
+
+    fn is_evicted(&self) -> bool {
+        self.eviction.evicted.get().is_some()
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.memory.close(self.owner);
+    }
+}
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -17,6 +17,7 @@
 use jujube_core::pipeline::liveness::Liveness;
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::local_health::LocalHealth;
+use jujube_core::pipeline::memory::MemoryBudget;
 use jujube_core::pipeline::outlier::Outliers;
 use jujube_core::pipeline::quarantine::Quarantine;
 use jujube_core::pipeline::quarantine::features::Features;
@@ -30,6 +31,7 @@
 use crate::gossip::Peers;
 use crate::hold::Held;
 use crate::malformed::Malformed;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::planner::Leadership;
 use crate::pool::Pool;
@@ -106,6 +108,8 @@
     pub peers: Peers,
     /// The requests that wait for what they need to become known.
     pub held: Held,
+    /// The memory held for callers and servers.
+    pub memory: Rc<Memory>,
     /// The requests waiting for capacity.
     pub waiting: Waiting,
     /// The streams in flight.
@@ -157,6 +161,7 @@
             pool: Pool::default(),
             probes: Probes::default(),
             held: Held::default(),
+            memory: Rc::new(Memory::new(MemoryBudget::capacity_of(None))),
             waiting: Waiting::default(),
             streams: Streams::default(),
             metrics: Metrics::default(),
--- /dev/null
+++ b/crates/front/tests/memory.rs
@@ -0,0 +1,108 @@
+//! The memory budget as tasks share it: release on drop, eviction, and waits for room.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails must panic")]
+
+#[path = "../src/memory.rs"]
+mod memory;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujube_core::pipeline::memory::Cause;
+use jujube_core::pipeline::memory::Size;
+use memory::Memory;
+use memory::Reservation;
+
+/// Longer than a caller must have taken nothing before it may be evicted.
+const IDLE: Duration = Duration::from_millis(2_050);
+/// Long enough for a wait that should have ended.
+const SETTLE: Duration = Duration::from_millis(200);
+
+fn full(memory: &Rc<Memory>, cause: Cause, size: u64) -> Reservation {
+    let owner = Memory::open(memory);
+    owner.reserve(cause, Size(size)).unwrap();
+    owner
+}
+
+async fn is_ready(wait: impl Future) -> bool {
+    tokio::time::timeout(SETTLE, wait).await.is_ok()
+}
+
+/// Guards against memory that stays reserved after its request has ended.
+#[test]
+fn a_dropped_owner_holds_nothing() {
+    let memory = Rc::new(Memory::new(Size(100)));
+    let owner = full(&memory, Cause::RequestBody, 60);
+    owner.transfer(Cause::RequestBody, Cause::Response, Size(20));
+    owner.release(Cause::Response, Size(5));
+    assert_eq!(owner.held(), Size(55));
+
+    drop(owner);
+
+    assert_eq!(Cause::ALL.map(|cause| memory.held_for(cause)), [Size(0); 3]);
+    assert_eq!(memory.capacity(), Size(100));
+}
+
+/// Guards against an evicted owner that is not told, that still counts, or that takes the room of
+/// others again, and against read-ahead that evicts.
+#[tokio::test]
+async fn an_owner_that_takes_nothing_is_evicted_for_a_request_and_not_for_read_ahead() {
+    let memory = Rc::new(Memory::new(Size(100)));
+    let (idle, reading) = (Memory::open(&memory), Memory::open(&memory));
+    idle.reserve(Cause::Response, Size(60)).unwrap();
+    reading.reserve(Cause::Response, Size(40)).unwrap();
+    idle.set_waiting(true);
+    reading.set_waiting(true);
+    tokio::time::sleep(IDLE).await;
+    reading.progressed();
+    let new = Memory::open(&memory);
+    assert!(new.reserve(Cause::ReadAhead, Size(1)).is_err());
+    assert!(!is_ready(idle.evicted()).await);
+
+    new.reserve(Cause::RequestBody, Size(30)).unwrap();
+
+    let evicted = idle.evicted().await;
+    assert_eq!(evicted.held, Size(60));
+    assert!(evicted.idle.0 >= 2_000, "{evicted:?}");
+    assert_eq!(idle.held(), Size(0));
+    assert!(idle.reserve(Cause::Response, Size(1)).is_err());
+    assert!(!is_ready(reading.evicted()).await);
+}
+
+/// Guards against an idle caller that has callers evicted who were idle for less long, in order to
+/// hold more.
+#[tokio::test]
+async fn an_idle_owner_evicts_nobody_in_favour_of_itself() {
+    let memory = Rc::new(Memory::new(Size(100)));
+    let longest = full(&memory, Cause::Response, 50);
+    longest.set_waiting(true);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let other = full(&memory, Cause::Response, 50);
+    other.set_waiting(true);
+    tokio::time::sleep(IDLE).await;
+
+    let reserved = longest.reserve(Cause::Response, Size(60));
+
+    assert!(reserved.is_err());
+    assert_eq!((longest.held(), other.held()), (Size(50), Size(50)));
+}
+
+/// Guards against a wait for room that misses a release, also one between the refusal and the wait,
+/// or that ends without one.
+#[tokio::test]
+async fn a_wait_for_room_ends_with_a_release() {
+    let memory = Rc::new(Memory::new(Size(100)));
+    let (holder, waiter) = (full(&memory, Cause::Response, 100), Memory::open(&memory));
+    waiter.reserve(Cause::ReadAhead, Size(1)).unwrap_err();
+    assert!(!is_ready(waiter.room()).await);
+
+    let release = async { holder.release(Cause::Response, Size(50)) };
+    let (is_woken, ()) = tokio::join!(is_ready(waiter.room()), release);
+    assert!(is_woken);
+
+    waiter.reserve(Cause::ReadAhead, Size(60)).unwrap_err();
+    holder.release(Cause::Response, Size(1_000));
+    assert!(!is_ready(waiter.room()).await, "nothing was released");
+    drop(holder);
+    assert!(is_ready(waiter.room()).await, "released before the wait");
+}
