Take the memory of the machine from the settings

Cause: the capacity of the memory budget was that of the smallest entry on every machine.

A megabyte is taken as 10^6 bytes, the smaller meaning. A value that is no whole number is a fault of the settings, as for the other keys. A change needs a restart, and the reload line says so.

The log line has no test of its own.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -82,6 +82,10 @@
         settings.store
     );
     let state = Rc::new(State::<D>::new(settings));
+    if state.settings.memory.is_none() {
+        let capacity = state.memory.capacity();
+        log::warn!("event=memory-unknown capacity={capacity}");
+    }
     tokio::task::spawn_local(ready::serve(state.clone(), readiness));
     tokio::task::spawn_local(ready::serve(state.clone(), metrics));
     tokio::task::spawn_local(store_watch::run(state.clone(), store.clone()));
--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -58,6 +58,7 @@
         || settings.ready != before.ready
         || settings.gossip != before.gossip
         || settings.store != before.store
+        || settings.memory != before.memory
         || settings.zone != before.zone;
     let outcome = if needs_restart {
         "partly-after-restart"
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -8,11 +8,15 @@
 use anyhow::Result;
 use jujube_core::name::Zone;
 use jujube_core::pipeline::budget::Policy;
+use jujube_core::pipeline::memory::Size;
 use jujube_core::time::Span;
 use jujube_program::settings;
 use jujube_program::settings::File;
 use jujube_program::settings::Telemetry;
 
+/// The smaller of the two meanings of a megabyte, so that no entry counts on more than it has.
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// Settings of an entry.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -30,6 +34,8 @@
     pub gossip: SocketAddr,
     /// How long after a termination signal the platform kills the process.
     pub stop: Duration,
+    /// The memory of the machine; `None` if it is unknown.
+    pub memory: Option<Size>,
     /// The address of the store.
     pub store: SocketAddr,
     /// How soon changes in the store must take effect.
@@ -103,6 +109,7 @@
             metrics: section.address("metrics"),
             gossip: section.address("gossip"),
             stop: Duration::from_secs(section.number("stop_seconds", Some(8))),
+            memory: memory(section.number("memory_mb", Some(0))),
             store,
             limits,
             retry,
@@ -113,3 +120,8 @@
         Ok(settings)
     }
 }
+
+/// Returns the memory of the machine; the platform gives zero if it does not know it.
+fn memory(megabytes: u64) -> Option<Size> {
+    (megabytes > 0).then(|| Size(megabytes.saturating_mul(BYTES_PER_MEGABYTE)))
+}
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -135,6 +135,7 @@
             zone: settings.zone.clone(),
             address: settings.gossip,
         };
+        let capacity = MemoryBudget::capacity_of(settings.memory);
         Self {
             dialect: PhantomData,
             started: clock::now(),
@@ -161,7 +162,7 @@
             pool: Pool::default(),
             probes: Probes::default(),
             held: Held::default(),
-            memory: Rc::new(Memory::new(MemoryBudget::capacity_of(None))),
+            memory: Rc::new(Memory::new(capacity)),
             waiting: Waiting::default(),
             streams: Streams::default(),
             metrics: Metrics::default(),
