Draw transfers that the memory budget has to refuse

Change: mostly four owners, more and larger transfers, and a test of its own for that bound. No check was eased.

--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -33,13 +33,14 @@
 }
 
 fn event() -> impl Strategy<Value = Event> {
-    let owner = || 0_usize..24;
-    let size = || prop_oneof![8 => 0_u64..40, 1 => 0_u64..300, 1 => Just(u64::MAX)];
+    // Mostly few owners, so that one of them often holds enough for a release or a transfer.
+    let owner = || prop_oneof![4 => 0_usize..4, 1 => 0_usize..24];
+    let size = || prop_oneof![16 => 0_u64..40, 6 => 0_u64..300, 1 => Just(u64::MAX)];
     prop_oneof![
         3 => Just(Event::Open),
         8 => (owner(), cause(), size()).prop_map(|(o, c, s)| Event::Reserve(o, c, s)),
         4 => (owner(), cause(), size()).prop_map(|(o, c, s)| Event::Release(o, c, s)),
-        2 => (owner(), cause(), cause(), size())
+        4 => (owner(), cause(), cause(), size())
             .prop_map(|(o, from, to, s)| Event::Transfer(o, from, to, s)),
         2 => owner().prop_map(Event::Progressed),
         4 => (owner(), any::<bool>()).prop_map(|(o, is)| Event::SetWaiting(o, is)),
@@ -327,6 +328,20 @@
     assert!(budget.reserve(new, Cause::RequestBody, Size(250)).is_ok());
 }
 
+/// Guards against read-ahead that gets at the part which it has to leave free by way of a transfer.
+#[test]
+fn a_transfer_to_read_ahead_keeps_to_its_part() {
+    let mut budget = MemoryBudget::new(Size(1_000));
+    let owner = budget.open(Instant(0));
+    budget.reserve(owner, Cause::Response, Size(1_000)).unwrap();
+
+    budget.transfer(owner, Cause::Response, Cause::ReadAhead, Size(750));
+    budget.transfer(owner, Cause::Response, Cause::ReadAhead, Size(1));
+
+    assert_eq!(budget.held_for(Cause::ReadAhead), Size(750));
+    assert_eq!(budget.held(), Size(1_000));
+}
+
 /// Guards against a small read-ahead that is granted in the part that is left free because request
 /// bodies use the rest.
 #[test]
