Bound request bodies by memory and by their whole time

Change: `front::upload` reads bodies, moved out of request.rs. No room is refused with 503, `out-of-memory`, `Retry-After` 1 s, and counted in `requests_out_of_memory`. Headers are handled as before.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -39,6 +39,7 @@
 mod store_watch;
 mod stream;
 mod unary;
+mod upload;
 mod upstream;
 mod waiting;
 mod watchdog;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -4,9 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -20,6 +17,7 @@
 use jujube_core::pipeline::document::Account;
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::document::Table;
+use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -35,6 +33,7 @@
 use crate::state::State;
 use crate::stream;
 use crate::unary;
+use crate::upload;
 use crate::upstream::Outgoing;
 
 /// `Retry-After` while the entry starts, which takes some milliseconds while the store is up.
@@ -50,8 +49,8 @@
 /// no limits of servers: sent at once, all that it held would go to a server beyond the limit that
 /// its first response names.
 const RELEASE_SPREAD: Span = Span(400);
-/// Maximum pause between two frames of a request body.
-const BODY_PAUSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// `Retry-After` if there is no room for the request. Room is made as callers take their responses.
+const RETRY_AFTER_OUT_OF_MEMORY: Span = Span(1_000);
 
 /// A request that passed routing and authentication.
 pub struct Admitted {
@@ -151,6 +150,7 @@
         }
         Reason::Starting => Some(Span(rand::random_range(RETRY_AFTER_OUTAGE_MS))),
         Reason::Stopping => Some(RETRY_AFTER_STOPPING),
+        Reason::OutOfMemory => Some(RETRY_AFTER_OUT_OF_MEMORY),
         _ => None,
     };
     record_refusal(state, id, "-", reason, arrived, "-");
@@ -168,6 +168,9 @@
 ) {
     state.metrics.count("requests_refused");
     state.metrics.count(reason.name());
+    if reason == Reason::OutOfMemory {
+        state.metrics.count("requests_out_of_memory");
+    }
     let elapsed = clock::now().since(arrived);
     let version = state.table().map_or(0, |table| table.document.version.0);
     let status = reason.status().as_u16();
@@ -196,16 +199,20 @@
     let route = route.ok_or(Reason::NoRoute)?;
     let account = authenticate::<D>(&table, &request, &route)?;
     let (parts, body) = request.into_parts();
-    let body = read_body(body, table.document.limits.body_bytes).await?;
     let timeout = head::number(&parts.headers, &D::NAMES.deadline).map(Span);
     let timeout = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    let limits = upload::Limits {
+        size: Size(table.document.limits.body_bytes),
+        deadline: arrived.plus(timeout),
+    };
+    let upload = upload::read(body, limits, &state.memory).await?;
     let service = route
         .pick_target(rand::random())
         .ok_or(Reason::NoServer)?
         .clone();
     let customer = account.as_ref().map(|account| account.customer.clone());
     let customer = customer.unwrap_or_else(|| "".into());
-    let digest = digest(&parts, &customer, &body);
+    let digest = digest(&parts, &customer, &upload.bytes);
     let features = Features::new(digest, D::shared_parts(&parts.headers));
     let mut headers = parts.headers;
     head::strip(&mut headers);
@@ -225,10 +232,11 @@
             method: parts.method,
             uri: parts.uri,
             headers,
-            body,
+            body: upload.bytes,
+            reservation: Rc::new(upload.reservation),
         },
         arrived,
-        deadline: arrived.plus(timeout),
+        deadline: limits.deadline,
     })
 }
 
@@ -254,32 +262,3 @@
     let method = parts.method.as_str().as_bytes();
     Digest::of([method, host, path.as_bytes(), customer.0.as_bytes(), body])
 }
-
-async fn read_body(mut body: Incoming, max_bytes: u64) -> Result<Bytes, Reason> {
-    let mut first: Option<Bytes> = None;
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = tokio::time::timeout(BODY_PAUSE_TIMEOUT, body.frame()).await;
-        let Some(frame) = frame.map_err(|_| Reason::SlowBody)? else {
-            break;
-        };
-        let frame = frame.map_err(|_| Reason::BrokenBody)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let received = first.as_ref().map_or(0, Bytes::len).max(buffer.len());
-        if (received + data.len()) as u64 > max_bytes {
-            return Err(Reason::TooLarge);
-        }
-        match first.take() {
-            // Most bodies arrive in one frame and need no copy.
-            None if buffer.is_empty() => first = Some(data),
-            None => buffer.extend_from_slice(&data),
-            Some(first) => {
-                buffer.extend_from_slice(&first);
-                buffer.extend_from_slice(&data);
-            }
-        }
-    }
-    Ok(first.unwrap_or_else(|| buffer.freeze()))
-}
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -9,6 +9,7 @@
 use jujube_core::time::Span;
 
 use crate::body::Body;
+use crate::upload::Refusal;
 
 /// Why the entry responds without forwarding a backend server's response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,6 +28,8 @@
     SlowBody,
     /// The request body ended early.
     BrokenBody,
+    /// There is no room in the memory budget.
+    OutOfMemory,
     /// The request is invalid.
     Malformed,
     /// No backend server or path is available.
@@ -43,6 +46,17 @@
     Late,
 }
 
+impl From<Refusal> for Reason {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::TooLarge => Self::TooLarge,
+            Refusal::Slow => Self::SlowBody,
+            Refusal::Broken => Self::BrokenBody,
+            Refusal::OutOfMemory => Self::OutOfMemory,
+        }
+    }
+}
+
 impl Reason {
     /// Returns the HTTP status. 429, 503 and 408 promise that the request has not run and never
     /// will.
@@ -56,6 +70,7 @@
             Self::BrokenBody | Self::Malformed => StatusCode::BAD_REQUEST,
             Self::Starting
             | Self::Stopping
+            | Self::OutOfMemory
             | Self::NoServer
             | Self::Refused
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
@@ -76,6 +91,7 @@
             Self::TooLarge => "too-large",
             Self::SlowBody => "slow-body",
             Self::BrokenBody => "broken-body",
+            Self::OutOfMemory => "out-of-memory",
             Self::Malformed => "malformed",
             Self::NoServer => "no-server",
             Self::Overloaded => "overloaded",
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -1,6 +1,7 @@
 //! A single request-response exchange with a backend server.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,13 +21,14 @@
 use crate::dialect::Dialect;
 use crate::gate;
 use crate::head;
+use crate::memory::Reservation;
 use crate::notices;
 use crate::pool::Lease;
 use crate::pool::Pool;
 use crate::state::State;
 
 /// A request to a backend server; retries send the same one.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Outgoing {
     /// The method.
     pub method: Method,
@@ -36,6 +38,9 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// The memory of the request and its connection, the body included.
+    #[allow(dead_code, reason = "kept for as long as the body is")]
+    pub reservation: Rc<Reservation>,
 }
 
 /// A response whose body has not been read yet.
