--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -17,6 +17,11 @@
 mod limits;
 mod loans;
 mod malformed;
+#[allow(
+    dead_code,
+    reason = "responses and read-ahead are to use the rest of it"
+)]
+mod memory;
 mod metrics;
 mod notices;
 mod planner;
@@ -35,6 +40,7 @@
 mod store_watch;
 mod stream;
 mod unary;
+mod upload;
 mod upstream;
 mod waiting;
 mod watchdog;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -18,6 +18,7 @@
 use jujube_core::pipeline::liveness::Liveness;
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::local_health::LocalHealth;
+use jujube_core::pipeline::memory::MemoryBudget;
 use jujube_core::pipeline::outlier::Outliers;
 use jujube_core::pipeline::quarantine::Quarantine;
 use jujube_core::pipeline::quarantine::features::Features;
@@ -31,6 +32,7 @@
 use crate::gossip::Peers;
 use crate::hold::Held;
 use crate::malformed::Malformed;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::planner::Leadership;
 use crate::pool::Pool;
@@ -109,6 +111,8 @@
     pub peers: Peers,
     /// The requests that wait for what they need to become known.
     pub held: Held,
+    /// The memory held for callers and servers.
+    pub memory: Rc<Memory>,
     /// The requests waiting for capacity.
     pub waiting: Waiting,
     /// The streams in flight.
@@ -134,6 +138,7 @@
             zone: settings.zone.clone(),
             address: settings.gossip,
         };
+        let capacity = MemoryBudget::capacity_of(settings.memory);
         Self {
             dialect: PhantomData,
             started: clock::now(),
@@ -161,6 +166,7 @@
             pool: Pool::default(),
             probes: Probes::default(),
             held: Held::default(),
+            memory: Rc::new(Memory::new(capacity)),
             waiting: Waiting::default(),
             streams: Streams::default(),
             metrics: Metrics::default(),
