Give callers' connections timeouts of their own, and record responses when they are flushed

Cause: callers' connections had the user timeout of servers' connections (2.5 s). A closed receive window counts as unacknowledged data, so a caller that did not read for longer lost the rest of its response, and the log said `streamed`.

Change: the user timeout of callers' connections is 30 s, and socket options that cannot be set are ignored. `delivery::Io` wraps the connection: it records when a write becomes blocked, ends a connection that takes nothing for 30 s (`event=caller-disconnected`), and records `streamed` and `answered` when the HTTP layer has flushed its buffer. A response that has begun and was not flushed gives `event=undelivered` and `responses_undelivered`. While a write is blocked, bodies give the HTTP layer no more data. A request counts in `in_flight` until then.

The system's send buffer takes the whole 640 kB here; with a smaller one the watchdog takes the pause for a stall of the server.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -9,6 +9,7 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::stream::EventBody;
 
@@ -16,6 +17,8 @@
 pub enum Body<D> {
     /// A buffered body; `None` once it was read or if it is empty.
     Buffered(Option<Bytes>),
+    /// A server's response, which was received whole.
+    Answer(Answer),
     /// A stream of events, forwarded as they arrive.
     Events(Box<EventBody<D>>),
 }
@@ -42,6 +45,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Answer(answer) => answer.poll().map(|next| Some(Ok(Frame::data(next?)))),
             Self::Events(events) => events
                 .poll(context)
                 .map(|next| Some(next?.map(Frame::data))),
@@ -51,6 +55,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes) => bytes.is_none(),
+            Self::Answer(answer) => answer.bytes.is_empty(),
             Self::Events(_) => false,
         }
     }
@@ -60,7 +65,39 @@
             Self::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
+            Self::Answer(answer) => SizeHint::with_exact(answer.bytes.len() as u64),
             Self::Events(_) => SizeHint::default(),
         }
     }
 }
+
+/// The body of a server's response, which was received whole.
+pub struct Answer {
+    bytes: Bytes,
+    outbound: Outbound,
+}
+
+impl Answer {
+    /// Creates the body.
+    pub fn new(bytes: Bytes, outbound: Outbound) -> Self {
+        Self { bytes, outbound }
+    }
+
+    fn poll(&mut self) -> Poll<Option<Bytes>> {
+        if self.outbound.delivery().is_blocked() {
+            // The connection polls again once it has written what it has.
+            return Poll::Pending;
+        }
+        let bytes = std::mem::take(&mut self.bytes);
+        Poll::Ready(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        // The connection drops a body once it has all of it; it does not poll an empty one.
+        if self.bytes.is_empty() {
+            self.outbound.finish();
+        }
+    }
+}
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -24,6 +24,8 @@
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
 
+use crate::delivery;
+use crate::delivery::Delivery;
 use crate::dialect::Dialect;
 use crate::gossip;
 use crate::planner;
@@ -152,22 +154,18 @@
 }
 
 async fn connection<D: Dialect>(state: Rc<State<D>>, stream: TcpStream, mut closing: Signal) {
-    let configured = stream
-        .set_nodelay(true)
-        .and_then(|()| pool::set_keepalive(&stream));
-    if configured.is_err() {
-        // The caller has already disconnected.
-        return;
-    }
+    pool::configure_caller(&stream);
+    let delivery = Rc::new(Delivery::default());
+    let io = delivery::Io::new(stream, delivery.clone());
     let limits = state
         .table()
         .map(|table| table.document.limits)
         .unwrap_or_default();
     let buffer = (limits.header_bytes as usize).clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES);
     let service = service_fn(move |request| {
-        let state = state.clone();
+        let (state, delivery) = (state.clone(), delivery.clone());
         async move {
-            let mut response = request::serve(state.clone(), request).await;
+            let mut response = request::serve(state.clone(), request, delivery).await;
             if state.lifecycle.get() != Lifecycle::Serving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -180,7 +178,7 @@
         .timer(TokioTimer::new())
         .max_buf_size(buffer)
         .header_read_timeout(Duration::from_millis(limits.idle.0));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(io), service);
     let mut connection = pin!(connection);
     let _disconnected = tokio::select! {
         ended = connection.as_mut() => ended,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod daemon;
+mod delivery;
 pub mod dialect;
 mod fleet;
 mod gate;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -27,6 +27,7 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
+use crate::delivery;
 use crate::dialect::Dialect;
 
 /// The sending half of a connection.
@@ -35,7 +36,7 @@
 /// Connect timeout. A lost SYN is retransmitted only after a second; trying another server is
 /// faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long sent data may stay unacknowledged before the system closes the connection.
+/// How long data sent to a server may stay unacknowledged before the system closes the connection.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Keepalive idle time and interval; detects connections whose state a middlebox has dropped.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -100,7 +101,7 @@
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
-        set_keepalive(&stream)?;
+        set_timeouts(&stream, USER_TIMEOUT)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let (pool, name) = (self.clone(), server.clone());
@@ -251,13 +252,22 @@
     (timeout.0 > 0).then_some(timeout)
 }
 
+/// Sets the options of a caller's connection.
+///
+/// A closed receive window counts as unacknowledged data, so the user timeout must allow for a
+/// caller that pauses. Not every system has every option, and the entry has a timeout of its own.
+pub fn configure_caller(stream: &TcpStream) {
+    let _unsupported = stream.set_nodelay(true);
+    let _unsupported = set_timeouts(stream, delivery::IDLE_TIMEOUT);
+}
+
 /// Enables TCP keepalive and the user timeout, so that the system detects dead connections.
-pub fn set_keepalive(stream: &TcpStream) -> io::Result<()> {
+fn set_timeouts(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -1,5 +1,6 @@
 //! Handling of one request, from its arrival to its response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,8 @@
 use jujube_program::clock;
 
 use crate::body::Body;
+use crate::delivery::Delivery;
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::head;
 use crate::quarantine;
@@ -76,19 +79,19 @@
 }
 
 /// Counts a request in flight until it is dropped.
-pub struct Guard<D>(Rc<State<D>>);
+pub struct Guard(Rc<Cell<u64>>);
 
-impl<D> Guard<D> {
+impl Guard {
     /// Increments the count.
-    pub fn new(state: &Rc<State<D>>) -> Self {
-        state.in_flight.set(state.in_flight.get() + 1);
-        Self(state.clone())
+    pub fn new(in_flight: &Rc<Cell<u64>>) -> Self {
+        in_flight.set(in_flight.get() + 1);
+        Self(in_flight.clone())
     }
 }
 
-impl<D> Drop for Guard<D> {
+impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -96,9 +99,10 @@
 pub async fn serve<D: Dialect>(
     state: Rc<State<D>>,
     request: Request<Incoming>,
+    delivery: Rc<Delivery>,
 ) -> Response<Body<D>> {
     let arrived = clock::now();
-    let guard = Guard::new(&state);
+    let guard = Guard::new(&state.in_flight);
     state.metrics.count("requests");
     let id = head::text(request.headers(), &D::NAMES.request).unwrap_or("-");
     let id: Arc<str> = id.into();
@@ -119,10 +123,12 @@
     let is_model = state
         .table()
         .is_some_and(|table| table.model(&admitted.service).is_some());
+    let metrics = state.metrics.clone();
+    let outbound = Outbound::new(delivery, metrics, guard, id, arrived);
     if is_model {
-        return stream::serve(state, admitted, guard).await;
+        return stream::serve(state, admitted, outbound).await;
     }
-    unary::serve(&state, admitted).await
+    unary::serve(&state, admitted, outbound).await
 }
 
 /// Waits until the configuration and the registrations are known, or the entry is about to end.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -111,7 +111,7 @@
     /// The streams in flight.
     pub streams: Streams,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     /// The stage of a graceful shutdown.
     pub lifecycle: Cell<Lifecycle>,
     /// Notified when a call to the store has failed or timed out.
@@ -119,7 +119,7 @@
     /// What is known about the planner.
     pub leadership: Leadership,
     /// The number of requests in flight.
-    pub in_flight: Cell<u64>,
+    pub in_flight: Rc<Cell<u64>>,
     /// Notified when the placement of layers may have to change.
     pub roster_changed: tokio::sync::Notify,
 }
@@ -159,11 +159,11 @@
             held: Held::default(),
             waiting: Waiting::default(),
             streams: Streams::default(),
-            metrics: Metrics::default(),
+            metrics: Rc::default(),
             lifecycle: Cell::default(),
             store_call_failed: tokio::sync::Notify::new(),
             leadership: Leadership::default(),
-            in_flight: Cell::new(0),
+            in_flight: Rc::default(),
             roster_changed: tokio::sync::Notify::new(),
         }
     }
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -18,10 +18,11 @@
 use jujube_program::clock;
 use tokio::sync::oneshot;
 
+use crate::delivery::Completion;
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::head;
 use crate::quarantine;
-use crate::request::Guard;
 use crate::response::Reason;
 use crate::upstream::Incomplete;
 use crate::waiting::Permit;
@@ -67,8 +68,7 @@
     pub(super) registration: Registration<D>,
     #[expect(dead_code, reason = "frees its slot when dropped")]
     pub(super) permit: Permit<D>,
-    #[expect(dead_code, reason = "counts the request in flight until dropped")]
-    pub(super) guard: Guard<D>,
+    pub(super) outbound: Outbound,
     pub(super) relay: Relay,
     pub(super) upstream: Upstream,
     pub(super) opening: Option<Opening<D>>,
@@ -80,6 +80,10 @@
 impl<D: Dialect> EventBody<D> {
     /// Polls for the next complete event.
     pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<Next> {
+        if self.outbound.delivery().is_blocked() {
+            // The connection polls again once it has written what it has.
+            return Poll::Pending;
+        }
         let stream = self.registration.stream.clone();
         stream.body_waker.register(context.waker());
         loop {
@@ -182,8 +186,6 @@
         }
         let stream = &self.registration.stream;
         let state = &self.registration.state;
-        let elapsed = clock::now().since(stream.arrived);
-        state.metrics.count("streams_completed");
         if self.is_end_known() {
             quarantine::survived(state, stream.features.request);
             if stream.run_began.get().is_some() {
@@ -193,23 +195,20 @@
             let run = stream.run_on(&first.server, stream.run_began.get());
             quarantine::lost(state, run.perhaps_complete());
         }
-        state.metrics.observe("stream", elapsed);
-        log::info!(
-            "event=streamed request={} events={} took_ms={elapsed} first_ms={} longest_pause_ms={} runs={} \
-             repairs={}",
-            stream.id,
-            self.relay.events(),
-            stream.first_event_after.get(),
-            stream.longest_gap.get(),
-            stream.runs(),
-            stream.repairs.get()
-        );
+        self.outbound.complete(Completion::Streamed {
+            events: self.relay.events(),
+            first_event_after: stream.first_event_after.get(),
+            longest_gap: stream.longest_gap.get(),
+            runs: stream.runs(),
+            repairs: stream.repairs.get(),
+        });
         if let Upstream::Reading { lease, headers, .. } = &mut self.upstream {
             if let Some(lease) = lease.take() {
                 lease.release(headers);
             }
         }
         self.upstream = Upstream::Done;
+        self.outbound.finish();
         Some(None)
     }
 
@@ -377,6 +376,7 @@
             stream.path_text()
         );
         self.upstream = Upstream::Done;
+        self.outbound.abort();
         Some(Err(io::Error::other(
             "stream was interrupted and cannot be resumed",
         )))
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -23,12 +23,12 @@
 use jujube_program::clock;
 
 use crate::body::Body;
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::gate::Opening;
 use crate::head;
 use crate::request;
 use crate::request::Admitted;
-use crate::request::Guard;
 use crate::response;
 use crate::response::Reason;
 use crate::state::State;
@@ -65,7 +65,7 @@
 pub async fn serve<D: Dialect>(
     state: Rc<State<D>>,
     request: Admitted,
-    guard: Guard<D>,
+    mut outbound: Outbound,
 ) -> Response<Body<D>> {
     let demand = D::demand(&request.outgoing.headers).unwrap_or(Demand {
         prompt_tokens: 0.0,
@@ -123,6 +123,7 @@
     let permit = match waiting::admit(&state, admission).await {
         Ok(permit) => permit,
         Err(rejection) => {
+            outbound.abort();
             let (route, reason) = (&stream.route.name, Reason::Overloaded);
             let cause = rejection.cause;
             request::record_refusal(&state, &stream.id, route, reason, stream.arrived, cause);
@@ -138,11 +139,12 @@
                 headers: parts.headers.clone(),
             };
             head::strip(&mut parts.headers);
+            outbound.begin();
             let event_body = EventBody {
                 is_events: is_events(parts.status, &parts.headers),
                 registration,
                 permit,
-                guard,
+                outbound,
                 relay: Relay::after(last),
                 upstream,
                 opening: None,
@@ -151,6 +153,7 @@
             Response::from_parts(parts, Body::Events(Box::new(event_body)))
         }
         Err((reason, cause)) => {
+            outbound.abort();
             let retry_after = match reason {
                 Reason::NoServer => Some(RETRY_AFTER_NO_PATH),
                 Reason::Refused => Some(RETRY_AFTER_REFUSED),
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -20,7 +20,10 @@
 use jujube_core::time::Span;
 use jujube_program::clock;
 
+use crate::body::Answer;
 use crate::body::Body;
+use crate::delivery::Completion;
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::gate;
 use crate::gate::Opening;
@@ -67,7 +70,11 @@
 type Outcome = (Server, Instant, Result<Reply, Failure>);
 
 /// Serves one request.
-pub async fn serve<D: Dialect>(state: &Rc<State<D>>, request: Admitted) -> Response<Body<D>> {
+pub async fn serve<D: Dialect>(
+    state: &Rc<State<D>>,
+    request: Admitted,
+    mut outbound: Outbound,
+) -> Response<Body<D>> {
     let arrived = request.arrived;
     let left = request
         .deadline
@@ -87,11 +94,12 @@
     };
     let outcome = tokio::time::timeout(Duration::from_millis(left), attempts.run()).await;
     let (reason, cause, retry_after) = match outcome {
-        Ok(Ok(reply)) => return respond(state, &request, reply),
+        Ok(Ok(reply)) => return respond(reply, outbound),
         Ok(Err(refusal)) => refusal,
         // A request that was never sent would have failed before its deadline.
         Err(_late) => (Reason::Late, String::from("deadline"), None),
     };
+    outbound.abort();
     request::record_refusal(
         state,
         &request.id,
@@ -103,18 +111,14 @@
     response::local(reason, retry_after)
 }
 
-fn respond<D: Dialect>(state: &State<D>, request: &Admitted, reply: Reply) -> Response<Body<D>> {
-    let elapsed = clock::now().since(request.arrived);
-    state.metrics.observe("answer", elapsed);
-    state.metrics.count("requests_answered");
-    log::info!(
-        "event=answered request={} status={} took_ms={elapsed}",
-        request.id,
-        reply.parts.status.as_u16()
-    );
+fn respond<D: Dialect>(reply: Reply, mut outbound: Outbound) -> Response<Body<D>> {
     let mut parts = reply.parts;
+    outbound.begin();
+    outbound.complete(Completion::Answered {
+        status: parts.status.as_u16(),
+    });
     head::strip(&mut parts.headers);
-    Response::from_parts(parts, Body::buffered(reply.body))
+    Response::from_parts(parts, Body::Answer(Answer::new(reply.body, outbound)))
 }
 
 type Refusal = (Reason, String, Option<Span>);
