Read streams ahead while their callers are behind

Cause: an entry read from a server only while the caller read. With the system's send buffer bounded, a caller's pause of 6 s gave 11 lines `stalled` and one `outlier` for the server.

Change: when a caller's connection has been blocked for 50 ms, a task polls the same state machine (`EventBody`) into a queue, reserved in the memory budget. The connection empties the queue first, then reads again itself. After the last event, the server's connection, the slot and the reserved KV memory are freed while the queue is delivered. When the budget refuses, the stream is paused: the watchdog does not check it, and the pause counts neither as silence nor in `longest_pause_ms`. A caller that is evicted is disconnected (`event=caller-evicted`). The watchdog finds the streams that are behind, so that there is no task or timer for the others. The send buffer of callers' connections is 64 KiB and the read buffer of servers' connections at most 16 KiB, since both are outside the memory budget.

A caller that disconnects without having read the rest is recorded as `undelivered`.

Conclusion: a pause is no longer taken for a fault of the server while the memory budget has room.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -11,19 +11,19 @@
 
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
-use crate::stream::EventBody;
+use crate::stream::Events;
 
 /// A response body.
-pub enum Body<D> {
+pub enum Body<D: Dialect> {
     /// A buffered body; `None` once it was read or if it is empty.
     Buffered(Option<Bytes>),
     /// A server's response, which was received whole.
     Answer(Answer),
     /// A stream of events, forwarded as they arrive.
-    Events(Box<EventBody<D>>),
+    Events(Events<D>),
 }
 
-impl<D> Body<D> {
+impl<D: Dialect> Body<D> {
     /// Creates a buffered body.
     pub fn buffered(bytes: Bytes) -> Self {
         Self::Buffered(Some(bytes).filter(|bytes| !bytes.is_empty()))
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -159,7 +159,7 @@
 
 async fn connection<D: Dialect>(state: Rc<State<D>>, stream: TcpStream, mut closing: Signal) {
     pool::configure_caller(&stream);
-    let delivery = Rc::new(Delivery::default());
+    let delivery = Rc::new(Delivery::new(state.metrics.clone()));
     let io = delivery::Io::new(stream, delivery.clone());
     let limits = state
         .table()
--- a/crates/front/src/delivery.rs
+++ b/crates/front/src/delivery.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
 use std::time::Duration;
 
 use jujube_core::time::Instant;
@@ -19,8 +20,11 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::Sleep;
 
+use crate::memory::Evicted;
+use crate::memory::Reservation;
 use crate::metrics::Metrics;
 use crate::request::Guard;
 
@@ -29,14 +33,22 @@
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The progress of a caller's connection, shared with the requests on it.
-#[derive(Default)]
 pub struct Delivery {
+    metrics: Rc<Metrics>,
+    /// The request whose response began last, for logs.
+    request: RefCell<Arc<str>>,
     written: Cell<u64>,
     /// Since when there is data that the connection does not take.
     blocked_since: Cell<Option<Instant>>,
     /// When the connection last took data while it was blocked.
     last_taken: Cell<Instant>,
     end: Cell<End>,
+    /// The memory that waits for the caller.
+    holder: RefCell<Option<Rc<Reservation>>>,
+    /// The task that waits for its eviction; there is one only while the connection is blocked.
+    eviction: RefCell<Option<AbortHandle>>,
+    /// Wakes the blocked connection.
+    blocked: RefCell<Option<Waker>>,
     /// The responses of which the HTTP layer has every byte, but not all were flushed yet.
     unflushed: RefCell<Vec<Receipt>>,
 }
@@ -49,6 +61,8 @@
     Disconnected,
     /// The caller took nothing for [`IDLE_TIMEOUT`].
     Idle,
+    /// It was evicted to free memory.
+    Evicted,
 }
 
 /// The value of `cause=` in logs.
@@ -57,21 +71,94 @@
         f.write_str(match self {
             Self::Disconnected => "disconnected",
             Self::Idle => "idle",
+            Self::Evicted => "evicted",
         })
     }
 }
 
 impl Delivery {
+    /// Creates the record of a connection that has taken nothing yet.
+    pub fn new(metrics: Rc<Metrics>) -> Self {
+        Self {
+            metrics,
+            request: RefCell::new("-".into()),
+            written: Cell::default(),
+            blocked_since: Cell::default(),
+            last_taken: Cell::new(clock::now()),
+            end: Cell::default(),
+            holder: RefCell::default(),
+            eviction: RefCell::default(),
+            blocked: RefCell::default(),
+            unflushed: RefCell::default(),
+        }
+    }
+
     /// Returns whether the connection has data that the caller does not take.
     pub fn is_blocked(&self) -> bool {
         self.blocked_since.get().is_some()
     }
 
-    fn record_blocked(&self) {
+    /// Returns since when the connection has had data that the caller does not take.
+    pub fn blocked_since(&self) -> Option<Instant> {
+        self.blocked_since.get()
+    }
+
+    /// Sets the memory that waits for the caller; its eviction ends the connection.
+    pub fn set_holder(self: &Rc<Self>, holder: Option<Rc<Reservation>>) {
+        self.stop_waiting();
+        self.holder.replace(holder);
+        if self.is_blocked() {
+            self.start_waiting();
+        }
+    }
+
+    fn start_waiting(self: &Rc<Self>) {
+        let holder = self.holder.borrow();
+        let Some(holder) = holder.as_ref() else {
+            return;
+        };
+        holder.set_waiting(true);
+        let (delivery, holder) = (Rc::downgrade(self), holder.clone());
+        let task = tokio::task::spawn_local(async move {
+            let evicted = holder.evicted().await;
+            if let Some(delivery) = delivery.upgrade() {
+                delivery.evict(evicted);
+            }
+        });
+        self.eviction.replace(Some(task.abort_handle()));
+    }
+
+    fn stop_waiting(&self) {
+        if let Some(eviction) = self.eviction.take() {
+            eviction.abort();
+        }
+        if let Some(holder) = self.holder.borrow().as_ref() {
+            holder.set_waiting(false);
+        }
+    }
+
+    fn evict(&self, evicted: Evicted) {
+        self.end.set(End::Evicted);
+        self.metrics.count("callers_evicted");
+        let request = self.request.borrow();
+        let Evicted { idle, held } = evicted;
+        log::info!("event=caller-evicted request={request} idle_ms={idle} bytes={held}");
+        if let Some(blocked) = self.blocked.take() {
+            blocked.wake();
+        }
+    }
+
+    fn record_blocked(self: &Rc<Self>, context: &Context<'_>) {
+        let mut blocked = self.blocked.borrow_mut();
+        match &mut *blocked {
+            Some(waker) => waker.clone_from(context.waker()),
+            None => *blocked = Some(context.waker().clone()),
+        }
         if !self.is_blocked() {
             let now = clock::now();
             self.blocked_since.set(Some(now));
             self.last_taken.set(now);
+            self.start_waiting();
         }
     }
 
@@ -79,17 +166,22 @@
         self.written.set(self.written.get() + bytes as u64);
         if self.is_blocked() {
             self.last_taken.set(clock::now());
+            if let Some(holder) = self.holder.borrow().as_ref() {
+                holder.progressed();
+            }
         }
     }
 
     /// Records that the connection took every byte that it was given.
     fn record_flushed(&self) {
-        self.blocked_since.set(None);
+        if self.blocked_since.take().is_some() {
+            self.stop_waiting();
+        }
         if self.unflushed.borrow().is_empty() {
             return;
         }
         for receipt in self.unflushed.take() {
-            receipt.record_delivered();
+            receipt.record_delivered(&self.metrics);
         }
     }
 
@@ -99,8 +191,8 @@
             return;
         }
         let idle = clock::now().since(self.last_taken.get());
-        let unflushed = self.unflushed.borrow();
-        let request = unflushed.first().map_or("-", |receipt| &*receipt.request);
+        self.metrics.count("callers_disconnected");
+        let request = self.request.borrow();
         let bytes = self.written.get();
         log::info!("event=caller-disconnected request={request} idle_ms={idle} bytes={bytes}");
     }
@@ -108,6 +200,7 @@
 
 impl Drop for Delivery {
     fn drop(&mut self) {
+        self.stop_waiting();
         for receipt in self.unflushed.take() {
             receipt.record_undelivered(self);
         }
@@ -138,16 +231,13 @@
     has_begun: bool,
     /// `None` while the response is incomplete.
     completion: Option<Completion>,
-    metrics: Rc<Metrics>,
     #[expect(dead_code, reason = "counts the request in flight until dropped")]
     guard: Guard,
 }
 
 impl Receipt {
-    fn record_delivered(self) {
-        let Self {
-            request, metrics, ..
-        } = &self;
+    fn record_delivered(self, metrics: &Metrics) {
+        let request = &self.request;
         let elapsed = clock::now().since(self.arrived);
         match &self.completion {
             Some(Completion::Streamed {
@@ -175,7 +265,7 @@
     }
 
     fn record_undelivered(self, delivery: &Delivery) {
-        self.metrics.count("responses_undelivered");
+        delivery.metrics.count("responses_undelivered");
         log::info!(
             "event=undelivered request={} bytes={} cause={} is_complete={}",
             self.request,
@@ -195,20 +285,13 @@
 
 impl Outbound {
     /// Prepares to send the response to a request.
-    pub fn new(
-        delivery: Rc<Delivery>,
-        metrics: Rc<Metrics>,
-        guard: Guard,
-        request: Arc<str>,
-        arrived: Instant,
-    ) -> Self {
+    pub fn new(delivery: Rc<Delivery>, guard: Guard, request: Arc<str>, arrived: Instant) -> Self {
         let receipt = Receipt {
             request,
             arrived,
             written_before: delivery.written.get(),
             has_begun: false,
             completion: None,
-            metrics,
             guard,
         };
         Self {
@@ -218,7 +301,7 @@
     }
 
     /// Returns the progress of the caller's connection.
-    pub fn delivery(&self) -> &Delivery {
+    pub fn delivery(&self) -> &Rc<Delivery> {
         &self.delivery
     }
 
@@ -226,9 +309,16 @@
     pub fn begin(&mut self) {
         if let Some(receipt) = &mut self.receipt {
             receipt.has_begun = true;
+            self.delivery.request.replace(receipt.request.clone());
         }
     }
 
+    /// Returns how many bytes the connection has taken since the request arrived.
+    pub fn written(&self) -> u64 {
+        let before = self.receipt.as_ref().map(|receipt| receipt.written_before);
+        self.delivery.written.get() - before.unwrap_or_default()
+    }
+
     /// Records that the response is complete at this entry.
     pub fn complete(&mut self, completion: Completion) {
         if let Some(receipt) = &mut self.receipt {
@@ -292,14 +382,17 @@
                 Poll::Ready(Err(error))
             }
             Poll::Pending => {
-                self.delivery.record_blocked();
+                self.delivery.record_blocked(context);
                 self.poll_idle(context).map(Err)
             }
         }
     }
 
-    /// Returns an error once the caller has taken nothing for [`IDLE_TIMEOUT`].
+    /// Returns an error once the caller has taken nothing for [`IDLE_TIMEOUT`] or was evicted.
     fn poll_idle(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        if self.delivery.end.get() == End::Evicted {
+            return Poll::Ready(io::ErrorKind::ConnectionAborted.into());
+        }
         let idle = clock::now().since(self.delivery.last_taken.get());
         let Some(left) = IDLE_TIMEOUT.checked_sub(Duration::from_millis(idle.0)) else {
             self.delivery.record_idle();
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -40,6 +40,13 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Keepalive idle time and interval; detects connections whose state a middlebox has dropped.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Size of the system's send buffer of a caller's connection. By default the system takes up to some
+/// megabytes for each caller that does not read, which neither the memory budget nor the record of what was
+/// delivered includes.
+const CALLER_SEND_BUFFER: usize = 64 << 10;
+/// Upper bound of the read buffer of a server's connection, which holds up to two of these while its
+/// caller does not read, outside the memory budget.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
 /// How many keepalive probes may be lost before the system closes the connection.
 const KEEPALIVE_PROBES: u32 = 2;
 /// How long an idle connection is kept if the server sends no `Keep-Alive` timeout.
@@ -102,7 +109,9 @@
         let stream = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
         set_timeouts(&stream, USER_TIMEOUT)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let (pool, name) = (self.clone(), server.clone());
         tokio::task::spawn_local(async move {
@@ -259,6 +268,7 @@
 pub fn configure_caller(stream: &TcpStream) {
     let _unsupported = stream.set_nodelay(true);
     let _unsupported = set_timeouts(stream, delivery::IDLE_TIMEOUT);
+    let _unsupported = SockRef::from(stream).set_send_buffer_size(CALLER_SEND_BUFFER);
 }
 
 /// Enables TCP keepalive and the user timeout, so that the system detects dead connections.
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -123,8 +123,7 @@
     let is_model = state
         .table()
         .is_some_and(|table| table.model(&admitted.service).is_some());
-    let metrics = state.metrics.clone();
-    let outbound = Outbound::new(delivery, metrics, guard, id, arrived);
+    let outbound = Outbound::new(delivery, guard, id, arrived);
     if is_model {
         return stream::serve(state, admitted, outbound).await;
     }
@@ -150,7 +149,12 @@
     log::info!("event=held request={id} for=start waited_ms={waited} is_over={is_over}");
 }
 
-fn refuse<D>(state: &State<D>, id: &str, reason: Reason, arrived: Instant) -> Response<Body<D>> {
+fn refuse<D: Dialect>(
+    state: &State<D>,
+    id: &str,
+    reason: Reason,
+    arrived: Instant,
+) -> Response<Body<D>> {
     let retry_after = match reason {
         Reason::Starting if clock::now().since(state.started) < SLOW_START => {
             Some(RETRY_AFTER_STARTING)
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -9,6 +9,7 @@
 use jujube_core::time::Span;
 
 use crate::body::Body;
+use crate::dialect::Dialect;
 
 /// Why the entry responds without forwarding a backend server's response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,7 +89,7 @@
 }
 
 /// Creates the entry's response to a request that it does not forward.
-pub fn local<D>(reason: Reason, retry_after: Option<Span>) -> Response<Body<D>> {
+pub fn local<D: Dialect>(reason: Reason, retry_after: Option<Span>) -> Response<Body<D>> {
     let mut response = Response::new(Body::text(reason.name()));
     *response.status_mut() = reason.status();
     let headers = response.headers_mut();
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -113,7 +113,7 @@
     /// The requests waiting for capacity.
     pub waiting: Waiting,
     /// The streams in flight.
-    pub streams: Streams,
+    pub streams: Streams<D>,
     /// Counters and histograms.
     pub metrics: Rc<Metrics>,
     /// The stage of a graceful shutdown.
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -19,7 +19,6 @@
 use tokio::sync::oneshot;
 
 use crate::delivery::Completion;
-use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::head;
 use crate::quarantine;
@@ -68,7 +67,6 @@
     pub(super) registration: Registration<D>,
     #[expect(dead_code, reason = "frees its slot when dropped")]
     pub(super) permit: Permit<D>,
-    pub(super) outbound: Outbound,
     pub(super) relay: Relay,
     pub(super) upstream: Upstream,
     pub(super) opening: Option<Opening<D>>,
@@ -80,10 +78,6 @@
 impl<D: Dialect> EventBody<D> {
     /// Polls for the next complete event.
     pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<Next> {
-        if self.outbound.delivery().is_blocked() {
-            // The connection polls again once it has written what it has.
-            return Poll::Pending;
-        }
         let stream = self.registration.stream.clone();
         stream.body_waker.register(context.waker());
         loop {
@@ -195,20 +189,12 @@
             let run = stream.run_on(&first.server, stream.run_began.get());
             quarantine::lost(state, run.perhaps_complete());
         }
-        self.outbound.complete(Completion::Streamed {
-            events: self.relay.events(),
-            first_event_after: stream.first_event_after.get(),
-            longest_gap: stream.longest_gap.get(),
-            runs: stream.runs(),
-            repairs: stream.repairs.get(),
-        });
         if let Upstream::Reading { lease, headers, .. } = &mut self.upstream {
             if let Some(lease) = lease.take() {
                 lease.release(headers);
             }
         }
         self.upstream = Upstream::Done;
-        self.outbound.finish();
         Some(None)
     }
 
@@ -222,6 +208,18 @@
         is_framed || self.registration.stream.has_lived.get()
     }
 
+    /// Returns what is recorded once the caller has received the whole stream.
+    pub(super) fn completion(&self) -> Completion {
+        let stream = &self.registration.stream;
+        Completion::Streamed {
+            events: self.relay.events(),
+            first_event_after: stream.first_event_after.get(),
+            longest_gap: stream.longest_gap.get(),
+            runs: stream.runs(),
+            repairs: stream.repairs.get(),
+        }
+    }
+
     fn is_reading(&self) -> bool {
         matches!(self.upstream, Upstream::Reading { .. })
     }
@@ -376,7 +374,6 @@
             stream.path_text()
         );
         self.upstream = Upstream::Done;
-        self.outbound.abort();
         Some(Err(io::Error::other(
             "stream was interrupted and cannot be resumed",
         )))
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -4,6 +4,7 @@
 mod interrupt;
 mod open;
 mod path;
+mod read_ahead;
 mod record;
 
 use std::cell::Cell;
@@ -34,11 +35,12 @@
 use crate::state::State;
 use crate::waiting;
 
+use body::EventBody;
 use body::Upstream;
 use open::open;
 use path::Registration;
+use record::Reading;
 
-pub use body::EventBody;
 pub use interrupt::Cause;
 pub use interrupt::Interrupt;
 pub use open::settle;
@@ -46,6 +48,8 @@
 pub use path::may_reopen;
 pub use path::recover;
 pub use path::set_path;
+pub use read_ahead::Events;
+pub use read_ahead::Reader;
 pub use record::Stream;
 
 /// The header that resumes a stream after an event.
@@ -90,6 +94,7 @@
         events: Cell::new(0),
         mean_gap_ms: Cell::new(0.0),
         last_event: Cell::new(now),
+        reading: Reading::new(now),
         first_event_after: Cell::default(),
         longest_gap: Cell::default(),
         is_being_checked: Cell::new(false),
@@ -144,13 +149,12 @@
                 is_events: is_events(parts.status, &parts.headers),
                 registration,
                 permit,
-                outbound,
                 relay: Relay::after(last),
                 upstream,
                 opening: None,
                 out: VecDeque::new(),
             };
-            Response::from_parts(parts, Body::Events(Box::new(event_body)))
+            Response::from_parts(parts, Body::Events(Events::new(event_body, outbound)))
         }
         Err((reason, cause)) => {
             outbound.abort();
--- a/crates/front/src/stream/path.rs
+++ b/crates/front/src/stream/path.rs
@@ -21,7 +21,7 @@
 pub(super) struct Registration<D> {
     pub(super) state: Rc<State<D>>,
     pub(super) stream: Rc<Stream>,
-    number: u64,
+    pub(super) number: u64,
 }
 
 impl<D> Registration<D> {
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -47,6 +47,39 @@
     }
 }
 
+/// A server may have cut off a response that was unread for longer than this.
+const MAX_UNREAD: Span = Span(1_000);
+
+/// When and for how long the reading of a stream paused for its caller.
+pub(super) struct Reading {
+    /// Since when it is paused.
+    paused: Cell<Option<Instant>>,
+    /// When it last continued.
+    since: Cell<Instant>,
+    /// Until when a broken run counts as cut off because it was unread. What the server sent before
+    /// is read first, so that the break shows only some time after the pause.
+    unread_until: Cell<Instant>,
+}
+
+impl Reading {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            paused: Cell::default(),
+            since: Cell::new(now),
+            unread_until: Cell::new(now),
+        }
+    }
+
+    fn record_pause(&self, now: Instant, pause: Span) {
+        let until = self.unread_until.get();
+        if pause > MAX_UNREAD {
+            self.unread_until.set(now.plus(MAX_UNREAD));
+        } else if now < until.plus(pause) {
+            self.unread_until.set(until.plus(pause));
+        }
+    }
+}
+
 /// A stream in flight.
 pub struct Stream {
     /// The request's identifier.
@@ -73,6 +106,8 @@
     pub(super) has_lived: Cell<bool>,
     /// Whether a run is known to have survived its beginning.
     pub(super) has_survived: Cell<bool>,
+    /// When and for how long reading paused for the caller.
+    pub(super) reading: Reading,
     /// The number of events received.
     pub events: Cell<u64>,
     /// The smoothed gap between events, in milliseconds.
@@ -171,6 +206,43 @@
         self.attempts.borrow().runs()
     }
 
+    /// Returns whether reading is paused for the caller.
+    pub fn is_paused(&self) -> bool {
+        self.reading.paused.get().is_some()
+    }
+
+    /// Pauses reading, because there is no room for what the caller does not take.
+    pub(super) fn pause_reading(&self, now: Instant) {
+        let paused = self.reading.paused.get();
+        self.reading.paused.set(paused.or(Some(now)));
+    }
+
+    /// Continues to read. The silence so far was not the server's.
+    pub(super) fn continue_reading(&self, now: Instant) {
+        if let Some(paused) = self.reading.paused.take() {
+            self.reading.record_pause(now, now.since(paused));
+            self.reading.since.set(now);
+            self.last_activity.set(now);
+        }
+    }
+
+    /// Returns when the last event arrived, or reading continued after it.
+    pub(super) fn last_read(&self) -> Instant {
+        self.last_event.get().max(self.reading.since.get())
+    }
+
+    /// Waits until the stream expires.
+    pub(super) async fn expired(&self) {
+        poll_fn(|context| {
+            self.body_waker.register(context.waker());
+            if self.is_expired.get() {
+                return Poll::Ready(());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Waits until the current run is interrupted or the stream expires.
     pub(super) async fn interrupted(&self) {
         poll_fn(|context| {
@@ -190,7 +262,7 @@
             let mean_gap = self.mean_gap_ms.get();
             self.mean_gap_ms
                 .set(mean_gap + (gap.0 as f64 - mean_gap) * SMOOTHING);
-            let longest_gap = now.since(self.last_event.get());
+            let longest_gap = now.since(self.last_read());
             self.longest_gap
                 .set(self.longest_gap.get().max(longest_gap));
         } else {
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -24,24 +25,50 @@
 use crate::stream;
 use crate::stream::Cause;
 use crate::stream::Interrupt;
+use crate::stream::Reader;
 use crate::stream::Stream;
 
 /// Streams in flight.
-#[derive(Default)]
-pub struct Streams {
-    by_number: RefCell<BTreeMap<u64, Rc<Stream>>>,
+pub struct Streams<D> {
+    by_number: RefCell<BTreeMap<u64, Entry<D>>>,
     next: Cell<u64>,
 }
 
-impl Streams {
+struct Entry<D> {
+    stream: Rc<Stream>,
+    /// What reads the stream, once its response has begun.
+    reader: Weak<Reader<D>>,
+}
+
+impl<D> Default for Streams<D> {
+    fn default() -> Self {
+        Self {
+            by_number: RefCell::default(),
+            next: Cell::default(),
+        }
+    }
+}
+
+impl<D> Streams<D> {
     /// Registers a stream and returns its number.
     pub fn add(&self, stream: &Rc<Stream>) -> u64 {
         let number = self.next.get();
         self.next.set(number + 1);
-        self.by_number.borrow_mut().insert(number, stream.clone());
+        let entry = Entry {
+            stream: stream.clone(),
+            reader: Weak::new(),
+        };
+        self.by_number.borrow_mut().insert(number, entry);
         number
     }
 
+    /// Records what reads a stream.
+    pub fn set_reader(&self, number: u64, reader: Weak<Reader<D>>) {
+        if let Some(entry) = self.by_number.borrow_mut().get_mut(&number) {
+            entry.reader = reader;
+        }
+    }
+
     /// Removes a stream.
     pub fn remove(&self, number: u64) {
         self.by_number.borrow_mut().remove(&number);
@@ -50,7 +77,7 @@
     /// Marks the streams whose path includes a server for a check at the next tick, before they
     /// have been silent for long.
     pub fn request_check(&self, server: &Incarnation) {
-        for stream in self.by_number.borrow().values() {
+        for Entry { stream, .. } in self.by_number.borrow().values() {
             let path = stream.path.borrow();
             if path.as_ref().is_some_and(|path| path.contains(server)) {
                 stream.needs_check.set(true);
@@ -109,12 +136,16 @@
         let draining = draining(&state, now);
         let mut moved = 0;
         let streams = state.streams.by_number.borrow();
-        for stream in streams.values() {
+        for Entry { stream, reader } in streams.values() {
             if now >= stream.deadline {
                 stream.expire();
                 continue;
             }
             stream::settle(&state, stream);
+            if reader.upgrade().is_some_and(|reader| reader.check(now)) {
+                // The silence is the caller's.
+                continue;
+            }
             if is_check_due(stream, now) {
                 stream.is_being_checked.set(true);
                 tokio::task::spawn_local(check_stream(state.clone(), stream.clone()));
