Do not hold runs that servers cut off unread against them

Cause: a server cuts off a response that stays unread for some seconds. When the memory budget paused a stream, the lost run counted as a failure of its server and against the route's limit of servers.

Change: a run that breaks while its stream has been paused for more than 1 s, or within 1 s of reading after such a pause, is lost as `Loss::Unread`: `event=cut-unread` and `responses_cut_unread`, with no suspicion, outlier, quarantine record or count in `Attempts`. The stream resumes after the last event that was read and takes a retry as before. Read-ahead uses the memory owner of the request, whose body is released once all was read. The send buffer of callers is 32 KiB: with 64 KiB, a stream of 160 kB fitted into socket buffers and counted as delivered.

--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -43,7 +43,7 @@
 /// Size of the system's send buffer of a caller's connection. By default the system takes up to some
 /// megabytes for each caller that does not read, which neither the memory budget nor the record of what was
 /// delivered includes.
-const CALLER_SEND_BUFFER: usize = 64 << 10;
+const CALLER_SEND_BUFFER: usize = 32 << 10;
 /// Upper bound of the read buffer of a server's connection, which holds up to two of these while its
 /// caller does not read, outside the memory budget.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -263,6 +263,8 @@
             .as_ref()
             .and_then(|opening| opening.current_path.first());
         let first = current_path.cloned().or_else(|| stream.first_part());
+        let is_unread = loss == Loss::Broken && stream.is_unread(clock::now());
+        let loss = if is_unread { Loss::Unread } else { loss };
         if let Some(first) = first {
             record_loss(state, stream, &first, loss, stream.run_began.get());
         }
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -329,6 +329,17 @@
     loss: Loss,
     began: Option<Instant>,
 ) {
+    if loss == Loss::Unread {
+        stream.attempts.borrow_mut().unread(&first.server);
+        state.metrics.count("responses_cut_unread");
+        log::info!(
+            "event=cut-unread request={} server={} after={}",
+            stream.id,
+            first.server,
+            stream.events.get()
+        );
+        return;
+    }
     let now = clock::now();
     log::info!(
         "event=run-lost request={} {} server={} loss={loss} began_ms={}",
@@ -347,7 +358,7 @@
     let mut attempts = stream.attempts.borrow_mut();
     match loss {
         Loss::Broken | Loss::Dead if began.is_some() => attempts.lost(now, &first.server),
-        Loss::Broken | Loss::Dead | Loss::Abandoned => attempts.left(&first.server),
+        _ => attempts.left(&first.server),
     }
     drop(attempts);
     if loss != Loss::Abandoned {
--- a/crates/front/src/stream/read_ahead.rs
+++ b/crates/front/src/stream/read_ahead.rs
@@ -8,6 +8,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::rc::Weak;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -24,7 +25,6 @@
 use crate::delivery::Completion;
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
-use crate::memory::Memory;
 use crate::memory::Reservation;
 use crate::state::State;
 
@@ -49,7 +49,9 @@
     events: RefCell<Option<EventBody<D>>>,
     end: RefCell<Option<End>>,
     outbound: RefCell<Outbound>,
-    stream: Rc<Stream>,
+    /// `None` once all was read, so that the request is no longer held.
+    stream: RefCell<Option<Rc<Stream>>>,
+    id: Arc<str>,
     state: Rc<State<D>>,
     queue: RefCell<VecDeque<Queued>>,
     /// The memory for the queue, and the task that fills it.
@@ -85,7 +87,8 @@
             events: RefCell::new(Some(events)),
             end: RefCell::default(),
             outbound: RefCell::new(outbound),
-            stream,
+            id: stream.id.clone(),
+            stream: RefCell::new(Some(stream)),
             state,
             queue: RefCell::default(),
             ahead: RefCell::default(),
@@ -130,6 +133,7 @@
         let ended = events.take();
         drop(events);
         drop(ended);
+        self.release_request();
         if let End::Complete(completion) = &end {
             self.outbound.borrow_mut().complete(completion.clone());
         }
@@ -137,6 +141,16 @@
         Poll::Ready(None)
     }
 
+    /// Releases the request, which no run needs any more. Its memory is that of the queue's owner.
+    fn release_request(&self) {
+        let Some(stream) = self.stream.take() else {
+            return;
+        };
+        let request = &stream.outgoing;
+        let size = Size(request.body.len() as u64);
+        request.reservation.release(Cause::RequestBody, size);
+    }
+
     fn take_end(&self) -> Next {
         let mut outbound = self.outbound.borrow_mut();
         match self.end.take() {
@@ -164,31 +178,38 @@
     fn stop_ahead(&self) {
         self.outbound.borrow().delivery().set_holder(None);
         self.ahead.take();
-        self.stream.continue_reading(clock::now());
+        if let Some(stream) = self.stream.borrow().as_ref() {
+            stream.continue_reading(clock::now());
+        }
     }
 
     /// Starts to read ahead if the caller is behind. Returns whether the stream is paused for its
     /// caller.
     pub fn check(self: &Rc<Self>, now: Instant) -> bool {
+        let stream = self.stream.borrow();
+        let Some(stream) = stream.as_ref() else {
+            return false;
+        };
         if self.ahead.borrow().is_some() {
-            return self.stream.is_paused();
+            return stream.is_paused();
         }
         let blocked = self.outbound.borrow().delivery().blocked_since();
         let Some(since) = blocked else {
             return false;
         };
-        if now.since(since) >= MAX_BLOCKED && self.events.borrow().is_some() {
-            self.stream.pause_reading(since);
-            self.stream.continue_reading(now);
-            self.start_ahead();
+        if now.since(since) >= MAX_BLOCKED {
+            stream.pause_reading(since);
+            stream.continue_reading(now);
+            self.start_ahead(stream);
             return false;
         }
         true
     }
 
-    fn start_ahead(self: &Rc<Self>) {
-        let reservation = Rc::new(Memory::open(&self.state.memory));
-        let task = tokio::task::spawn_local(read_ahead(Rc::downgrade(self), reservation.clone()));
+    fn start_ahead(self: &Rc<Self>, stream: &Rc<Stream>) {
+        let reservation = stream.outgoing.reservation.clone();
+        let reading = read_ahead(Rc::downgrade(self), stream.clone(), reservation.clone());
+        let task = tokio::task::spawn_local(reading);
         self.ahead.replace(Some(Ahead {
             reservation: reservation.clone(),
             task: task.abort_handle(),
@@ -199,7 +220,7 @@
         self.state.metrics.count("read_ahead_started");
         log::info!(
             "event=read-ahead request={} bytes={}",
-            self.stream.id,
+            self.id,
             outbound.written()
         );
     }
@@ -217,22 +238,22 @@
     }
 
     fn record_paused(&self, reservation: &Reservation) {
-        self.stream.pause_reading(clock::now());
         let ahead = self.ahead.borrow();
         let is_first = |ahead: &Ahead| !ahead.has_paused.replace(true);
         if ahead.as_ref().is_some_and(is_first) {
             self.state.metrics.count("read_ahead_paused");
             let held = reservation.held();
-            log::info!(
-                "event=read-ahead-paused request={} held={held}",
-                self.stream.id
-            );
+            log::info!("event=read-ahead-paused request={} held={held}", self.id);
         }
     }
 }
 
 /// Reads a stream into its queue until the caller has caught up or all was read.
-async fn read_ahead<D: Dialect>(reader: Weak<Reader<D>>, reservation: Rc<Reservation>) {
+async fn read_ahead<D: Dialect>(
+    reader: Weak<Reader<D>>,
+    stream: Rc<Stream>,
+    reservation: Rc<Reservation>,
+) {
     loop {
         let next = poll_fn(|context| match reader.upgrade() {
             Some(reader) => reader.poll_events(context),
@@ -249,13 +270,14 @@
             is_reserved: false,
         });
         while !reader.reserve(&reservation) {
+            stream.pause_reading(clock::now());
             reader.record_paused(&reservation);
-            let (room, expired) = (pin!(reservation.room()), pin!(reader.stream.expired()));
+            let (room, expired) = (pin!(reservation.room()), pin!(stream.expired()));
             if let Either::Right(_) = select(room, expired).await {
                 break;
             }
         }
-        reader.stream.continue_reading(clock::now());
+        stream.continue_reading(clock::now());
     }
 }
 
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -34,6 +34,8 @@
     Dead,
     /// It was interrupted, but its server may be alive.
     Abandoned,
+    /// Its server cut it off because the caller did not read.
+    Unread,
 }
 
 /// The value of `loss=` in logs.
@@ -43,6 +45,7 @@
             Self::Broken => "broken",
             Self::Dead => "dead",
             Self::Abandoned => "abandoned",
+            Self::Unread => "unread",
         })
     }
 }
@@ -226,6 +229,13 @@
         }
     }
 
+    /// Returns whether a run that breaks now was probably cut off because the caller did not read.
+    pub(super) fn is_unread(&self, now: Instant) -> bool {
+        let paused = self.reading.paused.get();
+        now < self.reading.unread_until.get()
+            || paused.is_some_and(|paused| now.since(paused) > MAX_UNREAD)
+    }
+
     /// Returns when the last event arrived, or reading continued after it.
     pub(super) fn last_read(&self) -> Instant {
         self.last_event.get().max(self.reading.since.get())
