--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod daemon;
+mod delivery;
 pub mod dialect;
 mod fleet;
 mod gate;
@@ -16,6 +17,11 @@
 mod hold;
 mod limits;
 mod malformed;
+#[allow(
+    dead_code,
+    reason = "responses and read-ahead are to use the rest of it"
+)]
+mod memory;
 mod metrics;
 mod notices;
 mod planner;
@@ -34,6 +40,7 @@
 mod store_watch;
 mod stream;
 mod unary;
+mod upload;
 mod upstream;
 mod waiting;
 mod watchdog;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -1,12 +1,10 @@
 //! Handling of one request, from its arrival to its response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -20,12 +18,15 @@
 use jujube_core::pipeline::document::Account;
 use jujube_core::pipeline::document::Route;
 use jujube_core::pipeline::document::Table;
+use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 
 use crate::body::Body;
+use crate::delivery::Delivery;
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::head;
 use crate::quarantine;
@@ -35,6 +36,7 @@
 use crate::state::State;
 use crate::stream;
 use crate::unary;
+use crate::upload;
 use crate::upstream::Outgoing;
 
 /// `Retry-After` while the entry starts, which takes some milliseconds while the store is up.
@@ -50,8 +52,8 @@
 /// no limits of servers: sent at once, all that it held would go to a server beyond the limit that
 /// its first response names.
 const RELEASE_SPREAD: Span = Span(400);
-/// Maximum pause between two frames of a request body.
-const BODY_PAUSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// `Retry-After` if there is no room for the request. Room is made as callers take their responses.
+const RETRY_AFTER_OUT_OF_MEMORY: Span = Span(1_000);
 
 /// A request that passed routing and authentication.
 pub struct Admitted {
@@ -76,19 +78,19 @@
 }
 
 /// Counts a request in flight until it is dropped.
-pub struct Guard<D>(Rc<State<D>>);
+pub struct Guard(Rc<Cell<u64>>);
 
-impl<D> Guard<D> {
+impl Guard {
     /// Increments the count.
-    pub fn new(state: &Rc<State<D>>) -> Self {
-        state.in_flight.set(state.in_flight.get() + 1);
-        Self(state.clone())
+    pub fn new(in_flight: &Rc<Cell<u64>>) -> Self {
+        in_flight.set(in_flight.get() + 1);
+        Self(in_flight.clone())
     }
 }
 
-impl<D> Drop for Guard<D> {
+impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -96,9 +98,10 @@
 pub async fn serve<D: Dialect>(
     state: Rc<State<D>>,
     request: Request<Incoming>,
+    delivery: Rc<Delivery>,
 ) -> Response<Body<D>> {
     let arrived = clock::now();
-    let guard = Guard::new(&state);
+    let guard = Guard::new(&state.in_flight);
     state.metrics.count("requests");
     let id = head::text(request.headers(), &D::NAMES.request).unwrap_or("-");
     let id: Arc<str> = id.into();
@@ -119,10 +122,11 @@
     let is_model = state
         .table()
         .is_some_and(|table| table.model(&admitted.service).is_some());
+    let outbound = Outbound::new(delivery, guard, id, arrived);
     if is_model {
-        return stream::serve(state, admitted, guard).await;
+        return stream::serve(state, admitted, outbound).await;
     }
-    unary::serve(&state, admitted).await
+    unary::serve(&state, admitted, outbound).await
 }
 
 /// Waits until the configuration and the registrations are known, or the entry is about to end.
@@ -144,13 +148,19 @@
     log::info!("event=held request={id} for=start waited_ms={waited} is_over={is_over}");
 }
 
-fn refuse<D>(state: &State<D>, id: &str, reason: Reason, arrived: Instant) -> Response<Body<D>> {
+fn refuse<D: Dialect>(
+    state: &State<D>,
+    id: &str,
+    reason: Reason,
+    arrived: Instant,
+) -> Response<Body<D>> {
     let retry_after = match reason {
         Reason::Starting if clock::now().since(state.started) < SLOW_START => {
             Some(RETRY_AFTER_STARTING)
         }
         Reason::Starting => Some(Span(rand::random_range(RETRY_AFTER_OUTAGE_MS))),
         Reason::Stopping => Some(RETRY_AFTER_STOPPING),
+        Reason::OutOfMemory => Some(RETRY_AFTER_OUT_OF_MEMORY),
         _ => None,
     };
     record_refusal(state, id, "-", reason, arrived, "-");
@@ -168,6 +178,9 @@
 ) {
     state.metrics.count("requests_refused");
     state.metrics.count(reason.name());
+    if reason == Reason::OutOfMemory {
+        state.metrics.count("requests_out_of_memory");
+    }
     let elapsed = clock::now().since(arrived);
     let version = state.table().map_or(0, |table| table.document.version.0);
     let status = reason.status().as_u16();
@@ -196,16 +209,20 @@
     let route = route.ok_or(Reason::NoRoute)?;
     let account = authenticate::<D>(&table, &request, &route)?;
     let (parts, body) = request.into_parts();
-    let body = read_body(body, table.document.limits.body_bytes).await?;
     let timeout = head::number(&parts.headers, &D::NAMES.deadline).map(Span);
     let timeout = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    let limits = upload::Limits {
+        size: Size(table.document.limits.body_bytes),
+        deadline: arrived.plus(timeout),
+    };
+    let upload = upload::read(body, limits, &state.memory).await?;
     let service = route
         .pick_target(rand::random())
         .ok_or(Reason::NoServer)?
         .clone();
     let customer = account.as_ref().map(|account| account.customer.clone());
     let customer = customer.unwrap_or_else(|| "".into());
-    let digest = digest(&parts, &customer, &body);
+    let digest = digest(&parts, &customer, &upload.bytes);
     let features = Features::new(digest, D::shared_parts(&parts.headers));
     let mut headers = parts.headers;
     head::strip(&mut headers);
@@ -225,10 +242,11 @@
             method: parts.method,
             uri: parts.uri,
             headers,
-            body,
+            body: upload.bytes,
+            reservation: Rc::new(upload.reservation),
         },
         arrived,
-        deadline: arrived.plus(timeout),
+        deadline: limits.deadline,
     })
 }
 
@@ -254,32 +272,3 @@
     let method = parts.method.as_str().as_bytes();
     Digest::of([method, host, path.as_bytes(), customer.0.as_bytes(), body])
 }
-
-async fn read_body(mut body: Incoming, max_bytes: u64) -> Result<Bytes, Reason> {
-    let mut first: Option<Bytes> = None;
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = tokio::time::timeout(BODY_PAUSE_TIMEOUT, body.frame()).await;
-        let Some(frame) = frame.map_err(|_| Reason::SlowBody)? else {
-            break;
-        };
-        let frame = frame.map_err(|_| Reason::BrokenBody)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let received = first.as_ref().map_or(0, Bytes::len).max(buffer.len());
-        if (received + data.len()) as u64 > max_bytes {
-            return Err(Reason::TooLarge);
-        }
-        match first.take() {
-            // Most bodies arrive in one frame and need no copy.
-            None if buffer.is_empty() => first = Some(data),
-            None => buffer.extend_from_slice(&data),
-            Some(first) => {
-                buffer.extend_from_slice(&first);
-                buffer.extend_from_slice(&data);
-            }
-        }
-    }
-    Ok(first.unwrap_or_else(|| buffer.freeze()))
-}
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -17,6 +17,7 @@
 use jujube_core::pipeline::liveness::Liveness;
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::local_health::LocalHealth;
+use jujube_core::pipeline::memory::MemoryBudget;
 use jujube_core::pipeline::outlier::Outliers;
 use jujube_core::pipeline::quarantine::Quarantine;
 use jujube_core::pipeline::quarantine::features::Features;
@@ -30,6 +31,7 @@
 use crate::gossip::Peers;
 use crate::hold::Held;
 use crate::malformed::Malformed;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::planner::Leadership;
 use crate::pool::Pool;
@@ -106,12 +108,14 @@
     pub peers: Peers,
     /// The requests that wait for what they need to become known.
     pub held: Held,
+    /// The memory held for callers and servers.
+    pub memory: Rc<Memory>,
     /// The requests waiting for capacity.
     pub waiting: Waiting,
     /// The streams in flight.
-    pub streams: Streams,
+    pub streams: Streams<D>,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     /// The stage of a graceful shutdown.
     pub lifecycle: Cell<Lifecycle>,
     /// Notified when a call to the store has failed or timed out.
@@ -119,7 +123,7 @@
     /// What is known about the planner.
     pub leadership: Leadership,
     /// The number of requests in flight.
-    pub in_flight: Cell<u64>,
+    pub in_flight: Rc<Cell<u64>>,
     /// Notified when the placement of layers may have to change.
     pub roster_changed: tokio::sync::Notify,
 }
@@ -131,6 +135,7 @@
             zone: settings.zone.clone(),
             address: settings.gossip,
         };
+        let capacity = MemoryBudget::capacity_of(settings.memory);
         Self {
             dialect: PhantomData,
             started: clock::now(),
@@ -157,13 +162,14 @@
             pool: Pool::default(),
             probes: Probes::default(),
             held: Held::default(),
+            memory: Rc::new(Memory::new(capacity)),
             waiting: Waiting::default(),
             streams: Streams::default(),
-            metrics: Metrics::default(),
+            metrics: Rc::default(),
             lifecycle: Cell::default(),
             store_call_failed: tokio::sync::Notify::new(),
             leadership: Leadership::default(),
-            in_flight: Cell::new(0),
+            in_flight: Rc::default(),
             roster_changed: tokio::sync::Notify::new(),
         }
     }
