End a stream with an event larger than allowed without blaming its servers

Cause: an event larger than 256 KiB counted as a broken run. The stream was resumed at another server with the same result, and two servers became outliers.

It is not resumed, and nothing is recorded against the server. The limit is the capacity of the memory budget if that is less.

--- a/crates/core/src/pipeline/relay.rs
+++ b/crates/core/src/pipeline/relay.rs
@@ -3,8 +3,10 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::pipeline::memory::Size;
+
 /// The maximum size of one event in bytes.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+const MAX_EVENT_BYTES: u64 = 256 << 10;
 
 /// Why the current run of a stream cannot be relayed further.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -55,6 +57,8 @@
     /// Whether this run has delivered an event.
     started: bool,
     events: u64,
+    /// The maximum size of one event if it is less than [`MAX_EVENT_BYTES`].
+    max_event: Option<Size>,
 }
 
 impl Relay {
@@ -67,6 +71,27 @@
         }
     }
 
+    /// Limits the size of one event further.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use bytes::Bytes;
+    /// # use jujube_core::pipeline::memory::Size;
+    /// # use jujube_core::pipeline::relay::Fault;
+    /// # use jujube_core::pipeline::relay::Relay;
+    /// let mut relay = Relay::default().limited_to(Size(8));
+    /// let outcome = relay.feed(Bytes::from("id: 1\ndata:"), &mut Vec::new());
+    /// assert_eq!(outcome, Err(Fault::TooLarge));
+    /// ```
+    #[must_use]
+    pub fn limited_to(self, max_event: Size) -> Self {
+        Self {
+            max_event: Some(max_event),
+            ..self
+        }
+    }
+
     /// Returns the identifier of the last event passed on.
     #[must_use]
     pub fn last(&self) -> Option<u64> {
@@ -115,7 +140,7 @@
         };
         push(out, rest.split_to(complete));
         outcome?;
-        if rest.len() > MAX_EVENT_BYTES {
+        if rest.len() as u64 > self.max_event() {
             return Err(Fault::TooLarge);
         }
         self.partial.extend_from_slice(&rest);
@@ -134,6 +159,11 @@
         Err(Fault::Truncated)
     }
 
+    fn max_event(&self) -> u64 {
+        let max_event = self.max_event.map_or(MAX_EVENT_BYTES, |size| size.0);
+        max_event.min(MAX_EVENT_BYTES)
+    }
+
     /// Returns whether an event is passed on; `false` if the caller already has it.
     fn admit(&mut self, event: &[u8]) -> Result<bool, Fault> {
         let id = identifier(event).ok_or(Fault::NoIdentifier)?;
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -13,6 +13,7 @@
 use jujube_core::pipeline::attempts::Permission;
 use jujube_core::pipeline::quarantine::BEGINNING;
 use jujube_core::pipeline::quarantine::SURVIVAL;
+use jujube_core::pipeline::relay::Fault;
 use jujube_core::pipeline::relay::Relay;
 use jujube_core::time::Instant;
 use jujube_program::clock;
@@ -147,6 +148,8 @@
         self.out.extend(events);
         match outcome {
             Ok(()) => None,
+            // Another run would give the same, so no server is to blame.
+            Err(Fault::TooLarge) => Some(self.abort("event-too-large")),
             Err(fault) => self.resume(&fault.to_string(), Loss::Broken),
         }
     }
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -149,7 +149,7 @@
                 is_events: is_events(parts.status, &parts.headers),
                 registration,
                 permit,
-                relay: Relay::after(last),
+                relay: Relay::after(last).limited_to(state.memory.capacity()),
                 upstream,
                 opening: None,
                 out: VecDeque::new(),
