Hold plain responses under the memory budget

Cause: a plain response was collected whole before it was forwarded, however large, and was held in one piece until the caller had taken it.

Change: the frames of a response are reserved under `response` as they are read from the server and released one by one as the connection takes them, without the copy into one piece. Without room, evictable owners are evicted, else reading waits until the deadline. A response that breaks after such a wait of more than 1 s was cut off unread (`Failure::Unread`): `event=cut-unread`, and no suspicion, outlier or quarantine record. A caller that takes nothing of its response can be evicted.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -12,6 +12,7 @@
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::stream::Events;
+use crate::unary::Received;
 
 /// A response body.
 pub enum Body<D: Dialect> {
@@ -55,7 +56,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes) => bytes.is_none(),
-            Self::Answer(answer) => answer.bytes.is_empty(),
+            Self::Answer(answer) => answer.received.is_empty(),
             Self::Events(_) => false,
         }
     }
@@ -65,7 +66,7 @@
             Self::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Answer(answer) => SizeHint::with_exact(answer.bytes.len() as u64),
+            Self::Answer(answer) => SizeHint::with_exact(answer.received.size().0),
             Self::Events(_) => SizeHint::default(),
         }
     }
@@ -73,14 +74,16 @@
 
 /// The body of a server's response, which was received whole.
 pub struct Answer {
-    bytes: Bytes,
+    received: Received,
     outbound: Outbound,
 }
 
 impl Answer {
     /// Creates the body.
-    pub fn new(bytes: Bytes, outbound: Outbound) -> Self {
-        Self { bytes, outbound }
+    pub fn new(received: Received, outbound: Outbound) -> Self {
+        let reservation = received.reservation().clone();
+        outbound.delivery().set_holder(Some(reservation));
+        Self { received, outbound }
     }
 
     fn poll(&mut self) -> Poll<Option<Bytes>> {
@@ -88,16 +91,16 @@
             // The connection polls again once it has written what it has.
             return Poll::Pending;
         }
-        let bytes = std::mem::take(&mut self.bytes);
-        Poll::Ready(Some(bytes).filter(|bytes| !bytes.is_empty()))
+        Poll::Ready(self.received.pop())
     }
 }
 
 impl Drop for Answer {
     fn drop(&mut self) {
         // The connection drops a body once it has all of it; it does not poll an empty one.
-        if self.bytes.is_empty() {
+        if self.received.is_empty() {
             self.outbound.finish();
         }
+        self.outbound.delivery().set_holder(None);
     }
 }
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -177,7 +177,7 @@
                     avoid.push(first.server);
                 }
             }
-            Failure::Unknown(_) => {
+            Failure::Unknown(_) | Failure::Unread => {
                 if let Some(first) = first {
                     avoid.push(first.server);
                 }
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -1,18 +1,19 @@
 //! Requests to plain services, each with a single buffered response.
 
 mod choice;
+mod received;
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::future::Fuse;
 use futures::stream::FuturesUnordered;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::http::response::Parts;
+use jujube_core::pipeline::memory::Cause;
+use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
@@ -39,6 +40,8 @@
 use crate::upstream;
 use crate::upstream::Failure;
 
+pub use received::Received;
+
 /// Share of the route's target after which a hedged request is sent: later than a typical response,
 /// early enough for a second one to be on time.
 const HEDGE_SHARE: f64 = 0.55;
@@ -55,7 +58,7 @@
 /// A buffered response.
 struct Reply {
     parts: Parts,
-    body: Bytes,
+    body: Received,
 }
 
 /// Why another attempt is allowed.
@@ -94,7 +97,12 @@
     };
     let outcome = tokio::time::timeout(Duration::from_millis(left), attempts.run()).await;
     let (reason, cause, retry_after) = match outcome {
-        Ok(Ok(reply)) => return respond(reply, outbound),
+        Ok(Ok(reply)) => {
+            let size = Size(request.outgoing.body.len() as u64);
+            let reservation = &request.outgoing.reservation;
+            reservation.release(Cause::RequestBody, size);
+            return respond(reply, outbound);
+        }
         Ok(Err(refusal)) => refusal,
         // A request that was never sent would have failed before its deadline.
         Err(_late) => (Reason::Late, String::from("deadline"), None),
@@ -245,6 +253,10 @@
                 self.record_outcome(server, false);
                 self.record_loss(server, sent);
             }
+            Failure::Unread => {
+                self.may_have_run = true;
+                self.record_unread(server);
+            }
             Failure::Failed(_) => {
                 self.may_have_run = true;
                 self.record_outcome(server, false);
@@ -276,6 +288,16 @@
         }
     }
 
+    /// Records that a server cut off its response, for which this entry had no room.
+    fn record_unread(&self, server: &Server) {
+        self.state.metrics.count("responses_cut_unread");
+        log::info!(
+            "event=cut-unread request={} server={} after=0",
+            self.request.id,
+            server.incarnation
+        );
+    }
+
     /// Records that the response of a server broke off, and checks whether it has ended.
     fn record_loss(&self, server: &Server, sent: Instant) {
         let (now, incarnation) = (clock::now(), &server.incarnation);
@@ -401,14 +423,12 @@
     let result = match sent {
         Ok(incomplete) => {
             let (parts, body) = incomplete.response.into_parts();
-            match body.collect().await {
-                Ok(body) => {
-                    incomplete.lease.release(&parts.headers);
-                    let body = body.to_bytes();
-                    Ok(Reply { parts, body })
-                }
-                Err(error) => Err(Failure::Unknown(error.to_string())),
-            }
+            let reservation = request.outgoing.reservation.clone();
+            let body = Received::read(body, reservation).await;
+            body.map(|body| {
+                incomplete.lease.release(&parts.headers);
+                Reply { parts, body }
+            })
         }
         Err(failure) => Err(failure),
     };
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -39,7 +39,6 @@
     /// The whole body.
     pub body: Bytes,
     /// The memory of the request and its connection, the body included.
-    #[allow(dead_code, reason = "kept for as long as the body is")]
     pub reservation: Rc<Reservation>,
 }
 
@@ -71,6 +70,9 @@
     Failed(StatusCode),
     /// The backend server may have run the request.
     Unknown(String),
+    /// The backend server ran the request and cut off the response, for which this entry had no
+    /// room.
+    Unread,
 }
 
 impl std::fmt::Display for Failure {
@@ -88,6 +90,7 @@
                 }
             }
             Self::Failed(status) => write!(f, "failed({})", status.as_u16()),
+            Self::Unread => f.write_str("unread"),
             Self::Unknown(cause) => write!(f, "unknown({cause})"),
         }
     }
