--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -13,6 +13,7 @@
 use jujube_core::pipeline::attempts::Permission;
 use jujube_core::pipeline::quarantine::BEGINNING;
 use jujube_core::pipeline::quarantine::SURVIVAL;
+use jujube_core::pipeline::relay::Fault;
 use jujube_core::pipeline::relay::Relay;
 use jujube_core::time::Instant;
 use jujube_program::clock;
@@ -147,6 +148,8 @@
         self.out.extend(events);
         match outcome {
             Ok(()) => None,
+            // Another run would give the same, so no server is to blame.
+            Err(Fault::TooLarge) => Some(self.abort("event-too-large")),
             Err(fault) => self.resume(&fault.to_string(), Loss::Broken),
         }
     }
@@ -263,6 +266,8 @@
             .as_ref()
             .and_then(|opening| opening.current_path.first());
         let first = current_path.cloned().or_else(|| stream.first_part());
+        let is_unread = loss == Loss::Broken && stream.is_unread(clock::now());
+        let loss = if is_unread { Loss::Unread } else { loss };
         if let Some(first) = first {
             record_loss(state, stream, &first, loss, stream.run_began.get());
         }
