Count short pauses of a stream together when its server cuts it off

Cause: with little room, a stream pauses often and for less than 1 s each time. The little that is read in between does not open the receive window, so the server still cuts the run off, and only a single pause of more than 1 s counted.

Change: pauses add up, less the time of reading in between.

--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -50,7 +50,8 @@
     }
 }
 
-/// A server may have cut off a response that was unread for longer than this.
+/// A server may have cut off a response that was unread for longer than this, in one pause or in
+/// several with less time in between: the little that is then read does not open the receive window.
 const MAX_UNREAD: Span = Span(1_000);
 
 /// When and for how long the reading of a stream paused for its caller.
@@ -59,6 +60,8 @@
     paused: Cell<Option<Instant>>,
     /// When it last continued.
     since: Cell<Instant>,
+    /// The time in pauses, less the time between them.
+    unread: Cell<Span>,
     /// Until when a broken run counts as cut off because it was unread. What the server sent before
     /// is read first, so that the break shows only some time after the pause.
     unread_until: Cell<Instant>,
@@ -69,18 +72,27 @@
         Self {
             paused: Cell::default(),
             since: Cell::new(now),
+            unread: Cell::default(),
             unread_until: Cell::new(now),
         }
     }
 
     fn record_pause(&self, now: Instant, pause: Span) {
-        let until = self.unread_until.get();
-        if pause > MAX_UNREAD {
+        let unread = self.unread_after(now, pause);
+        self.unread.set(unread);
+        if unread > MAX_UNREAD {
             self.unread_until.set(now.plus(MAX_UNREAD));
-        } else if now < until.plus(pause) {
-            self.unread_until.set(until.plus(pause));
         }
     }
+
+    /// Returns the unread time at the end of a pause.
+    fn unread_after(&self, now: Instant, pause: Span) -> Span {
+        let since_last = now.since(self.since.get());
+        let reading = since_last.0.saturating_sub(pause.0);
+        let before = self.unread.get().0.saturating_sub(reading);
+        // Bounded, so that a long pause is forgotten after as much time of reading.
+        Span((before + pause.0).min(2 * MAX_UNREAD.0))
+    }
 }
 
 /// A stream in flight.
@@ -231,9 +243,9 @@
 
     /// Returns whether a run that breaks now was probably cut off because the caller did not read.
     pub(super) fn is_unread(&self, now: Instant) -> bool {
-        let paused = self.reading.paused.get();
-        now < self.reading.unread_until.get()
-            || paused.is_some_and(|paused| now.since(paused) > MAX_UNREAD)
+        let reading = &self.reading;
+        let is_long = |paused| reading.unread_after(now, now.since(paused)) > MAX_UNREAD;
+        now < reading.unread_until.get() || reading.paused.get().is_some_and(is_long)
     }
 
     /// Returns when the last event arrived, or reading continued after it.
