--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -1,5 +1,6 @@
 //! Handling of one request, from its arrival to its response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,8 @@
 use jujube_program::clock;
 
 use crate::body::Body;
+use crate::delivery::Delivery;
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::head;
 use crate::quarantine;
@@ -75,19 +78,19 @@
 }
 
 /// Counts a request in flight until it is dropped.
-pub struct Guard<D>(Rc<State<D>>);
+pub struct Guard(Rc<Cell<u64>>);
 
-impl<D> Guard<D> {
+impl Guard {
     /// Increments the count.
-    pub fn new(state: &Rc<State<D>>) -> Self {
-        state.in_flight.set(state.in_flight.get() + 1);
-        Self(state.clone())
+    pub fn new(in_flight: &Rc<Cell<u64>>) -> Self {
+        in_flight.set(in_flight.get() + 1);
+        Self(in_flight.clone())
     }
 }
 
-impl<D> Drop for Guard<D> {
+impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -95,9 +98,10 @@
 pub async fn serve<D: Dialect>(
     state: Rc<State<D>>,
     request: Request<Incoming>,
+    delivery: Rc<Delivery>,
 ) -> Response<Body<D>> {
     let arrived = clock::now();
-    let guard = Guard::new(&state);
+    let guard = Guard::new(&state.in_flight);
     state.metrics.count("requests");
     let id = head::text(request.headers(), &D::NAMES.request).unwrap_or("-");
     let id: Arc<str> = id.into();
@@ -118,10 +122,11 @@
     let is_model = state
         .table()
         .is_some_and(|table| table.model(&admitted.service).is_some());
+    let outbound = Outbound::new(delivery, guard, id, arrived);
     if is_model {
-        return stream::serve(state, admitted, guard).await;
+        return stream::serve(state, admitted, outbound).await;
     }
-    unary::serve(&state, admitted).await
+    unary::serve(&state, admitted, outbound).await
 }
 
 /// Waits until the configuration and the registrations are known, or the entry is about to end.
@@ -143,7 +148,12 @@
     log::info!("event=held request={id} for=start waited_ms={waited} is_over={is_over}");
 }
 
-fn refuse<D>(state: &State<D>, id: &str, reason: Reason, arrived: Instant) -> Response<Body<D>> {
+fn refuse<D: Dialect>(
+    state: &State<D>,
+    id: &str,
+    reason: Reason,
+    arrived: Instant,
+) -> Response<Body<D>> {
     let retry_after = match reason {
         Reason::Starting if clock::now().since(state.started) < SLOW_START => {
             Some(RETRY_AFTER_STARTING)
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -13,15 +13,16 @@
 use jujube_core::pipeline::attempts::Permission;
 use jujube_core::pipeline::quarantine::BEGINNING;
 use jujube_core::pipeline::quarantine::SURVIVAL;
+use jujube_core::pipeline::relay::Fault;
 use jujube_core::pipeline::relay::Relay;
 use jujube_core::time::Instant;
 use jujube_program::clock;
 use tokio::sync::oneshot;
 
+use crate::delivery::Completion;
 use crate::dialect::Dialect;
 use crate::head;
 use crate::quarantine;
-use crate::request::Guard;
 use crate::response::Reason;
 use crate::upstream::Incomplete;
 use crate::waiting::Permit;
@@ -67,8 +68,6 @@
     pub(super) registration: Registration<D>,
     #[expect(dead_code, reason = "frees its slot when dropped")]
     pub(super) permit: Permit<D>,
-    #[expect(dead_code, reason = "counts the request in flight until dropped")]
-    pub(super) guard: Guard<D>,
     pub(super) relay: Relay,
     pub(super) upstream: Upstream,
     pub(super) opening: Option<Opening<D>>,
@@ -149,6 +148,8 @@
         self.out.extend(events);
         match outcome {
             Ok(()) => None,
+            // Another run would give the same, so no server is to blame.
+            Err(Fault::TooLarge) => Some(self.abort("event-too-large")),
             Err(fault) => self.resume(&fault.to_string(), Loss::Broken),
         }
     }
@@ -182,8 +183,6 @@
         }
         let stream = &self.registration.stream;
         let state = &self.registration.state;
-        let elapsed = clock::now().since(stream.arrived);
-        state.metrics.count("streams_completed");
         if self.is_end_known() {
             quarantine::survived(state, stream.features.request);
             if stream.run_began.get().is_some() {
@@ -193,17 +192,6 @@
             let run = stream.run_on(&first.server, stream.run_began.get());
             quarantine::lost(state, run.perhaps_complete());
         }
-        state.metrics.observe("stream", elapsed);
-        log::info!(
-            "event=streamed request={} events={} took_ms={elapsed} first_ms={} longest_pause_ms={} runs={} \
-             repairs={}",
-            stream.id,
-            self.relay.events(),
-            stream.first_event_after.get(),
-            stream.longest_gap.get(),
-            stream.runs(),
-            stream.repairs.get()
-        );
         if let Upstream::Reading { lease, headers, .. } = &mut self.upstream {
             if let Some(lease) = lease.take() {
                 lease.release(headers);
@@ -223,6 +211,18 @@
         is_framed || self.registration.stream.has_lived.get()
     }
 
+    /// Returns what is recorded once the caller has received the whole stream.
+    pub(super) fn completion(&self) -> Completion {
+        let stream = &self.registration.stream;
+        Completion::Streamed {
+            events: self.relay.events(),
+            first_event_after: stream.first_event_after.get(),
+            longest_gap: stream.longest_gap.get(),
+            runs: stream.runs(),
+            repairs: stream.repairs.get(),
+        }
+    }
+
     fn is_reading(&self) -> bool {
         matches!(self.upstream, Upstream::Reading { .. })
     }
@@ -266,6 +266,8 @@
             .as_ref()
             .and_then(|opening| opening.current_path.first());
         let first = current_path.cloned().or_else(|| stream.first_part());
+        let is_unread = loss == Loss::Broken && stream.is_unread(clock::now());
+        let loss = if is_unread { Loss::Unread } else { loss };
         if let Some(first) = first {
             record_loss(state, stream, &first, loss, stream.run_began.get());
         }
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -4,6 +4,7 @@
 mod interrupt;
 mod open;
 mod path;
+mod read_ahead;
 mod record;
 
 use std::cell::Cell;
@@ -23,22 +24,23 @@
 use jujube_program::clock;
 
 use crate::body::Body;
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::gate::Opening;
 use crate::head;
 use crate::request;
 use crate::request::Admitted;
-use crate::request::Guard;
 use crate::response;
 use crate::response::Reason;
 use crate::state::State;
 use crate::waiting;
 
+use body::EventBody;
 use body::Upstream;
 use open::open;
 use path::Registration;
+use record::Reading;
 
-pub use body::EventBody;
 pub use interrupt::Cause;
 pub use interrupt::Interrupt;
 pub use open::settle;
@@ -46,6 +48,8 @@
 pub use path::may_reopen;
 pub use path::recover;
 pub use path::set_path;
+pub use read_ahead::Events;
+pub use read_ahead::Reader;
 pub use record::Stream;
 
 /// The header that resumes a stream after an event.
@@ -65,7 +69,7 @@
 pub async fn serve<D: Dialect>(
     state: Rc<State<D>>,
     request: Admitted,
-    guard: Guard<D>,
+    mut outbound: Outbound,
 ) -> Response<Body<D>> {
     let demand = D::demand(&request.outgoing.headers).unwrap_or(Demand {
         prompt_tokens: 0.0,
@@ -90,6 +94,7 @@
         events: Cell::new(0),
         mean_gap_ms: Cell::new(0.0),
         last_event: Cell::new(now),
+        reading: Reading::new(now),
         first_event_after: Cell::default(),
         longest_gap: Cell::default(),
         is_being_checked: Cell::new(false),
@@ -123,6 +128,7 @@
     let permit = match waiting::admit(&state, admission).await {
         Ok(permit) => permit,
         Err(rejection) => {
+            outbound.abort();
             let (route, reason) = (&stream.route.name, Reason::Overloaded);
             let cause = rejection.cause;
             request::record_refusal(&state, &stream.id, route, reason, stream.arrived, cause);
@@ -138,19 +144,20 @@
                 headers: parts.headers.clone(),
             };
             head::strip(&mut parts.headers);
+            outbound.begin();
             let event_body = EventBody {
                 is_events: is_events(parts.status, &parts.headers),
                 registration,
                 permit,
-                guard,
-                relay: Relay::after(last),
+                relay: Relay::after(last).limited_to(state.memory.capacity()),
                 upstream,
                 opening: None,
                 out: VecDeque::new(),
             };
-            Response::from_parts(parts, Body::Events(Box::new(event_body)))
+            Response::from_parts(parts, Body::Events(Events::new(event_body, outbound)))
         }
         Err((reason, cause)) => {
+            outbound.abort();
             let retry_after = match reason {
                 Reason::NoServer => Some(RETRY_AFTER_NO_PATH),
                 Reason::Refused => Some(RETRY_AFTER_REFUSED),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -177,7 +177,7 @@
                     avoid.push(first.server);
                 }
             }
-            Failure::Unknown(_) => {
+            Failure::Unknown(_) | Failure::Unread => {
                 if let Some(first) = first {
                     avoid.push(first.server);
                 }
@@ -235,7 +235,7 @@
 /// Returns how much longer the client of a stream under way can be expected to wait.
 pub(super) fn remaining_patience(stream: &Stream) -> Option<Span> {
     let is_under_way = stream.runs() > 0 || stream.events.get() > 0;
-    let silent = clock::now().since(stream.last_event.get());
+    let silent = clock::now().since(stream.last_read());
     let left = Span(CLIENT_PATIENCE.0.saturating_sub(silent.0));
     (is_under_way && left > Span(0)).then_some(left)
 }
@@ -329,6 +329,17 @@
     loss: Loss,
     began: Option<Instant>,
 ) {
+    if loss == Loss::Unread {
+        stream.attempts.borrow_mut().unread(&first.server);
+        state.metrics.count("responses_cut_unread");
+        log::info!(
+            "event=cut-unread request={} server={} after={}",
+            stream.id,
+            first.server,
+            stream.events.get()
+        );
+        return;
+    }
     let now = clock::now();
     log::info!(
         "event=run-lost request={} {} server={} loss={loss} began_ms={}",
@@ -347,7 +358,7 @@
     let mut attempts = stream.attempts.borrow_mut();
     match loss {
         Loss::Broken | Loss::Dead if began.is_some() => attempts.lost(now, &first.server),
-        Loss::Broken | Loss::Dead | Loss::Abandoned => attempts.left(&first.server),
+        _ => attempts.left(&first.server),
     }
     drop(attempts);
     if loss != Loss::Abandoned {
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -1,18 +1,19 @@
 //! Requests to plain services, each with a single buffered response.
 
 mod choice;
+mod received;
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::future::Fuse;
 use futures::stream::FuturesUnordered;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::http::response::Parts;
+use jujube_core::pipeline::memory::Cause;
+use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
@@ -20,7 +21,10 @@
 use jujube_core::time::Span;
 use jujube_program::clock;
 
+use crate::body::Answer;
 use crate::body::Body;
+use crate::delivery::Completion;
+use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::gate;
 use crate::gate::Opening;
@@ -36,6 +40,8 @@
 use crate::upstream;
 use crate::upstream::Failure;
 
+pub use received::Received;
+
 /// Share of the route's target after which a hedged request is sent: later than a typical response,
 /// early enough for a second one to be on time.
 const HEDGE_SHARE: f64 = 0.55;
@@ -52,7 +58,7 @@
 /// A buffered response.
 struct Reply {
     parts: Parts,
-    body: Bytes,
+    body: Received,
 }
 
 /// Why another attempt is allowed.
@@ -67,7 +73,11 @@
 type Outcome = (Server, Instant, Result<Reply, Failure>);
 
 /// Serves one request.
-pub async fn serve<D: Dialect>(state: &Rc<State<D>>, request: Admitted) -> Response<Body<D>> {
+pub async fn serve<D: Dialect>(
+    state: &Rc<State<D>>,
+    request: Admitted,
+    mut outbound: Outbound,
+) -> Response<Body<D>> {
     let arrived = request.arrived;
     let left = request
         .deadline
@@ -87,11 +97,17 @@
     };
     let outcome = tokio::time::timeout(Duration::from_millis(left), attempts.run()).await;
     let (reason, cause, retry_after) = match outcome {
-        Ok(Ok(reply)) => return respond(state, &request, reply),
+        Ok(Ok(reply)) => {
+            let size = Size(request.outgoing.body.len() as u64);
+            let reservation = &request.outgoing.reservation;
+            reservation.release(Cause::RequestBody, size);
+            return respond(reply, outbound);
+        }
         Ok(Err(refusal)) => refusal,
         // A request that was never sent would have failed before its deadline.
         Err(_late) => (Reason::Late, String::from("deadline"), None),
     };
+    outbound.abort();
     request::record_refusal(
         state,
         &request.id,
@@ -103,18 +119,14 @@
     response::local(reason, retry_after)
 }
 
-fn respond<D: Dialect>(state: &State<D>, request: &Admitted, reply: Reply) -> Response<Body<D>> {
-    let elapsed = clock::now().since(request.arrived);
-    state.metrics.observe("answer", elapsed);
-    state.metrics.count("requests_answered");
-    log::info!(
-        "event=answered request={} status={} took_ms={elapsed}",
-        request.id,
-        reply.parts.status.as_u16()
-    );
+fn respond<D: Dialect>(reply: Reply, mut outbound: Outbound) -> Response<Body<D>> {
     let mut parts = reply.parts;
+    outbound.begin();
+    outbound.complete(Completion::Answered {
+        status: parts.status.as_u16(),
+    });
     head::strip(&mut parts.headers);
-    Response::from_parts(parts, Body::buffered(reply.body))
+    Response::from_parts(parts, Body::Answer(Answer::new(reply.body, outbound)))
 }
 
 type Refusal = (Reason, String, Option<Span>);
@@ -242,6 +254,10 @@
                 self.record_outcome(server, false);
                 self.record_loss(server, sent);
             }
+            Failure::Unread => {
+                self.may_have_run = true;
+                self.record_unread(server);
+            }
             Failure::Failed(_) => {
                 self.may_have_run = true;
                 self.record_outcome(server, false);
@@ -273,6 +289,16 @@
         }
     }
 
+    /// Records that a server cut off its response, for which this entry had no room.
+    fn record_unread(&self, server: &Server) {
+        self.state.metrics.count("responses_cut_unread");
+        log::info!(
+            "event=cut-unread request={} server={} after=0",
+            self.request.id,
+            server.incarnation
+        );
+    }
+
     /// Records that the response of a server broke off, and checks whether it has ended.
     fn record_loss(&self, server: &Server, sent: Instant) {
         let (now, incarnation) = (clock::now(), &server.incarnation);
@@ -398,14 +424,12 @@
     let result = match sent {
         Ok(incomplete) => {
             let (parts, body) = incomplete.response.into_parts();
-            match body.collect().await {
-                Ok(body) => {
-                    incomplete.lease.release(&parts.headers);
-                    let body = body.to_bytes();
-                    Ok(Reply { parts, body })
-                }
-                Err(error) => Err(Failure::Unknown(error.to_string())),
-            }
+            let reservation = request.outgoing.reservation.clone();
+            let body = Received::read(body, reservation).await;
+            body.map(|body| {
+                incomplete.lease.release(&parts.headers);
+                Reply { parts, body }
+            })
         }
         Err(failure) => Err(failure),
     };
