Count a run that a server cut off unread against the route's limit of servers

Cause: runs that servers cut off because their caller did not read did not count, so one request could be sent to more servers than its route allows; those servers are alive, and the limit is a rule whoever ended the run. Change: such a run counts as one that left a live server. It is still held against no server, and the next one is opened only once there is room.

--- a/crates/core/src/pipeline/attempts.rs
+++ b/crates/core/src/pipeline/attempts.rs
@@ -31,8 +31,6 @@
     Lost(Instant),
     /// Its server ended with it, and its work is lost.
     Ended,
-    /// Its server cut it off because the caller did not read.
-    Unread,
     /// It counts: its server outlived it, or ended before its first event.
     Spent,
 }
@@ -50,8 +48,7 @@
 /// always counts, even if its registration is removed later; otherwise each planned exit would
 /// permit one more server. A server that ended before the first event of the run counts as well: a
 /// request that crashes servers would otherwise get one more for each that it ends. The total
-/// number of runs is limited as well, for streams that lose one server after another. Runs that
-/// servers cut off because the caller did not read do not count.
+/// number of runs is limited as well, for streams that lose one server after another.
 ///
 /// # Examples
 ///
@@ -101,24 +98,6 @@
         self.end(server, Outcome::Spent);
     }
 
-    /// Records that a server cut off a run because the caller did not read. The run does not count:
-    /// the server is not at fault, and it no longer runs the request.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// # use jujube_core::pipeline::attempts::Attempts;
-    /// # use jujube_core::pipeline::attempts::Permission;
-    /// # use jujube_core::pipeline::liveness::Liveness;
-    /// let mut attempts = Attempts::default();
-    /// attempts.begin("a".into());
-    /// attempts.unread(&"a".into());
-    /// assert_eq!(attempts.permission(1, |_| Liveness::Alive), Permission::Allowed);
-    /// ```
-    pub fn unread(&mut self, server: &Incarnation) {
-        self.end(server, Outcome::Unread);
-    }
-
     fn end(&mut self, server: &Incarnation, outcome: Outcome) {
         let is_running_there =
             |run: &&mut Run| run.server == *server && run.outcome == Outcome::Running;
@@ -166,15 +145,14 @@
         limit: usize,
         liveness: impl Fn(&Incarnation) -> Liveness,
     ) -> Permission {
-        let counted = self.0.iter().filter(|run| run.outcome != Outcome::Unread);
-        if counted.count() >= limit + MAX_LOST_RUNS {
+        if self.runs() >= limit + MAX_LOST_RUNS {
             return Permission::Denied;
         }
         let (mut spent, mut suspected) = (0, 0);
         for run in &self.0 {
             match (run.outcome, liveness(&run.server)) {
-                (Outcome::Ended | Outcome::Unread, _)
-                | (Outcome::Running | Outcome::Lost(_), Liveness::Ended(_)) => {}
+                (Outcome::Ended, _) | (Outcome::Running | Outcome::Lost(_), Liveness::Ended(_)) => {
+                }
                 (Outcome::Spent, _) | (_, Liveness::Alive) => spent += 1,
                 (_, Liveness::Suspected) => suspected += 1,
             }
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -330,7 +330,8 @@
     began: Option<Instant>,
 ) {
     if loss == Loss::Unread {
-        stream.attempts.borrow_mut().unread(&first.server);
+        // The server is alive, so the run counts against the route's limit of servers.
+        stream.attempts.borrow_mut().left(&first.server);
         state.metrics.count("responses_cut_unread");
         log::info!(
             "event=cut-unread request={} server={} after={}",
