--- a/crates/core/src/pipeline/memory.rs
+++ b/crates/core/src/pipeline/memory.rs
@@ -30,9 +30,10 @@
 /// The part of the capacity that read-ahead leaves free, so that slow callers do not block new
 /// requests: one in this many bytes.
 const RESERVED_DIVISOR: u64 = 4;
-/// How long a caller must have taken nothing of the data that waits for it before it may be
-/// evicted.
-const MIN_IDLE: Span = Span(2_000);
+/// How long a caller must have taken nothing of the data that waits for it before it may be evicted.
+/// Connections take data in large steps: a caller that reads 20 kB a second through a window of 64 kB
+/// is seen to take something every seven seconds.
+const MIN_IDLE: Span = Span(8_000);
 
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -161,8 +162,8 @@
 ///
 /// let new = budget.open(Instant(1_000));
 /// assert!(budget.reserve(new, Cause::RequestBody, Size(600)).is_err());
-/// assert!(budget.evictable(Instant(1_000), Size(600)).is_empty());
-/// assert_eq!(budget.evictable(Instant(2_000), Size(600)), [slow]);
+/// assert!(budget.evictable(Instant(7_999), Size(600)).is_empty());
+/// assert_eq!(budget.evictable(Instant(8_000), Size(600)), [slow]);
 /// budget.close(slow);
 /// assert!(budget.reserve(new, Cause::RequestBody, Size(600)).is_ok());
 /// ```
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -67,7 +67,12 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, serve::<D, F>(settings, store))
+    let local = LocalSet::new();
+    let served = local.block_on(&runtime, serve::<D, F>(settings, store));
+    // Connections that the stop cuts log what was not delivered when they are dropped.
+    drop(local);
+    logs::flush();
+    served
 }
 
 async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
--- a/crates/front/src/delivery.rs
+++ b/crates/front/src/delivery.rs
@@ -134,11 +134,17 @@
         }
         if let Some(holder) = self.holder.borrow().as_ref() {
             holder.set_waiting(false);
+            // The task may not have run yet. What follows would not be counted, so the connection ends.
+            if let Some(evicted) = holder.eviction() {
+                self.evict(evicted);
+            }
         }
     }
 
     fn evict(&self, evicted: Evicted) {
-        self.end.set(End::Evicted);
+        if self.end.replace(End::Evicted) == End::Evicted {
+            return;
+        }
         self.metrics.count("callers_evicted");
         let request = self.request.borrow();
         let Evicted { idle, held } = evicted;
@@ -388,10 +394,18 @@
         }
     }
 
+    /// Returns an error if the caller was evicted: its memory is no longer counted.
+    fn check_evicted(&self) -> io::Result<()> {
+        match self.delivery.end.get() {
+            End::Evicted => Err(io::ErrorKind::ConnectionAborted.into()),
+            End::Disconnected | End::Idle => Ok(()),
+        }
+    }
+
     /// Returns an error once the caller has taken nothing for [`IDLE_TIMEOUT`] or was evicted.
     fn poll_idle(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
-        if self.delivery.end.get() == End::Evicted {
-            return Poll::Ready(io::ErrorKind::ConnectionAborted.into());
+        if let Err(evicted) = self.check_evicted() {
+            return Poll::Ready(evicted);
         }
         let idle = clock::now().since(self.delivery.last_taken.get());
         let Some(left) = IDLE_TIMEOUT.checked_sub(Duration::from_millis(idle.0)) else {
@@ -433,6 +447,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_evicted()?;
         let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.handle_write(context, polled)
     }
@@ -442,6 +457,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check_evicted()?;
         let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.handle_write(context, polled)
     }
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use jujube_core::pipeline::memory::Cause;
 use jujube_core::pipeline::memory::MemoryBudget;
 use jujube_core::pipeline::memory::OutOfMemory;
@@ -18,6 +19,28 @@
 /// How long a wait for room takes at least. Each release wakes all that wait, which may be hundreds
 /// of slow callers, and with busy callers there are thousands of releases a second.
 const MIN_ROOM_WAIT: Duration = Duration::from_millis(25);
+/// How long a wait for room takes at most. Callers that take nothing become evictable without a
+/// release that would end the wait.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
+
+/// The size below which data is copied before it is kept. What arrives by itself shares a read buffer of
+/// 8 KiB with nothing else, and would keep all of it: events of 98 bytes used 42 times what was counted.
+const MIN_SHARED_BYTES: usize = 4_096;
+/// What kept data needs besides its bytes.
+const OVERHEAD: u64 = 64;
+
+/// Returns data that keeps little more memory than [`kept_size`] of it.
+pub fn detach(bytes: Bytes) -> Bytes {
+    if bytes.len() < MIN_SHARED_BYTES {
+        return Bytes::copy_from_slice(&bytes);
+    }
+    bytes
+}
+
+/// Returns how much memory data uses while it is kept.
+pub fn kept_size(bytes: &Bytes) -> Size {
+    Size(bytes.len() as u64 + OVERHEAD)
+}
 
 /// The memory that is held for callers and servers.
 pub struct Memory {
@@ -192,12 +215,13 @@
         self.memory.budget.borrow().held_by(self.owner)
     }
 
-    /// Waits until something was released, by any owner, since a reservation was last refused.
+    /// Waits until something was released, by any owner, since a reservation was last refused, or owners
+    /// may have become evictable.
     pub async fn room(&self) {
         tokio::time::sleep(MIN_ROOM_WAIT).await;
         let released = self.memory.released.notified();
         if self.memory.releases.get() == self.releases_at_refusal.get() {
-            released.await;
+            let _is_released = tokio::time::timeout(MAX_ROOM_WAIT, released).await;
         }
     }
 
@@ -212,8 +236,13 @@
         }
     }
 
+    /// Returns how this owner was evicted, if it was.
+    pub fn eviction(&self) -> Option<Evicted> {
+        self.eviction.evicted.get()
+    }
+
     fn is_evicted(&self) -> bool {
-        self.eviction.evicted.get().is_some()
+        self.eviction().is_some()
     }
 }
 
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -115,7 +115,7 @@
                     Ok(data) => self.handle_data(data),
                     Err(_trailers) => None,
                 },
-                Poll::Ready(Some(Err(error))) => self.resume(&error.to_string(), Loss::Broken),
+                Poll::Ready(Some(Err(error))) => self.resume(&error.to_string(), self.broken()),
                 Poll::Ready(None) => self.finish(),
             };
             if let Some(end) = end {
@@ -179,7 +179,7 @@
 
     fn finish(&mut self) -> Option<Next> {
         if let Err(fault) = self.relay.end() {
-            return self.resume(&fault.to_string(), Loss::Broken);
+            return self.resume(&fault.to_string(), self.broken());
         }
         let stream = &self.registration.stream;
         let state = &self.registration.state;
@@ -223,6 +223,14 @@
         }
     }
 
+    /// Returns how a run was lost whose connection ended early.
+    fn broken(&self) -> Loss {
+        if self.registration.stream.is_unread(clock::now()) {
+            return Loss::Unread;
+        }
+        Loss::Broken
+    }
+
     fn is_reading(&self) -> bool {
         matches!(self.upstream, Upstream::Reading { .. })
     }
@@ -266,8 +274,6 @@
             .as_ref()
             .and_then(|opening| opening.current_path.first());
         let first = current_path.cloned().or_else(|| stream.first_part());
-        let is_unread = loss == Loss::Broken && stream.is_unread(clock::now());
-        let loss = if is_unread { Loss::Unread } else { loss };
         if let Some(first) = first {
             record_loss(state, stream, &first, loss, stream.run_began.get());
         }
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -339,6 +339,7 @@
             first.server,
             stream.events.get()
         );
+        probe::check_after_loss(state, first.server.clone(), first.address, clock::now());
         return;
     }
     let now = clock::now();
--- a/crates/front/src/stream/read_ahead.rs
+++ b/crates/front/src/stream/read_ahead.rs
@@ -25,6 +25,7 @@
 use crate::delivery::Completion;
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
+use crate::memory;
 use crate::memory::Reservation;
 use crate::state::State;
 
@@ -56,6 +57,8 @@
     queue: RefCell<VecDeque<Queued>>,
     /// The memory for the queue, and the task that fills it.
     ahead: RefCell<Option<Ahead>>,
+    /// Whether it was logged that the caller is behind, which may happen many times.
+    is_logged: Cell<bool>,
 }
 
 struct Queued {
@@ -92,6 +95,7 @@
             state,
             queue: RefCell::default(),
             ahead: RefCell::default(),
+            is_logged: Cell::default(),
         });
         let state = &reader.state;
         state.streams.set_reader(number, Rc::downgrade(&reader));
@@ -169,7 +173,7 @@
     fn pop(&self) -> Option<Bytes> {
         let queued = self.queue.borrow_mut().pop_front()?;
         if let Some(ahead) = self.ahead.borrow().as_ref().filter(|_| queued.is_reserved) {
-            let size = Size(queued.bytes.len() as u64);
+            let size = memory::kept_size(&queued.bytes);
             ahead.reservation.release(Cause::ReadAhead, size);
         }
         Some(queued.bytes)
@@ -218,6 +222,9 @@
         let outbound = self.outbound.borrow();
         outbound.delivery().set_holder(Some(reservation));
         self.state.metrics.count("read_ahead_started");
+        if self.is_logged.replace(true) {
+            return;
+        }
         log::info!(
             "event=read-ahead request={} bytes={}",
             self.id,
@@ -232,7 +239,7 @@
             // The caller has taken it meanwhile.
             return true;
         };
-        let size = Size(last.bytes.len() as u64);
+        let size = memory::kept_size(&last.bytes);
         last.is_reserved = reservation.reserve(Cause::ReadAhead, size).is_ok();
         last.is_reserved
     }
@@ -266,7 +273,7 @@
             return;
         };
         reader.queue.borrow_mut().push_back(Queued {
-            bytes,
+            bytes: memory::detach(bytes),
             is_reserved: false,
         });
         while !reader.reserve(&reservation) {
--- a/crates/front/src/unary/received.rs
+++ b/crates/front/src/unary/received.rs
@@ -12,6 +12,7 @@
 use jujube_core::time::Span;
 use jujube_program::clock;
 
+use crate::memory;
 use crate::memory::Reservation;
 use crate::upstream::Failure;
 
@@ -38,7 +39,7 @@
         let mut paused_until = None;
         while let Some(frame) = body.frame().await {
             let data = match frame {
-                Ok(frame) => frame.into_data().unwrap_or_default(),
+                Ok(frame) => memory::detach(frame.into_data().unwrap_or_default()),
                 Err(error) => return Err(broken(&error, paused_until)),
             };
             let arrived = clock::now();
@@ -55,7 +56,7 @@
     /// Reserves the memory for data; returns whether it had to wait.
     async fn wait_for_room(&self, data: &Bytes) -> bool {
         let mut has_waited = false;
-        let size = Size(data.len() as u64);
+        let size = memory::kept_size(data);
         while self.reservation.reserve(Cause::Response, size).is_err() {
             self.reservation.room().await;
             has_waited = true;
@@ -71,7 +72,7 @@
     /// Takes the next frame and releases its memory.
     pub fn pop(&mut self) -> Option<Bytes> {
         let data = self.frames.pop_front()?;
-        let size = Size(data.len() as u64);
+        let size = memory::kept_size(&data);
         self.reservation.release(Cause::Response, size);
         Some(data)
     }
@@ -89,8 +90,10 @@
 
 impl Drop for Received {
     fn drop(&mut self) {
-        let left = self.size();
-        self.reservation.release(Cause::Response, left);
+        for data in &self.frames {
+            let size = memory::kept_size(data);
+            self.reservation.release(Cause::Response, size);
+        }
     }
 }
 
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -139,6 +139,10 @@
         for Entry { stream, reader } in streams.values() {
             if now >= stream.deadline {
                 stream.expire();
+                // A blocked connection does not poll the stream, which then would not end.
+                if let Some(reader) = reader.upgrade() {
+                    reader.check(now);
+                }
                 continue;
             }
             stream::settle(&state, stream);
