--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -46,7 +46,7 @@
         4 => (owner(), any::<bool>()).prop_map(|(o, is)| Event::SetWaiting(o, is)),
         1 => owner().prop_map(Event::Close),
         1 => size().prop_map(Event::Evict),
-        3 => (0_u64..1_500).prop_map(Event::Pass),
+        3 => (0_u64..6_000).prop_map(Event::Pass),
     ]
 }
 
