Start an entry whose platform gives no value for its memory

Cause: a platform that does not know the memory renders an empty value, which was a fault of the settings: the entry would not start. Change: an empty value is unknown, like zero and a missing key: the smallest entry's memory is assumed and event=memory-unknown is logged. Conclusion: an entry starts whatever the platform knows of its memory.

--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -1,7 +1,9 @@
 //! The settings file of an entry.
 
 use std::net::SocketAddr;
+use std::num::ParseIntError;
 use std::path::Path;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -109,7 +111,9 @@
             metrics: section.address("metrics"),
             gossip: section.address("gossip"),
             stop: Duration::from_secs(section.number("stop_seconds", Some(8))),
-            memory: memory(section.number("memory_mb", Some(0))),
+            memory: section
+                .value("memory_mb", "a whole number", Some(Megabytes::default()))
+                .size(),
             store,
             limits,
             retry,
@@ -121,7 +125,23 @@
     }
 }
 
-/// Returns the memory of the machine; the platform gives zero if it does not know it.
-fn memory(megabytes: u64) -> Option<Size> {
-    (megabytes > 0).then(|| Size(megabytes.saturating_mul(BYTES_PER_MEGABYTE)))
+/// The memory of the machine. The platform gives zero or no value if it does not know it.
+#[derive(Default)]
+struct Megabytes(u64);
+
+impl Megabytes {
+    fn size(self) -> Option<Size> {
+        (self.0 > 0).then(|| Size(self.0.saturating_mul(BYTES_PER_MEGABYTE)))
+    }
+}
+
+impl FromStr for Megabytes {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.trim() {
+            "" => Ok(Self(0)),
+            text => text.parse().map(Self),
+        }
+    }
 }
