Release bodies, record cuts and check readers in one place each

Cause: reading the whole change. The release of a request's body and the record of a response that a server cut off unread stood twice, the watchdog asked for a stream's reader twice, an entry flushed its log twice at the end, and fetch_whole had one caller left. Change: Outgoing::release_body, upstream::record_cut_unread; one check of each reader; one flush, after connections are dropped; fetch reads the answer itself. No change of behaviour is meant.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -116,7 +116,6 @@
     state.enter(Lifecycle::Draining);
     drain(&state, &trigger).await;
     log::info!("event=stopped in_flight={}", state.in_flight.get());
-    logs::flush();
     Ok(())
 }
 
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -332,13 +332,8 @@
     if loss == Loss::Unread {
         // The server is alive, so the run counts against the route's limit of servers.
         stream.attempts.borrow_mut().left(&first.server);
-        state.metrics.count("responses_cut_unread");
-        log::info!(
-            "event=cut-unread request={} server={} after={}",
-            stream.id,
-            first.server,
-            stream.events.get()
-        );
+        let events = stream.events.get();
+        upstream::record_cut_unread(&state.metrics, &stream.id, &first.server, events);
         probe::check_after_loss(state, first.server.clone(), first.address, clock::now());
         return;
     }
--- a/crates/front/src/stream/read_ahead.rs
+++ b/crates/front/src/stream/read_ahead.rs
@@ -16,7 +16,6 @@
 use futures::future::Either;
 use futures::future::select;
 use jujube_core::pipeline::memory::Cause;
-use jujube_core::pipeline::memory::Size;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -147,12 +146,9 @@
 
     /// Releases the request, which no run needs any more. Its memory is that of the queue's owner.
     fn release_request(&self) {
-        let Some(stream) = self.stream.take() else {
-            return;
-        };
-        let request = &stream.outgoing;
-        let size = Size(request.body.len() as u64);
-        request.reservation.release(Cause::RequestBody, size);
+        if let Some(stream) = self.stream.take() {
+            stream.outgoing.release_body();
+        }
     }
 
     fn take_end(&self) -> Next {
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -12,8 +12,6 @@
 use futures::stream::FuturesUnordered;
 use hyper::Response;
 use hyper::http::response::Parts;
-use jujube_core::pipeline::memory::Cause;
-use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
@@ -98,9 +96,7 @@
     let outcome = tokio::time::timeout(Duration::from_millis(left), attempts.run()).await;
     let (reason, cause, retry_after) = match outcome {
         Ok(Ok(reply)) => {
-            let size = Size(request.outgoing.body.len() as u64);
-            let reservation = &request.outgoing.reservation;
-            reservation.release(Cause::RequestBody, size);
+            request.outgoing.release_body();
             return respond(reply, outbound);
         }
         Ok(Err(refusal)) => refusal,
@@ -256,7 +252,8 @@
             }
             Failure::Unread => {
                 self.may_have_run = true;
-                self.record_unread(server);
+                let (metrics, request) = (&self.state.metrics, &self.request.id);
+                upstream::record_cut_unread(metrics, request, &server.incarnation, 0);
             }
             Failure::Failed(_) => {
                 self.may_have_run = true;
@@ -289,16 +286,6 @@
         }
     }
 
-    /// Records that a server cut off its response, for which this entry had no room.
-    fn record_unread(&self, server: &Server) {
-        self.state.metrics.count("responses_cut_unread");
-        log::info!(
-            "event=cut-unread request={} server={} after=0",
-            self.request.id,
-            server.incarnation
-        );
-    }
-
     /// Records that the response of a server broke off, and checks whether it has ended.
     fn record_loss(&self, server: &Server, sent: Instant) {
         let (now, incarnation) = (clock::now(), &server.incarnation);
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -13,6 +13,8 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
+use jujube_core::pipeline::memory::Cause;
+use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
@@ -22,6 +24,7 @@
 use crate::gate;
 use crate::head;
 use crate::memory::Reservation;
+use crate::metrics::Metrics;
 use crate::notices;
 use crate::pool::Lease;
 use crate::pool::Pool;
@@ -42,6 +45,14 @@
     pub reservation: Rc<Reservation>,
 }
 
+impl Outgoing {
+    /// Releases the memory of the body, which no server needs any more.
+    pub fn release_body(&self) {
+        let size = Size(self.body.len() as u64);
+        self.reservation.release(Cause::RequestBody, size);
+    }
+}
+
 /// A response whose body has not been read yet.
 pub struct Incomplete {
     /// The head and the unread body.
@@ -96,6 +107,12 @@
     }
 }
 
+/// Records that a server cut off a response after some events, because it was unread.
+pub fn record_cut_unread(metrics: &Metrics, request: &str, server: &Incarnation, after: u64) {
+    metrics.count("responses_cut_unread");
+    log::info!("event=cut-unread request={request} server={server} after={after}");
+}
+
 /// How long to read the body of a rejection before closing its connection instead.
 const REJECTION_READ_TIMEOUT: Duration = Duration::from_millis(50);
 
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -137,16 +137,14 @@
         let mut moved = 0;
         let streams = state.streams.by_number.borrow();
         for Entry { stream, reader } in streams.values() {
+            // Also at the deadline: a blocked connection does not poll the stream, which would not end.
+            let is_paused = reader.upgrade().is_some_and(|reader| reader.check(now));
             if now >= stream.deadline {
                 stream.expire();
-                // A blocked connection does not poll the stream, which then would not end.
-                if let Some(reader) = reader.upgrade() {
-                    reader.check(now);
-                }
                 continue;
             }
             stream::settle(&state, stream);
-            if reader.upgrade().is_some_and(|reader| reader.check(now)) {
+            if is_paused {
                 // The silence is the caller's.
                 continue;
             }
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -266,26 +266,12 @@
         request: Request<Body>,
         within: Duration,
     ) -> Result<(StatusCode, Bytes), Error> {
-        let (parts, bytes) = self.fetch_whole(request, within).await?;
-        Ok((parts.status, bytes))
-    }
-
-    /// Fetches a whole answer with its head.
-    ///
-    /// # Errors
-    ///
-    /// As [`Client::fetch`].
-    pub async fn fetch_whole(
-        &self,
-        request: Request<Body>,
-        within: Duration,
-    ) -> Result<(Parts, Bytes), Error> {
         let exchange = async {
             let response = self.send(request).await?;
-            let (parts, body) = response.into_parts();
-            let body = body.collect().await;
+            let status = response.status();
+            let body = response.into_body().collect().await;
             let bytes = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
-            Ok((parts, bytes))
+            Ok((status, bytes))
         };
         let answer = tokio::time::timeout(within, exchange).await;
         answer.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())))
