Read the store with a few entries and pass its changes on to the others

The pause of two fifths from 200 entries on only made what they know older.

Change: the speakers of two cells in different zones read the store (four entries, two in a fleet of one cell), with a pause and a wait that do not depend on the size. The speakers of the other cells ask these, all others the speakers of their cell, over TCP at the address of the reports. Each answer has the revision, the era and the age of what is known, counted from the moment at which the call to the store was made; who knows what is too old asks another, then reads the store. Questions and answers are signed; the key is in the announcement in the store, so an entry can speak for itself only, and only announced entries are told (the answers hold customers' API keys). A configuration goes as its difference. Announcing takes two calls, not three. Fleets whose calls would become more (up to 16 entries at the usual bounds) go on as before.

The tests of the pause by the number of entries go with it; calls a second of 1 to 1,000 entries against the smallest store, the time for a second look and the ages are checked in feed_roles.rs instead.

--- a/crates/core/src/pipeline/cell.rs
+++ b/crates/core/src/pipeline/cell/mod.rs
@@ -1,6 +1,8 @@
 //! Groups entries into cells, so that the messages of each entry do not grow with the number of
 //! entries.
 
+mod sources;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -11,6 +13,8 @@
 use crate::time::Instant;
 use crate::time::Span;
 
+pub use sources::Role;
+
 /// The maximum number of entries in a cell, all of which report to each other.
 ///
 /// Each entry then sends and receives at most 200 messages a second, at about 15 µs of CPU time
@@ -46,6 +50,12 @@
     fn part(zone: &Zone, number: usize) -> Self {
         Self(format!("{zone}/{number}").into())
     }
+
+    /// Returns the number of a part within its zone.
+    fn number(&self) -> usize {
+        let number = self.0.rsplit_once('/').map(|(_, number)| number.parse());
+        number.and_then(Result::ok).unwrap_or_default()
+    }
 }
 
 impl fmt::Display for Id {
@@ -138,9 +148,15 @@
 
     /// Adds an entry that was announced.
     pub fn announced(&mut self, name: impl Into<Arc<str>>, location: Location) {
-        let name = name.into();
+        if self.insert_announced(name.into(), location) {
+            self.regroup();
+        }
+    }
+
+    /// Inserts an announced entry; returns whether it was unknown, or elsewhere.
+    fn insert_announced(&mut self, name: Arc<str>, location: Location) -> bool {
         if name == self.own {
-            return;
+            return false;
         }
         let known = self.members.get(&name);
         let is_known = known.is_some_and(|known| known.location == location);
@@ -150,9 +166,7 @@
             last_message: known.and_then(|known| known.last_message),
         };
         self.members.insert(name, member);
-        if !is_known {
-            self.regroup();
-        }
+        !is_known
     }
 
     /// Records that an entry is no longer announced; it stays known while it sends messages.
@@ -167,8 +181,13 @@
         let own = self.own.clone();
         let others = self.members.iter_mut().filter(|(name, _)| **name != own);
         others.for_each(|(_, member)| member.is_announced = false);
+        // Grouped once, not for each entry: at a thousand entries that is a million steps.
+        let mut is_changed = false;
         for (name, location) in announced {
-            self.announced(name, location);
+            is_changed |= self.insert_announced(name, location);
+        }
+        if is_changed {
+            self.regroup();
         }
     }
 
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -16,6 +16,7 @@
 pub mod digest;
 pub mod document;
 pub mod era;
+pub mod feed;
 pub mod hold;
 pub mod leavers;
 pub mod limits;
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use jujube_core::pipeline::feed::bounds::Bounds;
 use jujube_program::logs;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
@@ -27,6 +28,8 @@
 use crate::delivery;
 use crate::delivery::Delivery;
 use crate::dialect::Dialect;
+use crate::feed;
+use crate::feed::Source;
 use crate::gossip;
 use crate::planner;
 use crate::pool;
@@ -81,6 +84,7 @@
     let metrics = bind(settings.metrics).await?;
     let gossip = UdpSocket::bind(settings.gossip).await;
     let gossip = gossip.with_context(|| format!("listen on {}", settings.gossip))?;
+    let feed_listener = bind(settings.gossip).await?;
     log::info!(
         "event=started name={} zone={} listen={} store={}",
         settings.name,
@@ -95,7 +99,16 @@
     }
     tokio::task::spawn_local(ready::serve(state.clone(), readiness));
     tokio::task::spawn_local(ready::serve(state.clone(), metrics));
-    tokio::task::spawn_local(store_watch::run(state.clone(), store.clone()));
+    let bounds = Bounds::new(state.settings.limits.contact, state.settings.limits.apply);
+    let source = Source::new(
+        state.feed.clone(),
+        store.clone(),
+        bounds,
+        state.metrics.clone(),
+    );
+    let serving = feed::serve(state.feed.clone(), state.metrics.clone(), feed_listener);
+    tokio::task::spawn_local(serving);
+    tokio::task::spawn_local(store_watch::run(state.clone(), store.clone(), source));
     tokio::task::spawn_local(store_watch::expire(state.clone()));
     tokio::task::spawn_local(planner::run(state.clone(), store.clone()));
     tokio::task::spawn_local(gossip::announce(state.clone(), store.clone()));
--- /dev/null
+++ b/crates/front/src/feed/mod.rs
@@ -0,0 +1,219 @@
+//! The changes of the store: read by a few entries, and passed on to the others.
+
+mod ask;
+mod exchange;
+mod serve;
+mod source;
+
+use std::cell::RefCell;
+use std::fmt;
+use std::sync::Arc;
+
+use ed25519_dalek::SigningKey;
+use ed25519_dalek::VerifyingKey;
+use jujube_core::pipeline::era::Era;
+use jujube_core::pipeline::feed::belief::Belief;
+use jujube_core::pipeline::feed::earlier::Earlier;
+use jujube_core::pipeline::feed::replica::Item;
+use jujube_core::pipeline::feed::replica::Replica;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+use jujube_program::clock;
+use jujube_store::kv::Change;
+use jujube_store::kv::Revision;
+use jujube_store::kv::Value;
+
+use crate::gossip;
+use crate::gossip::Announcement;
+
+pub use serve::serve;
+pub use source::Source;
+
+/// A value of the store, shared by all who hold it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Content {
+    /// A text.
+    Text(Arc<str>),
+    /// Bytes that are not text, and why.
+    Unreadable(Arc<str>),
+}
+
+impl From<Value> for Content {
+    fn from(value: Value) -> Self {
+        match value {
+            Value::Text(text) => Self::Text(text.into()),
+            Value::Unreadable(cause) => Self::Unreadable(cause.into()),
+        }
+    }
+}
+
+impl From<Content> for Value {
+    fn from(content: Content) -> Self {
+        match content {
+            Content::Text(text) => Self::Text(text.to_string()),
+            Content::Unreadable(cause) => Self::Unreadable(cause.to_string()),
+        }
+    }
+}
+
+fn item(change: Change) -> Item<Content> {
+    Item {
+        key: change.key.into(),
+        value: change.value.map(Content::from),
+        revision: change.revision,
+    }
+}
+
+fn change(item: Item<Content>) -> Change {
+    Change {
+        key: item.key.to_string(),
+        value: item.value.map(Value::from),
+        revision: item.revision,
+    }
+}
+
+/// By which knowledge of the store this entry judges requests.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The revision through which all changes are known.
+    pub revision: Revision,
+    /// How old that is; `None` before the first answer.
+    pub age: Option<Span>,
+    /// The entry that told it; this one if it read the store itself.
+    pub source: Arc<str>,
+}
+
+impl fmt::Display for View {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            revision, source, ..
+        } = self;
+        match self.age {
+            Some(age) => write!(f, "known={revision} known_age_ms={age} known_from={source}"),
+            None => write!(f, "known={revision} known_age_ms=- known_from={source}"),
+        }
+    }
+}
+
+/// What this entry knows of the store, for itself and for those that ask it.
+pub struct Feed {
+    own: Arc<str>,
+    /// Tells this process apart from earlier ones of the same name.
+    boot: u64,
+    key: SigningKey,
+    replica: RefCell<Replica<Content>>,
+    earlier: RefCell<Earlier>,
+    belief: RefCell<Belief>,
+    source: RefCell<Arc<str>>,
+    /// Notified when there is something to pass on.
+    changed: tokio::sync::Notify,
+}
+
+impl Feed {
+    /// Creates the feed of an entry that knows nothing of the store.
+    pub fn new(own: Arc<str>) -> Self {
+        Self {
+            source: RefCell::new(own.clone()),
+            own,
+            boot: rand::random(),
+            key: SigningKey::from_bytes(&rand::random()),
+            replica: RefCell::default(),
+            earlier: RefCell::default(),
+            belief: RefCell::default(),
+            changed: tokio::sync::Notify::new(),
+        }
+    }
+
+    /// Returns the key by which other entries check what this one says.
+    pub fn public_key(&self) -> VerifyingKey {
+        self.key.verifying_key()
+    }
+
+    /// Returns by which knowledge of the store requests are judged now.
+    pub fn view(&self) -> View {
+        let belief = self.belief.borrow();
+        View {
+            revision: belief.through(),
+            age: belief.age(clock::now()),
+            source: self.source.borrow().clone(),
+        }
+    }
+
+    /// Records that the store became unavailable to this entry.
+    pub fn lose(&self) {
+        self.belief.borrow_mut().lose();
+        self.changed.notify_waiters();
+    }
+
+    /// Starts a later era, of which nothing is known yet.
+    fn restore(&self, era: Option<Era>) {
+        *self.replica.borrow_mut() = Replica::default();
+        *self.earlier.borrow_mut() = Earlier::default();
+        self.belief.borrow_mut().restore(era);
+        self.changed.notify_waiters();
+    }
+
+    /// Applies changes as of `asked_at`, which `source` told.
+    fn apply(
+        &self,
+        changes: &[Item<Content>],
+        through: Revision,
+        asked_at: Instant,
+        source: &Arc<str>,
+    ) {
+        let mut replica = self.replica.borrow_mut();
+        let mut earlier = self.earlier.borrow_mut();
+        for Item {
+            key,
+            revision,
+            value,
+        } in changes
+        {
+            if let Some(Content::Text(text)) = value {
+                earlier.record(key, *revision, text);
+            }
+        }
+        replica.apply(changes.iter().cloned(), through);
+        drop(replica);
+        self.confirm(through, asked_at, source);
+    }
+
+    /// Applies all keys of the store, read at a revision.
+    fn replace(&self, items: Vec<Item<Content>>, through: Revision) {
+        for Item {
+            key,
+            revision,
+            value,
+        } in &items
+        {
+            if let Some(Content::Text(text)) = value {
+                self.earlier.borrow_mut().record(key, *revision, text);
+            }
+        }
+        self.replica.borrow_mut().replace(items, through);
+    }
+
+    fn confirm(&self, through: Revision, asked_at: Instant, source: &Arc<str>) {
+        self.belief.borrow_mut().confirm(asked_at, through);
+        if *self.source.borrow() != *source {
+            *self.source.borrow_mut() = source.clone();
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns all keys, and the revision through which they are complete.
+    fn all(&self) -> (Vec<Change>, Revision) {
+        let replica = self.replica.borrow();
+        let changes = replica.all().into_iter().map(change).collect();
+        (changes, replica.through())
+    }
+
+    /// Returns what an entry announced in the store.
+    fn announcement(&self, entry: &str) -> Option<Announcement> {
+        let replica = self.replica.borrow();
+        let Content::Text(text) = replica.get(&gossip::announcement_key(entry))? else {
+            return None;
+        };
+        Announcement::parse(text)
+    }
+}
--- /dev/null
+++ b/crates/front/src/feed/source.rs
@@ -0,0 +1,376 @@
+//! Follows the store: reads it, or asks the entries that do.
+
+use std::cell::RefCell;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use jujube_core::pipeline::cell::Directory;
+use jujube_core::pipeline::cell::Role;
+use jujube_core::pipeline::feed::bounds::Bounds;
+use jujube_core::pipeline::feed::follower::AT_ONCE;
+use jujube_core::pipeline::feed::follower::Follower;
+use jujube_core::pipeline::feed::follower::Reason;
+use jujube_core::pipeline::feed::follower::Step;
+use jujube_core::pipeline::feed::follower::Told;
+use jujube_core::pipeline::feed::follower::Verdict;
+use jujube_core::pipeline::feed::replica::Item;
+use jujube_core::revision::Revision;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+use jujube_program::clock;
+use jujube_store::kv;
+use jujube_store::kv::Change;
+use jujube_store::kv::News;
+
+use crate::metrics::Metrics;
+
+use super::Content;
+use super::Feed;
+use super::ask;
+use super::ask::Connection;
+use super::ask::Known;
+use super::ask::Peer;
+use super::exchange;
+use super::exchange::Answer;
+use super::exchange::Row;
+use super::exchange::Word;
+use super::item;
+
+/// The empty prefix: one watch covers the configuration, the registrations and the planner's lease.
+const ALL_KEYS: &str = "";
+/// The pause before the sources are asked again if all failed at once, such as by refusing
+/// connections.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// The range of the random pause between two calls for the first snapshot, in milliseconds; a slow
+/// store answers within it.
+const FIRST_CALL_PAUSE_MS: std::ops::Range<u64> = 300..400;
+
+/// What asking another entry brought.
+enum Outcome {
+    /// Changes, perhaps none.
+    News(News),
+    /// No changes, but a verdict about the source.
+    Verdict(Verdict),
+}
+
+/// Returns the counter of the calls that are made for a reason.
+fn counter(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Changes => "store_calls_changes",
+        Reason::Loss => "store_calls_loss",
+        Reason::LaterEra => "store_calls_era",
+        Reason::TooOld => "store_calls_too_old",
+    }
+}
+
+/// Follows the store: reads it, or asks the entries that do.
+pub struct Source<F> {
+    feed: Rc<Feed>,
+    store: F,
+    bounds: Bounds,
+    metrics: Rc<Metrics>,
+    connection: Option<Connection>,
+    follower: Follower,
+    /// Whether the last changes came from another entry.
+    was_told: bool,
+    /// Whether all keys have just been received.
+    is_whole: bool,
+    /// Whether the store no longer has the changes since those that are known.
+    is_forgotten: bool,
+}
+
+impl<F: kv::Feed> Source<F> {
+    /// Creates the source of an entry that has read nothing yet.
+    pub fn new(feed: Rc<Feed>, store: F, bounds: Bounds, metrics: Rc<Metrics>) -> Self {
+        Self {
+            feed,
+            store,
+            bounds,
+            metrics,
+            connection: None,
+            follower: Follower::new(bounds),
+            was_told: false,
+            is_whole: false,
+            is_forgotten: false,
+        }
+    }
+
+    /// Records whether the last attempt failed.
+    pub fn set_lost(&mut self, is_lost: bool) {
+        self.follower.set_lost(is_lost);
+        if is_lost {
+            self.feed.lose();
+        }
+    }
+
+    /// Returns how this entry receives changes now; `None` if each entry reads the store, because
+    /// there are few.
+    pub fn role(&self, directory: &RefCell<Directory>) -> Option<Role> {
+        let directory = directory.borrow();
+        let is_shared = self.bounds.is_shared(directory.count());
+        is_shared.then(|| directory.role(clock::now()))
+    }
+
+    /// Returns how old what is known may become.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// Returns whether the last changes came from another entry, which paused before it read them.
+    pub fn was_told(&self) -> bool {
+        self.was_told
+    }
+
+    /// Reads all keys for the first time, however long the store takes; they may be some seconds
+    /// old.
+    ///
+    /// Until then every caller is refused. A call made while the store was silent may stay unanswered
+    /// even after the store has recovered, so further calls are made at intervals, while the earlier
+    /// ones may still be answered by a slow store.
+    pub async fn read_first(&self) -> (Vec<Change>, Revision) {
+        let mut calls = FuturesUnordered::new();
+        let mut is_lost = false;
+        loop {
+            self.metrics.count("store_calls_start");
+            calls.push(self.store.snapshot_stale(ALL_KEYS));
+            let pause = rand::random_range(FIRST_CALL_PAUSE_MS);
+            let mut pause = pin!(tokio::time::sleep(Duration::from_millis(pause)).fuse());
+            loop {
+                let answer = futures::select! {
+                    answer = calls.select_next_some() => answer,
+                    () = pause => break,
+                };
+                match answer {
+                    Ok((changes, revision)) => {
+                        if is_lost {
+                            log::info!("event=store-regained");
+                        }
+                        self.feed.restore(self.store.era());
+                        let items = changes.iter().cloned().map(item).collect();
+                        self.feed.replace(items, revision);
+                        return (changes, revision);
+                    }
+                    Err(error) if !is_lost => {
+                        is_lost = true;
+                        let cause = error.to_string().replace(' ', "-");
+                        log::warn!("event=store-lost cause={cause}");
+                    }
+                    // The loss is logged already, and the next call follows soon.
+                    Err(_) => {}
+                }
+            }
+        }
+    }
+
+    /// Returns all keys as they are now, and the revision to follow from.
+    pub async fn snapshot(
+        &mut self,
+        directory: &RefCell<Directory>,
+    ) -> Result<(Vec<Change>, Revision), kv::Error> {
+        if std::mem::take(&mut self.is_whole) {
+            return Ok(self.feed.all());
+        }
+        let is_known = self.feed.replica.borrow().is_filled()
+            && self.feed.belief.borrow().era() == self.store.era()
+            && !std::mem::take(&mut self.is_forgotten);
+        let news = match is_known {
+            // What is kept, and the changes since, are all keys.
+            true if matches!(self.role(directory), Some(Role::Follower { .. })) => {
+                self.follow(directory).await?
+            }
+            true => self.read_changes(AT_ONCE, "store_calls_start").await?,
+            false => News::Forgotten,
+        };
+        if news == News::Forgotten && !std::mem::take(&mut self.is_whole) {
+            self.read_all().await?;
+        }
+        Ok(self.feed.all())
+    }
+
+    async fn read_all(&mut self) -> Result<(), kv::Error> {
+        self.metrics.count("store_calls_whole");
+        let asked_at = clock::now();
+        let (changes, revision) = self.store.snapshot(ALL_KEYS).await?;
+        let era = self.store.era();
+        if self.feed.belief.borrow().era() != era {
+            self.feed.restore(era);
+        }
+        let items = changes.into_iter().map(item).collect();
+        self.feed.replace(items, revision);
+        self.feed.confirm(revision, asked_at, &self.feed.own);
+        self.was_told = false;
+        self.is_forgotten = false;
+        Ok(())
+    }
+
+    /// Waits for changes after those that are known, for a bounded time.
+    pub async fn follow(&mut self, directory: &RefCell<Directory>) -> Result<News, kv::Error> {
+        loop {
+            let role = self.role(directory);
+            let belief = *self.feed.belief.borrow();
+            match self.follower.step(clock::now(), role.as_ref(), &belief) {
+                Step::Read { wait, reason } => {
+                    if reason == Reason::TooOld {
+                        log::info!("event=feed-too-old known={}", self.feed.view());
+                    }
+                    return self.read_changes(wait, counter(reason)).await;
+                }
+                Step::Ask { source, wait } => match self.ask(&source, wait).await {
+                    Ok(Outcome::News(news)) => {
+                        self.follower.succeeded();
+                        return Ok(news);
+                    }
+                    Ok(Outcome::Verdict(verdict)) => self.follower.failed(verdict),
+                    Err(error) => {
+                        self.report(&source, &error);
+                        self.follower.failed(Verdict::Useless);
+                    }
+                },
+                Step::Pause => tokio::time::sleep(ROUND_PAUSE).await,
+                Step::GiveUp => {
+                    return Err(kv::Error::Down("no source reaches the store".into()));
+                }
+            }
+        }
+    }
+
+    /// Reads the changes from the store.
+    async fn read_changes(&mut self, wait: Span, counter: &'static str) -> Result<News, kv::Error> {
+        let after = self.feed.replica.borrow().through();
+        let asked_at = clock::now();
+        self.metrics.count(counter);
+        let news = self.store.follow(ALL_KEYS, after, wait).await?;
+        self.was_told = false;
+        match &news {
+            News::Forgotten => {
+                log::info!("event=history-lost revision={after}");
+                self.is_forgotten = true;
+            }
+            News::Changes(changes, through) => {
+                if changes.is_empty() {
+                    self.metrics.count("store_answers_empty");
+                }
+                let items: Vec<Item<Content>> = changes.iter().cloned().map(item).collect();
+                self.feed.apply(&items, *through, asked_at, &self.feed.own);
+            }
+        }
+        Ok(news)
+    }
+
+    fn report(&self, name: &Arc<str>, error: &exchange::Error) {
+        self.metrics.count("feed_sources_failed");
+        let cause = error.to_string().replace(' ', "-");
+        log::info!("event=feed-source-failed source={name} cause={cause}");
+    }
+
+    /// Asks one source.
+    async fn ask(&mut self, name: &Arc<str>, wait: Span) -> Result<Outcome, exchange::Error> {
+        let Some(announcement) = self.feed.announcement(name) else {
+            return Ok(Outcome::Verdict(Verdict::Useless));
+        };
+        let Some(key) = announcement.key else {
+            // A program that does not pass changes on.
+            return Ok(Outcome::Verdict(Verdict::Useless));
+        };
+        let address = announcement.place.address;
+        let peer = Peer {
+            name: name.clone(),
+            address,
+            key,
+        };
+        let known = Known {
+            own: self.feed.own.clone(),
+            era: self.feed.belief.borrow().era(),
+            after: self.feed.replica.borrow().through(),
+        };
+        // Taken out, so that an exchange that is given up halfway ends its connection.
+        let connection = self.connection.take().filter(|known| known.leads_to(&peer));
+        let exchange = async {
+            let mut connection = match connection {
+                Some(connection) => connection,
+                None => Connection::open(peer).await?,
+            };
+            let asked_at = clock::now();
+            let answer = connection.ask(&self.feed.key, &known, wait).await?;
+            Ok((connection, answer, clock::now().since(asked_at)))
+        };
+        // An answer at the end of the wait has yet to arrive.
+        let limit = Span(wait.0 + self.bounds.answer.0);
+        let (mut connection, answer, took) = ask::within(limit, exchange).await?;
+        let has_lost_store = connection.has_lost_store(answer.outages);
+        self.connection = Some(connection);
+        self.metrics.count("feed_answers_received");
+        let age = answer.age_ms.map(|age| {
+            // The way of the question and the answer.
+            Span(age + took.0.saturating_sub(answer.waited_ms))
+        });
+        let told = Told {
+            era: answer.era,
+            through: answer.through,
+            age,
+            is_away: answer.is_away,
+            has_lost_store,
+            is_changed: answer.is_whole || !answer.rows.is_empty(),
+        };
+        self.take(name, &told, answer)
+    }
+
+    /// Applies an answer if it is of any worth.
+    fn take(
+        &mut self,
+        name: &Arc<str>,
+        told: &Told,
+        answer: Answer,
+    ) -> Result<Outcome, exchange::Error> {
+        let belief = *self.feed.belief.borrow();
+        let verdict = told.judge(&belief, self.bounds.next_source);
+        let Some(age) = told.age.filter(|_| verdict == Verdict::Applied) else {
+            return Ok(Outcome::Verdict(verdict));
+        };
+        let asked_at = Instant(clock::now().0.saturating_sub(age.0));
+        self.metrics.observe("feed_age", age);
+        let items = self.items(answer.rows)?;
+        self.was_told = true;
+        if answer.is_whole {
+            self.feed.replace(items, answer.through);
+            self.feed.confirm(answer.through, asked_at, name);
+            self.is_whole = true;
+            return Ok(Outcome::News(News::Forgotten));
+        }
+        self.feed.apply(&items, answer.through, asked_at, name);
+        let changes = items.into_iter().map(super::change).collect();
+        Ok(Outcome::News(News::Changes(changes, answer.through)))
+    }
+
+    /// Returns the changes that rows describe.
+    fn items(&self, rows: Vec<Row>) -> Result<Vec<Item<Content>>, exchange::Error> {
+        let replica = self.feed.replica.borrow();
+        let item = |row: Row| {
+            let value = match row.word {
+                Word::Removed => None,
+                Word::Text(text) => Some(Content::Text(text)),
+                Word::Unreadable(cause) => Some(Content::Unreadable(cause)),
+                Word::Difference(_, difference) => {
+                    let Some(Content::Text(known)) = replica.get(&row.key) else {
+                        return Err(exchange::Error::Malformed);
+                    };
+                    let text = difference.apply(known);
+                    Some(Content::Text(
+                        text.ok_or(exchange::Error::Malformed)?.into(),
+                    ))
+                }
+            };
+            Ok(Item {
+                key: row.key,
+                value,
+                revision: row.revision,
+            })
+        };
+        rows.into_iter().map(item).collect()
+    }
+}
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -18,7 +18,7 @@
 use crate::state::State;
 
 use super::Announcement;
-use super::ENTRIES;
+use super::announcement_key;
 
 /// The pause before a failed announcement or renewal is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
@@ -44,7 +44,7 @@
     state: &State<D>,
     store: &F,
 ) -> Result<Option<Lease>, Error> {
-    let key = format!("{ENTRIES}{}", state.settings.name);
+    let key = announcement_key(&state.settings.name);
     let started_at = clock::now();
     let lease = store.grant(state.retries.lease).await?;
     let lease_id = LeaseId(lease.0.unsigned_abs());
@@ -54,6 +54,7 @@
             address: state.settings.gossip,
         },
         lease_id,
+        key: Some(state.feed.public_key()),
     };
     let write = Write::Put {
         key: key.clone(),
@@ -65,29 +66,26 @@
         key: key.clone(),
         revision,
     };
-    if !store
-        .swap(&[at(revision)], std::slice::from_ref(&write))
-        .await?
-    {
+    state.metrics.add("store_calls_announce", 2);
+    let mut written = store
+        .swap_at(&[at(revision)], std::slice::from_ref(&write))
+        .await?;
+    if written.is_none() {
+        state.metrics.add("store_calls_announce", 2);
         let current = store.get(&key).await?;
         revision = current.map_or(Revision::default(), |current| current.revision);
-        if !store.swap(&[at(revision)], &[write]).await? {
-            return Ok(None);
-        }
+        written = store.swap_at(&[at(revision)], &[write]).await?;
     }
-    let Some(written) = store.get(&key).await? else {
+    let Some(written) = written else {
         return Ok(None);
     };
-    state.retries.announced.set(written.revision);
+    state.retries.announced.set(written);
     state
         .retries
         .reserve
         .borrow_mut()
         .begun(lease_id, started_at);
-    log::info!(
-        "event=announced lease={lease_id} revision={}",
-        written.revision
-    );
+    log::info!("event=announced lease={lease_id} revision={written}");
     Ok(Some(lease))
 }
 
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -50,6 +50,11 @@
     key.strip_prefix(ENTRIES)
 }
 
+/// Returns the key of an entry's announcement.
+pub fn announcement_key(entry: &str) -> String {
+    format!("{ENTRIES}{entry}")
+}
+
 /// The shortest interval between a report and an urgent one. The streams of a crashed server
 /// suspect it again and again; urgent reports of all entries for each of these could saturate a
 /// link of 20 Mbit/s, delay probes and make healthy servers look dead.
--- a/crates/front/src/gossip/peers.rs
+++ b/crates/front/src/gossip/peers.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ed25519_dalek::PUBLIC_KEY_LENGTH;
+use ed25519_dalek::VerifyingKey;
 use jujube_core::name::Zone;
 use jujube_core::pipeline::cell::Directory;
 use jujube_core::pipeline::cell::Location;
@@ -21,29 +23,51 @@
     pub place: Location,
     /// The lease of the announcement, which distinguishes it from earlier ones of the same entry.
     pub lease_id: LeaseId,
+    /// The key that signs what the entry passes on of the store; `None` if its program passes on
+    /// nothing.
+    pub key: Option<VerifyingKey>,
 }
 
 impl Announcement {
     /// Decodes an announcement; `None` if the value is not one.
     pub fn decode(value: &Value) -> Option<Self> {
-        let Value::Text(text) = value else {
-            return None;
-        };
+        match value {
+            Value::Text(text) => Self::parse(text),
+            Value::Unreadable(_) => None,
+        }
+    }
+
+    /// Parses an announcement; `None` if the text is not one.
+    pub fn parse(text: &str) -> Option<Self> {
         let mut words = text.split(' ');
         let address = words.next()?.parse().ok()?;
         let zone: Zone = words.next()?.into();
         let lease_id = words.next()?.parse().ok()?;
+        let key = words.next().and_then(parse_key);
         let place = Location { zone, address };
-        Some(Self { place, lease_id })
+        Some(Self {
+            place,
+            lease_id,
+            key,
+        })
     }
 
     /// Encodes the announcement.
     pub fn encode(&self) -> String {
         let Location { zone, address } = &self.place;
-        format!("{address} {zone} {}", self.lease_id)
+        let key = self
+            .key
+            .map_or_else(String::new, |key| format!(" {}", hex::encode(key)));
+        format!("{address} {zone} {}{key}", self.lease_id)
     }
 }
 
+fn parse_key(text: &str) -> Option<VerifyingKey> {
+    let mut bytes = [0; PUBLIC_KEY_LENGTH];
+    hex::decode_to_slice(text, &mut bytes).ok()?;
+    VerifyingKey::from_bytes(&bytes).ok()
+}
+
 /// What is known about the other entries.
 pub struct Peers {
     /// The known entries, grouped in cells.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 mod daemon;
 mod delivery;
 pub mod dialect;
+mod feed;
 mod fleet;
 mod gate;
 mod gossip;
--- a/crates/front/src/planner/plan.rs
+++ b/crates/front/src/planner/plan.rs
@@ -6,6 +6,7 @@
 use jujube_core::name::Service;
 use jujube_core::pipeline::assignment::Completed;
 use jujube_core::pipeline::assignment::Load;
+use jujube_core::pipeline::feed::bounds;
 use jujube_core::pipeline::model::Model;
 use jujube_core::pipeline::placement;
 use jujube_core::pipeline::placement::Holder;
@@ -17,13 +18,12 @@
 use jujube_store::kv::Feed;
 
 use crate::dialect::Dialect;
-use crate::store_watch;
 
 use super::term::Term;
 
 const _: () = assert!(
-    SETTLE_TIME.0 > store_watch::MAX_PLANNER_PAUSE.0,
-    "the settle time must exceed the planner's pause between two calls"
+    SETTLE_TIME.0 > bounds::MAX_PAUSE.0,
+    "the settle time must exceed the pause between two calls to the store"
 );
 /// How long a server that joined empty waits for the drain of the server that it replaces, which
 /// usually follows within a second.
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -113,6 +113,9 @@
         Err(reason) => return refuse(&state, &id, reason, arrived),
     };
     state.retries.record_request(&admitted.service);
+    if let Some(age) = state.feed.view().age {
+        state.metrics.observe("request_known_age", age);
+    }
     if let Some(digest) = state.quarantine_cause(&admitted.features) {
         let cause = quarantine::cause(digest);
         let route = &admitted.route.name;
@@ -186,8 +189,9 @@
     let status = reason.status().as_u16();
     log::warn!(
         "event=refused request={id} route={route} reason={} status={status} took_ms={elapsed} \
-         version={version} cause={cause}",
-        reason.name()
+         version={version} {} cause={cause}",
+        reason.name(),
+        state.feed.view()
     );
 }
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -28,6 +28,7 @@
 use jujube_core::time::Instant;
 use jujube_program::clock;
 
+use crate::feed::Feed;
 use crate::fleet::Gaps;
 use crate::gossip::Peers;
 use crate::hold::Held;
@@ -65,6 +66,8 @@
     pub settings: Settings,
     /// The configuration in force.
     pub table: RefCell<Option<Rc<Table>>>,
+    /// What is known of the store, and passed on to other entries.
+    pub feed: Rc<Feed>,
     /// The registered backend servers.
     pub roster: RefCell<Roster>,
     /// Whether pieces of an earlier era may still be in use.
@@ -144,6 +147,7 @@
             started: clock::now(),
             retries: Retries::new(settings.retry),
             peers: Peers::new(settings.name.clone(), place),
+            feed: Rc::new(Feed::new(settings.name.clone())),
             settings,
             table: RefCell::default(),
             roster: RefCell::default(),
--- a/crates/front/src/store_watch.rs
+++ b/crates/front/src/store_watch.rs
@@ -1,18 +1,14 @@
 //! Watches the configuration and the registrations in the store.
 
 use std::collections::BTreeMap;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::FutureExt;
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use jujube_core::layer::Range;
+use jujube_core::pipeline::cell::Role;
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::document::Table;
-use jujube_core::pipeline::pace;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
@@ -26,6 +22,7 @@
 
 use crate::dialect::Dialect;
 use crate::dialect::Record;
+use crate::feed::Source;
 use crate::fleet;
 use crate::gossip;
 use crate::limits;
@@ -34,26 +31,8 @@
 use crate::slack;
 use crate::state::State;
 
-/// The longest pause of the planner between an answer with changes and the next call. It must be
-/// shorter than the 0.7 s after which the planner considers the registrations complete, or servers
-/// would be placed before all of them are known. With one call a second half of the servers were,
-/// and a deployment served a third less all day.
-pub const MAX_PLANNER_PAUSE: Span = Span(500);
 /// The prefix of the keys that entries write.
 const ENTRY_KEYS: &str = "jujube/";
-/// The empty prefix: one watch covers the configuration, the registrations and the planner's lease.
-const ALL_KEYS: &str = "";
-/// How much shorter one call waits than the fault-free time after which the time limits apply.
-///
-/// A watch that began while the store delivered no changes may report no changes for its whole wait
-/// although all other calls succeed. The next call must be answered before the time limits apply
-/// again. A store that becomes silent altogether is detected by the renewals of this entry's lease.
-const WAIT_MARGIN: Span = Span(1_000);
-/// The shortest wait of one call.
-const MIN_WAIT: Span = Span(500);
-/// The wait of one call after the connection to the store was lost, short so that the recovery is
-/// noticed even if nothing changes.
-const WAIT_AFTER_LOSS: Span = Span(300);
 /// The part of the time limit reserved for the next call after an answer that contained only keys
 /// of entries. Such changes may wait longer than a configuration. A slow store answers within a
 /// third of a second, and decoding a large snapshot takes as long on the smallest VMs.
@@ -62,36 +41,34 @@
 /// calling in step.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 100..300;
 
-/// The range of the random pause between two calls for the first snapshot, in milliseconds; a slow
-/// store answers within it.
-const FIRST_CALL_PAUSE_MS: std::ops::Range<u64> = 300..400;
-
 /// Watches the store until the process ends.
-pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F) {
-    let mut after: Option<Revision> = None;
+pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F, mut source: Source<F>) {
+    let mut is_read = false;
     let mut era = store.era();
     let mut is_lost = false;
     loop {
         if state.roster.borrow().needs_reread(clock::now()) {
             // Running servers have registered again by now; a new snapshot no longer contains
             // the dead ones of the backup.
-            after = None;
+            is_read = false;
         }
-        let wait = if is_lost {
-            WAIT_AFTER_LOSS
-        } else {
-            wait_time(&state)
-        };
+        let is_told = matches!(
+            source.role(&state.peers.directory),
+            Some(Role::Follower { .. })
+        );
         let step = async {
-            match after {
-                None => read_snapshot(&state, &store).await,
-                Some(revision) => watch(&state, &store, revision, wait).await,
+            match is_read {
+                false => read_snapshot(&state, &store, &mut source).await,
+                true => watch(&state, &mut source).await,
             }
         };
         let step = tokio::select! {
             step = step => step,
-            () = state.store_call_failed.notified() => Err(Error::Unknown("lease-not-renewed".into())),
-            () = store.risen(era) => Ok(None),
+            // Others may tell what the store does not tell this entry.
+            () = state.store_call_failed.notified(), if !is_told => {
+                Err(Error::Unknown("lease-not-renewed".into()))
+            }
+            () = store.risen(era) => Ok(false),
         };
         let (previous, current) = (era, store.era());
         era = current;
@@ -100,14 +77,15 @@
         {
             // The result of this step may mix the state of both eras.
             restore::handle_restore(&state, later);
-            after = None;
+            is_read = false;
             continue;
         }
         match step {
             Ok(next) => {
-                after = next;
+                is_read = next;
                 if is_lost {
                     is_lost = false;
+                    source.set_lost(false);
                     state.roster.borrow_mut().store_returned(clock::now());
                     state.reported_layers.borrow_mut().clear();
                     log::info!("event=store-regained");
@@ -123,6 +101,7 @@
                         error.to_string().replace(' ', "-")
                     );
                 }
+                source.set_lost(true);
                 let pause = rand::random_range(RETRY_PAUSE_MS);
                 tokio::time::sleep(Duration::from_millis(pause)).await;
             }
@@ -130,63 +109,17 @@
     }
 }
 
-/// Returns how long one call waits for changes.
-fn wait_time<D>(state: &State<D>) -> Span {
-    let contact = state.settings.limits.contact;
-    Span(contact.0.saturating_sub(WAIT_MARGIN.0)).max(MIN_WAIT)
-}
-
-/// Reads the first snapshot, however long the store takes.
-///
-/// Until then every caller is refused. A call made while the store was silent may stay unanswered
-/// even after the store has recovered, so further calls are made at intervals, while the earlier
-/// ones may still be answered by a slow store.
-async fn first_snapshot<D: Dialect, F: Feed>(
-    state: &State<D>,
-    store: &F,
-) -> (Vec<Change>, Revision) {
-    let mut calls = FuturesUnordered::new();
-    let mut is_lost = false;
-    loop {
-        state.metrics.count("store_reads");
-        calls.push(store.snapshot(ALL_KEYS));
-        let pause = rand::random_range(FIRST_CALL_PAUSE_MS);
-        let mut pause = pin!(tokio::time::sleep(Duration::from_millis(pause)).fuse());
-        loop {
-            let answer = futures::select! {
-                answer = calls.select_next_some() => answer,
-                () = pause => break,
-            };
-            match answer {
-                Ok(snapshot) => {
-                    if is_lost {
-                        log::info!("event=store-regained");
-                    }
-                    return snapshot;
-                }
-                Err(error) if !is_lost => {
-                    is_lost = true;
-                    let cause = error.to_string().replace(' ', "-");
-                    log::warn!("event=store-lost cause={cause}");
-                }
-                // The loss is logged already, and the next call follows soon.
-                Err(_) => {}
-            }
-        }
-    }
-}
-
-/// Reads a snapshot of the store; returns the revision to watch from.
+/// Reads a snapshot of the store; returns whether its changes can be watched.
 async fn read_snapshot<D: Dialect, F: Feed>(
     state: &State<D>,
     store: &F,
-) -> Result<Option<Revision>, Error> {
-    let (changes, revision) = if state.registrations_read.get() {
-        state.metrics.count("store_reads");
-        store.snapshot(ALL_KEYS).await?
-    } else {
-        first_snapshot(state, store).await
-    };
+    source: &mut Source<F>,
+) -> Result<bool, Error> {
+    if !state.registrations_read.get() {
+        let (changes, _) = source.read_first().await;
+        learn_entries(state, &changes);
+    }
+    let (changes, revision) = source.snapshot(&state.peers.directory).await?;
     // A registration that reappears after an outage counts from the recovery, not from the start of
     // the outage.
     state.roster.borrow_mut().store_returned(clock::now());
@@ -199,13 +132,8 @@
     let mut servers = Vec::new();
     let mut unreadable = Vec::new();
     let mut is_held = false;
-    let mut entries = BTreeMap::new();
     let mut pieces = BTreeMap::new();
     for change in &changes {
-        if let (Some(entry), Some(value)) = (gossip::announced(&change.key), &change.value) {
-            let announcement = gossip::Announcement::decode(value);
-            entries.extend(announcement.map(|read| (Arc::from(entry), read)));
-        }
         if let (Some(piece), Some(record)) =
             (slack::parse_key(&change.key), slack::parse_record(change))
         {
@@ -237,27 +165,34 @@
     let mut reserve = state.retries.reserve.borrow_mut();
     reserve.replaced(&pieces, revision);
     drop(reserve);
-    let own = entries.get(&state.settings.name);
-    check_own_announcement(state, own, revision);
+    let own = learn_entries(state, &changes);
+    check_own_announcement(state, own.as_ref(), revision);
+    rebuild(state);
+    Ok(true)
+}
+
+/// Replaces the known entries by those that a snapshot announces; returns the announcement of this
+/// one.
+fn learn_entries<D>(state: &State<D>, changes: &[Change]) -> Option<gossip::Announcement> {
+    let announcements = changes.iter().filter_map(|change| {
+        let entry = gossip::announced(&change.key)?;
+        let announcement = gossip::Announcement::decode(change.value.as_ref()?)?;
+        Some((Arc::from(entry), announcement))
+    });
+    let mut entries: BTreeMap<Arc<str>, gossip::Announcement> = announcements.collect();
+    let own = entries.remove(&state.settings.name);
     let places = entries.into_iter().map(|(name, read)| (name, read.place));
     state.peers.directory.borrow_mut().replaced(places);
-    rebuild(state);
-    Ok(Some(revision))
+    own
 }
 
-/// Waits for changes; returns the revision to continue from, or `None` if a snapshot is needed.
+/// Waits for changes; returns whether to go on, or a snapshot is needed.
 async fn watch<D: Dialect, F: Feed>(
     state: &State<D>,
-    store: &F,
-    after: Revision,
-    wait: Span,
-) -> Result<Option<Revision>, Error> {
-    state.metrics.count("store_watches");
-    let (changes, revision) = match store.follow(ALL_KEYS, after, wait).await? {
-        News::Forgotten => {
-            log::info!("event=history-lost revision={after}");
-            return Ok(None);
-        }
+    source: &mut Source<F>,
+) -> Result<bool, Error> {
+    let (changes, revision) = match source.follow(&state.peers.directory).await? {
+        News::Forgotten => return Ok(false),
         News::Changes(changes, revision) => (changes, revision),
     };
     // Registrations removed in the first answer after an outage expired during the outage.
@@ -279,25 +214,27 @@
         rebuild(state);
     }
     if !changes.is_empty() {
-        let pause = pause_after(state, &changes);
+        let pause = pause_after(state, source, &changes);
         tokio::time::sleep(Duration::from_millis(pause.0)).await;
     }
-    Ok(Some(revision))
+    Ok(true)
 }
 
 /// Returns the pause after an answer with changes, in which further changes accumulate.
-fn pause_after<D>(state: &State<D>, changes: &[Change]) -> Span {
+fn pause_after<D, F: Feed>(state: &State<D>, source: &Source<F>, changes: &[Change]) -> Span {
+    if source.was_told() {
+        return Span(0);
+    }
+    let usual = source.bounds().pause;
+    if source.role(&state.peers.directory).is_some() {
+        return usual;
+    }
     let is_of_entry = |change: &Change| change.key.starts_with(ENTRY_KEYS);
-    let apply = state.settings.limits.apply;
-    let usual = pace::pause(apply, state.peers.directory.borrow().count());
-    let pause = match changes.iter().all(is_of_entry) {
-        true => usual.max(Span(apply.0.saturating_sub(CALL_RESERVE.0))),
-        false => usual,
-    };
-    match state.leadership.own() {
-        Some(_) => pause.min(MAX_PLANNER_PAUSE),
-        None => pause,
+    if state.leadership.own().is_some() || !changes.iter().all(is_of_entry) {
+        return usual;
     }
+    let apply = state.settings.limits.apply;
+    usual.max(Span(apply.0.saturating_sub(CALL_RESERVE.0)))
 }
 
 /// Records the address of another entry if the change is an announcement.
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -433,11 +433,12 @@
     }
     let version = state.table().map_or(0, |table| table.document.version.0);
     log::info!(
-        "event=path-chosen request={} {} run={} peers={} version={version} left_ms={left} after={} earlier={} path={}",
+        "event=path-chosen request={} {} run={} peers={} version={version} {} left_ms={left} after={} earlier={} path={}",
         stream.id,
         stream.features,
         stream.runs() + 1,
         state.load.borrow().peers(),
+        state.feed.view(),
         last.unwrap_or(0),
         earlier_servers(state, stream),
         path
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -394,11 +394,12 @@
     let left = request.deadline.since(sent_at);
     head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
     log::info!(
-        "event=sent request={} {} server={} in_flight={} left_ms={left}",
+        "event=sent request={} {} server={} in_flight={} {} left_ms={left}",
         request.id,
         request.features,
         server.incarnation,
-        state.load.borrow().requests(&server.incarnation)
+        state.load.borrow().requests(&server.incarnation),
+        state.feed.view()
     );
     let sent = upstream::send::<D>(
         state,
--- a/crates/store/src/kv/feed.rs
+++ b/crates/store/src/kv/feed.rs
@@ -5,11 +5,13 @@
 use jujube_core::pipeline::era::Era;
 use jujube_core::time::Span;
 
+use crate::kv::Condition;
 use crate::kv::Error;
 use crate::kv::Lease;
 use crate::kv::Pair;
 use crate::kv::Revision;
 use crate::kv::Store;
+use crate::kv::Write;
 
 /// A value as it was written.
 ///
@@ -67,6 +69,21 @@
         prefix: &str,
     ) -> impl Future<Output = Result<(Vec<Change>, Revision), Error>> + Send;
 
+    /// Reads all keys with a prefix as [`Feed::snapshot`] does, at a fraction of its price; the store
+    /// may answer with what it held some seconds ago.
+    fn snapshot_stale(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<(Vec<Change>, Revision), Error>> + Send;
+
+    /// Writes everything if every condition holds, and returns the revision of the writes; `None` if
+    /// one did not hold.
+    fn swap_at(
+        &self,
+        conditions: &[Condition],
+        writes: &[Write],
+    ) -> impl Future<Output = Result<Option<Revision>, Error>> + Send;
+
     /// Returns the newest era that answers told; `None` while none did.
     fn era(&self) -> Option<Era>;
 
