--- a/crates/core/src/pipeline/pace.rs
+++ b/crates/core/src/pipeline/pace.rs
@@ -8,6 +8,9 @@
 /// How often a lease is renewed. A failed renewal is also how a silent store is detected, within the
 /// contact time, after which no change may be missed.
 const RENEW_INTERVAL: Span = Span(1_300);
+/// How often a lease is renewed within its time to live where the store's silence is detected
+/// otherwise; two renewals may fail.
+const RENEWALS_PER_LEASE: u64 = 3;
 /// How long a renewal may take; a slow store answers within a third of a second.
 const RENEW_TIMEOUT: Span = Span(800);
 /// How much longer than its wait a watch may take to begin its answer, and how long the answer may
@@ -36,6 +39,20 @@
     pub answer_margin: Span,
 }
 
+/// Returns the pause between two renewals of a lease of `ttl` that need not detect a silent store.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::pace::rare_renewal;
+/// # use jujube_core::time::Span;
+/// assert_eq!(rare_renewal(Span(27_000)), Span(9_000));
+/// ```
+#[must_use]
+pub fn rare_renewal(ttl: Span) -> Span {
+    Span(ttl.0 / RENEWALS_PER_LEASE)
+}
+
 impl Times {
     /// Returns the times for entries that must detect a silent store within `contact`.
     #[must_use]
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -14,7 +14,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use jujube_core::pipeline::feed::bounds::Bounds;
 use jujube_program::logs;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
@@ -99,13 +98,7 @@
     }
     tokio::task::spawn_local(ready::serve(state.clone(), readiness));
     tokio::task::spawn_local(ready::serve(state.clone(), metrics));
-    let bounds = Bounds::new(state.settings.limits.contact, state.settings.limits.apply);
-    let source = Source::new(
-        state.feed.clone(),
-        store.clone(),
-        bounds,
-        state.metrics.clone(),
-    );
+    let source = Source::new(state.feed.clone(), store.clone(), state.metrics.clone());
     let serving = feed::serve(state.feed.clone(), state.metrics.clone(), feed_listener);
     tokio::task::spawn_local(serving);
     tokio::task::spawn_local(store_watch::run(state.clone(), store.clone(), source));
--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -13,6 +13,7 @@
 use ed25519_dalek::VerifyingKey;
 use jujube_core::pipeline::era::Era;
 use jujube_core::pipeline::feed::belief::Belief;
+use jujube_core::pipeline::feed::bounds::Bounds;
 use jujube_core::pipeline::feed::earlier::Earlier;
 use jujube_core::pipeline::feed::replica::Item;
 use jujube_core::pipeline::feed::replica::Replica;
@@ -98,6 +99,7 @@
 /// What this entry knows of the store, for itself and for those that ask it.
 pub struct Feed {
     own: Arc<str>,
+    bounds: Bounds,
     /// Tells this process apart from earlier ones of the same name.
     boot: u64,
     key: SigningKey,
@@ -111,8 +113,9 @@
 
 impl Feed {
     /// Creates the feed of an entry that knows nothing of the store.
-    pub fn new(own: Arc<str>) -> Self {
+    pub fn new(own: Arc<str>, bounds: Bounds) -> Self {
         Self {
+            bounds,
             source: RefCell::new(own.clone()),
             own,
             boot: rand::random(),
@@ -124,6 +127,11 @@
         }
     }
 
+    /// Returns whether a few of `entries` entries read the store for all.
+    pub fn is_shared(&self, entries: usize) -> bool {
+        self.bounds.is_shared(entries)
+    }
+
     /// Returns the key by which other entries check what this one says.
     pub fn public_key(&self) -> VerifyingKey {
         self.key.verifying_key()
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -86,7 +86,8 @@
 
 impl<F: kv::Feed> Source<F> {
     /// Creates the source of an entry that has read nothing yet.
-    pub fn new(feed: Rc<Feed>, store: F, bounds: Bounds, metrics: Rc<Metrics>) -> Self {
+    pub fn new(feed: Rc<Feed>, store: F, metrics: Rc<Metrics>) -> Self {
+        let bounds = feed.bounds;
         Self {
             feed,
             store,
@@ -112,7 +113,7 @@
     /// there are few.
     pub fn role(&self, directory: &RefCell<Directory>) -> Option<Role> {
         let directory = directory.borrow();
-        let is_shared = self.bounds.is_shared(directory.count());
+        let is_shared = self.feed.is_shared(directory.count());
         is_shared.then(|| directory.role(clock::now()))
     }
 
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jujube_core::pipeline::cell::Location;
+use jujube_core::pipeline::pace;
 use jujube_core::pipeline::pace::Times;
 use jujube_core::pipeline::reserve::LeaseId;
 use jujube_core::revision::Revision;
@@ -92,11 +93,11 @@
 /// Renews the lease until it has expired or this announcement has been replaced.
 async fn renew<D, F: Feed>(state: &State<D>, store: &F, lease: Lease) {
     let times = Times::within(state.settings.limits.contact);
-    let interval = Duration::from_millis(times.renew_interval.0);
     let timeout = Duration::from_millis(times.renew_timeout.0);
-    let mut pause = interval;
+    let mut pause = renewal_pause(state);
     loop {
         tokio::time::sleep(pause).await;
+        state.metrics.count("store_calls_renewal");
         let sent_at = clock::now();
         let renewal = tokio::time::timeout(timeout, store.renew(lease)).await;
         let renewal = renewal.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())));
@@ -104,7 +105,7 @@
         pause = match renewal {
             Ok(true) => {
                 reserve.renewed(sent_at);
-                interval
+                renewal_pause(state)
             }
             Ok(false) => {
                 reserve.lost();
@@ -123,6 +124,17 @@
     }
 }
 
+/// Returns the pause before the next renewal. Where a few entries read the store for all, their
+/// followers detect by the age of what they are told that the store is silent.
+fn renewal_pause<D>(state: &State<D>) -> Duration {
+    let entries = state.peers.directory.borrow().count();
+    let pause = match state.feed.is_shared(entries) {
+        true => pace::rare_renewal(state.retries.lease),
+        false => Times::within(state.settings.limits.contact).renew_interval,
+    };
+    Duration::from_millis(pause.0)
+}
+
 /// Cancels the pending watch so that it is made again: it may never be answered.
 fn cancel_watch<D>(state: &State<D>, event: &str, error: &Error) {
     state.store_call_failed.notify_waiters();
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -14,6 +14,7 @@
 use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::era::Settling;
+use jujube_core::pipeline::feed::bounds::Bounds;
 use jujube_core::pipeline::limits::Limits;
 use jujube_core::pipeline::liveness::Liveness;
 use jujube_core::pipeline::load::Load;
@@ -141,13 +142,14 @@
             zone: settings.zone.clone(),
             address: settings.gossip,
         };
+        let bounds = Bounds::new(settings.limits.contact, settings.limits.apply);
         let capacity = MemoryBudget::capacity_of(settings.memory);
         Self {
             dialect: PhantomData,
             started: clock::now(),
             retries: Retries::new(settings.retry),
             peers: Peers::new(settings.name.clone(), place),
-            feed: Rc::new(Feed::new(settings.name.clone())),
+            feed: Rc::new(Feed::new(settings.name.clone(), bounds)),
             settings,
             table: RefCell::default(),
             roster: RefCell::default(),
