Let an entry that starts wait for its first source instead of reading the store itself

Change: a question of an entry whose announcement is not known yet waits until it is, for the pause of a reader and the time for an answer at the most (1 s at 5 s, 0.45 s at 2 s); after that the entry reads the store as before.

--- a/crates/core/src/pipeline/feed/follower.rs
+++ b/crates/core/src/pipeline/feed/follower.rs
@@ -227,9 +227,12 @@
         Step::Read { wait, reason }
     }
 
-    /// Returns how long a source may wait: until its follower would ask another one.
+    /// Returns how long a source may wait: until its follower would ask another one. An entry that has
+    /// just started waits until readers know it by their next call.
     fn patience(&self, now: Instant, belief: &Belief) -> Span {
-        let age = belief.age(now).unwrap_or_default();
+        let Some(age) = belief.age(now) else {
+            return Span(self.bounds.pause.0 + self.bounds.answer.0);
+        };
         Span(self.bounds.next_source.0.saturating_sub(age.0)).max(self.bounds.answer)
     }
 
--- a/crates/front/src/feed/serve.rs
+++ b/crates/front/src/feed/serve.rs
@@ -29,6 +29,8 @@
 const MAX_FOLLOWERS: usize = 64;
 /// How long a follower may be silent.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The longest that a question may wait for the announcement of the entry that asks.
+const MAX_WAIT_UNKNOWN: Duration = Duration::from_secs(2);
 /// The longest that a question may wait for something to tell.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -70,7 +72,7 @@
         let sealed = tokio::time::timeout(IDLE_TIMEOUT, sealed).await;
         let sealed = sealed.map_err(|_| Error::Stalled)??;
         let question = sealed.question()?;
-        check(feed, &hello, &sealed, &question)?;
+        check(feed, &hello, &sealed, &question).await?;
         let asked_at = clock::now();
         wait_for_news(feed, &question).await;
         let mut answer = answer(feed, &question);
@@ -81,15 +83,28 @@
 }
 
 /// Checks that an entry that the store announces asks: the answer contains customers' API keys.
-fn check(
+///
+/// The announcement of an entry that has just started may not be known yet.
+async fn check(
     feed: &Feed,
     hello: &Hello,
     sealed: &exchange::Sealed,
     question: &Question,
 ) -> Result<(), Error> {
-    let announcement = feed.announcement(&question.from);
-    let key = announcement.and_then(|announcement| announcement.key);
-    sealed.check_question(hello, &key.ok_or(Error::NotAuthentic)?)
+    let announced = async {
+        loop {
+            let changed = feed.changed.notified();
+            let announcement = feed.announcement(&question.from);
+            let key = announcement.and_then(|announcement| announcement.key);
+            if key.is_some_and(|key| sealed.check_question(hello, &key).is_ok()) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    let wait = Duration::from_millis(question.wait_ms.into()).min(MAX_WAIT_UNKNOWN);
+    let announced = tokio::time::timeout(wait, announced).await;
+    announced.map_err(|_| Error::NotAuthentic)
 }
 
 /// Waits until there is something that the follower was not told.
@@ -98,7 +113,7 @@
     let news = async {
         loop {
             let changed = feed.changed.notified();
-            if mark(feed) != question.told {
+            if mark(feed) != question.told && has_something_to_tell(feed) {
                 return;
             }
             changed.await;
@@ -107,6 +122,12 @@
     let _told_or_timeout = tokio::time::timeout(wait, news).await;
 }
 
+/// Returns whether this entry has learnt anything of the store since it started.
+fn has_something_to_tell(feed: &Feed) -> bool {
+    let belief = feed.belief.borrow();
+    belief.is_away() || belief.age(clock::now()).is_some()
+}
+
 fn mark(feed: &Feed) -> Mark {
     Mark {
         boot: feed.boot,
