--- /dev/null
+++ b/crates/front/src/store_watch/apply.rs
@@ -0,0 +1,252 @@
+//! Applies what the store holds to what requests are judged by.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujube_core::layer::Range;
+use jujube_core::pipeline::document::Document;
+use jujube_core::pipeline::document::Table;
+use jujube_core::pipeline::roster::Effect;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_program::clock;
+use jujube_store::kv::Change;
+use jujube_store::kv::Revision;
+
+use crate::dialect::Dialect;
+use crate::dialect::Record;
+use crate::fleet;
+use crate::gossip;
+use crate::limits;
+use crate::slack;
+use crate::state::State;
+
+/// Records the address of another entry if the change is an announcement.
+pub(super) fn apply_announcement<D>(state: &State<D>, change: &Change) {
+    let Some(entry) = gossip::announced(&change.key) else {
+        return;
+    };
+    let announcement = change.value.as_ref().and_then(gossip::Announcement::decode);
+    if *entry == *state.settings.name {
+        check_own_announcement(state, announcement.as_ref(), change.revision);
+        return;
+    }
+    let mut directory = state.peers.directory.borrow_mut();
+    match announcement {
+        Some(announcement) => directory.announced(entry, announcement.place),
+        None => directory.removed(entry),
+    }
+}
+
+/// Drops the lease of this entry's announcement if another announcement has replaced it, so that it
+/// is written again.
+///
+/// A delayed write under an earlier lease can replace the announcement and remove it when that
+/// lease expires, and entries that start later would not find this one. Revisions up to that of
+/// this entry's own write say nothing about it.
+pub(super) fn check_own_announcement<D>(
+    state: &State<D>,
+    announcement: Option<&gossip::Announcement>,
+    revision: Revision,
+) {
+    if revision <= state.retries.announced.get() {
+        return;
+    }
+    let mut reserve = state.retries.reserve.borrow_mut();
+    let lease_id = announcement.map(|announcement| announcement.lease_id);
+    if reserve.lease_id().is_some() && reserve.lease_id() != lease_id {
+        let by = lease_id.map_or("None".into(), |lease_id| {
+            format!("Some(Tenure({lease_id}))")
+        });
+        log::info!("event=announcement-overtaken by={by}");
+        reserve.lost();
+    }
+}
+
+/// Records the holder of a piece of the retry slack if the change is about one.
+pub(super) fn apply_piece<D>(state: &State<D>, change: &Change) {
+    let Some((service, piece)) = slack::parse_key(&change.key) else {
+        return;
+    };
+    let mut reserve = state.retries.reserve.borrow_mut();
+    match slack::parse_record(change) {
+        Some(record) => reserve.written(&service, piece, record),
+        None => reserve.removed(&service, piece, change.revision),
+    }
+    state.retries.changed.notify_one();
+}
+
+/// Applies one change; returns its effect on the registrations.
+pub(super) fn apply_change<D: Dialect>(state: &State<D>, change: &Change) -> Effect {
+    let now = clock::now();
+    let mut roster = state.roster.borrow_mut();
+    let (name, effect) = match D::record(&change.key, change.value.as_ref()) {
+        Record::Configuration(document) => {
+            drop(roster);
+            apply_configuration(state, document);
+            return Effect::None;
+        }
+        Record::Server(server) => {
+            let name = server.incarnation.server.clone();
+            (name, roster.registered(now, server))
+        }
+        Record::Removed(name) => {
+            let effect = roster.removed(now, &name);
+            (name, effect)
+        }
+        Record::UnreadableServer(name, error) => {
+            state.malformed.log(change, &error);
+            let effect = roster.unreadable(&name);
+            (name, effect)
+        }
+        Record::Unreadable(error) => {
+            state.malformed.log(change, &error);
+            return Effect::None;
+        }
+        Record::Other => return Effect::None,
+    };
+    if effect != Effect::None {
+        let held = roster.held(&name).unwrap_or_default();
+        log::info!(
+            "event=registration server={name} effect={effect:?} held={held} revision={}",
+            change.revision
+        );
+    }
+    effect
+}
+
+/// Applies a configuration unless the one in force is as new.
+///
+/// A snapshot may be older than changes already watched; applying it would route by a superseded
+/// configuration.
+pub(super) fn apply_configuration<D: Dialect>(state: &State<D>, document: Document) {
+    let version = document.version;
+    let current = state.table().map(|table| table.document.version);
+    if current.is_some_and(|current| current >= version) {
+        return;
+    }
+    log::info!(
+        "event=configuration version={version} routes={} services={} customers={}",
+        document.routes.len(),
+        document.services.len(),
+        document.accounts.len()
+    );
+    state.metrics.count("configurations");
+    *state.table.borrow_mut() = Some(Rc::new(Table::new(document)));
+    rebuild(state);
+}
+
+/// Applies the layers that a server reports while the store, the usual source, is unavailable, and
+/// shares them with the other entries.
+pub fn apply_reported_layers<D>(state: &State<D>, server: &Incarnation, held: Range) {
+    let mut roster = state.roster.borrow_mut();
+    let effect = roster.reported(clock::now(), server, held);
+    drop(roster);
+    if effect == Effect::None {
+        return;
+    }
+    log::info!("event=reported server={server} effect={effect:?} held={held}");
+    state
+        .reported_layers
+        .borrow_mut()
+        .insert(server.clone(), held);
+    rebuild(state);
+}
+
+/// Records that servers say that they are leaving, as this entry heard or others reported.
+pub fn apply_leaving<'a, D>(
+    state: &State<D>,
+    servers: impl IntoIterator<Item = &'a Incarnation>,
+    source: &str,
+) {
+    let mut is_changed = false;
+    for server in servers {
+        let mut roster = state.roster.borrow_mut();
+        if roster.announced_leaving(clock::now(), server) != Effect::None {
+            is_changed = true;
+            state.metrics.count("servers_leaving");
+            log::info!("event=leaving server={server} source={source}");
+        }
+    }
+    if is_changed {
+        rebuild(state);
+    }
+}
+
+/// Records whether a start that replaced a leaver answered a health check.
+pub fn apply_check<D>(state: &State<D>, server: &Incarnation, is_answered: bool) {
+    let mut roster = state.roster.borrow_mut();
+    let may_get_requests = roster.leavers.checked(clock::now(), server, is_answered);
+    drop(roster);
+    if may_get_requests {
+        log::info!("event=not-leaving server={server} is_answered={is_answered}");
+        rebuild(state);
+    }
+}
+
+/// Removes a server at whose address another one has answered.
+pub fn displace<D>(state: &State<D>, server: &Incarnation) {
+    log::info!("event=displaced server={server}");
+    state.roster.borrow_mut().displaced(clock::now(), server);
+    rebuild(state);
+}
+
+/// Rebuilds the state derived from the configuration and the registrations.
+pub fn rebuild<D>(state: &State<D>) {
+    let Some(table) = state.table() else {
+        return;
+    };
+    state.roster.borrow_mut().record_deaths(
+        clock::now(),
+        &state.suspicion.borrow(),
+        &state.local_health.borrow(),
+    );
+    let replaced = state.roster.borrow_mut().take_replaced();
+    let roster = state.roster.borrow();
+    for earlier in &replaced {
+        if let Some(later) = roster.incarnation(&earlier.server) {
+            state.load.borrow_mut().rests.inherit(earlier, later);
+        }
+    }
+    *state.fleets.borrow_mut() = fleet::build(&table, &roster);
+    if state.registrations_read.get() {
+        state
+            .gaps
+            .log(clock::now(), &state.fleets.borrow(), &state.metrics);
+    }
+    let is_known = |server: &Incarnation| roster.get(server).is_some();
+    state.suspicion.borrow_mut().retain(is_known);
+    state.load.borrow_mut().retain(is_known);
+    state.outliers.borrow_mut().retain(is_known);
+    drop(roster);
+    limits::divide(state);
+    for replaced in replaced {
+        // Streams through the old incarnation switch paths at once instead of waiting for a
+        // timeout.
+        state.suspect(&replaced, "restarted");
+    }
+    state.roster_changed.notify_waiters();
+    state.held.check();
+}
+
+/// How often expired registrations and idle connections are removed. The grace period ends two
+/// seconds after the store's recovery, and a server that is missing then must get no requests a
+/// second later.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Removes expired registrations and idle connections until the process ends.
+pub async fn expire<D: Dialect>(state: Rc<State<D>>) {
+    loop {
+        tokio::time::sleep(EXPIRE_INTERVAL).await;
+        let expired = state.roster.borrow_mut().expire(clock::now());
+        for server in &expired {
+            log::info!("event=registration server={server} effect=GraceOver");
+        }
+        if !expired.is_empty() {
+            rebuild(&state);
+        }
+        let roster = state.roster.borrow();
+        state.pool.close_expired(|server| {
+            roster.get(server).is_some() || roster.missing.contains(server)
+        });
+    }
+}
