Tell a follower again what it did not take, and whole values where it has another earlier one

Found by reading: a follower that was told of changes with the word that its source had lost the store did not take them, and its source then waited for something else to tell, up to a second. A follower that had asked another source had an earlier configuration that this source never saw; differences from another one failed until the age bound. Now a source answers at once while the follower is behind, and a follower whose difference does not fit asks for whole values.

--- a/crates/core/tests/feed_model.rs
+++ b/crates/core/tests/feed_model.rs
@@ -195,7 +195,7 @@
                 }
             }
             Step::Ask { source, wait } => {
-                let source = source.parse().unwrap();
+                let source = source.parse().unwrap_or(number);
                 Activity::Asking {
                     source,
                     asked_at: now,
--- a/crates/front/src/feed/ask.rs
+++ b/crates/front/src/feed/ask.rs
@@ -38,6 +38,8 @@
     pub era: Option<Era>,
     /// The revision through which it knows all changes.
     pub after: Revision,
+    /// Whether values must not be told as differences.
+    pub wants_texts: bool,
 }
 
 /// A connection to another entry.
@@ -86,6 +88,7 @@
             era: known.era,
             after: known.after,
             told: self.told,
+            wants_texts: known.wants_texts,
             wait_ms: u32::try_from(wait.0).unwrap_or(u32::MAX),
         };
         exchange::send_question(&mut self.stream, key, &self.hello, &question).await?;
--- a/crates/front/src/feed/exchange.rs
+++ b/crates/front/src/feed/exchange.rs
@@ -57,6 +57,8 @@
     pub after: Revision,
     /// What it was told last.
     pub told: Mark,
+    /// Whether values must not be told as differences.
+    pub wants_texts: bool,
     /// How long to wait for something else to tell.
     pub wait_ms: u32,
 }
@@ -68,8 +70,8 @@
     Removed,
     /// A text.
     Text(Arc<str>),
-    /// A text as its difference from the one at a revision.
-    Difference(Revision, Arc<Difference>),
+    /// A text as its difference from an earlier one.
+    Difference(Arc<Difference>),
     /// Bytes that are not text, and why.
     Unreadable(Arc<str>),
 }
@@ -125,6 +127,10 @@
     /// The message can't be decoded.
     #[error("malformed")]
     Malformed,
+    /// A value is told as the difference from one that this entry does not have, because it was told
+    /// others by another source.
+    #[error("unknown difference")]
+    UnknownDifference,
     /// The signature is not that of the sender.
     #[error("not authentic")]
     NotAuthentic,
--- a/crates/front/src/feed/serve.rs
+++ b/crates/front/src/feed/serve.rs
@@ -113,7 +113,7 @@
     let news = async {
         loop {
             let changed = feed.changed.notified();
-            if mark(feed) != question.told && has_something_to_tell(feed) {
+            if has_news(feed, question) {
                 return;
             }
             changed.await;
@@ -122,10 +122,13 @@
     let _told_or_timeout = tokio::time::timeout(wait, news).await;
 }
 
-/// Returns whether this entry has learnt anything of the store since it started.
-fn has_something_to_tell(feed: &Feed) -> bool {
+/// Returns whether there is something that the follower does not know. It may have been told and
+/// not have taken it.
+fn has_news(feed: &Feed, question: &Question) -> bool {
     let belief = feed.belief.borrow();
-    belief.is_away() || belief.age(clock::now()).is_some()
+    let is_started = belief.is_away() || belief.age(clock::now()).is_some();
+    let is_behind = belief.era() == question.era && belief.through() > question.after;
+    is_started && (is_behind || mark(feed) != question.told)
 }
 
 fn mark(feed: &Feed) -> Mark {
@@ -146,7 +149,7 @@
         Some(Missing::Whole(items)) => (true, items),
     };
     let rows = items.into_iter().map(|item| {
-        let known = (!is_whole).then_some(question.after);
+        let known = (!is_whole && !question.wants_texts).then_some(question.after);
         row(feed, item, known)
     });
     Answer {
@@ -163,7 +166,7 @@
     }
 }
 
-/// Returns the row of a key for a follower that knows the changes through `known`.
+/// Returns the row of a key, as a difference if the follower knows the changes through `known`.
 fn row(feed: &Feed, item: Item<Content>, known: Option<Revision>) -> Row {
     let Item {
         key,
@@ -176,8 +179,9 @@
         Some(Content::Unreadable(cause)) => Word::Unreadable(cause),
         Some(Content::Text(text)) => {
             let difference = known.and_then(|known| earlier.difference(&key, known));
-            match difference.filter(|(_, difference)| difference.size() < text.len()) {
-                Some((from, difference)) => Word::Difference(from, difference),
+            let difference = difference.map(|(_, difference)| difference);
+            match difference.filter(|difference| difference.size() < text.len()) {
+                Some(difference) => Word::Difference(difference),
                 None => Word::Text(text),
             }
         }
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -82,6 +82,8 @@
     is_whole: bool,
     /// Whether the store no longer has the changes since those that are known.
     is_forgotten: bool,
+    /// Whether a difference could not be applied.
+    wants_texts: bool,
 }
 
 impl<F: kv::Feed> Source<F> {
@@ -98,6 +100,7 @@
             was_told: false,
             is_whole: false,
             is_forgotten: false,
+            wants_texts: false,
         }
     }
 
@@ -224,11 +227,13 @@
                 Step::Ask { source, wait } => match self.ask(&source, wait).await {
                     Ok(Outcome::News(news)) => {
                         self.follower.succeeded();
+                        self.wants_texts = false;
                         return Ok(news);
                     }
                     Ok(Outcome::Verdict(verdict)) => self.follower.failed(verdict),
                     Err(error) => {
                         self.report(&source, &error);
+                        self.wants_texts |= matches!(error, exchange::Error::UnknownDifference);
                         self.follower.failed(Verdict::Useless);
                     }
                 },
@@ -288,6 +293,7 @@
             own: self.feed.own.clone(),
             era: self.feed.belief.borrow().era(),
             after: self.feed.replica.borrow().through(),
+            wants_texts: self.wants_texts,
         };
         // Taken out, so that an exchange that is given up halfway ends its connection.
         let connection = self.connection.take().filter(|known| known.leads_to(&peer));
@@ -356,14 +362,13 @@
                 Word::Removed => None,
                 Word::Text(text) => Some(Content::Text(text)),
                 Word::Unreadable(cause) => Some(Content::Unreadable(cause)),
-                Word::Difference(_, difference) => {
-                    let Some(Content::Text(known)) = replica.get(&row.key) else {
-                        return Err(exchange::Error::Malformed);
+                Word::Difference(difference) => {
+                    let text = match replica.get(&row.key) {
+                        Some(Content::Text(known)) => difference.apply(known),
+                        _ => None,
                     };
-                    let text = difference.apply(known);
-                    Some(Content::Text(
-                        text.ok_or(exchange::Error::Malformed)?.into(),
-                    ))
+                    let text = text.ok_or(exchange::Error::UnknownDifference)?;
+                    Some(Content::Text(text.into()))
                 }
             };
             Ok(Item {
