--- a/crates/core/tests/feed_roles.rs
+++ b/crates/core/tests/feed_roles.rs
@@ -148,3 +148,15 @@
         );
     }
 }
+
+/// Guards against hundreds of entries that all read the store when they start together, each taking
+/// itself for the only active one.
+#[test]
+fn entries_that_have_heard_nobody_do_not_all_read() {
+    for entries in [103, 470] {
+        let deaf = directories(entries, 5).map(|(_, directory)| directory.role(Instant(90_000)));
+        let readers = deaf.filter(|role| *role == Role::Reader).count();
+
+        assert_eq!(readers, 4, "{entries} entries");
+    }
+}
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -9,6 +9,7 @@
 use jujube_core::pipeline::pace::Times;
 use jujube_core::pipeline::reserve::LeaseId;
 use jujube_core::revision::Revision;
+use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_store::kv::Condition;
 use jujube_store::kv::Error;
@@ -93,22 +94,32 @@
 /// Renews the lease until it has expired or this announcement has been replaced.
 async fn renew<D, F: Feed>(state: &State<D>, store: &F, lease: Lease) {
     let times = Times::within(state.settings.limits.contact);
+    let interval = Duration::from_millis(times.renew_interval.0);
     let timeout = Duration::from_millis(times.renew_timeout.0);
-    let mut pause = renewal_pause(state);
+    let mut renewed_at = clock::now();
+    let mut pause = interval;
     loop {
         tokio::time::sleep(pause).await;
+        if !is_held(state, lease) {
+            return;
+        }
+        if clock::now().since(renewed_at) < renewal_interval(state) {
+            // More entries than at the last renewal may be known.
+            continue;
+        }
         state.metrics.count("store_calls_renewal");
         let sent_at = clock::now();
         let renewal = tokio::time::timeout(timeout, store.renew(lease)).await;
         let renewal = renewal.unwrap_or_else(|_| Err(Error::Unknown("timeout".into())));
-        let mut reserve = state.retries.reserve.borrow_mut();
+        let reserve = &state.retries.reserve;
         pause = match renewal {
             Ok(true) => {
-                reserve.renewed(sent_at);
-                renewal_pause(state)
+                reserve.borrow_mut().renewed(sent_at);
+                renewed_at = sent_at;
+                interval
             }
             Ok(false) => {
-                reserve.lost();
+                reserve.borrow_mut().lost();
                 RETRY_PAUSE
             }
             Err(error) => {
@@ -116,23 +127,32 @@
                 RETRY_PAUSE
             }
         };
-        reserve.expire(clock::now());
-        if reserve.lease_id() != Some(LeaseId(lease.0.unsigned_abs())) {
-            log::info!("event=announcement-lost");
+        if !is_held(state, lease) {
             return;
         }
     }
 }
 
-/// Returns the pause before the next renewal. Where a few entries read the store for all, their
-/// followers detect by the age of what they are told that the store is silent.
-fn renewal_pause<D>(state: &State<D>) -> Duration {
+/// Returns whether this entry still holds a lease: it has not expired, and no other announcement has
+/// replaced its own.
+fn is_held<D>(state: &State<D>, lease: Lease) -> bool {
+    let mut reserve = state.retries.reserve.borrow_mut();
+    reserve.expire(clock::now());
+    let is_held = reserve.lease_id() == Some(LeaseId(lease.0.unsigned_abs()));
+    if !is_held {
+        log::info!("event=announcement-lost");
+    }
+    is_held
+}
+
+/// Returns how long after a renewal the next one is due. Where a few entries read the store for all,
+/// their followers detect by the age of what they are told that the store is silent.
+fn renewal_interval<D>(state: &State<D>) -> Span {
     let entries = state.peers.directory.borrow().count();
-    let pause = match state.feed.is_shared(entries) {
+    match state.feed.is_shared(entries) {
         true => pace::rare_renewal(state.retries.lease),
-        false => Times::within(state.settings.limits.contact).renew_interval,
-    };
-    Duration::from_millis(pause.0)
+        false => Span(0),
+    }
 }
 
 /// Cancels the pending watch so that it is made again: it may never be answered.
