--- a/crates/front/src/feed/ask.rs
+++ b/crates/front/src/feed/ask.rs
@@ -13,8 +13,8 @@
 
 use super::exchange;
 use super::exchange::Answer;
+use super::exchange::Challenge;
 use super::exchange::Error;
-use super::exchange::Hello;
 use super::exchange::Mark;
 use super::exchange::Question;
 
@@ -46,7 +46,7 @@
 pub struct Connection {
     peer: Peer,
     stream: TcpStream,
-    hello: Hello,
+    challenge: Challenge,
     number: u64,
     told: Mark,
     /// How often the peer lost the store, as it told last; `None` before its first answer.
@@ -58,11 +58,11 @@
     pub async fn open(peer: Peer) -> Result<Self, Error> {
         let mut stream = TcpStream::connect(peer.address).await?;
         let _without_delay = stream.set_nodelay(true);
-        let hello = exchange::receive_hello(&mut stream).await?;
+        let challenge = exchange::receive_challenge(&mut stream).await?;
         Ok(Self {
             peer,
             stream,
-            hello,
+            challenge,
             number: 0,
             told: Mark::default(),
             outages: None,
@@ -91,9 +91,9 @@
             wants_texts: known.wants_texts,
             wait_ms: u32::try_from(wait.0).unwrap_or(u32::MAX),
         };
-        exchange::send_question(&mut self.stream, key, &self.hello, &question).await?;
+        exchange::send_question(&mut self.stream, key, &self.challenge, &question).await?;
         let sealed = exchange::receive_answer(&mut self.stream).await?;
-        let answer = sealed.answer(&self.hello, &self.peer.key)?;
+        let answer = sealed.answer(&self.challenge, &self.peer.key)?;
         if answer.number != self.number {
             return Err(Error::NotAuthentic);
         }
--- a/crates/front/src/feed/exchange.rs
+++ b/crates/front/src/feed/exchange.rs
@@ -21,7 +21,7 @@
 
 /// The length of the random text that begins each connection. All signatures cover it, so that a
 /// message of another connection is not accepted.
-pub const HELLO_BYTES: usize = 32;
+pub const CHALLENGE_BYTES: usize = 32;
 /// The longest question.
 pub const MAX_QUESTION_BYTES: usize = 1_024;
 /// The longest answer: all keys of ten thousand servers and a thousand entries.
@@ -33,7 +33,7 @@
 const ANSWER_CONTEXT: &[u8] = b"jujube-feed-answer-1";
 
 /// A random text that the asked entry sends first.
-pub type Hello = [u8; HELLO_BYTES];
+pub type Challenge = [u8; CHALLENGE_BYTES];
 
 /// What the asked entry passed on last.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -65,7 +65,7 @@
 
 /// The value of a changed key.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum Word {
+pub enum Value {
     /// The key was removed.
     Removed,
     /// A text.
@@ -84,7 +84,7 @@
     /// The revision of its last change.
     pub revision: Revision,
     /// Its value.
-    pub word: Word,
+    pub value: Value,
 }
 
 /// What the asked entry knows.
@@ -143,8 +143,8 @@
 }
 
 /// Returns the signed part of a message: its kind, the connection and the body.
-fn signed(context: &[u8], hello: &Hello, body: &[u8]) -> Vec<u8> {
-    [context, hello, body].concat()
+fn signed(context: &[u8], challenge: &Challenge, body: &[u8]) -> Vec<u8> {
+    [context, challenge, body].concat()
 }
 
 fn options() -> impl Options {
@@ -155,11 +155,11 @@
     stream: &mut TcpStream,
     context: &[u8],
     key: &SigningKey,
-    hello: &Hello,
+    challenge: &Challenge,
     message: &impl Serialize,
 ) -> Result<(), Error> {
     let body = options().serialize(message).map_err(|_| Error::Malformed)?;
-    let signature = key.sign(&signed(context, hello, &body)).to_bytes();
+    let signature = key.sign(&signed(context, challenge, &body)).to_bytes();
     let length = u32::try_from(body.len()).map_err(|_| Error::TooLong(body.len()))?;
     let bytes = [&length.to_be_bytes()[..], &signature, &body].concat();
     let sent = tokio::time::timeout(STALL_TIMEOUT, stream.write_all(&bytes)).await;
@@ -193,8 +193,13 @@
         message.map_err(|_| Error::Malformed)
     }
 
-    fn check(&self, context: &[u8], hello: &Hello, key: &VerifyingKey) -> Result<(), Error> {
-        let bytes = signed(context, hello, &self.body);
+    fn check(
+        &self,
+        context: &[u8],
+        challenge: &Challenge,
+        key: &VerifyingKey,
+    ) -> Result<(), Error> {
+        let bytes = signed(context, challenge, &self.body);
         let checked = key.verify_strict(&bytes, &self.signature);
         checked.map_err(|_| Error::NotAuthentic)
     }
@@ -213,8 +218,8 @@
     /// # Errors
     ///
     /// It was not.
-    pub fn check_question(&self, hello: &Hello, key: &VerifyingKey) -> Result<(), Error> {
-        self.check(QUESTION_CONTEXT, hello, key)
+    pub fn check_question(&self, challenge: &Challenge, key: &VerifyingKey) -> Result<(), Error> {
+        self.check(QUESTION_CONTEXT, challenge, key)
     }
 
     /// Returns the answer if it was signed by a key.
@@ -222,34 +227,34 @@
     /// # Errors
     ///
     /// It was not, or is malformed.
-    pub fn answer(&self, hello: &Hello, key: &VerifyingKey) -> Result<Answer, Error> {
-        self.check(ANSWER_CONTEXT, hello, key)?;
+    pub fn answer(&self, challenge: &Challenge, key: &VerifyingKey) -> Result<Answer, Error> {
+        self.check(ANSWER_CONTEXT, challenge, key)?;
         self.open(MAX_ANSWER_BYTES)
     }
 }
 
 /// Sends the text that begins a connection.
-pub async fn send_hello(stream: &mut TcpStream) -> Result<Hello, Error> {
-    let hello: Hello = rand::random();
-    stream.write_all(&hello).await?;
-    Ok(hello)
+pub async fn send_challenge(stream: &mut TcpStream) -> Result<Challenge, Error> {
+    let challenge: Challenge = rand::random();
+    stream.write_all(&challenge).await?;
+    Ok(challenge)
 }
 
 /// Receives the text that begins a connection.
-pub async fn receive_hello(stream: &mut TcpStream) -> Result<Hello, Error> {
-    let mut hello = [0; HELLO_BYTES];
-    stream.read_exact(&mut hello).await?;
-    Ok(hello)
+pub async fn receive_challenge(stream: &mut TcpStream) -> Result<Challenge, Error> {
+    let mut challenge = [0; CHALLENGE_BYTES];
+    stream.read_exact(&mut challenge).await?;
+    Ok(challenge)
 }
 
 /// Sends a question.
 pub async fn send_question(
     stream: &mut TcpStream,
     key: &SigningKey,
-    hello: &Hello,
+    challenge: &Challenge,
     question: &Question,
 ) -> Result<(), Error> {
-    send(stream, QUESTION_CONTEXT, key, hello, question).await
+    send(stream, QUESTION_CONTEXT, key, challenge, question).await
 }
 
 /// Receives a question.
@@ -261,10 +266,10 @@
 pub async fn send_answer(
     stream: &mut TcpStream,
     key: &SigningKey,
-    hello: &Hello,
+    challenge: &Challenge,
     answer: &Answer,
 ) -> Result<(), Error> {
-    send(stream, ANSWER_CONTEXT, key, hello, answer).await
+    send(stream, ANSWER_CONTEXT, key, challenge, answer).await
 }
 
 /// Receives an answer.
--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -169,18 +169,8 @@
         asked_at: Instant,
         source: &Arc<str>,
     ) {
+        self.record_earlier(changes);
         let mut replica = self.replica.borrow_mut();
-        let mut earlier = self.earlier.borrow_mut();
-        for Item {
-            key,
-            revision,
-            value,
-        } in changes
-        {
-            if let Some(Content::Text(text)) = value {
-                earlier.record(key, *revision, text);
-            }
-        }
         replica.apply(changes.iter().cloned(), through);
         drop(replica);
         self.confirm(through, asked_at, source);
@@ -188,17 +178,18 @@
 
     /// Applies all keys of the store, read at a revision.
     fn replace(&self, items: Vec<Item<Content>>, through: Revision) {
-        for Item {
-            key,
-            revision,
-            value,
-        } in &items
-        {
-            if let Some(Content::Text(text)) = value {
-                self.earlier.borrow_mut().record(key, *revision, text);
+        self.record_earlier(&items);
+        self.replica.borrow_mut().replace(items, through);
+    }
+
+    /// Keeps texts, so that later ones can be told as differences.
+    fn record_earlier(&self, items: &[Item<Content>]) {
+        let mut earlier = self.earlier.borrow_mut();
+        for item in items {
+            if let Some(Content::Text(text)) = &item.value {
+                earlier.record(&item.key, item.revision, text);
             }
         }
-        self.replica.borrow_mut().replace(items, through);
     }
 
     fn confirm(&self, through: Revision, asked_at: Instant, source: &Arc<str>) {
--- a/crates/front/src/feed/serve.rs
+++ b/crates/front/src/feed/serve.rs
@@ -17,12 +17,12 @@
 use super::Feed;
 use super::exchange;
 use super::exchange::Answer;
+use super::exchange::Challenge;
 use super::exchange::Error;
-use super::exchange::Hello;
 use super::exchange::Mark;
 use super::exchange::Question;
 use super::exchange::Row;
-use super::exchange::Word;
+use super::exchange::Value;
 
 /// The most followers of an entry: twice a cell, since the views of entries differ for a while.
 /// Others are turned away and ask elsewhere.
@@ -66,19 +66,19 @@
     mut stream: TcpStream,
 ) -> Result<(), Error> {
     let _without_delay = stream.set_nodelay(true);
-    let hello = exchange::send_hello(&mut stream).await?;
+    let challenge = exchange::send_challenge(&mut stream).await?;
     loop {
         let sealed = exchange::receive_question(&mut stream);
         let sealed = tokio::time::timeout(IDLE_TIMEOUT, sealed).await;
         let sealed = sealed.map_err(|_| Error::Stalled)??;
         let question = sealed.question()?;
-        check(feed, &hello, &sealed, &question).await?;
+        check(feed, &challenge, &sealed, &question).await?;
         let asked_at = clock::now();
         wait_for_news(feed, &question).await;
         let mut answer = answer(feed, &question);
         answer.waited_ms = clock::now().since(asked_at).0;
         metrics.count("feed_answers");
-        exchange::send_answer(&mut stream, &feed.key, &hello, &answer).await?;
+        exchange::send_answer(&mut stream, &feed.key, &challenge, &answer).await?;
     }
 }
 
@@ -87,7 +87,7 @@
 /// The announcement of an entry that has just started may not be known yet.
 async fn check(
     feed: &Feed,
-    hello: &Hello,
+    challenge: &Challenge,
     sealed: &exchange::Sealed,
     question: &Question,
 ) -> Result<(), Error> {
@@ -96,7 +96,7 @@
             let changed = feed.changed.notified();
             let announcement = feed.announcement(&question.from);
             let key = announcement.and_then(|announcement| announcement.key);
-            if key.is_some_and(|key| sealed.check_question(hello, &key).is_ok()) {
+            if key.is_some_and(|key| sealed.check_question(challenge, &key).is_ok()) {
                 return;
             }
             changed.await;
@@ -174,21 +174,21 @@
         revision,
     } = item;
     let mut earlier = feed.earlier.borrow_mut();
-    let word = match value {
-        None => Word::Removed,
-        Some(Content::Unreadable(cause)) => Word::Unreadable(cause),
+    let value = match value {
+        None => Value::Removed,
+        Some(Content::Unreadable(cause)) => Value::Unreadable(cause),
         Some(Content::Text(text)) => {
             let difference = known.and_then(|known| earlier.difference(&key, known));
             let difference = difference.map(|(_, difference)| difference);
             match difference.filter(|difference| difference.size() < text.len()) {
-                Some(difference) => Word::Difference(difference),
-                None => Word::Text(text),
+                Some(difference) => Value::Difference(difference),
+                None => Value::Text(text),
             }
         }
     };
     Row {
         key,
         revision,
-        word,
+        value,
     }
 }
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -38,7 +38,7 @@
 use super::exchange;
 use super::exchange::Answer;
 use super::exchange::Row;
-use super::exchange::Word;
+use super::exchange::Value;
 use super::item;
 
 /// The empty prefix: one watch covers the configuration, the registrations and the planner's lease.
@@ -358,11 +358,11 @@
     fn items(&self, rows: Vec<Row>) -> Result<Vec<Item<Content>>, exchange::Error> {
         let replica = self.feed.replica.borrow();
         let item = |row: Row| {
-            let value = match row.word {
-                Word::Removed => None,
-                Word::Text(text) => Some(Content::Text(text)),
-                Word::Unreadable(cause) => Some(Content::Unreadable(cause)),
-                Word::Difference(difference) => {
+            let value = match row.value {
+                Value::Removed => None,
+                Value::Text(text) => Some(Content::Text(text)),
+                Value::Unreadable(cause) => Some(Content::Unreadable(cause)),
+                Value::Difference(difference) => {
                     let text = match replica.get(&row.key) {
                         Some(Content::Text(known)) => difference.apply(known),
                         _ => None,
