--- a/crates/core/src/pipeline/cell/mod.rs
+++ b/crates/core/src/pipeline/cell/mod.rs
@@ -283,10 +283,13 @@
     /// costs only a few messages.
     #[must_use]
     pub fn is_speaker(&self, now: Instant) -> bool {
-        let active = self
-            .names(&self.home)
-            .filter(|name| self.is_active(now, name));
-        let mut ranked: Vec<&Arc<str>> = active.collect();
+        let members = self.names(&self.home);
+        self.would_speak_among(members.filter(|name| self.is_active(now, name)))
+    }
+
+    /// Returns whether this entry would be a speaker of its cell if these were its active members.
+    fn would_speak_among<'a>(&self, members: impl Iterator<Item = &'a Arc<str>>) -> bool {
+        let mut ranked: Vec<&Arc<str>> = members.collect();
         ranked.sort_by_key(|name| hash::of((&self.home, name)));
         ranked.iter().take(SPEAKERS).any(|name| **name == self.own)
     }
--- a/crates/core/src/pipeline/cell/sources.rs
+++ b/crates/core/src/pipeline/cell/sources.rs
@@ -41,7 +41,7 @@
         let is_speaker = match self.has_heard_cell(now) {
             true => self.is_speaker(now),
             // It has just started, and would take itself for the only active one.
-            false => self.is_first_in_rank(),
+            false => self.would_speak_among(self.names(&self.home)),
         };
         if is_speaker && reading.contains(&&self.home) {
             return Role::Reader;
@@ -70,13 +70,6 @@
         others.any(|name| self.is_active(now, name))
     }
 
-    /// Returns whether this entry would speak for its cell if all of its members were active.
-    fn is_first_in_rank(&self) -> bool {
-        let mut ranked: Vec<&Arc<str>> = self.names(&self.home).collect();
-        ranked.sort_by_key(|name| hash::of((&self.home, name)));
-        ranked.iter().take(SPEAKERS).any(|name| **name == self.own)
-    }
-
     /// Returns the cells whose speakers read the store, the same at all entries that know the same
     /// members.
     fn reading_cells(&self) -> Vec<&Id> {
--- a/crates/core/src/pipeline/feed/follower.rs
+++ b/crates/core/src/pipeline/feed/follower.rs
@@ -79,7 +79,7 @@
 pub enum Reason {
     /// It reads all changes, because it is a reader, or because there are few entries.
     Changes,
-    /// The same after a call failed.
+    /// It reads all changes again after a call failed.
     Loss,
     /// The store was restored.
     LaterEra,
