Tell in the line of a cut stream how long it was silent and what was believed of its servers

Why: a cut for a silent server that lives and one for a server that ended read the same (cause=run-lost). The line has silent_ms and earlier now; a histogram counts how long servers were silent that then answered.

--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -347,6 +347,7 @@
     state.probes.results.borrow_mut().remove(&server);
     if let Some(since) = since {
         let span = clock::now().since(since);
+        state.metrics.observe("server_silence", span);
         log::info!("event=trusted server={server} suspected_ms={span}");
     }
 }
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -30,6 +30,7 @@
 use super::interrupt::Interrupt;
 use super::open::Progress;
 use super::open::Refusal;
+use super::open::earlier_servers;
 use super::open::ensure_retry;
 use super::open::open;
 use super::open::permission;
@@ -377,11 +378,14 @@
         let stream = &self.registration.stream;
         let state = &self.registration.state;
         state.metrics.count("streams_cut");
+        let now = clock::now();
         log::warn!(
-            "event=cut request={} events={} took_ms={} path={} cause={cause}",
+            "event=cut request={} events={} took_ms={} silent_ms={} earlier={} path={} cause={cause}",
             stream.id,
             self.relay.events(),
-            clock::now().since(stream.arrived),
+            now.since(stream.arrived),
+            now.since(stream.last_read()),
+            earlier_servers(state, stream),
             stream.path_text()
         );
         self.upstream = Upstream::Done;
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -476,7 +476,7 @@
 }
 
 /// Returns the servers of earlier runs and their states, for logs.
-fn earlier_servers<D>(state: &State<D>, stream: &Stream) -> String {
+pub(super) fn earlier_servers<D>(state: &State<D>, stream: &Stream) -> String {
     let attempts = stream.attempts.borrow();
     let describe = |server| format!("{server}:{}", state.liveness(server));
     let servers: Vec<String> = attempts.servers().map(describe).collect();
