Keep the run of a silent server until another one has accepted its stream

Callers saw: streams cut, and requests failed with 502, while their sound server was silent for a second. Cause: a silent first server ended the run at once: its connection was closed before there was a retry, an attempt and a server for another run. Without one, the response was cut 1.4 s after its last event. A silent later part that could not be replaced ended in the same cut, and a request without a first event was given up although it could go nowhere else. Change: silence interrupts as FirstSilent and PartSilent. The run is kept while another one is opened, waits in line for a retry meanwhile, and if it goes on first the opening is ended. Nothing is cut for silence; the caller or the deadline ends it. A server that is known to have ended interrupts as before.

--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -145,6 +145,10 @@
             }
             stream.record_event(now);
             self.record_survival(now);
+            let interrupt = self.opening.as_ref().and_then(|opening| opening.interrupt);
+            if interrupt.is_some_and(Interrupt::is_silence) {
+                stream.go_on();
+            }
         }
         self.out.extend(events);
         match outcome {
@@ -253,13 +257,16 @@
         }
         let state = &self.registration.state;
         let stream = &self.registration.stream;
-        if !ensure_retry(state, stream) {
-            // The watchdog may still find another path for the run, which needs no retry. It skips
-            // streams that are being opened.
-            return self.keep_run(interrupt, "no-retry-left");
-        }
-        if let Some(first) = stream.first_part() {
-            state.failed(&first.server);
+        // A run whose first server is silent waits for a retry while it is kept. For others the
+        // watchdog may still find another path, which needs no retry; it skips streams that are being
+        // opened.
+        if interrupt != Interrupt::FirstSilent {
+            if !ensure_retry(state, stream) {
+                return self.keep_run(interrupt, "no-retry-left");
+            }
+            if let Some(first) = stream.first_part() {
+                state.failed(&first.server);
+            }
         }
         self.start_open(Some(interrupt), "abandoned");
         None
@@ -304,6 +311,7 @@
             stream.path_text()
         );
         state.metrics.count("streams_resumed");
+        stream.has_gone_on.set(false);
         let (sender, result) = oneshot::channel();
         let current_path = HeldPath::detach(state, stream);
         let current_server = current_path.first().map(|first| first.server.clone());
@@ -324,10 +332,15 @@
     fn handle_opened(&mut self, result: Result<Incomplete, Refusal>) -> Option<Next> {
         let opening = self.opening.take()?;
         match (result, opening.interrupt) {
-            (Ok(incomplete), _) => {
-                if let Some(first) = opening.current_path.first() {
-                    let stream = &self.registration.stream;
-                    stream.attempts.borrow_mut().left(&first.server);
+            (Ok(incomplete), interrupt) => {
+                let (state, stream) = (&self.registration.state, &self.registration.stream);
+                match (opening.current_path.first(), interrupt) {
+                    (Some(first), Some(Interrupt::FirstSilent)) => {
+                        let began = stream.run_began.get();
+                        record_loss(state, stream, first, Loss::Silent, began);
+                    }
+                    (Some(first), _) => stream.attempts.borrow_mut().left(&first.server),
+                    (None, _) => {}
                 }
                 self.switch_to(incomplete);
                 None
@@ -338,6 +351,13 @@
                 self.registration.stream.pending_interrupt.take();
                 self.keep_run(interrupt, &cause)
             }
+            // The run went on, which ended the opening, and was then lost.
+            (Err(_), Some(_))
+                if self.registration.stream.has_gone_on.get() && self.can_resume() =>
+            {
+                self.start_open(None, "run-lost");
+                None
+            }
             (Err((_, cause)), _) => Some(self.abort(&cause)),
         }
     }
--- a/crates/front/src/stream/interrupt.rs
+++ b/crates/front/src/stream/interrupt.rs
@@ -5,20 +5,33 @@
 /// Why a run is interrupted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Interrupt {
-    /// The server of the first part is dead.
+    /// The server of the first part has ended.
     FirstDead,
+    /// The server of the first part does not answer; it may go on.
+    FirstSilent,
     /// Another part of the path is dead and could not be replaced.
     PartDead,
+    /// Another part of the path does not answer and could not be replaced; it may go on.
+    PartSilent,
     /// The run stalls, or a server on its path is draining.
     Reopen,
 }
 
+impl Interrupt {
+    /// Returns whether servers of the run do not answer, and may go on with it.
+    pub fn is_silence(self) -> bool {
+        matches!(self, Self::FirstSilent | Self::PartSilent)
+    }
+}
+
 /// The value of `urge=` in logs.
 impl fmt::Display for Interrupt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::FirstDead => "Lost",
+            Self::FirstSilent => "FirstSilent",
             Self::PartDead => "Broken",
+            Self::PartSilent => "PartSilent",
             Self::Reopen => "Elsewhere",
         })
     }
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -112,6 +112,7 @@
         retry: RefCell::default(),
         last_loss: RefCell::default(),
         pending_interrupt: Cell::default(),
+        has_gone_on: Cell::default(),
         is_expired: Cell::new(false),
         body_waker: AtomicWaker::new(),
         open_waker: AtomicWaker::new(),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -28,6 +28,7 @@
 use crate::upstream::Incomplete;
 
 use super::LAST_EVENT;
+use super::interrupt::Interrupt;
 use super::path::choose_with;
 use super::path::release_path;
 use super::path::set_path;
@@ -83,7 +84,7 @@
     loop {
         if progress.current_server().is_some() && stream.last_event.get() > started {
             // The stalled run has recovered; a move off a draining server can wait.
-            return Err((Reason::Failed, "run-goes-on".into()));
+            return Err(run_goes_on());
         }
         if stream.is_expired.get() || clock::now() >= stream.deadline {
             return Err((Reason::Late, "deadline".into()));
@@ -102,6 +103,9 @@
         }
         stream.pending_interrupt.set(None);
         if stream.was_sent.get() && !wait_for_retry(state, stream).await {
+            if stream.has_gone_on.get() {
+                return Err(run_goes_on());
+            }
             return Err(final_refusal(stream, Reason::Refused, cause));
         }
         let path = match next_path(state, stream, &avoid) {
@@ -134,6 +138,10 @@
             stream.path_text()
         );
         let first = stream.first_part();
+        if let Some(first) = first.as_ref().filter(|_| stream.has_gone_on.get()) {
+            stream.attempts.borrow_mut().left(&first.server);
+            return Err(run_goes_on());
+        }
         let at_fault = part_at_fault(stream, &failure);
         if matches!(failure, Failure::Unknown(_)) {
             if let Some(first) = &first {
@@ -187,6 +195,11 @@
     }
 }
 
+/// Returns why no other run is opened for a stream whose run has recovered.
+fn run_goes_on() -> Refusal {
+    (Reason::Failed, "run-goes-on".into())
+}
+
 /// Returns the servers that are excluded before any has rejected the request.
 fn initial_exclusions(stream: &Stream, progress: &Progress) -> Vec<Incarnation> {
     let excluded = stream.excluded.borrow();
@@ -354,7 +367,9 @@
     }
     let mut attempts = stream.attempts.borrow_mut();
     match loss {
-        Loss::Broken | Loss::Dead if began.is_some() => attempts.lost(now, &first.server),
+        Loss::Broken | Loss::Dead | Loss::Silent if began.is_some() => {
+            attempts.lost(now, &first.server);
+        }
         _ => attempts.left(&first.server),
     }
     drop(attempts);
@@ -457,11 +472,14 @@
         &outgoing,
         &stream.features,
     );
-    let sending = std::pin::pin!(sending);
-    let interrupted = std::pin::pin!(stream.interrupted());
-    let result = match select(sending, interrupted).await {
-        Either::Left((result, _)) => result,
-        Either::Right(_) => Err(Failure::Unknown("abandoned".into())),
+    let mut sending = std::pin::pin!(sending);
+    let result = loop {
+        let interrupted = std::pin::pin!(stream.interrupted());
+        match select(sending.as_mut(), interrupted).await {
+            Either::Left((result, _)) => break result,
+            Either::Right(_) if should_wait(state, stream) => stream.pending_interrupt.set(None),
+            Either::Right(_) => break Err(Failure::Unknown("abandoned".into())),
+        }
     };
     if !matches!(result, Ok(_) | Err(Failure::Unknown(_))) {
         stream.attempts.borrow_mut().take_back();
@@ -475,6 +493,14 @@
     result
 }
 
+/// Returns whether an interrupted run that has not begun is still the best choice: its servers are
+/// silent and may go on, and the request may not be sent to another one now.
+fn should_wait<D>(state: &State<D>, stream: &Stream) -> bool {
+    let is_needed = !stream.is_expired.get() && !stream.has_gone_on.get();
+    let interrupt = stream.pending_interrupt.get();
+    is_needed && interrupt.is_some_and(Interrupt::is_silence) && !may_run_again(state, stream)
+}
+
 /// Returns the servers of earlier runs and their states, for logs.
 pub(super) fn earlier_servers<D>(state: &State<D>, stream: &Stream) -> String {
     let attempts = stream.attempts.borrow();
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -32,6 +32,8 @@
     Broken,
     /// It was interrupted because its server is dead.
     Dead,
+    /// It was given up because its server did not answer; the server may go on.
+    Silent,
     /// It was interrupted, but its server may be alive.
     Abandoned,
     /// Its server cut it off because the caller did not read.
@@ -44,6 +46,7 @@
         f.write_str(match self {
             Self::Broken => "broken",
             Self::Dead => "dead",
+            Self::Silent => "silent",
             Self::Abandoned => "abandoned",
             Self::Unread => "unread",
         })
@@ -162,6 +165,8 @@
     pub(super) last_loss: RefCell<Option<(Incarnation, Instant)>>,
     /// Why its run should be interrupted, if so.
     pub(super) pending_interrupt: Cell<Option<Interrupt>>,
+    /// Whether its silent run went on while another one was being opened, which is then given up.
+    pub(super) has_gone_on: Cell<bool>,
     pub(super) is_expired: Cell<bool>,
     /// Wakes the response body.
     pub(super) body_waker: AtomicWaker,
@@ -210,8 +215,11 @@
     pub(super) fn loss(&self) -> Loss {
         match self.pending_interrupt.get() {
             Some(Interrupt::FirstDead) => Loss::Dead,
-            Some(Interrupt::PartDead | Interrupt::Reopen) => Loss::Abandoned,
-            None if self.is_expired.get() => Loss::Abandoned,
+            Some(Interrupt::FirstSilent) => Loss::Silent,
+            Some(Interrupt::PartDead | Interrupt::PartSilent | Interrupt::Reopen) => {
+                Loss::Abandoned
+            }
+            None if self.is_expired.get() || self.has_gone_on.get() => Loss::Abandoned,
             None => Loss::Broken,
         }
     }
@@ -265,11 +273,12 @@
         .await;
     }
 
-    /// Waits until the current run is interrupted or the stream expires.
+    /// Waits until the run being opened is interrupted or no longer needed, or the stream expires.
     pub(super) async fn interrupted(&self) {
         poll_fn(|context| {
             self.open_waker.register(context.waker());
-            if self.pending_interrupt.get().is_some() || self.is_expired.get() {
+            let is_interrupted = self.pending_interrupt.get().is_some();
+            if is_interrupted || self.is_expired.get() || self.has_gone_on.get() {
                 return Poll::Ready(());
             }
             Poll::Pending
@@ -277,6 +286,12 @@
         .await;
     }
 
+    /// Records that the silent run went on, which ends the opening of another one.
+    pub(super) fn go_on(&self) {
+        self.has_gone_on.set(true);
+        self.open_waker.wake();
+    }
+
     pub(super) fn record_event(&self, now: Instant) {
         const SMOOTHING: f64 = 0.2;
         let gap = now.since(self.last_activity.get());
--- a/crates/front/tests/interrupts.rs
+++ b/crates/front/tests/interrupts.rs
@@ -10,7 +10,9 @@
 fn interrupts_print_their_logged_names() {
     let names = [
         (Interrupt::FirstDead, "Lost"),
+        (Interrupt::FirstSilent, "FirstSilent"),
         (Interrupt::PartDead, "Broken"),
+        (Interrupt::PartSilent, "PartSilent"),
         (Interrupt::Reopen, "Elsewhere"),
     ];
 
@@ -19,6 +21,16 @@
     }
 }
 
+#[test]
+fn only_silence_may_end_by_itself() {
+    for silence in [Interrupt::FirstSilent, Interrupt::PartSilent] {
+        assert!(silence.is_silence());
+    }
+    for other in [Interrupt::FirstDead, Interrupt::PartDead, Interrupt::Reopen] {
+        assert!(!other.is_silence());
+    }
+}
+
 #[test]
 fn causes_print_their_logged_names() {
     let names = [
