--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -30,16 +30,16 @@
 use super::interrupt::Interrupt;
 use super::open::Progress;
 use super::open::Refusal;
-use super::open::earlier_servers;
-use super::open::ensure_retry;
 use super::open::open;
-use super::open::permission;
-use super::open::record_loss;
-use super::open::remaining_patience;
 use super::path::HeldPath;
 use super::path::Registration;
 use super::path::release_path;
 use super::record::Loss;
+use super::retry::ensure_retry;
+use super::retry::remaining_patience;
+use super::runs::earlier_servers;
+use super::runs::permission;
+use super::runs::record_loss;
 
 /// The source of the events.
 pub(super) enum Upstream {
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -6,6 +6,9 @@
 mod path;
 mod read_ahead;
 mod record;
+mod retry;
+mod runs;
+mod send;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -43,7 +46,7 @@
 
 pub use interrupt::Cause;
 pub use interrupt::Interrupt;
-pub use open::settle;
+
 pub use path::choose_with;
 pub use path::may_reopen;
 pub use path::recover;
@@ -51,6 +54,7 @@
 pub use read_ahead::Events;
 pub use read_ahead::Reader;
 pub use record::Stream;
+pub use runs::settle;
 
 /// The header that resumes a stream after an event.
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
--- a/crates/front/src/stream/path.rs
+++ b/crates/front/src/stream/path.rs
@@ -14,8 +14,8 @@
 use crate::state::State;
 
 use super::interrupt::Cause;
-use super::open::may_run_again;
 use super::record::Stream;
+use super::retry::may_run_again;
 
 /// Keeps a stream registered and its memory accounted for until dropped.
 pub(super) struct Registration<D> {
