Check a suspected server once the longest silence of a sound one is over, whatever other entries do

Callers would see: at size, a sound server that was silent for a second gets no requests for long after it went on. Cause: the pause between checks grows with the entries that suspect the server too. Change: one check 1.5 s after the suspicion does not wait for the others, and a failed check of a stream's watchdog counts as one. At most one check more for each suspicion and entry; the bound of eight times a single entry's checks holds. One test drained a suspect's checks before it asked that none is due; it drains the added one as well, its check is as it was.

--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -282,7 +282,9 @@
     /// Returns the suspects to check now, and schedules their next checks after longer delays.
     ///
     /// The delays grow with the number of other entries that check as well, so that a hundred
-    /// entries check a suspect as often as one.
+    /// entries check a suspect as often as one. Only the check after the longest silence of a sound
+    /// server does not wait for the others: a server that has gone on is used again, and one that has
+    /// not is known to be unsound before its registration expires.
     pub fn due(&mut self, now: Instant) -> Vec<Incarnation> {
         let mut due = Vec::new();
         for (server, suspect) in &mut self.suspects {
@@ -292,6 +294,10 @@
             let others = self.peer_reports.get(server).copied().unwrap_or(0);
             suspect.delay = Span((suspect.delay.0 * 2).min(MAX_DELAY.0));
             suspect.check_at = now.plus(Span(suspect.delay.0 * (1 + others)));
+            let pause_over = suspect.since.plus(MAX_PAUSE);
+            if now < pause_over {
+                suspect.check_at = suspect.check_at.min(pause_over);
+            }
             due.push(server.clone());
         }
         due
--- a/crates/core/tests/belief.rs
+++ b/crates/core/tests/belief.rs
@@ -306,6 +306,22 @@
     assert!(together <= 8 * alone, "{together} of {alone}");
 }
 
+/// Guards against a sound server that stays unused for seconds after a silence, because many entries
+/// suspect it and each waits for the others, and against not knowing of a dead one before its
+/// registration expires.
+#[test]
+fn each_entry_asks_a_suspect_once_the_longest_silence_of_a_sound_server_is_over() {
+    for others in [0, 1, 30, 470] {
+        let mut suspicion = Suspicion::default();
+        suspicion.suspect(Instant(0), &"a".into());
+        suspicion.set_peer_reports(Instant(1), [("a".into(), others)].into());
+
+        let mut times = (0..3_000).filter(|now| !suspicion.due(Instant(*now)).is_empty());
+
+        assert!(times.any(|time| time == 1_500), "{others} other entries");
+    }
+}
+
 /// A suspect that other entries trust again is checked at once, whatever its delay.
 #[test]
 fn a_suspect_that_others_trust_again_is_asked_at_once() {
@@ -313,6 +329,7 @@
     suspicion.suspect(Instant(0), &"a".into());
     suspicion.set_peer_reports(Instant(1), [("a".into(), 50)].into());
     suspicion.due(Instant(200));
+    suspicion.due(Instant(1_500));
     assert!(suspicion.due(Instant(3_000)).is_empty());
 
     suspicion.set_peer_reports(Instant(3_000), BTreeMap::new());
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -204,7 +204,7 @@
         }
         Err(error) => {
             state.suspect(server, &format!("{error:#}").replace(' ', "-"));
-            record_refusal(state, server, &error);
+            record_failed_check(state, server, &error);
         }
     }
     health
@@ -219,11 +219,13 @@
     is_timeout && state.local_health.borrow().was_delayed(sent, clock::now())
 }
 
-/// Records a refused connection.
-fn record_refusal<D>(state: &State<D>, server: &Incarnation, error: &anyhow::Error) {
+/// Records that a suspected server left a check unanswered or refused the connection.
+fn record_failed_check<D>(state: &State<D>, server: &Incarnation, error: &anyhow::Error) {
+    let mut suspicion = state.suspicion.borrow_mut();
+    suspicion.check_failed(clock::now(), server);
     let error = error.downcast_ref::<io::Error>();
     if error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
-        state.suspicion.borrow_mut().set_refusing(server);
+        suspicion.set_refusing(server);
     }
 }
 
@@ -341,10 +343,8 @@
     state.metrics.count("probes");
     let sent = clock::now();
     if let Err(error) = report(&state, &server, address).await {
-        record_refusal(&state, &server, &error);
         if !is_inconclusive(&state, sent, &error) {
-            let mut suspicion = state.suspicion.borrow_mut();
-            suspicion.check_failed(clock::now(), &server);
+            record_failed_check(&state, &server, &error);
         }
         return;
     }
