Give back the retry of a run that is kept, and the path of one that was opened in vain

A retry taken for another run stayed booked when the silent run went on or no path was found; an opening did not look whether the run had gone on between the wait for a retry and sending; when that run was lost afterwards, the path of the abandoned opening was taken for the current one. A move off a draining server whose run went on and was then lost is opened anew as well, not cut.

--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -347,6 +347,8 @@
             }
             (Err((_, cause)), Some(interrupt)) if self.is_reading() => {
                 opening.current_path.restore();
+                // Leaves the unused retry to other requests.
+                self.registration.stream.retry.take();
                 // An interrupt that arrived meanwhile concerns the run that failed to open.
                 self.registration.stream.pending_interrupt.take();
                 self.keep_run(interrupt, &cause)
@@ -355,6 +357,7 @@
             (Err(_), Some(_))
                 if self.registration.stream.has_gone_on.get() && self.can_resume() =>
             {
+                release_path(&self.registration.state, &self.registration.stream);
                 self.start_open(None, "run-lost");
                 None
             }
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -6,6 +6,7 @@
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 
@@ -69,8 +70,7 @@
     let mut rejections = 0;
     let mut cause = String::from("run-lost");
     loop {
-        if progress.current_server().is_some() && stream.last_event.get() > started {
-            // The stalled run has recovered; a move off a draining server can wait.
+        if has_gone_on(stream, &progress, started) {
             return Err(run_goes_on());
         }
         if stream.is_expired.get() || clock::now() >= stream.deadline {
@@ -90,11 +90,11 @@
         }
         stream.pending_interrupt.set(None);
         if stream.was_sent.get() && !wait_for_retry(state, stream).await {
-            if stream.has_gone_on.get() {
-                return Err(run_goes_on());
-            }
             return Err(final_refusal(stream, Reason::Refused, cause));
         }
+        if has_gone_on(stream, &progress, started) {
+            return Err(run_goes_on());
+        }
         let path = match next_path(state, stream, &avoid) {
             Some(path) => path,
             None if wait_briefly(stream).await => continue,
@@ -182,6 +182,15 @@
     }
 }
 
+/// Returns whether the current run has recovered since another one was to be opened. A move off a
+/// draining server can wait.
+fn has_gone_on(stream: &Stream, progress: &Progress, started: Instant) -> bool {
+    if progress.current_server().is_some() && stream.last_event.get() > started {
+        stream.has_gone_on.set(true);
+    }
+    stream.has_gone_on.get()
+}
+
 /// Returns why no other run is opened for a stream whose run has recovered.
 fn run_goes_on() -> Refusal {
     (Reason::Failed, "run-goes-on".into())
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -165,7 +165,7 @@
     pub(super) last_loss: RefCell<Option<(Incarnation, Instant)>>,
     /// Why its run should be interrupted, if so.
     pub(super) pending_interrupt: Cell<Option<Interrupt>>,
-    /// Whether its silent run went on while another one was being opened, which is then given up.
+    /// Whether its run went on while another one was being opened, which is then given up.
     pub(super) has_gone_on: Cell<bool>,
     pub(super) is_expired: Cell<bool>,
     /// Wakes the response body.
