Keep a run whose servers are silent before its first event until another server has accepted the request

Callers would see: 502 for a request whose engine is silent for a second while all others are full, though it goes on. Change: the exchange is kept, and awaited once no other server takes the request; dropping it closes its connection.

--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -28,6 +28,8 @@
 use super::retry::wait_for_retry;
 use super::runs::permission;
 use super::runs::record_loss;
+use super::send::Sent;
+use super::send::SilentRun;
 use super::send::send;
 
 /// Maximum paths that may reject a request before it fails.
@@ -58,19 +60,38 @@
     }
 }
 
-/// Sends the request along paths until one accepts it.
+/// Sends the request along paths until one accepts it; waits for a silent run that none replaced.
 pub(super) async fn open<D: Dialect>(
     state: &Rc<State<D>>,
     stream: &Rc<Stream>,
     last: Option<u64>,
     progress: Progress,
+) -> Result<Incomplete, Refusal> {
+    let mut silent = None;
+    let result = try_paths(state, stream, last, &progress, &mut silent).await;
+    match (result, silent) {
+        (Err(refusal), Some(silent)) => {
+            let response = silent.finish(stream).await;
+            let response = response.filter(|response| is_acceptable(response, &progress));
+            response.ok_or(refusal)
+        }
+        (result, _) => result,
+    }
+}
+
+async fn try_paths<D: Dialect>(
+    state: &Rc<State<D>>,
+    stream: &Rc<Stream>,
+    last: Option<u64>,
+    progress: &Progress,
+    silent: &mut Option<SilentRun<D>>,
 ) -> Result<Incomplete, Refusal> {
     let started = clock::now();
-    let mut avoid = initial_exclusions(stream, &progress);
+    let mut avoid = initial_exclusions(stream, progress);
     let mut rejections = 0;
     let mut cause = String::from("run-lost");
     loop {
-        if has_gone_on(stream, &progress, started) {
+        if has_gone_on(stream, progress, started) {
             return Err(run_goes_on());
         }
         if stream.is_expired.get() || clock::now() >= stream.deadline {
@@ -92,7 +113,7 @@
         if stream.was_sent.get() && !wait_for_retry(state, stream).await {
             return Err(final_refusal(stream, Reason::Refused, cause));
         }
-        if has_gone_on(stream, &progress, started) {
+        if has_gone_on(stream, progress, started) {
             return Err(run_goes_on());
         }
         let path = match next_path(state, stream, &avoid) {
@@ -105,18 +126,24 @@
                 return Err(final_refusal(stream, Reason::NoServer, cause.into()));
             }
         };
-        let sent = send(state, stream, path, last);
-        let failure = match sent.await {
-            Ok(incomplete) if is_acceptable(&incomplete, &progress) => return Ok(incomplete),
-            Ok(incomplete) => {
+        let mut exchange = None;
+        let failure = match send(state, stream, path, last).await {
+            Sent::Ended(Ok(incomplete)) if is_acceptable(&incomplete, progress) => {
+                return Ok(incomplete);
+            }
+            Sent::Ended(Ok(incomplete)) => {
                 let failure = Failure::Failed(incomplete.response.status());
                 match may_run_again(state, stream) {
                     true => failure,
-                    false if progress == Progress::NotStarted => return Ok(incomplete),
+                    false if *progress == Progress::NotStarted => return Ok(incomplete),
                     false => return Err((Reason::Failed, failure.to_string())),
                 }
             }
-            Err(failure) => failure,
+            Sent::Ended(Err(failure)) => failure,
+            Sent::Silent(silent) => {
+                exchange = Some(silent);
+                Failure::Unknown("silent".into())
+            }
         };
         cause = failure.to_string().replace(' ', "-");
         log::info!(
@@ -135,7 +162,10 @@
                 record_loss(state, stream, first, stream.loss(), None);
             }
         }
-        release_path(state, stream);
+        match exchange.filter(|_| silent.is_none()) {
+            Some(exchange) => *silent = Some(SilentRun::keep(state, stream, exchange)),
+            None => release_path(state, stream),
+        }
         match failure {
             Failure::NotSent(_) => {
                 if let Some(first) = first {
@@ -162,7 +192,7 @@
                         return Err(final_refusal(stream, Reason::Refused, cause));
                     }
                     rejections = 0;
-                    avoid = initial_exclusions(stream, &progress);
+                    avoid = initial_exclusions(stream, progress);
                 }
             }
             Failure::Failed(_) => {
--- a/crates/front/src/stream/send.rs
+++ b/crates/front/src/stream/send.rs
@@ -2,8 +2,11 @@
 
 use std::rc::Rc;
 
+use futures::FutureExt;
 use futures::future::Either;
+use futures::future::RemoteHandle;
 use futures::future::select;
+use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_program::clock;
 
@@ -14,27 +17,78 @@
 use crate::upstream;
 use crate::upstream::Failure;
 use crate::upstream::Incomplete;
+use crate::upstream::Outgoing;
 
 use super::LAST_EVENT;
 use super::interrupt::Interrupt;
+use super::path::HeldPath;
 use super::path::set_path;
 use super::record::Stream;
 use super::retry::may_run_again;
 use super::runs::earlier_servers;
 
+/// The outcome of sending a request along a path.
+pub(super) enum Sent {
+    /// A server responded, or the request is no longer wanted there.
+    Ended(Result<Incomplete, Failure>),
+    /// Its servers are silent and may go on, and the request may be sent to another one now.
+    Silent(Exchange),
+}
+
+/// An exchange with a server; dropping it closes its connection.
+pub(super) type Exchange = RemoteHandle<Result<Incomplete, Failure>>;
+
+/// A run whose servers fell silent before it began, kept in case no other server accepts the request.
+pub(super) struct SilentRun<D> {
+    path: HeldPath<D>,
+    exchange: Exchange,
+}
+
+impl<D> SilentRun<D> {
+    /// Keeps the current run of a stream; its memory stays reserved.
+    pub(super) fn keep(state: &Rc<State<D>>, stream: &Rc<Stream>, exchange: Exchange) -> Self {
+        Self {
+            path: HeldPath::detach(state, stream),
+            exchange,
+        }
+    }
+
+    /// Returns the response if a server goes on; `None` if the run has ended or is no longer wanted.
+    pub(super) async fn finish(self, stream: &Stream) -> Option<Incomplete> {
+        log::info!(
+            "event=run-kept request={} urge=FirstSilent cause=no-other",
+            stream.id
+        );
+        self.path.restore();
+        let mut exchange = self.exchange;
+        loop {
+            stream.pending_interrupt.set(None);
+            let interrupted = std::pin::pin!(stream.interrupted());
+            match select(&mut exchange, interrupted).await {
+                Either::Left((result, _)) => return result.ok(),
+                Either::Right(_) if is_over(stream) => return None,
+                Either::Right(_) => {}
+            }
+        }
+    }
+}
+
+/// Returns whether a run that is waited for has ended or is no longer wanted.
+fn is_over(stream: &Stream) -> bool {
+    let interrupt = stream.pending_interrupt.get();
+    let is_dead = matches!(interrupt, Some(Interrupt::FirstDead | Interrupt::PartDead));
+    is_dead || stream.is_expired.get() || stream.has_gone_on.get()
+}
+
 /// Sends a request along a path, under one of its retries if it was sent before.
-///
-/// # Errors
-///
-/// No server accepted it, or it is no longer wanted there.
 pub(super) async fn send<D: Dialect>(
     state: &Rc<State<D>>,
     stream: &Rc<Stream>,
     path: Path,
     last: Option<u64>,
-) -> Result<Incomplete, Failure> {
+) -> Sent {
     let Some(first) = path.first().cloned() else {
-        return Err(Failure::NotSent("path is empty".into()));
+        return Sent::Ended(Err(Failure::NotSent("path is empty".into())));
     };
     let now = clock::now();
     stream.last_activity.set(now);
@@ -67,20 +121,19 @@
     if let Some(retry) = &mut retry {
         retry.set_sent(true);
     }
-    let sending = upstream::send::<D>(
-        state,
-        &first.server,
-        first.address,
-        &outgoing,
-        &stream.features,
-    );
-    let mut sending = std::pin::pin!(sending);
+    let mut exchange = start(state.clone(), stream.clone(), first, outgoing);
     let result = loop {
         let interrupted = std::pin::pin!(stream.interrupted());
-        match select(sending.as_mut(), interrupted).await {
+        match select(&mut exchange, interrupted).await {
             Either::Left((result, _)) => break result,
-            Either::Right(_) if should_wait(state, stream) => stream.pending_interrupt.set(None),
-            Either::Right(_) => break Err(Failure::Unknown("abandoned".into())),
+            Either::Right(_) if !is_silent(stream) => {
+                break Err(Failure::Unknown("abandoned".into()));
+            }
+            Either::Right(_) if may_run_again(state, stream) => {
+                stream.was_sent.set(true);
+                return Sent::Silent(exchange);
+            }
+            Either::Right(_) => stream.pending_interrupt.set(None),
         }
     };
     if !matches!(result, Ok(_) | Err(Failure::Unknown(_))) {
@@ -92,13 +145,27 @@
         retry.set_sent(false);
         stream.retry.replace(Some(retry));
     }
-    result
+    Sent::Ended(result)
+}
+
+/// Starts an exchange with the first server of a path.
+fn start<D: Dialect>(
+    state: Rc<State<D>>,
+    stream: Rc<Stream>,
+    first: Part,
+    outgoing: Outgoing,
+) -> Exchange {
+    let exchange = async move {
+        let (server, features) = (&first.server, &stream.features);
+        upstream::send::<D>(&state, server, first.address, &outgoing, features).await
+    };
+    let (task, exchange) = exchange.remote_handle();
+    tokio::task::spawn_local(task);
+    exchange
 }
 
-/// Returns whether an interrupted run that has not begun is still the best choice: its servers are
-/// silent and may go on, and the request may not be sent to another one now.
-fn should_wait<D>(state: &State<D>, stream: &Stream) -> bool {
-    let is_needed = !stream.is_expired.get() && !stream.has_gone_on.get();
+/// Returns whether a run was interrupted only because its servers are silent; they may go on.
+fn is_silent(stream: &Stream) -> bool {
     let interrupt = stream.pending_interrupt.get();
-    is_needed && interrupt.is_some_and(Interrupt::is_silence) && !may_run_again(state, stream)
+    interrupt.is_some_and(Interrupt::is_silence) && !is_over(stream)
 }
