Cut no stream whose server lives while its caller may still wait

Callers would see: a stream cut 1.4 s after its last event because a later part of its path refuses connections, although its first server lives and a caller waits for two seconds. Cause: what a run is given up for was split by how a later part is dead, and one side still cut the stream. Change: no part's state cuts a stream; only the time after which any caller has gone does (two seconds, four times the target, eight times the longest gap, whichever is longest, and half a second for the way).

--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -36,7 +36,6 @@
 use super::path::release_path;
 use super::record::Loss;
 use super::retry::ensure_retry;
-use super::retry::remaining_patience;
 use super::runs::earlier_servers;
 use super::runs::permission;
 use super::runs::record_loss;
@@ -146,7 +145,7 @@
             stream.record_event(now);
             self.record_survival(now);
             let interrupt = self.opening.as_ref().and_then(|opening| opening.interrupt);
-            if interrupt.is_some_and(Interrupt::is_silence) {
+            if interrupt.is_some_and(Interrupt::may_go_on) {
                 stream.go_on();
             }
         }
@@ -367,11 +366,11 @@
 
     /// Keeps the stream on its current run.
     ///
-    /// A stalled run may recover and a dead part may be replaced, while an aborted stream is lost.
-    /// A stream with a dead part is aborted once its client can be expected to disconnect.
+    /// A stalled run may recover and a dead part may be replaced, while an aborted stream is lost. It is
+    /// aborted only after any client has disconnected.
     fn keep_run(&mut self, interrupt: Interrupt, cause: &str) -> Option<Next> {
         let stream = &self.registration.stream;
-        if interrupt == Interrupt::PartDead && remaining_patience(stream).is_none() {
+        if stream.has_outlasted_client(clock::now()) {
             return Some(self.abort(cause));
         }
         self.registration.state.metrics.count("streams_kept");
--- a/crates/front/src/stream/interrupt.rs
+++ b/crates/front/src/stream/interrupt.rs
@@ -9,18 +9,17 @@
     FirstDead,
     /// The server of the first part does not answer; it may go on.
     FirstSilent,
-    /// Another part of the path is dead and could not be replaced.
+    /// Another part of the path does not answer or refuses connections, and could not be replaced. It
+    /// may go on, or be replaced later.
     PartDead,
-    /// Another part of the path does not answer and could not be replaced; it may go on.
-    PartSilent,
     /// The run stalls, or a server on its path is draining.
     Reopen,
 }
 
 impl Interrupt {
-    /// Returns whether servers of the run do not answer, and may go on with it.
-    pub fn is_silence(self) -> bool {
-        matches!(self, Self::FirstSilent | Self::PartSilent)
+    /// Returns whether the run stands still and may go on.
+    pub fn may_go_on(self) -> bool {
+        matches!(self, Self::FirstSilent | Self::PartDead)
     }
 }
 
@@ -31,7 +30,6 @@
             Self::FirstDead => "Lost",
             Self::FirstSilent => "FirstSilent",
             Self::PartDead => "Broken",
-            Self::PartSilent => "PartSilent",
             Self::Reopen => "Elsewhere",
         })
     }
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -57,6 +57,14 @@
 /// several with less time in between: the little that is then read does not open the receive window.
 const MAX_UNREAD: Span = Span(1_000);
 
+/// How long clients wait for the next event: the longest of a fixed time and of multiples of the
+/// route's targets for the first event and for gaps.
+const CLIENT_PATIENCE: Span = Span(2_000);
+const CLIENT_PATIENCE_IN_TARGETS: u64 = 4;
+const CLIENT_PATIENCE_IN_GAPS: u64 = 8;
+/// How much later than this entry a client may have received the last event.
+const CLIENT_DELAY: Span = Span(500);
+
 /// When and for how long the reading of a stream paused for its caller.
 pub(super) struct Reading {
     /// Since when it is paused.
@@ -216,9 +224,7 @@
         match self.pending_interrupt.get() {
             Some(Interrupt::FirstDead) => Loss::Dead,
             Some(Interrupt::FirstSilent) => Loss::Silent,
-            Some(Interrupt::PartDead | Interrupt::PartSilent | Interrupt::Reopen) => {
-                Loss::Abandoned
-            }
+            Some(Interrupt::PartDead | Interrupt::Reopen) => Loss::Abandoned,
             None if self.is_expired.get() || self.has_gone_on.get() => Loss::Abandoned,
             None => Loss::Broken,
         }
@@ -261,6 +267,14 @@
         self.last_event.get().max(self.reading.since.get())
     }
 
+    /// Returns whether any client has disconnected by now, because no event has come for too long.
+    pub(super) fn has_outlasted_client(&self, now: Instant) -> bool {
+        let target = Span(self.route.latency_target.0 * CLIENT_PATIENCE_IN_TARGETS);
+        let gap = Span(self.route.gap_target.0 * CLIENT_PATIENCE_IN_GAPS);
+        let patience = CLIENT_PATIENCE.max(target).max(gap);
+        now.since(self.last_read()) > Span(patience.0 + CLIENT_DELAY.0)
+    }
+
     /// Waits until the stream expires.
     pub(super) async fn expired(&self) {
         poll_fn(|context| {
--- a/crates/front/src/stream/retry.rs
+++ b/crates/front/src/stream/retry.rs
@@ -78,7 +78,7 @@
 }
 
 /// Returns how much longer the client of a stream under way can be expected to wait.
-pub(super) fn remaining_patience(stream: &Stream) -> Option<Span> {
+fn remaining_patience(stream: &Stream) -> Option<Span> {
     let is_under_way = stream.runs() > 0 || stream.events.get() > 0;
     let silent = clock::now().since(stream.last_read());
     let left = Span(CLIENT_PATIENCE.0.saturating_sub(silent.0));
--- a/crates/front/src/stream/send.rs
+++ b/crates/front/src/stream/send.rs
@@ -76,8 +76,11 @@
 /// Returns whether a run that is waited for has ended or is no longer wanted.
 fn is_over(stream: &Stream) -> bool {
     let interrupt = stream.pending_interrupt.get();
-    let is_dead = matches!(interrupt, Some(Interrupt::FirstDead | Interrupt::PartDead));
-    is_dead || stream.is_expired.get() || stream.has_gone_on.get()
+    let is_late = stream.has_outlasted_client(clock::now());
+    is_late
+        || interrupt == Some(Interrupt::FirstDead)
+        || stream.is_expired.get()
+        || stream.has_gone_on.get()
 }
 
 /// Sends a request along a path, under one of its retries if it was sent before.
@@ -167,5 +170,5 @@
 /// Returns whether a run was interrupted only because its servers are silent; they may go on.
 fn is_silent(stream: &Stream) -> bool {
     let interrupt = stream.pending_interrupt.get();
-    interrupt.is_some_and(Interrupt::is_silence) && !is_over(stream)
+    interrupt.is_some_and(Interrupt::may_go_on) && !is_over(stream)
 }
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -252,13 +252,6 @@
         }
         return;
     }
-    let dead_part = match unhealthy
-        .iter()
-        .any(|(part, health)| *health == Health::Dead && is_gone(state, part))
-    {
-        true => Interrupt::PartDead,
-        false => Interrupt::PartSilent,
-    };
     blame_for_dead_parts(state, stream, &unhealthy);
     if !is_dead && stream.slow_moves.get() >= MAX_SLOW_MOVES {
         return;
@@ -273,7 +266,7 @@
             Repair::Done => return,
             Repair::Rejected(part) => avoid.push(part),
             Repair::Reopen => {
-                stream.interrupt(dead_part);
+                stream.interrupt(Interrupt::PartDead);
                 return;
             }
             Repair::Failed => break,
@@ -281,16 +274,10 @@
     }
     let is_current = stream.path.borrow().as_ref() == Some(&path);
     if is_dead && is_current {
-        stream.interrupt(dead_part);
+        stream.interrupt(Interrupt::PartDead);
     }
 }
 
-/// Returns whether a later part will not go on with a run: it has ended, or refuses connections.
-fn is_gone<D>(state: &State<D>, part: &Part) -> bool {
-    let refuses = state.suspicion.borrow().is_refusing(&part.server);
-    refuses || state.liveness(&part.server).has_ended()
-}
-
 /// Records that a run was lost on dead servers further along its path, as on its first one.
 fn blame_for_dead_parts<D>(state: &State<D>, stream: &Stream, unhealthy: &[(Part, Health)]) {
     for (part, _) in unhealthy
