--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -65,6 +65,9 @@
     pub route: Arc<Route>,
     /// The service.
     pub service: Service,
+    /// Whether the service runs a model along paths. Of the same version as the route: a request that
+    /// was admitted must not be sent to engines without a path if its model goes meanwhile.
+    pub is_model: bool,
     /// The customer; empty on public routes and if no accounts are configured.
     pub customer: Customer,
     /// The priority; 0 is the highest.
@@ -122,11 +125,8 @@
         record_refusal(&state, &id, route, Reason::Quarantined, arrived, &cause);
         return response::local(Reason::Quarantined, None);
     }
-    let is_model = state
-        .table()
-        .is_some_and(|table| table.model(&admitted.service).is_some());
     let outbound = Outbound::new(delivery, guard, id, arrived);
-    if is_model {
+    if admitted.is_model {
         return stream::serve(state, admitted, outbound).await;
     }
     unary::serve(&state, admitted, outbound).await
@@ -241,6 +241,7 @@
         customer,
         priority: priority.unwrap_or(route.priority),
         route,
+        is_model: table.model(&service).is_some(),
         service,
         outgoing: Outgoing {
             method: parts.method,
