Replace no silent engine before it is silent for longer than a sound one, and check it once more then

Callers saw: requests of sound engines broken off, and layers that other sound engines gave up and loaded, because one engine was silent for 1.2 s; and a sound server avoided for many seconds after it went on, the longer the more entries there are. Cause: 0.8 s of silence that another entry confirmed let the planner order others to take its layers, which cannot be taken back. And each entry waits with its checks in proportion to the number of entries that suspect a server, all in step. Class: that of the incident, an inference that cannot be taken back (a replacement) from evidence that can (a silence). Change: a silent server is replaced only once it left a check unanswered 1.5 s after it was suspected, as for `Lapsed`. Each entry checks a suspect once at that moment, however many suspect it. Costs one more check of each suspect by each entry that suspects it. Not measured: servers that are dark for good are replaced some 0.8 s later than before.

--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -30,11 +30,11 @@
 /// is 0.1 s, that of a connection less than 0.5 s.
 const MAX_CHECK_AGE: Span = Span(500);
 
-/// How long a server must be suspected before its layers are replaced; it is checked twice in that
-/// time.
+/// How long a server that refuses connections must be suspected before its layers are replaced; it is
+/// checked twice in that time. A silent one must be silent for longer than a sound one.
 pub const REPLACE_AFTER: Span = Span(800);
-/// How long a server that no other entry suspects must be suspected before its layers are replaced;
-/// it is checked four times in that time.
+/// How long a silent server that no other entry suspects must be suspected before its layers are
+/// replaced; it is checked four times in that time.
 pub const REPLACE_AFTER_ALONE: Span = Span(2_000);
 
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +53,16 @@
     fn checked_at(&self) -> Instant {
         Instant(self.since.0.saturating_sub(MAX_CHECK_AGE.0))
     }
+
+    /// Returns the earliest time of a check that no sound server leaves unanswered.
+    fn decisive_at(&self) -> Instant {
+        self.since.plus(MAX_PAUSE)
+    }
+
+    /// Returns whether it left such a check unanswered.
+    fn is_beyond_pause(&self) -> bool {
+        self.last_failed >= self.decisive_at()
+    }
 }
 
 /// The suspected servers.
@@ -222,23 +232,32 @@
         server: &Incarnation,
         local_health: &LocalHealth,
     ) -> Option<Evidence> {
-        let silent_since = self.silent_since(now, server, local_health);
-        let is_beyond_pause = silent_since.is_some_and(|since| {
-            let suspect = self.suspects.get(server);
-            suspect.is_some_and(|suspect| suspect.last_failed.since(since) >= MAX_PAUSE)
-        });
-        match is_beyond_pause {
+        match self.is_silent_beyond_pause(now, server, local_health) {
             true => Some(Evidence::Lapsed),
             false => self.evidence(now, server),
         }
     }
 
+    /// Returns whether a server has been silent for longer than a sound one.
+    fn is_silent_beyond_pause(
+        &self,
+        now: Instant,
+        server: &Incarnation,
+        local_health: &LocalHealth,
+    ) -> bool {
+        let suspect = self.suspects.get(server);
+        let is_silent = self.silent_since(now, server, local_health).is_some();
+        is_silent && suspect.is_some_and(Suspect::is_beyond_pause)
+    }
+
     /// Returns whether a suspected server's layers are to be replaced.
     ///
     /// A planner on a lossy link finds servers silent that all others reach. Replacing their layers
     /// would refuse requests until other servers have loaded them, without need. Silence therefore
     /// counts only if this process was on time and reached other servers, and takes longer unless
-    /// another entry confirms it. A server that refuses connections takes no requests in any case.
+    /// another entry confirms it. A sound server may be silent for a second and go on, and orders to
+    /// replace it cannot be taken back. A server that refuses connections takes no requests in any
+    /// case.
     ///
     /// # Examples
     ///
@@ -269,14 +288,8 @@
         if suspect.is_refusing {
             return elapsed >= REPLACE_AFTER;
         }
-        let is_silent = self.silent_since(now, server, local_health).is_some();
-        let is_confirmed = self.peer_reports(server) > 0;
-        let required = if is_confirmed {
-            REPLACE_AFTER
-        } else {
-            REPLACE_AFTER_ALONE
-        };
-        is_silent && elapsed >= required
+        let is_confirmed = self.peer_reports(server) > 0 || elapsed >= REPLACE_AFTER_ALONE;
+        is_confirmed && self.is_silent_beyond_pause(now, server, local_health)
     }
 
     /// Returns the suspects to check now, and schedules their next checks after longer delays.
@@ -293,11 +306,9 @@
             }
             let others = self.peer_reports.get(server).copied().unwrap_or(0);
             suspect.delay = Span((suspect.delay.0 * 2).min(MAX_DELAY.0));
-            suspect.check_at = now.plus(Span(suspect.delay.0 * (1 + others)));
-            let pause_over = suspect.since.plus(MAX_PAUSE);
-            if now < pause_over {
-                suspect.check_at = suspect.check_at.min(pause_over);
-            }
+            let next = now.plus(Span(suspect.delay.0 * (1 + others)));
+            let decisive = Some(suspect.decisive_at()).filter(|decisive| now < *decisive);
+            suspect.check_at = decisive.map_or(next, |decisive| next.min(decisive));
             due.push(server.clone());
         }
         due
