--- a/crates/core/tests/silence_checks.rs
+++ b/crates/core/tests/silence_checks.rs
@@ -68,7 +68,7 @@
             self.local_health.tick(self.now);
             self.local_health.record_answer(self.now);
             self.end_checks(answers_at);
-            if self.now.0.is_multiple_of(POLL) {
+            if self.now.0 % POLL == 0 {
                 self.report();
                 self.start_checks();
             }
@@ -77,8 +77,15 @@
 
     fn end_checks(&mut self, answers_at: Option<Instant>) {
         let (now, server) = (self.now, &self.server);
-        let is_over = |_: &usize, sent: &mut Instant| now.since(*sent) >= CHECK;
-        for (number, sent) in self.pending.extract_if(.., is_over) {
+        let is_over = |sent: &Instant| now.since(*sent) >= CHECK;
+        let over: Vec<(usize, Instant)> = self
+            .pending
+            .iter()
+            .filter(|(_, sent)| is_over(sent))
+            .map(|(number, sent)| (*number, *sent))
+            .collect();
+        self.pending.retain(|_, sent| !is_over(sent));
+        for (number, sent) in over {
             match answers_at.is_some_and(|at| at <= sent.plus(CHECK)) {
                 true => {
                     self.suspicions[number].clear(server);
