Count silence as the end of the joining only as far as the registrations are known

Cause: the planner took 0.7 s without a new server for the end of the joining.

Change: Settling is told as of when the registrations are known, and counts silence and the longest wait up to that moment only, not while the planner is told nothing. Where each entry reads for itself, and while the store is away, nothing changes.

--- a/crates/core/src/pipeline/feed/belief.rs
+++ b/crates/core/src/pipeline/feed/belief.rs
@@ -23,6 +23,7 @@
 /// assert_eq!(belief.age(Instant(100)), None);
 /// belief.confirm(Instant(100), Revision(7));
 /// belief.confirm(Instant(50), Revision(6));
+/// assert_eq!(belief.as_of(), Some(Instant(100)));
 /// assert_eq!(belief.age(Instant(400)), Some(Span(300)));
 /// assert_eq!(belief.through(), Revision(7));
 /// ```
@@ -68,6 +69,12 @@
         };
     }
 
+    /// Returns the moment as of which all changes are known; `None` if nothing is known.
+    #[must_use]
+    pub fn as_of(&self) -> Option<Instant> {
+        self.asked_at
+    }
+
     /// Returns how old the knowledge is; `None` if there is none.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Span> {
--- a/crates/core/src/pipeline/settling.rs
+++ b/crates/core/src/pipeline/settling.rs
@@ -14,20 +14,24 @@
 /// that is needed. Orders cannot be taken back, so a fleet that returns waits until it is as large
 /// as it was, or no more servers join.
 ///
+/// That no server joins shows only up to the moment as of which all registrations are known. An
+/// entry that others tell of them hears of many at once, and between two answers of none; time that
+/// passes without knowledge does not count.
+///
 /// # Examples
 ///
 /// ```
 /// # use jujube_core::pipeline::settling::Settling;
 /// # use jujube_core::time::Instant;
 /// let mut settling = Settling::default();
-/// assert!(settling.must_wait(Instant(0), false, 2));
-/// assert!(settling.must_wait(Instant(600), false, 3));
-/// assert!(settling.must_wait(Instant(900), false, 3));
-/// assert!(!settling.must_wait(Instant(1_400), false, 3));
-/// assert!(!settling.must_wait(Instant(9_000), true, 3));
-/// assert!(!settling.must_wait(Instant(9_500), false, 1), "two servers were lost");
-/// assert!(settling.must_wait(Instant(9_600), false, 2), "one is back");
-/// assert!(!settling.must_wait(Instant(9_700), false, 3), "all are back");
+/// assert!(settling.must_wait(Instant(0), None, false, 2));
+/// assert!(settling.must_wait(Instant(600), None, false, 3));
+/// assert!(settling.must_wait(Instant(900), None, false, 3));
+/// assert!(!settling.must_wait(Instant(1_400), None, false, 3));
+/// assert!(!settling.must_wait(Instant(9_000), None, true, 3));
+/// assert!(!settling.must_wait(Instant(9_500), None, false, 1), "two servers were lost");
+/// assert!(settling.must_wait(Instant(9_600), None, false, 2), "one is back");
+/// assert!(!settling.must_wait(Instant(9_700), None, false, 3), "all are back");
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Settling {
@@ -40,7 +44,16 @@
 
 impl Settling {
     /// Returns whether to wait before the next plan for `count` servers.
-    pub fn must_wait(&mut self, now: Instant, has_path: bool, count: usize) -> bool {
+    ///
+    /// All registrations are known as of `told_through`; `None` if they show at once, or if the store
+    /// tells nobody, so that nothing is to be waited for.
+    pub fn must_wait(
+        &mut self,
+        now: Instant,
+        told_through: Option<Instant>,
+        has_path: bool,
+        count: usize,
+    ) -> bool {
         let has_grown = count > self.count;
         self.count = count;
         if has_path {
@@ -53,8 +66,9 @@
             self.growth = Some((first, now));
         }
         let is_complete = self.complete > 0 && count >= self.complete;
+        let known = told_through.unwrap_or(now);
         let is_growing = self.growth.is_some_and(|(first, last)| {
-            now.since(last) < SETTLE_TIME && now.since(first) < MAX_WAIT
+            known.since(last) < SETTLE_TIME && known.since(first) < MAX_WAIT
         });
         is_growing && !is_complete
     }
--- a/crates/core/tests/support/servers.rs
+++ b/crates/core/tests/support/servers.rs
@@ -548,7 +548,7 @@
         let model = &self.servers.model;
         let has_path = has_path(model, &holders);
         let settling = &mut self.settling;
-        if settling.must_wait(Instant(now), has_path, holders.len()) {
+        if settling.must_wait(Instant(now), None, has_path, holders.len()) {
             return;
         }
         let concurrent = self.bandwidth.concurrent_loads(Instant(now), model);
--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -132,6 +132,15 @@
         self.bounds.is_shared(entries)
     }
 
+    /// Returns the moment as of which all changes are known, where a few of `entries` entries read
+    /// the store for all; `None` where each reads for itself and learns of a change at once, and while
+    /// the store is away.
+    pub fn told_through(&self, entries: usize) -> Option<Instant> {
+        let belief = self.belief.borrow();
+        let is_told = self.is_shared(entries) && !belief.is_away();
+        belief.as_of().filter(|_| is_told)
+    }
+
     /// Returns the key by which other entries check what this one says.
     pub fn public_key(&self) -> VerifyingKey {
         self.key.verifying_key()
--- a/crates/front/src/planner/plan.rs
+++ b/crates/front/src/planner/plan.rs
@@ -93,9 +93,11 @@
     /// Returns whether to wait for more servers before the plan.
     fn must_wait(&self, service: &Service, model: &Model, holders: &[Holder]) -> bool {
         let has_path = placement::has_path(model, holders);
+        let entries = self.state.peers.directory.borrow().count();
+        let told_through = self.state.feed.told_through(entries);
         let mut settlings = self.settlings.borrow_mut();
         let settling = settlings.entry(service.clone()).or_default();
-        settling.must_wait(clock::now(), has_path, holders.len())
+        settling.must_wait(clock::now(), told_through, has_path, holders.len())
     }
 
     /// Logs what a plan was made from: the KV capacity for requests that arrive now, the orders under
