Read a cut answer of the store to its end before counting as up to date

Cause: the store cuts the answer to a watch at 500 events and says so only by CurrentRev. An entry took each for all that had changed as of its call: it counted as young, paused as after any changes, or asked its sources again. The planner took the readers' pauses between such pages for the end of the joining.

Change: an answer that may have been cut (half of the documented 500 items or 1 MB) is News::Part.

--- a/crates/core/src/pipeline/feed/belief.rs
+++ b/crates/core/src/pipeline/feed/belief.rs
@@ -26,6 +26,9 @@
 /// assert_eq!(belief.as_of(), Some(Instant(100)));
 /// assert_eq!(belief.age(Instant(400)), Some(Span(300)));
 /// assert_eq!(belief.through(), Revision(7));
+/// belief.advance(Revision(9));
+/// assert_eq!(belief.age(Instant(400)), Some(Span(300)), "more may have changed since");
+/// assert_eq!(belief.through(), Revision(9));
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Belief {
@@ -49,6 +52,18 @@
         self.is_away = false;
     }
 
+    /// Records that changes through a revision are known, but that there may be later ones.
+    ///
+    /// The store cuts long answers. What they leave out may be older than the call, so the age stays
+    /// as it was.
+    pub fn advance(&mut self, through: Revision) {
+        if self.through < through || self.is_away {
+            self.version += 1;
+        }
+        self.through = self.through.max(through);
+        self.is_away = false;
+    }
+
     /// Records that the store answers neither this entry nor those that it asks.
     pub fn lose(&mut self) {
         if !self.is_away {
--- a/crates/core/src/pipeline/feed/follower.rs
+++ b/crates/core/src/pipeline/feed/follower.rs
@@ -85,6 +85,8 @@
     LaterEra,
     /// What the sources tell is too old.
     TooOld,
+    /// The store had more to tell than its last answer could hold.
+    Behind,
 }
 
 /// What an entry does next to learn of changes.
@@ -154,6 +156,7 @@
     has_lost_store: bool,
     is_era_later: bool,
     is_lost: bool,
+    is_behind: bool,
     read_at: Option<Instant>,
 }
 
@@ -169,6 +172,7 @@
             has_lost_store: false,
             is_era_later: false,
             is_lost: false,
+            is_behind: false,
             read_at: None,
         }
     }
@@ -178,9 +182,20 @@
         self.is_lost = is_lost;
     }
 
+    /// Records whether the last answer of the store may have left out later changes.
+    ///
+    /// The rest is read at once, by whoever read the first part: other entries would have to be told
+    /// as much, over links that are narrower than the store's.
+    pub fn set_behind(&mut self, is_behind: bool) {
+        self.is_behind = is_behind;
+    }
+
     /// Returns what to do next in this role; `None` if each entry reads the store, because there are
     /// few.
     pub fn step(&mut self, now: Instant, role: Option<&Role>, belief: &Belief) -> Step {
+        if std::mem::take(&mut self.is_behind) {
+            return self.read(now, AT_ONCE, Reason::Behind);
+        }
         let Some(Role::Follower { sources, .. }) = role else {
             return self.read_as_reader(now, role.is_some());
         };
--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -178,11 +178,21 @@
         asked_at: Instant,
         source: &Arc<str>,
     ) {
+        self.keep(changes, through);
+        self.confirm(through, asked_at, source);
+    }
+
+    /// Applies changes that `source` told, after which there may be others.
+    fn apply_part(&self, changes: &[Item<Content>], through: Revision, source: &Arc<str>) {
+        self.keep(changes, through);
+        self.belief.borrow_mut().advance(through);
+        self.tell(source);
+    }
+
+    fn keep(&self, changes: &[Item<Content>], through: Revision) {
         self.record_earlier(changes);
         let mut replica = self.replica.borrow_mut();
         replica.apply(changes.iter().cloned(), through);
-        drop(replica);
-        self.confirm(through, asked_at, source);
     }
 
     /// Applies all keys of the store, read at a revision.
@@ -203,6 +213,11 @@
 
     fn confirm(&self, through: Revision, asked_at: Instant, source: &Arc<str>) {
         self.belief.borrow_mut().confirm(asked_at, through);
+        self.tell(source);
+    }
+
+    /// Lets followers know that there is something new, which `source` told.
+    fn tell(&self, source: &Arc<str>) {
         if *self.source.borrow() != *source {
             *self.source.borrow_mut() = source.clone();
         }
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -65,6 +65,7 @@
         Reason::Loss => "store_calls_loss",
         Reason::LaterEra => "store_calls_era",
         Reason::TooOld => "store_calls_too_old",
+        Reason::Behind => "store_calls_behind",
     }
 }
 
@@ -190,12 +191,22 @@
             true => self.read_changes(AT_ONCE, "store_calls_start").await?,
             false => News::Forgotten,
         };
+        let news = self.read_rest(news).await?;
         if news == News::Forgotten && !std::mem::take(&mut self.is_whole) {
             self.read_all().await?;
         }
         Ok(self.feed.all())
     }
 
+    /// Reads on until the store has nothing more to tell.
+    async fn read_rest(&mut self, mut news: News) -> Result<News, kv::Error> {
+        while matches!(news, News::Part(..)) {
+            let counter = counter(Reason::Behind);
+            news = self.read_changes(AT_ONCE, counter).await?;
+        }
+        Ok(news)
+    }
+
     async fn read_all(&mut self) -> Result<(), kv::Error> {
         self.metrics.count("store_calls_whole");
         let asked_at = clock::now();
@@ -252,7 +263,12 @@
         self.metrics.count(counter);
         let news = self.store.follow(ALL_KEYS, after, wait).await?;
         self.was_told = false;
+        self.follower.set_behind(matches!(news, News::Part(..)));
         match &news {
+            News::Part(changes, through) => {
+                let items: Vec<Item<Content>> = changes.iter().cloned().map(item).collect();
+                self.feed.apply_part(&items, *through, &self.feed.own);
+            }
             News::Forgotten => {
                 log::info!("event=history-lost revision={after}");
                 self.is_forgotten = true;
--- a/crates/front/src/store_watch/mod.rs
+++ b/crates/front/src/store_watch/mod.rs
@@ -198,9 +198,10 @@
     state: &State<D>,
     source: &mut Source<F>,
 ) -> Result<bool, Error> {
-    let (changes, revision) = match source.follow(&state.peers.directory).await? {
+    let (changes, revision, is_part) = match source.follow(&state.peers.directory).await? {
         News::Forgotten => return Ok(false),
-        News::Changes(changes, revision) => (changes, revision),
+        News::Changes(changes, revision) => (changes, revision, false),
+        News::Part(changes, revision) => (changes, revision, true),
     };
     // Registrations removed in the first answer after an outage expired during the outage.
     state.roster.borrow_mut().store_returned(clock::now());
@@ -220,7 +221,7 @@
     if is_changed {
         rebuild(state);
     }
-    if !changes.is_empty() {
+    if !changes.is_empty() && !is_part {
         let pause = pause_after(state, source, &changes);
         tokio::time::sleep(Duration::from_millis(pause.0)).await;
     }
