--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -132,6 +132,15 @@
         self.bounds.is_shared(entries)
     }
 
+    /// Returns the moment as of which all changes are known, where a few of `entries` entries read
+    /// the store for all; `None` where each reads for itself and learns of a change at once, and while
+    /// the store is away.
+    pub fn told_through(&self, entries: usize) -> Option<Instant> {
+        let belief = self.belief.borrow();
+        let is_told = self.is_shared(entries) && !belief.is_away();
+        belief.as_of().filter(|_| is_told)
+    }
+
     /// Returns the key by which other entries check what this one says.
     pub fn public_key(&self) -> VerifyingKey {
         self.key.verifying_key()
@@ -169,11 +178,21 @@
         asked_at: Instant,
         source: &Arc<str>,
     ) {
+        self.keep(changes, through);
+        self.confirm(through, asked_at, source);
+    }
+
+    /// Applies changes that `source` told, after which there may be others.
+    fn apply_part(&self, changes: &[Item<Content>], through: Revision, source: &Arc<str>) {
+        self.keep(changes, through);
+        self.belief.borrow_mut().advance(through);
+        self.tell(source);
+    }
+
+    fn keep(&self, changes: &[Item<Content>], through: Revision) {
         self.record_earlier(changes);
         let mut replica = self.replica.borrow_mut();
         replica.apply(changes.iter().cloned(), through);
-        drop(replica);
-        self.confirm(through, asked_at, source);
     }
 
     /// Applies all keys of the store, read at a revision.
@@ -194,6 +213,11 @@
 
     fn confirm(&self, through: Revision, asked_at: Instant, source: &Arc<str>) {
         self.belief.borrow_mut().confirm(asked_at, through);
+        self.tell(source);
+    }
+
+    /// Lets followers know that there is something new, which `source` told.
+    fn tell(&self, source: &Arc<str>) {
         if *self.source.borrow() != *source {
             *self.source.borrow_mut() = source.clone();
         }
