--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -30,11 +30,11 @@
 /// is 0.1 s, that of a connection less than 0.5 s.
 const MAX_CHECK_AGE: Span = Span(500);
 
-/// How long a server that refuses connections must be suspected before its layers are replaced; it is
-/// checked twice in that time. A silent one must be silent for longer than a sound one.
+/// How long a server must be suspected before its layers are replaced; it is checked twice in that
+/// time.
 pub const REPLACE_AFTER: Span = Span(800);
-/// How long a silent server that no other entry suspects must be suspected before its layers are
-/// replaced; it is checked four times in that time.
+/// How long a server that no other entry suspects must be suspected before its layers are replaced;
+/// it is checked four times in that time.
 pub const REPLACE_AFTER_ALONE: Span = Span(2_000);
 
 #[derive(Clone, Copy, Debug)]
@@ -255,9 +255,7 @@
     /// A planner on a lossy link finds servers silent that all others reach. Replacing their layers
     /// would refuse requests until other servers have loaded them, without need. Silence therefore
     /// counts only if this process was on time and reached other servers, and takes longer unless
-    /// another entry confirms it. A sound server may be silent for a second and go on, and orders to
-    /// replace it cannot be taken back. A server that refuses connections takes no requests in any
-    /// case.
+    /// another entry confirms it. A server that refuses connections takes no requests in any case.
     ///
     /// # Examples
     ///
@@ -288,8 +286,14 @@
         if suspect.is_refusing {
             return elapsed >= REPLACE_AFTER;
         }
-        let is_confirmed = self.peer_reports(server) > 0 || elapsed >= REPLACE_AFTER_ALONE;
-        is_confirmed && self.is_silent_beyond_pause(now, server, local_health)
+        let is_silent = self.silent_since(now, server, local_health).is_some();
+        let is_confirmed = self.peer_reports(server) > 0;
+        let required = if is_confirmed {
+            REPLACE_AFTER
+        } else {
+            REPLACE_AFTER_ALONE
+        };
+        is_silent && elapsed >= required
     }
 
     /// Returns the suspects to check now, and schedules their next checks after longer delays.
