--- a/crates/core/src/pipeline/memory.rs
+++ b/crates/core/src/pipeline/memory.rs
@@ -24,8 +24,8 @@
 
 /// The memory of the smallest entry, assumed where the memory is unknown.
 const DEFAULT_MEMORY: Size = Size(160_000_000);
-/// The part of the memory that the budget gives out, in percent. The rest is for the program, read
-/// buffers, socket buffers and tables.
+/// The part of the memory that the budget gives out, in percent. The rest is for the program, the
+/// buffers that each connection has, socket buffers and tables.
 const CAPACITY_PERCENT: u64 = 40;
 /// The part of the capacity that read-ahead leaves free, so that slow callers do not block new
 /// requests: one in this many bytes.
