Search each byte of a stream once for the end of its event

Cause: each chunk of an event had the whole of what had arrived searched again, so an event of 250 kB in reads of 16 KiB was searched eight times, and in chunks of 50 bytes 2,500 times. With 300 callers that read on at the same time, the entry (unoptimised, on a busy machine) took so long that streams counted as stalled. Change: the relay goes on with its search where it ended. Conclusion: less work for large events; usual events arrive whole and are searched once as before.

--- a/crates/core/src/pipeline/relay.rs
+++ b/crates/core/src/pipeline/relay.rs
@@ -54,6 +54,8 @@
 pub struct Relay {
     /// The received part of an incomplete event.
     partial: Vec<u8>,
+    /// How far the end of that event was searched for.
+    search: Search,
     /// The identifier of the last event passed on.
     last: Option<u64>,
     /// Whether this run has delivered an event.
@@ -129,6 +131,7 @@
     /// Starts another run, which continues after the last event passed on.
     pub fn restart(&mut self) {
         self.partial = Vec::new();
+        self.search = Search::default();
         self.started = false;
     }
 
@@ -144,7 +147,9 @@
         // Consecutive events are passed on as one slice of the chunk, without a copy.
         let mut complete = 0;
         let outcome = loop {
-            let Some(length) = event_length(&rest[complete..]) else {
+            let mut search = Search::default();
+            let Some(length) = search.event_length(&rest[complete..]) else {
+                self.search = search;
                 break Ok(());
             };
             match self.admit(&rest[complete..complete + length]) {
@@ -169,7 +174,7 @@
             return Some(chunk);
         }
         self.extend_partial(&chunk);
-        event_length(&self.partial)?;
+        self.search.event_length(&self.partial)?;
         let mut whole = std::mem::take(&mut self.partial);
         // The event may be kept for long.
         whole.shrink_to_fit();
@@ -236,18 +241,39 @@
     }
 }
 
-/// Returns the length of the first complete event, including its empty line.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_is_empty = true;
-    for (index, byte) in bytes.iter().enumerate() {
-        match byte {
-            b'\n' if line_is_empty && index > 0 => return Some(index + 1),
-            b'\n' => line_is_empty = true,
-            b'\r' => {}
-            _ => line_is_empty = false,
+/// A search for the end of an event, which goes on when more of the event has arrived.
+#[derive(Clone, Copy, Debug)]
+struct Search {
+    /// The number of bytes searched.
+    searched: usize,
+    /// Whether the line that they end in is empty so far.
+    line_is_empty: bool,
+}
+
+impl Default for Search {
+    fn default() -> Self {
+        Self {
+            searched: 0,
+            line_is_empty: true,
+        }
+    }
+}
+
+impl Search {
+    /// Returns the length of the event that the bytes begin with, including its empty line; `None` if it
+    /// is incomplete. Bytes that were searched before must be the same.
+    fn event_length(&mut self, bytes: &[u8]) -> Option<usize> {
+        for (index, byte) in bytes.iter().enumerate().skip(self.searched) {
+            match byte {
+                b'\n' if self.line_is_empty && index > 0 => return Some(index + 1),
+                b'\n' => self.line_is_empty = true,
+                b'\r' => {}
+                _ => self.line_is_empty = false,
+            }
         }
+        self.searched = bytes.len();
+        None
     }
-    None
 }
 
 /// Returns the number in an event's `id` line.
