Let thousands of connections wait to be accepted, not 128

Callers would see: a connection that takes a second and more, or none, when some hundreds connect while the entry is busy; requesters give a new channel one second. Cause: the library listens with a backlog of 128; beyond it the system drops requests for connections (6,490 overflows counted on this machine), and repeats them after a second.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Startup, connection handling and graceful shutdown of an entry.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -20,6 +21,7 @@
 use jujube_program::shutdown::Trigger;
 use jujube_store::kv::Feed;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
@@ -45,6 +47,10 @@
 use crate::waiting;
 use crate::watchdog;
 
+/// How many connections may wait to be accepted. The library's default of 128 overflows when hundreds
+/// of callers connect while the entry is busy; the system then drops their requests for a connection,
+/// which are repeated only after a second.
+const ACCEPT_BACKLOG: u32 = 4_096;
 /// How long new requests are still served after a termination signal. The platform checks readiness
 /// every second and stops sending callers after two failures; requests in flight need the rest of
 /// the time.
@@ -78,12 +84,12 @@
 }
 
 async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
-    let listener = bind(settings.listen).await?;
-    let readiness = bind(settings.ready).await?;
-    let metrics = bind(settings.metrics).await?;
+    let listener = bind(settings.listen)?;
+    let readiness = bind(settings.ready)?;
+    let metrics = bind(settings.metrics)?;
     let gossip = UdpSocket::bind(settings.gossip).await;
     let gossip = gossip.with_context(|| format!("listen on {}", settings.gossip))?;
-    let feed_listener = bind(settings.gossip).await?;
+    let feed_listener = bind(settings.gossip)?;
     log::info!(
         "event=started name={} zone={} listen={} store={}",
         settings.name,
@@ -129,9 +135,18 @@
     state.retries.run().await;
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let listener = TcpListener::bind(address).await;
-    listener.with_context(|| format!("listen on {address}"))
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    listen(address).with_context(|| format!("listen on {address}"))
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_BACKLOG)
 }
 
 /// Serves requests until the platform has stopped sending callers, then waits for those in flight.
