--- a/crates/store/src/kv/feed.rs
+++ b/crates/store/src/kv/feed.rs
@@ -57,7 +57,8 @@
 pub enum News {
     /// Changes in order, perhaps none, and the revision up to which they are complete.
     Changes(Vec<Change>, Revision),
-    /// The same, but the answer may have been cut: there may be later changes, made before the call.
+    /// Changes through a revision, in an answer that may have been cut: there may be later ones, made
+    /// before the call.
     Part(Vec<Change>, Revision),
     /// The history since the revision asked for is gone: read everything again.
     Forgotten,
