Name the wait for servers to accept a stream by what it is

Two constants of the stream were called CLIENT_PATIENCE, with 1.4 s and 2 s for different things. No change of behaviour; clippy of the crate, formatter and house check run, the tests not.

--- a/crates/front/src/stream/retry.rs
+++ b/crates/front/src/stream/retry.rs
@@ -16,7 +16,7 @@
 
 /// How long after its last event a stream may wait for servers to accept it. Clients disconnect
 /// after two seconds, and prefill takes part of that.
-const CLIENT_PATIENCE: Span = Span(1_400);
+const ACCEPTANCE_WAIT: Span = Span(1_400);
 /// Interval between checks for capacity.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -81,6 +81,6 @@
 fn remaining_patience(stream: &Stream) -> Option<Span> {
     let is_under_way = stream.runs() > 0 || stream.events.get() > 0;
     let silent = clock::now().since(stream.last_read());
-    let left = Span(CLIENT_PATIENCE.0.saturating_sub(silent.0));
+    let left = Span(ACCEPTANCE_WAIT.0.saturating_sub(silent.0));
     (is_under_way && left > Span(0)).then_some(left)
 }
