--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,8 +21,8 @@
 THINK_S = 0.01
 WORK_S = 0.01
 WORKERS = 4
-LEAVERS = 24
-LEAVE_PAUSE_S = (2.0, 3.0)
+LEAVERS = 45
+LEAVE_PAUSE_S = (1.0, 2.0)
 
 ROUTE = {"Name": "check", "Host": "desk.example", "Prefix": "/check/", "Kind": "non_idempotent",
          "Service": "desk"}
