--- a/review/lab.py
+++ b/review/lab.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from urllib.parse import parse_qs
@@ -772,13 +773,15 @@
         print("not built:", os.path.relpath(program, ROOT))
         return 2
     lab = Lab()
+    # Ends the processes of the case also if it is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         broken = asyncio.run(play(main, lab, trouble))
         return 1 if broken else 0
-    except (Unable, OSError) as error:
-        lab.record.add(f"could not run: {error}")
-        print("could not run:", error)
+    except Exception as error:  # Anything but a verdict means that the case could not run.
+        lab.record.add(f"could not run: {error!r}")
+        print("could not run:", repr(error))
         return 2
     finally:
         lab.record.write(os.path.join(folder, "record.txt"))
