--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,6 +11,9 @@
 
 import lab  # noqa: E402
 
+# With TROUBLE=0 the script does the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 # The largest dose of `garble` with `how = "extra late"` in the site file.
 FAULTY_SHARE = 0.6
 EXTRA_SHARE = 0.03
@@ -175,4 +178,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(lab.run_case(main, HERE))
+    sys.exit(lab.run_case(main, HERE, HAS_TROUBLE))
--- a/review/lab.py
+++ b/review/lab.py
@@ -766,7 +766,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def run_case(main, folder):
+def run_case(main, folder, trouble):
     """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     program = os.path.join(ROOT, deploy_field("run").split(" ")[0])
     if not os.path.exists(program):
@@ -775,7 +775,6 @@
     lab = Lab()
     # Ends the processes of the case also if it is stopped.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         broken = asyncio.run(play(main, lab, trouble))
         return 1 if broken else 0
