Ask a store that cut a watch again before it counts as away

Cause: any failed call counted as an outage of the store, in which registrations expire although their servers live. A removal that became known after a cut watch was taken for such a lapse, and the server counted for 2 s from the next answer. The store had been up all the while.

Change: feed::contact::Contact. A cut, or a refusal of one call too many, makes the store doubted; it is asked again at once, and only a second failure in a row is an outage. Silence and 503 are one at once, as before. registration lines tell how long ago the store came back; store-doubted is new.

Conclusion: an answer right after the cut shows that nothing expired for want of the store, so removals are believed.

--- a/crates/core/src/pipeline/feed/follower.rs
+++ b/crates/core/src/pipeline/feed/follower.rs
@@ -10,6 +10,7 @@
 
 use super::belief::Belief;
 use super::bounds::Bounds;
+use super::contact::Contact;
 
 /// What a source tells about its knowledge of the store.
 #[derive(Clone, Copy, Debug, Default)]
@@ -81,6 +82,8 @@
     Changes,
     /// It reads all changes again after a call failed.
     Loss,
+    /// It asks whether the store is there, after a call that it left without an answer.
+    Doubt,
     /// The store was restored.
     LaterEra,
     /// What the sources tell is too old.
@@ -155,7 +158,7 @@
     is_away: bool,
     has_lost_store: bool,
     is_era_later: bool,
-    is_lost: bool,
+    contact: Contact,
     is_behind: bool,
     read_at: Option<Instant>,
 }
@@ -171,15 +174,15 @@
             is_away: false,
             has_lost_store: false,
             is_era_later: false,
-            is_lost: false,
+            contact: Contact::default(),
             is_behind: false,
             read_at: None,
         }
     }
 
-    /// Records whether the last attempt to learn of changes failed.
-    pub fn set_lost(&mut self, is_lost: bool) {
-        self.is_lost = is_lost;
+    /// Records what the last attempt to learn of changes showed of the store.
+    pub fn set_contact(&mut self, contact: Contact) {
+        self.contact = contact;
     }
 
     /// Records whether the last answer of the store may have left out later changes.
@@ -230,9 +233,10 @@
             true => self.bounds.reader_wait,
             false => self.bounds.lone_wait,
         };
-        match self.is_lost {
-            true => self.read(now, WAIT_AFTER_LOSS, Reason::Loss),
-            false => self.read(now, wait, Reason::Changes),
+        match self.contact {
+            Contact::Established => self.read(now, wait, Reason::Changes),
+            Contact::Doubtful => self.read(now, AT_ONCE, Reason::Doubt),
+            Contact::Lost => self.read(now, WAIT_AFTER_LOSS, Reason::Loss),
         }
     }
 
--- a/crates/core/src/pipeline/feed/mod.rs
+++ b/crates/core/src/pipeline/feed/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod belief;
 pub mod bounds;
+pub mod contact;
 pub mod difference;
 pub mod earlier;
 pub mod follower;
--- a/crates/core/tests/feed_model.rs
+++ b/crates/core/tests/feed_model.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::cell::Role;
 use jujube_core::pipeline::feed::belief::Belief;
 use jujube_core::pipeline::feed::bounds::Bounds;
+use jujube_core::pipeline::feed::contact::Contact;
 use jujube_core::pipeline::feed::follower::Follower;
 use jujube_core::pipeline::feed::follower::Step;
 use jujube_core::pipeline::feed::follower::Told;
@@ -222,7 +223,7 @@
             }
         } else {
             entry.belief.confirm(asked_at, revision);
-            entry.follower.set_lost(false);
+            entry.follower.set_contact(Contact::Established);
             let pause = if is_changed { pause } else { Span(0) };
             Activity::Ready(now.plus(pause))
         };
@@ -262,7 +263,7 @@
                 let asked_at = Instant(now.0 - age.0);
                 entry.belief.confirm(asked_at, told.through);
                 entry.follower.succeeded();
-                entry.follower.set_lost(false);
+                entry.follower.set_contact(Contact::Established);
             }
             verdict => entry.follower.failed(verdict),
         }
@@ -356,7 +357,7 @@
 impl Entry {
     fn lose(&mut self, now: Instant) -> Activity {
         self.belief.lose();
-        self.follower.set_lost(true);
+        self.follower.set_contact(Contact::Lost);
         Activity::Ready(now.plus(RETRY_PAUSE))
     }
 }
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -12,6 +12,7 @@
 use jujube_core::pipeline::cell::Directory;
 use jujube_core::pipeline::cell::Role;
 use jujube_core::pipeline::feed::bounds::Bounds;
+use jujube_core::pipeline::feed::contact::Contact;
 use jujube_core::pipeline::feed::follower::AT_ONCE;
 use jujube_core::pipeline::feed::follower::Follower;
 use jujube_core::pipeline::feed::follower::Reason;
@@ -63,6 +64,7 @@
     match reason {
         Reason::Changes => "store_calls_changes",
         Reason::Loss => "store_calls_loss",
+        Reason::Doubt => "store_calls_doubt",
         Reason::LaterEra => "store_calls_era",
         Reason::TooOld => "store_calls_too_old",
         Reason::Behind => "store_calls_behind",
@@ -105,10 +107,10 @@
         }
     }
 
-    /// Records whether the last attempt failed.
-    pub fn set_lost(&mut self, is_lost: bool) {
-        self.follower.set_lost(is_lost);
-        if is_lost {
+    /// Records what the last attempt showed of the store.
+    pub fn set_contact(&mut self, contact: Contact) {
+        self.follower.set_contact(contact);
+        if contact == Contact::Lost {
             self.feed.lose();
         }
     }
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -155,9 +155,12 @@
     }
 }
 
-/// Cancels the pending watch so that it is made again: it may never be answered.
+/// Cancels the pending watch so that it is made again: it may never be answered. A store that is
+/// there but takes no more calls will answer it.
 fn cancel_watch<D>(state: &State<D>, event: &str, error: &Error) {
-    state.store_call_failed.notify_waiters();
+    if !matches!(error, Error::Busy(_)) {
+        state.store_call_failed.notify_waiters();
+    }
     let cause = error.to_string().replace(' ', "-");
     log::info!("event={event} cause={cause}");
 }
--- a/crates/front/src/store_watch/apply.rs
+++ b/crates/front/src/store_watch/apply.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use jujube_core::layer::Range;
+use jujube_core::name::Server as Name;
 use jujube_core::pipeline::cell::Location;
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::roster::Effect;
+use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
 use jujube_store::kv::Change;
@@ -113,15 +115,22 @@
         Record::Other => return Effect::None,
     };
     if effect != Effect::None {
-        let held = roster.held(&name).unwrap_or_default();
-        log::info!(
-            "event=registration server={name} effect={effect:?} held={held} revision={}",
-            change.revision
-        );
+        log_registration(&roster, &name, effect, change.revision);
     }
     effect
 }
 
+/// Logs the effect of a registration at a revision, and how long ago the store came back if it was
+/// away: until some time after that, a removed registration may have expired in the outage.
+pub(super) fn log_registration(roster: &Roster, name: &Name, effect: Effect, revision: Revision) {
+    let held = roster.held(name).unwrap_or_default();
+    let returned = roster.returned().map(|at| clock::now().since(at));
+    let returned = returned.map_or("-".into(), |span| span.to_string());
+    log::info!(
+        "event=registration server={name} effect={effect:?} held={held} revision={revision} returned_ms={returned}"
+    );
+}
+
 /// Applies a configuration unless the one in force is as new.
 ///
 /// A snapshot may be older than changes already watched; applying it would route by a superseded
--- a/crates/front/src/store_watch/mod.rs
+++ b/crates/front/src/store_watch/mod.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use jujube_core::pipeline::cell::Role;
+use jujube_core::pipeline::feed::contact::Contact;
+use jujube_core::pipeline::feed::contact::Failure;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -36,6 +38,7 @@
 use apply::check_own_announcement;
 pub use apply::displace;
 pub use apply::expire;
+use apply::log_registration;
 pub use apply::rebuild;
 
 /// The prefix of the keys that entries write.
@@ -52,7 +55,7 @@
 pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F, mut source: Source<F>) {
     let mut is_read = false;
     let mut era = store.era();
-    let mut is_lost = false;
+    let mut contact = Contact::default();
     loop {
         if state.roster.borrow().needs_reread(clock::now()) {
             // Running servers have registered again by now; a new snapshot no longer contains
@@ -90,32 +93,43 @@
         match step {
             Ok(next) => {
                 is_read = next;
-                if is_lost {
-                    is_lost = false;
-                    source.set_lost(false);
+                if contact.answered() {
                     state.roster.borrow_mut().store_returned(clock::now());
                     state.reported_layers.borrow_mut().clear();
                     log::info!("event=store-regained");
                 }
+                source.set_contact(contact);
             }
             Err(error) => {
                 state.metrics.count("store_failures");
-                if !is_lost {
-                    is_lost = true;
+                let failure = failure(&error);
+                let cause = error.to_string().replace(' ', "-");
+                if contact.failed(failure) {
                     state.roster.borrow_mut().store_lost();
-                    log::warn!(
-                        "event=store-lost cause={}",
-                        error.to_string().replace(' ', "-")
-                    );
+                    log::warn!("event=store-lost cause={cause} {}", state.feed.view());
+                }
+                source.set_contact(contact);
+                if contact == Contact::Doubtful {
+                    state.metrics.count("store_doubts");
+                    log::info!("event=store-doubted cause={cause} {}", state.feed.view());
+                }
+                if contact == Contact::Lost || failure == Failure::Busy {
+                    let pause = rand::random_range(RETRY_PAUSE_MS);
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
                 }
-                source.set_lost(true);
-                let pause = rand::random_range(RETRY_PAUSE_MS);
-                tokio::time::sleep(Duration::from_millis(pause)).await;
             }
         }
     }
 }
 
+fn failure(error: &Error) -> Failure {
+    match error {
+        Error::Cut(_) => Failure::Cut,
+        Error::Busy(_) => Failure::Busy,
+        Error::Down(_) | Error::Unknown(_) => Failure::Silent,
+    }
+}
+
 /// Reads a snapshot of the store; returns whether its changes can be watched.
 async fn read_snapshot<D: Dialect, F: Feed>(
     state: &State<D>,
@@ -162,10 +176,7 @@
     let effects = roster.replace(clock::now(), servers, &unreadable);
     drop(roster);
     for (server, effect) in &effects {
-        let held = state.roster.borrow().held(server).unwrap_or_default();
-        log::info!(
-            "event=registration server={server} effect={effect:?} held={held} revision={revision}"
-        );
+        log_registration(&state.roster.borrow(), server, *effect, revision);
     }
     state.registrations_read.set(true);
     state.leadership.set_held(is_held);
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -133,11 +133,21 @@
         .collect()
 }
 
+/// The errors of a connection that has ended.
+const BROKEN: [io::ErrorKind; 4] = [
+    io::ErrorKind::ConnectionReset,
+    io::ErrorKind::ConnectionAborted,
+    io::ErrorKind::BrokenPipe,
+    io::ErrorKind::UnexpectedEof,
+];
+
 /// Why a call got no answer.
 #[derive(Debug)]
 pub enum Error {
     /// No connection: the request was not sent.
     NotSent(String),
+    /// The request may have been sent, and the connection ended before the whole answer.
+    Cut(String),
     /// The request may have been sent.
     Unknown(String),
 }
@@ -146,6 +156,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotSent(why) => write!(f, "not sent: {why}"),
+            Self::Cut(why) => write!(f, "connection ended: {why}"),
             Self::Unknown(why) => write!(f, "no answer: {why}"),
         }
     }
@@ -209,7 +220,7 @@
             if error.is_connect() {
                 return Error::NotSent(describe(&error));
             }
-            Error::Unknown(describe(&error))
+            failed(&error)
         })
     }
 
@@ -270,7 +281,7 @@
             let response = self.send(request).await?;
             let status = response.status();
             let body = response.into_body().collect().await;
-            let bytes = body.map_err(|e| Error::Unknown(e.to_string()))?.to_bytes();
+            let bytes = body.map_err(|error| failed(&error))?.to_bytes();
             Ok((status, bytes))
         };
         let answer = tokio::time::timeout(within, exchange).await;
@@ -301,7 +312,7 @@
             let Some(frame) = frame.map_err(timeout)? else {
                 return Ok((parts, bytes.freeze()));
             };
-            let frame = frame.map_err(|e| Error::Unknown(e.to_string()))?;
+            let frame = frame.map_err(|error| failed(&error))?;
             if let Ok(data) = frame.into_data() {
                 bytes.extend_from_slice(&data);
             }
@@ -309,6 +320,29 @@
     }
 }
 
+/// Returns why a request that may have been sent has no whole answer.
+fn failed(error: &(dyn std::error::Error + 'static)) -> Error {
+    match is_cut(error) {
+        true => Error::Cut(describe(error)),
+        false => Error::Unknown(describe(error)),
+    }
+}
+
+/// Returns whether an exchange failed because its connection ended.
+fn is_cut(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let is_ended = |error: &hyper::Error| error.is_incomplete_message() || error.is_closed();
+        let is_broken = |error: &io::Error| BROKEN.contains(&error.kind());
+        if error.downcast_ref().is_some_and(is_ended) || error.downcast_ref().is_some_and(is_broken)
+        {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -123,7 +123,9 @@
                 .advance(clock::now(), call, at_most_once::State::Closed);
             refusal(Verdict::NotRun, &why)
         }
-        Err(http::Error::Unknown(why)) => refusal(Verdict::MayHaveRun, &why),
+        Err(http::Error::Cut(why) | http::Error::Unknown(why)) => {
+            refusal(Verdict::MayHaveRun, &why)
+        }
     }
 }
 
--- a/crates/store/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -243,8 +243,8 @@
                 tokio::spawn(write_alone(store.clone(), lease, job));
             }
         }
-        Err(Error::Unknown(_)) => answer_all(jobs, &Outcome::Unknown),
-        Err(Error::Down(_)) => answer_all(jobs, &Outcome::Down),
+        Err(Error::Unknown(_) | Error::Cut(_)) => answer_all(jobs, &Outcome::Unknown),
+        Err(Error::Down(_) | Error::Busy(_)) => answer_all(jobs, &Outcome::Down),
     }
 }
 
@@ -256,8 +256,8 @@
             Ok(found) => outcome(found.as_ref()),
             Err(_) => Outcome::Unknown,
         },
-        Err(Error::Unknown(_)) => Outcome::Unknown,
-        Err(Error::Down(_)) => Outcome::Down,
+        Err(Error::Unknown(_) | Error::Cut(_)) => Outcome::Unknown,
+        Err(Error::Down(_) | Error::Busy(_)) => Outcome::Down,
     };
     answer_all(vec![job], &outcome);
 }
--- a/crates/store/src/kv/etcd.rs
+++ b/crates/store/src/kv/etcd.rs
@@ -72,6 +72,7 @@
         let answer = self.http.post(&url, body, PATIENCE).await;
         answer.map_err(|error| match error {
             http::Error::NotSent(why) => Error::Down(why),
+            http::Error::Cut(why) => Error::Cut(why),
             http::Error::Unknown(why) => Error::Unknown(why),
         })
     }
--- a/crates/store/src/kv/store.rs
+++ b/crates/store/src/kv/store.rs
@@ -54,6 +54,10 @@
 pub enum Error {
     /// Nothing was sent.
     Down(String),
+    /// Nothing was done: there were more calls than the service takes.
+    Busy(String),
+    /// It was sent, and the connection ended before the answer: a write may have taken effect.
+    Cut(String),
     /// It was sent, and the answer is lost: a write may have taken effect.
     Unknown(String),
 }
@@ -62,6 +66,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Down(why) => write!(f, "key-value service cannot be reached: {why}"),
+            Self::Busy(why) => write!(f, "key-value service takes no more calls: {why}"),
+            Self::Cut(why) => write!(f, "key-value service ended the connection: {why}"),
             Self::Unknown(why) => write!(f, "key-value service gave no answer: {why}"),
         }
     }
