Send a request that was turned away over another connection only

Cause: responses are told apart by the identifier of their request alone. After a rejection that names a later part of the path, the same request went to the same first server, over the connection on which the rejection had just come. A faulty server's second copy of it arrived there as the response to the second sending, with the right identifier. The entry took the run back and sent the request elsewhere, or answered 503.

Change: carried::Carried decides what a connection may carry; a request that was turned away over it takes another one. Related paths: orders and requests without an identifier share a connection with nothing whose response could be theirs; health checks not with orders, and a response that names a request is no report. turned-away logs tell the connection, which no log did.

Conclusion: a copy can only meet requests with other identifiers, whose check drops it.

--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -1,5 +1,6 @@
 //! A pool of HTTP/1 connections to backend servers.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -19,6 +20,8 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
+use jujube_core::pipeline::carried::Carried;
+use jujube_core::pipeline::carried::Exchange;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -59,16 +62,31 @@
 /// Maximum idle connections per server.
 const MAX_IDLE: usize = 64;
 
-struct Idle {
+/// An open connection.
+struct Connection {
     sender: Sender,
+    /// Tells it apart from other connections, in logs.
+    number: u64,
+    /// What it was checked out for last.
+    exchange: Exchange,
+    carried: Carried,
+}
+
+struct Idle {
+    connection: Box<Connection>,
     expires_at: Instant,
 }
 
 /// Idle connections by backend server.
 #[derive(Clone, Default)]
-pub struct Pool {
-    idle: Rc<RefCell<HashMap<Incarnation, Vec<Idle>>>>,
-    closed: Rc<Closed>,
+pub struct Pool(Rc<Shared>);
+
+#[derive(Default)]
+struct Shared {
+    idle: RefCell<HashMap<Incarnation, Vec<Idle>>>,
+    /// The number of connections opened.
+    opened: Cell<u64>,
+    closed: Closed,
 }
 
 /// Servers that closed an idle connection.
@@ -80,8 +98,7 @@
 
 /// A connection checked out of the pool.
 pub struct Lease {
-    /// The sending half.
-    pub sender: Sender,
+    connection: Box<Connection>,
     /// Whether the connection has served an earlier request.
     pub is_reused: bool,
     server: Incarnation,
@@ -89,24 +106,35 @@
 }
 
 impl Pool {
-    /// Returns a connection to a server, an idle one if possible.
+    /// Returns a connection to a server for an exchange, an idle one if possible.
     ///
     /// # Errors
     ///
     /// Connecting failed; nothing was sent.
-    pub async fn lease(&self, server: &Incarnation, address: SocketAddr) -> io::Result<Lease> {
-        if let Some(sender) = self.take_idle(server) {
-            return Ok(self.new_lease(server, sender, true));
+    pub async fn lease(
+        &self,
+        server: &Incarnation,
+        address: SocketAddr,
+        exchange: Exchange,
+    ) -> io::Result<Lease> {
+        if let Some(mut connection) = self.take_idle(server, &exchange) {
+            connection.exchange = exchange;
+            return Ok(self.new_lease(server, connection, true));
         }
-        self.connect(server, address).await
+        self.connect(server, address, exchange).await
     }
 
-    /// Opens a new connection to a server.
+    /// Opens a new connection to a server for an exchange.
     ///
     /// # Errors
     ///
     /// Connecting failed; nothing was sent.
-    pub async fn connect(&self, server: &Incarnation, address: SocketAddr) -> io::Result<Lease> {
+    pub async fn connect(
+        &self,
+        server: &Incarnation,
+        address: SocketAddr,
+        exchange: Exchange,
+    ) -> io::Result<Lease> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
@@ -121,25 +149,49 @@
             let _closed = connection.await;
             pool.connection_closed(&name);
         });
-        Ok(self.new_lease(server, sender, false))
+        let opened = &self.0.opened;
+        opened.set(opened.get() + 1);
+        let connection = Box::new(Connection {
+            sender,
+            number: opened.get(),
+            exchange,
+            carried: Carried::default(),
+        });
+        Ok(self.new_lease(server, connection, false))
     }
 
-    fn new_lease(&self, server: &Incarnation, sender: Sender, is_reused: bool) -> Lease {
+    fn new_lease(
+        &self,
+        server: &Incarnation,
+        mut connection: Box<Connection>,
+        is_reused: bool,
+    ) -> Lease {
+        let Connection {
+            exchange, carried, ..
+        } = &mut *connection;
+        carried.sent(exchange);
         Lease {
-            sender,
+            connection,
             is_reused,
             server: server.clone(),
             pool: self.clone(),
         }
     }
 
-    fn take_idle(&self, server: &Incarnation) -> Option<Sender> {
+    /// Returns the connection that was used last, of those that may carry an exchange.
+    fn take_idle(&self, server: &Incarnation, exchange: &Exchange) -> Option<Box<Connection>> {
         let now = clock::now();
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.0.idle.borrow_mut();
         let kept = idle.get_mut(server)?;
-        while let Some(connection) = kept.pop() {
-            if connection.expires_at > now && connection.sender.is_ready() {
-                return Some(connection.sender);
+        for number in (0..kept.len()).rev() {
+            let Idle {
+                connection,
+                expires_at,
+            } = &kept[number];
+            if *expires_at <= now || !connection.sender.is_ready() {
+                kept.remove(number);
+            } else if connection.carried.may_carry(exchange) {
+                return Some(kept.remove(number).connection);
             }
         }
         None
@@ -151,41 +203,60 @@
     /// connection that the server closes usually indicates a crash. Without this signal, the crash
     /// of a later part of a path is noticed only after its streams have stalled.
     fn connection_closed(&self, server: &Incarnation) {
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.0.idle.borrow_mut();
         let Some(kept) = idle.get_mut(server) else {
             return;
         };
         let before = kept.len();
-        kept.retain(|connection| !connection.sender.is_closed());
+        kept.retain(|idle| !idle.connection.sender.is_closed());
         if kept.len() < before {
-            self.closed.servers.borrow_mut().push(server.clone());
-            self.closed.changed.notify_one();
+            self.0.closed.servers.borrow_mut().push(server.clone());
+            self.0.closed.changed.notify_one();
         }
     }
 
     /// Waits until servers close idle connections; returns these servers.
     pub async fn closed(&self) -> Vec<Incarnation> {
-        self.closed.changed.notified().await;
-        self.closed.servers.take()
+        self.0.closed.changed.notified().await;
+        self.0.closed.servers.take()
     }
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: &Incarnation) {
-        self.idle.borrow_mut().remove(server);
+        self.0.idle.borrow_mut().remove(server);
     }
 
     /// Closes idle connections that have expired or whose server is no longer registered.
     pub fn close_expired(&self, is_registered: impl Fn(&Incarnation) -> bool) {
         let now = clock::now();
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.0.idle.borrow_mut();
         idle.retain(|server, kept| {
-            kept.retain(|connection| connection.expires_at > now && !connection.sender.is_closed());
+            kept.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
             !kept.is_empty() && is_registered(server)
         });
     }
 }
 
 impl Lease {
+    /// Returns the sending half.
+    pub fn sender(&mut self) -> &mut Sender {
+        &mut self.connection.sender
+    }
+
+    /// Returns the number of the connection.
+    pub fn number(&self) -> u64 {
+        self.connection.number
+    }
+
+    /// Records that the server turned the request away: this connection may deliver the same
+    /// response again, and does not carry the request a second time.
+    pub fn turned_away(&mut self) {
+        let Connection {
+            exchange, carried, ..
+        } = &mut *self.connection;
+        carried.turned_away(exchange);
+    }
+
     /// Returns the connection to the pool, once the response with these headers was read to its
     /// end.
     pub fn release(mut self, headers: &HeaderMap) {
@@ -193,14 +264,14 @@
             return;
         };
         tokio::task::spawn_local(async move {
-            if self.sender.ready().await.is_err() {
+            if self.connection.sender.ready().await.is_err() {
                 return;
             }
-            let mut idle = self.pool.idle.borrow_mut();
+            let mut idle = self.pool.0.idle.borrow_mut();
             let connections = idle.entry(self.server).or_default();
             if connections.len() < MAX_IDLE {
                 connections.push(Idle {
-                    sender: self.sender,
+                    connection: self.connection,
                     expires_at: clock::now().plus(timeout),
                 });
             }
@@ -212,13 +283,17 @@
 ///
 /// # Errors
 ///
-/// There is no complete response; the server may have handled the request.
-pub async fn call(
+/// There is no complete response, or it belongs to another exchange; the server may have handled the
+/// request.
+pub async fn call<D: Dialect>(
     mut lease: Lease,
     request: Request<Full<Bytes>>,
 ) -> anyhow::Result<Response<Bytes>> {
-    let response = lease.sender.send_request(request).await?;
+    let response = lease.sender().send_request(request).await?;
     let (parts, body) = response.into_parts();
+    if parts.headers.contains_key(&D::NAMES.request) {
+        anyhow::bail!("response belongs to a request");
+    }
     let body = body.collect().await?.to_bytes();
     lease.release(&parts.headers);
     Ok(Response::from_parts(parts, body))
@@ -235,13 +310,13 @@
     address: SocketAddr,
     body: Bytes,
 ) -> anyhow::Result<(StatusCode, Bytes)> {
-    let lease = pool.lease(server, address).await?;
+    let lease = pool.lease(server, address, Exchange::Unnamed).await?;
     let request = Request::post(D::ORDER)
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .header(D::NAMES.expected_server, &*server.server.0)
         .body(Full::new(body))?;
-    let response = call(lease, request).await?;
+    let response = call::<D>(lease, request).await?;
     Ok((response.status(), response.into_body()))
 }
 
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
+use jujube_core::pipeline::carried::Exchange;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -116,14 +117,14 @@
     address: SocketAddr,
 ) -> anyhow::Result<Bytes> {
     let first = std::pin::pin!(async {
-        let lease = state.pool.lease(server, address).await?;
+        let lease = state.pool.lease(server, address, Exchange::Check).await?;
         let is_reused = lease.is_reused;
         let response = send_probe(state, server, lease, address).await;
         // The server may have closed the idle connection, which says nothing about its health.
         if response.is_ok() || !is_reused {
             return response;
         }
-        let lease = state.pool.connect(server, address).await?;
+        let lease = state.pool.connect(server, address, Exchange::Check).await?;
         send_probe(state, server, lease, address).await
     });
     let pause = std::pin::pin!(tokio::time::sleep(SECOND_PROBE_DELAY));
@@ -132,7 +133,7 @@
         Either::Right(((), first)) => first,
     };
     let second = std::pin::pin!(async {
-        let lease = state.pool.connect(server, address).await?;
+        let lease = state.pool.connect(server, address, Exchange::Check).await?;
         send_probe(state, server, lease, address).await
     });
     match select(first, second).await {
@@ -152,7 +153,7 @@
     let request = Request::get(D::REPORT)
         .header(HOST, address.to_string())
         .body(Full::default())?;
-    let response = pool::call(lease, request).await?;
+    let response = pool::call::<D>(lease, request).await?;
     notices::observe_check(state, server, sent, &response);
     let status = response.status();
     if !status.is_success() {
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -13,6 +13,7 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
+use jujube_core::pipeline::carried::Exchange;
 use jujube_core::pipeline::memory::Cause;
 use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::features::Features;
@@ -129,7 +130,9 @@
     features: &Features,
 ) -> Result<Incomplete, Failure> {
     let pool = &state.pool;
-    let mut lease = lease(pool, server, address).await?;
+    let id = head::text(&outgoing.headers, &D::NAMES.request);
+    let exchange = || id.map_or(Exchange::Unnamed, |id| Exchange::Request(id.into()));
+    let mut lease = lease(pool, server, address, exchange()).await?;
     loop {
         if gate::is_unwanted(state, server, features) {
             lease.release(&HeaderMap::new());
@@ -138,7 +141,7 @@
         let request = build_request::<D>(server, outgoing);
         let is_reused = lease.is_reused;
         let sent_at = clock::now();
-        let sent = lease.sender.try_send_request(request).await;
+        let sent = lease.sender().try_send_request(request).await;
         let response = match sent {
             Ok(response) => response,
             Err(mut error) => {
@@ -151,7 +154,7 @@
                 if !is_reused {
                     return Err(Failure::NotSent(cause));
                 }
-                lease = connect(pool, server, address).await?;
+                lease = connect(pool, server, address, exchange()).await?;
                 continue;
             }
         };
@@ -159,19 +162,29 @@
             let cause = "response belongs to another request";
             return Err(Failure::Unknown(cause.into()));
         }
-        let id = head::text(&outgoing.headers, &D::NAMES.request);
-        let rest = notices::observe(state, server, id.unwrap_or("-"), sent_at, &response);
-        return check_response::<D>(lease, response, rest).await;
+        let id = id.unwrap_or("-");
+        let rest = notices::observe(state, server, id, sent_at, &response);
+        return check_response::<D>(lease, response, id, rest).await;
     }
 }
 
-async fn lease(pool: &Pool, server: &Incarnation, address: SocketAddr) -> Result<Lease, Failure> {
-    let lease = pool.lease(server, address).await;
+async fn lease(
+    pool: &Pool,
+    server: &Incarnation,
+    address: SocketAddr,
+    exchange: Exchange,
+) -> Result<Lease, Failure> {
+    let lease = pool.lease(server, address, exchange).await;
     lease.map_err(|error| Failure::NotSent(error.to_string()))
 }
 
-async fn connect(pool: &Pool, server: &Incarnation, address: SocketAddr) -> Result<Lease, Failure> {
-    let lease = pool.connect(server, address).await;
+async fn connect(
+    pool: &Pool,
+    server: &Incarnation,
+    address: SocketAddr,
+    exchange: Exchange,
+) -> Result<Lease, Failure> {
+    let lease = pool.connect(server, address, exchange).await;
     lease.map_err(|error| Failure::NotSent(error.to_string()))
 }
 
@@ -196,10 +209,11 @@
     response.headers().get(&D::NAMES.request) == sent.get(&D::NAMES.request)
 }
 
-/// Checks that a response is usable; `rest` is what it asks for.
+/// Checks that the response to request `id` is usable; `rest` is what it asks for.
 async fn check_response<D: Dialect>(
-    lease: Lease,
+    mut lease: Lease,
     response: Response<Incoming>,
+    id: &str,
     rest: Option<Span>,
 ) -> Result<Incomplete, Failure> {
     let names = D::NAMES;
@@ -208,6 +222,9 @@
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         let at_fault = head::text(headers, &names.server_at_fault);
         let at_fault = at_fault.and_then(|text| text.trim().parse().ok());
+        let (connection, is_reused) = (lease.number(), lease.is_reused);
+        log::info!("event=turned-away request={id} connection={connection} reused={is_reused}");
+        lease.turned_away();
         discard_body(lease, response).await;
         return Err(Failure::NotRun {
             status,
