Leave a plain response that does not end

What callers saw: a signed body without a stated size was read until the deadline, as far as the memory budget of all requests went, so others were refused for want of memory.

Cause: plain responses are buffered whole, and only the budget bounded them.

Change: a body that states no size may have a sixteenth of the budget (MemoryBudget::unbounded_limit); responses to health checks and orders 256 KiB, and bodies of rejections that are read for their connection 64 KiB.

Evidence: request_leaves_a_server_whose_body_does_not_end failed before (the attempt never failed) and passes; the same for a head and a rejection passed before and after.

--- a/crates/core/src/pipeline/memory.rs
+++ b/crates/core/src/pipeline/memory.rs
@@ -30,6 +30,9 @@
 /// The part of the capacity that read-ahead leaves free, so that slow callers do not block new
 /// requests: one in this many bytes.
 const RESERVED_DIVISOR: u64 = 4;
+/// The part of the capacity that a response may have that does not state its size: one in this many
+/// bytes. A server that sends several at a time which never end must not take all of it.
+const UNBOUNDED_DIVISOR: u64 = 16;
 /// How long a caller must have taken nothing of the data that waits for it before it may be evicted.
 /// Connections take data in large steps: a caller that reads 20 kB a second through a window of 64 kB
 /// is seen to take something every seven seconds.
@@ -212,6 +215,20 @@
         self.capacity
     }
 
+    /// Returns how much a response may have that does not state its size, and may never end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::memory::MemoryBudget;
+    /// # use jujube_core::pipeline::memory::Size;
+    /// assert_eq!(MemoryBudget::new(Size(64_000_000)).unbounded_limit(), Size(4_000_000));
+    /// ```
+    #[must_use]
+    pub fn unbounded_limit(&self) -> Size {
+        Size(self.capacity.0 / UNBOUNDED_DIVISOR)
+    }
+
     /// Opens an owner that holds nothing.
     pub fn open(&mut self, now: Instant) -> Owner {
         let owner = self.next;
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -207,6 +207,11 @@
         budget.set_waiting(clock::now(), self.owner, is_waiting);
     }
 
+    /// Returns how much a response may have that does not state its size.
+    pub fn unbounded_limit(&self) -> Size {
+        self.memory.budget.borrow().unbounded_limit()
+    }
+
     /// Returns how much this owner holds.
     pub fn held(&self) -> Size {
         self.memory.budget.borrow().held_by(self.owner)
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -59,6 +60,8 @@
 /// How long before the server's keep-alive timeout a connection is closed, so that no request races
 /// with the server's close.
 const CLOSE_MARGIN: Span = Span(800);
+/// The largest response to an order or a health check. They have some hundred bytes.
+const MAX_CALL_BYTES: usize = 256 << 10;
 /// Maximum idle connections per server.
 const MAX_IDLE: usize = 64;
 
@@ -294,7 +297,8 @@
     if parts.headers.contains_key(&D::NAMES.request) {
         anyhow::bail!("response belongs to a request");
     }
-    let body = body.collect().await?.to_bytes();
+    let body = Limited::new(body, MAX_CALL_BYTES).collect().await;
+    let body = body.map_err(|error| anyhow::anyhow!(error))?.to_bytes();
     lease.release(&parts.headers);
     Ok(Response::from_parts(parts, body))
 }
--- a/crates/front/src/unary/received.rs
+++ b/crates/front/src/unary/received.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use jujube_core::pipeline::memory::Cause;
 use jujube_core::pipeline::memory::Size;
@@ -30,8 +31,12 @@
     ///
     /// # Errors
     ///
-    /// The body is incomplete.
+    /// The body is incomplete, or does not end.
     pub async fn read(mut body: Incoming, reservation: Rc<Reservation>) -> Result<Self, Failure> {
+        // A body that states its size ends there.
+        let is_unbounded = body.size_hint().upper().is_none();
+        let limit = reservation.unbounded_limit();
+        let mut size = Size(0);
         let mut received = Self {
             frames: VecDeque::new(),
             reservation,
@@ -42,6 +47,10 @@
                 Ok(frame) => memory::detach(&frame.into_data().unwrap_or_default()),
                 Err(error) => return Err(broken(&error, paused_until)),
             };
+            size.0 += data.len() as u64;
+            if is_unbounded && size > limit {
+                return Err(Failure::Unknown("response does not end".into()));
+            }
             let arrived = clock::now();
             if received.wait_for_room(&data).await {
                 let now = clock::now();
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -116,6 +117,8 @@
 
 /// How long to read the body of a rejection before closing its connection instead.
 const REJECTION_READ_TIMEOUT: Duration = Duration::from_millis(50);
+/// How much of the body of a rejection to read before closing its connection instead.
+const MAX_REJECTION_BYTES: usize = 64 << 10;
 
 /// Sends a request to a backend server and waits for the response head.
 ///
@@ -245,6 +248,7 @@
     use http_body_util::BodyExt;
 
     let (parts, body) = response.into_parts();
+    let body = Limited::new(body, MAX_REJECTION_BYTES);
     let read = tokio::time::timeout(REJECTION_READ_TIMEOUT, body.collect()).await;
     if matches!(read, Ok(Ok(_))) {
         lease.release(&parts.headers);
