Resume a stream whose server sends bytes that are no events

What callers saw: such a stream was cut, although its route allowed another run and another server could take it.

Cause: an incomplete event beyond the size limit counted as too large, which every run would repeat; bytes that do not begin as an event are something else. A resumed stream then chose the same server again.

Change: Relay tells the two apart by the event's identifier. The stream is resumed, at servers that sent it such bytes only if no others can run it.

A test is replaced: an_event_without_an_end_is_bounded fed bytes that are no event and expected TooLarge. It now feeds the beginning of an event and expects the same; bytes_without_an_end_that_are_no_event_are_bounded expects NoIdentifier for three inputs that are none. Both still need the bound.

--- a/crates/core/src/pipeline/relay.rs
+++ b/crates/core/src/pipeline/relay.rs
@@ -191,10 +191,14 @@
     }
 
     fn check_partial(&self) -> Result<(), Fault> {
-        if self.partial.len() as u64 > self.max_event() {
-            return Err(Fault::TooLarge);
+        if self.partial.len() as u64 <= self.max_event() {
+            return Ok(());
+        }
+        match identifier(&self.partial) {
+            Some(_) => Err(Fault::TooLarge),
+            // Not the beginning of an event; another run gives something else.
+            None => Err(Fault::NoIdentifier),
         }
-        Ok(())
     }
 
     /// Checks the end of the current run.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -106,11 +106,29 @@
     let mut relay = Relay::default();
     let mut out = Vec::new();
 
-    let outcome = relay.feed(Bytes::from(vec![b'x'; 300 << 10]), &mut out);
+    let outcome = relay.feed(Bytes::from(endless("id: 1\ndata: ")), &mut out);
 
     assert_eq!(outcome, Err(Fault::TooLarge));
 }
 
+/// Guards against giving up a stream for bytes that are not the beginning of an event: another run
+/// gives something else, while an event that is too large comes again.
+#[test]
+fn bytes_without_an_end_that_are_no_event_are_bounded() {
+    for beginning in ["", "data: without a number ", "id: none\ndata: "] {
+        let mut relay = Relay::default();
+        let mut out = Vec::new();
+
+        let outcome = relay.feed(Bytes::from(endless(beginning)), &mut out);
+
+        assert_eq!(outcome, Err(Fault::NoIdentifier), "{beginning}");
+    }
+}
+
+fn endless(beginning: &str) -> Vec<u8> {
+    [beginning.as_bytes(), &vec![b'x'; 300 << 10]].concat()
+}
+
 /// The most that the buffer of an incomplete event may be larger than what has arrived of it.
 const MAX_SPARE_BYTES: u64 = 16 << 10;
 
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -131,9 +131,9 @@
         }
         let mut events = Vec::new();
         let outcome = self.relay.feed(data, &mut events);
+        let stream = &self.registration.stream;
         if !events.is_empty() {
             let now = clock::now();
-            let stream = &self.registration.stream;
             if stream.events.get() == 0 {
                 self.registration.record_accepted();
                 let elapsed = now.since(stream.arrived);
@@ -154,7 +154,12 @@
             Ok(()) => None,
             // Another run would give the same, so no server is to blame.
             Err(Fault::TooLarge) => Some(self.abort("event-too-large")),
-            Err(fault) => self.resume(&fault.to_string(), Loss::Broken),
+            Err(fault) => {
+                if let Some(first) = stream.first_part() {
+                    stream.faulty.borrow_mut().push(first.server);
+                }
+                self.resume(&fault.to_string(), Loss::Broken)
+            }
         }
     }
 
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -91,6 +91,7 @@
         previous_path: RefCell::default(),
         planned_path: RefCell::default(),
         excluded: RefCell::default(),
+        faulty: RefCell::default(),
         last_activity: Cell::new(now),
         run_sent: Cell::new(now),
         run_began: Cell::default(),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -116,7 +116,7 @@
         if has_gone_on(stream, progress, started) {
             return Err(run_goes_on());
         }
-        let path = match next_path(state, stream, &avoid) {
+        let path = match next_sound_path(state, stream, &avoid) {
             Some(path) => path,
             None if wait_briefly(stream).await => continue,
             None => {
@@ -259,6 +259,19 @@
     }
 }
 
+/// Returns the next path to try: one without servers that sent the stream bytes that are no events, if
+/// there is one.
+fn next_sound_path<D>(state: &State<D>, stream: &Stream, avoid: &[Incarnation]) -> Option<Path> {
+    let faulty = stream.faulty.borrow();
+    if !faulty.is_empty() {
+        let sound = next_path(state, stream, &[avoid, &faulty].concat());
+        if sound.is_some() {
+            return sound;
+        }
+    }
+    next_path(state, stream, avoid)
+}
+
 /// Returns the next path to try; reserves its prefill work.
 fn next_path<D>(state: &State<D>, stream: &Stream, avoid: &[Incarnation]) -> Option<Path> {
     let planned = stream.planned_path.take();
