--- a/crates/front/tests/memory.rs
+++ b/crates/front/tests/memory.rs
@@ -31,6 +31,24 @@
     tokio::time::timeout(SETTLE, wait).await.is_ok()
 }
 
+/// Guards against a limit of responses without a stated size that lets a few of them take all memory.
+#[test]
+fn few_responses_without_a_stated_size_leave_room() {
+    let memory = Rc::new(Memory::new(Size(1_600)));
+    let endless = || {
+        let owner = Memory::open(&memory);
+        owner
+            .reserve(Cause::Response, owner.unbounded_limit())
+            .unwrap();
+        owner
+    };
+
+    let _held = [endless(), endless(), endless(), endless()];
+
+    let other = Memory::open(&memory);
+    assert!(other.reserve(Cause::RequestBody, Size(1_200)).is_ok());
+}
+
 /// Guards against memory that stays reserved after its request has ended.
 #[test]
 fn a_dropped_owner_holds_nothing() {
