Let a registration for an unknown service displace no server

Cause: any readable registration that is written counts as the word of the process at its address, and the server registered there before is taken for ended; a listing of it is ignored from then on.

Change: a registration for a service that the configuration in force does not name says nothing about other servers.

--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster.rs
@@ -192,6 +192,14 @@
         self.apply(now, server)
     }
 
+    /// Applies a registration that was written for a service that is not configured.
+    ///
+    /// Whoever wrote it need not be the process at its address. It names no server to use, and says
+    /// nothing about the others.
+    pub fn registered_for_unknown_service(&mut self, now: Instant, server: Server) -> Effect {
+        self.apply(now, server)
+    }
+
     /// Records that a server said that it is leaving. It gets no new work, whatever its registration
     /// says.
     pub fn announced_leaving(&mut self, now: Instant, incarnation: &Incarnation) -> Effect {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -75,6 +75,18 @@
     );
 }
 
+/// Guards against a live server that is taken for dead by a registration of another writer at its
+/// address, for a service that nobody knows.
+#[test]
+fn a_registration_for_an_unknown_service_displaces_no_server() {
+    let mut roster = with(&["live"]);
+
+    roster.registered_for_unknown_service(Instant(0), server_at_address_of("live", "foreign"));
+
+    assert!(usable(&roster).contains(&"live".into()));
+    assert!(roster.take_replaced().is_empty());
+}
+
 /// Guards against a live server that is taken for dead by a registration that the store restored.
 #[test]
 fn a_restored_registration_displaces_no_server() {
--- a/crates/front/src/store_watch/apply.rs
+++ b/crates/front/src/store_watch/apply.rs
@@ -97,7 +97,14 @@
         }
         Record::Server(server) => {
             let name = server.incarnation.server.clone();
-            (name, roster.registered(now, server))
+            let table = state.table();
+            let is_configured =
+                table.is_some_and(|table| table.document.services.contains_key(&server.service));
+            let effect = match is_configured {
+                true => roster.registered(now, server),
+                false => roster.registered_for_unknown_service(now, server),
+            };
+            (name, effect)
         }
         Record::Removed(name) => {
             let effect = roster.removed(now, &name);
