--- a/crates/core/src/pipeline/roster.rs
+++ b/crates/core/src/pipeline/roster/mod.rs
@@ -1,5 +1,7 @@
 //! Tracks the registered backend servers through outages of the registry.
 
+mod registration;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -16,6 +18,10 @@
 use crate::time::Instant;
 use crate::time::Span;
 
+use registration::Departure;
+pub use registration::Effect;
+use registration::Registration;
+
 /// How long a registration that vanished around an outage still counts after the store is back.
 ///
 /// Registrations expire while the store is unavailable. Those of live servers are back within about
@@ -31,73 +37,6 @@
 /// registered again, and the store has removed those that missed three heartbeats.
 pub const STALE_COPY_WINDOW: Span = Span(5_000);
 
-/// A registered server and the state of its registration.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Registration {
-    server: Server,
-    /// When it was first seen.
-    since: Instant,
-    /// Until when the server counts after its registration expired around an outage.
-    lapses_at: Option<Instant>,
-    /// When it was first seen draining, by its registration or its own word.
-    draining_since: Option<Instant>,
-    /// Whether its registration said that it drains. Such a registration is removed when the server
-    /// exits; one that never says so may be removed before.
-    is_registered_draining: bool,
-}
-
-impl Registration {
-    /// Returns a registration first seen at `since`, and first seen draining at `draining_since` if
-    /// the server drains.
-    fn new(server: Server, since: Instant, draining_since: Instant) -> Self {
-        let is_draining = server.state == State::Draining;
-        Self {
-            server,
-            since,
-            lapses_at: None,
-            draining_since: is_draining.then_some(draining_since),
-            is_registered_draining: is_draining,
-        }
-    }
-
-    /// Records at `now` that the server drains, although its registration does not say so.
-    fn set_draining(&mut self, now: Instant) {
-        self.server.state = State::Draining;
-        self.draining_since.get_or_insert(now);
-    }
-}
-
-/// A removed registration.
-#[derive(Clone, Copy, Debug)]
-struct Departure {
-    at: Instant,
-    /// The evidence that the server no longer serves any requests: it was draining, or has died.
-    end: Option<Evidence>,
-    /// Whether another server has its address. Its registration may be listed until it expires.
-    is_displaced: bool,
-}
-
-/// The effect of a change to the roster.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Effect {
-    /// Nothing that affects routing.
-    None,
-    /// A server joined.
-    Joined,
-    /// A server started draining.
-    Draining,
-    /// A server is no longer registered.
-    Gone,
-    /// A server's registration vanished around an outage; it counts a little longer.
-    Lapsed,
-    /// The layers or the attributes of a server changed.
-    Changed,
-    /// A server restarted under its name.
-    Restarted,
-    /// A server's registration became unreadable.
-    Unreadable,
-}
-
 /// The registered backend servers.
 ///
 /// # Examples
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -1,11 +1,10 @@
 //! A single request-response exchange with a backend server.
 
+mod announcements;
+
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,7 +26,6 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
 use jujube_program::clock;
-use tokio::sync::Notify;
 
 use crate::dialect::Dialect;
 use crate::gate;
@@ -39,6 +37,8 @@
 use crate::pool::Pool;
 use crate::state::State;
 
+use announcements::Announcements;
+
 /// A request to a backend server; retries send the same one.
 #[derive(Clone)]
 pub struct Outgoing {
@@ -126,38 +126,6 @@
 const REJECTION_READ_TIMEOUT: Duration = Duration::from_millis(50);
 /// How much of the body of a rejection to read before closing its connection instead.
 const MAX_REJECTION_BYTES: usize = 64 << 10;
-/// How many heads may announce a response (status 100 to 199) before it counts as none. Servers send
-/// one or two.
-const MAX_ANNOUNCEMENTS: u32 = 32;
-
-/// The heads that announced a response.
-#[derive(Clone, Default)]
-struct Announcements(Arc<Announced>);
-
-#[derive(Default)]
-struct Announced {
-    count: AtomicU32,
-    has_exceeded: Notify,
-}
-
-impl Announcements {
-    /// Counts those of the response to a request.
-    fn watch(request: &mut Request<Full<Bytes>>) -> Self {
-        let announcements = Self::default();
-        let counted = announcements.0.clone();
-        hyper::ext::on_informational(request, move |_| {
-            if counted.count.fetch_add(1, Ordering::Relaxed) == MAX_ANNOUNCEMENTS {
-                counted.has_exceeded.notify_one();
-            }
-        });
-        announcements
-    }
-
-    /// Waits until there are more than a sound server sends.
-    async fn too_many(&self) {
-        self.0.has_exceeded.notified().await;
-    }
-}
 
 /// Sends a request to a backend server and waits for the response head.
 ///
