Pause before a store that cuts each watch at once is asked again

Change: contact::Observer decides from the time of the last doubt whether to ask at once; a second doubt within a second is followed by the usual pause.

--- a/crates/front/src/store_watch/mod.rs
+++ b/crates/front/src/store_watch/mod.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use jujube_core::pipeline::cell::Role;
-use jujube_core::pipeline::feed::contact::Contact;
 use jujube_core::pipeline::feed::contact::Failure;
+use jujube_core::pipeline::feed::contact::Observer;
+use jujube_core::pipeline::feed::contact::Step;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -55,7 +56,7 @@
 pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F, mut source: Source<F>) {
     let mut is_read = false;
     let mut era = store.era();
-    let mut contact = Contact::default();
+    let mut observer = Observer::default();
     loop {
         if state.roster.borrow().needs_reread(clock::now()) {
             // Running servers have registered again by now; a new snapshot no longer contains
@@ -93,27 +94,19 @@
         match step {
             Ok(next) => {
                 is_read = next;
-                if contact.answered() {
+                if observer.answered() {
                     state.roster.borrow_mut().store_returned(clock::now());
                     state.reported_layers.borrow_mut().clear();
                     log::info!("event=store-regained");
                 }
-                source.set_contact(contact);
+                source.set_contact(observer.contact());
             }
             Err(error) => {
                 state.metrics.count("store_failures");
-                let failure = failure(&error);
-                let cause = error.to_string().replace(' ', "-");
-                if contact.failed(failure) {
-                    state.roster.borrow_mut().store_lost();
-                    log::warn!("event=store-lost cause={cause} {}", state.feed.view());
-                }
-                source.set_contact(contact);
-                if contact == Contact::Doubtful {
-                    state.metrics.count("store_doubts");
-                    log::info!("event=store-doubted cause={cause} {}", state.feed.view());
-                }
-                if contact == Contact::Lost || failure == Failure::Busy {
+                let step = observer.failed(clock::now(), failure(&error));
+                source.set_contact(observer.contact());
+                record_failure(&state, step, &error);
+                if step != Step::AskAtOnce {
                     let pause = rand::random_range(RETRY_PAUSE_MS);
                     tokio::time::sleep(Duration::from_millis(pause)).await;
                 }
@@ -122,6 +115,22 @@
     }
 }
 
+/// Records what follows from a failed call.
+fn record_failure<D>(state: &State<D>, step: Step, error: &Error) {
+    let cause = error.to_string().replace(' ', "-");
+    match step {
+        Step::AskAtOnce | Step::AskLater => {
+            state.metrics.count("store_doubts");
+            log::info!("event=store-doubted cause={cause} {}", state.feed.view());
+        }
+        Step::Lose => {
+            state.roster.borrow_mut().store_lost();
+            log::warn!("event=store-lost cause={cause} {}", state.feed.view());
+        }
+        Step::StayLost => {}
+    }
+}
+
 fn failure(error: &Error) -> Failure {
     match error {
         Error::Cut(_) => Failure::Cut,
