--- a/crates/core/src/pipeline/roster/mod.rs
+++ b/crates/core/src/pipeline/roster/mod.rs
@@ -133,8 +133,8 @@
 
     /// Applies a registration that was written for a service that is not configured.
     ///
-    /// Whoever wrote it need not be the process at its address. It names no server to use, and says
-    /// nothing about the others.
+    /// The process at the server's address need not have written it, so it says nothing about other
+    /// servers there; nor does it name a server to use.
     pub fn registered_for_unknown_service(&mut self, now: Instant, server: Server) -> Effect {
         self.apply(now, server)
     }
