Read bounds that are fractions or absent, and settings that are still being written

Callers saw no entry at all: the process exited 2 at every start where a bound of the platform is a fraction (GraceS 7.5, ContactMs 2500.0, MemoryMb 260.5) or has no value, and where the settings file was being written at that moment.

Cause: times were read as whole numbers, an empty value as a wrong one, and a file was read once. Change: times and amounts are finite numbers that are not negative, of at most a year; an empty value counts as missing where there is a default; a daemon that starts reads its settings again for 2 s before it gives up (--check does not wait).

--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -12,6 +12,8 @@
 use ini::Ini;
 use ini::Properties;
 
+use crate::time::Span;
+
 /// An error in an INI text.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("[{section}] {key}: {what}")]
@@ -45,9 +47,40 @@
         .map_err(|error| Fault::new("-", "-", format!("not valid INI: {error}")))
 }
 
+/// The longest time that can be set: a year.
+const MAX_SPAN: Span = Span(365 * 24 * 3_600_000);
+
 /// The placeholder for an invalid address.
 const UNSPECIFIED: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
 
+/// A number that is finite and not negative.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::section::Amount;
+/// assert_eq!("2.5".parse(), Ok(Amount(2.5)));
+/// assert!("-1".parse::<Amount>().is_err());
+/// assert!("nan".parse::<Amount>().is_err());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Amount(pub f64);
+
+/// A text is no number, or one that is negative or not finite.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("neither zero nor a positive number")]
+pub struct NoAmount;
+
+impl FromStr for Amount {
+    type Err = NoAmount;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number: f64 = text.parse().map_err(|_| NoAmount)?;
+        let is_valid = number.is_finite() && number >= 0.0;
+        is_valid.then_some(Self(number)).ok_or(NoAmount)
+    }
+}
+
 /// Reads the values of one section and collects the faults.
 pub struct Reader<'a> {
     section: &'a str,
@@ -72,7 +105,8 @@
         self.faults.push(Fault::new(self.section, key, what));
     }
 
-    /// Reads a value; the key is required when there is no default.
+    /// Reads a value; the key is required when there is no default. An empty one counts as missing
+    /// then: a platform that fills in settings leaves empty what it has no value for.
     pub fn value<T: FromStr + Default>(
         &mut self,
         key: &'static str,
@@ -84,8 +118,9 @@
         if texts.len() > 1 {
             self.fault(key, "duplicate key");
         }
-        match (texts.first(), default) {
-            (Some(text), _) => match text.trim().parse() {
+        let text = texts.first().map(|text| text.trim());
+        match (text.filter(|text| !text.is_empty()), default) {
+            (Some(text), _) => match text.parse() {
                 Ok(value) => value,
                 Err(_) => {
                     self.fault(key, format!("`{}`: expected {expected}", shorten(text)));
@@ -105,6 +140,32 @@
         self.value(key, "a whole number", default)
     }
 
+    /// Reads a number that may be a fraction; it is finite and not negative.
+    pub fn amount(&mut self, key: &'static str, expected: &str, default: f64) -> f64 {
+        self.value(key, expected, Some(Amount(default))).0
+    }
+
+    /// Reads a time in milliseconds; a part of a millisecond is dropped.
+    pub fn millis(&mut self, key: &'static str, default: Span) -> Span {
+        let millis = self.amount(key, "a time in milliseconds", default.0 as f64);
+        self.span(key, millis)
+    }
+
+    /// Reads a time in seconds; a part of a millisecond is dropped.
+    pub fn seconds(&mut self, key: &'static str, default: Span) -> Span {
+        let seconds = self.amount(key, "a time in seconds", default.0 as f64 / 1_000.0);
+        self.span(key, seconds * 1_000.0)
+    }
+
+    /// Returns a time; one that is too long for sums of times is a fault.
+    fn span(&mut self, key: &str, millis: f64) -> Span {
+        if millis > MAX_SPAN.0 as f64 {
+            self.fault(key, format!("expected at most {} ms", MAX_SPAN.0));
+            return Span::default();
+        }
+        Span(millis as u64)
+    }
+
     /// Reads a text.
     pub fn text(&mut self, key: &'static str, expected: &str, default: Option<&str>) -> String {
         self.value(key, expected, default.map(str::to_string))
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -1,9 +1,7 @@
 //! The settings file of an entry.
 
 use std::net::SocketAddr;
-use std::num::ParseIntError;
 use std::path::Path;
-use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +15,7 @@
 use jujube_program::settings::Telemetry;
 
 /// The smaller of the two meanings of a megabyte, so that no entry counts on more than it has.
-const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
@@ -90,18 +88,18 @@
     pub fn from_file(mut file: File, path: &Path) -> Result<Self> {
         let telemetry = settings::telemetry(&mut file);
         let (store, limits) = file.section("store", |section| {
-            let apply = section.number("apply_ms", Some(2_000));
-            let leave = section.number("leave_ms", Some(2_000));
+            let apply = section.millis("apply_ms", Span(2_000));
+            let leave = section.millis("leave_ms", Span(2_000));
             let limits = StoreLimits {
-                contact: Span(section.number("contact_ms", Some(3_000))),
-                apply: Span(apply.min(leave)),
+                contact: section.millis("contact_ms", Span(3_000)),
+                apply: apply.min(leave),
             };
             (section.address("address"), limits)
         });
         let retry = file.section("retry", |section| Policy {
-            ratio: section.value("ratio", "retries per request, such as 0.2", Some(0.2)),
-            slack: section.value("slack", "retries beyond the ratio", Some(100.0)),
-            window: Span(section.number("window_seconds", Some(10)) * 1000),
+            ratio: section.amount("ratio", "retries per request, such as 0.2", 0.2),
+            slack: section.amount("slack", "retries beyond the ratio", 100.0),
+            window: section.seconds("window_seconds", Span(10_000)),
         });
         let settings = file.section("entry", |section| Self {
             name: section.text("name", "a name", None).into(),
@@ -110,10 +108,8 @@
             ready: section.address("ready"),
             metrics: section.address("metrics"),
             gossip: section.address("gossip"),
-            stop: Duration::from_secs(section.number("stop_seconds", Some(8))),
-            memory: section
-                .value("memory_mb", "a whole number", Some(Megabytes::default()))
-                .size(),
+            stop: Duration::from_millis(section.seconds("stop_seconds", Span(8_000)).0),
+            memory: memory(section.amount("memory_mb", "a number of megabytes", 0.0)),
             store,
             limits,
             retry,
@@ -125,23 +121,7 @@
     }
 }
 
-/// The memory of the machine. The platform gives zero or no value if it does not know it.
-#[derive(Default)]
-struct Megabytes(u64);
-
-impl Megabytes {
-    fn size(self) -> Option<Size> {
-        (self.0 > 0).then(|| Size(self.0.saturating_mul(BYTES_PER_MEGABYTE)))
-    }
-}
-
-impl FromStr for Megabytes {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text.trim() {
-            "" => Ok(Self(0)),
-            text => text.parse().map(Self),
-        }
-    }
+/// Returns the memory of a machine. The platform gives zero or no value if it does not know it.
+fn memory(megabytes: f64) -> Option<Size> {
+    (megabytes > 0.0).then(|| Size((megabytes * BYTES_PER_MEGABYTE) as u64))
 }
--- a/crates/program/src/arguments.rs
+++ b/crates/program/src/arguments.rs
@@ -4,6 +4,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::Result;
 use anyhow::bail;
@@ -83,6 +85,11 @@
 /// The exit code of wrong arguments or settings.
 const MISUSED: u8 = 2;
 
+/// How long a daemon that starts waits for settings that can be used.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// How often it reads them meanwhile.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+
 impl<S> Daemon<S> {
     /// Does what the command line asks, and returns the exit code.
     pub fn main(&self) -> ExitCode {
@@ -101,7 +108,11 @@
             }
             Command::Check(path) | Command::Run(path) => path,
         };
-        let settings = match (self.read)(path) {
+        let settings = match command {
+            Command::Run(_) => self.read_settled(path),
+            _ => (self.read)(path),
+        };
+        let settings = match settings {
             Ok(settings) => settings,
             Err(error) => return fail(self.name, MISUSED, &error),
         };
@@ -114,6 +125,18 @@
             Err(error) => fail(self.name, FAILED, &error),
         }
     }
+
+    /// Reads the settings, for some time again and again: a file that is being replaced while the
+    /// process starts may be empty, cut off or not there.
+    fn read_settled(&self, path: &Path) -> Result<S> {
+        let started = Instant::now();
+        loop {
+            match (self.read)(path) {
+                Err(_) if started.elapsed() < SETTLE_TIME => std::thread::sleep(READ_INTERVAL),
+                outcome => return outcome,
+            }
+        }
+    }
 }
 
 /// A tool's program: everything that differs from one to the next.
