Begin tasks again that panic, and log how a process ends

Change: event=starting (all addresses), ended (the cause), panic (place and cause), vitals (resident memory, what the budget counts, every 10 s), task-restarted; the gauge resident_bytes and tasks_restarted_total. A task that panics is begun again after half a second. A planner's term ends with each of its tasks, so that none goes on alone.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Startup, connection handling and graceful shutdown of an entry.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -25,6 +26,7 @@
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
+use tokio::task::spawn_local;
 
 use crate::delivery;
 use crate::delivery::Delivery;
@@ -32,6 +34,7 @@
 use crate::feed;
 use crate::feed::Source;
 use crate::gossip;
+use crate::loans;
 use crate::planner;
 use crate::pool;
 use crate::probe;
@@ -44,6 +47,8 @@
 use crate::state::Lifecycle;
 use crate::state::State;
 use crate::store_watch;
+use crate::tasks::keep;
+use crate::vitals;
 use crate::waiting;
 use crate::watchdog;
 
@@ -69,14 +74,19 @@
 ///
 /// # Errors
 ///
-/// A socket cannot be bound, or a signal handler cannot be installed.
+/// A socket can never be had, or a signal handler cannot be installed.
 pub fn run<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
     logs::to_stdout("entry", &settings.telemetry.level)?;
+    vitals::log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let local = LocalSet::new();
     let served = local.block_on(&runtime, serve::<D, F>(settings, store));
+    if let Err(error) = &served {
+        let cause = format!("{error:#}").replace(char::is_whitespace, "-");
+        log::error!("event=ended cause={cause}");
+    }
     // Connections that the stop cuts log what was not delivered when they are dropped.
     drop(local);
     logs::flush();
@@ -84,12 +94,21 @@
 }
 
 async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
-    let listener = bind(settings.listen)?;
-    let readiness = bind(settings.ready)?;
-    let metrics = bind(settings.metrics)?;
+    log::info!(
+        "event=starting name={} zone={} listen={} ready={} metrics={} gossip={}",
+        settings.name,
+        settings.zone,
+        settings.listen,
+        settings.ready,
+        settings.metrics,
+        settings.gossip
+    );
+    let listener = Rc::new(bind(settings.listen)?);
+    let readiness = Rc::new(bind(settings.ready)?);
+    let metrics = Rc::new(bind(settings.metrics)?);
     let gossip = UdpSocket::bind(settings.gossip).await;
-    let gossip = gossip.with_context(|| format!("listen on {}", settings.gossip))?;
-    let feed_listener = bind(settings.gossip)?;
+    let gossip = Rc::new(gossip.with_context(|| format!("listen on {}", settings.gossip))?);
+    let feed_listener = Rc::new(bind(settings.gossip)?);
     log::info!(
         "event=started name={} zone={} listen={} store={}",
         settings.name,
@@ -102,27 +121,28 @@
         let capacity = state.memory.capacity();
         log::warn!("event=memory-unknown capacity={capacity}");
     }
-    tokio::task::spawn_local(ready::serve(state.clone(), readiness));
-    tokio::task::spawn_local(ready::serve(state.clone(), metrics));
-    let source = Source::new(state.feed.clone(), store.clone(), state.metrics.clone());
-    let serving = feed::serve(state.feed.clone(), state.metrics.clone(), feed_listener);
-    tokio::task::spawn_local(serving);
-    tokio::task::spawn_local(store_watch::run(state.clone(), store.clone(), source));
-    tokio::task::spawn_local(store_watch::expire(state.clone()));
-    tokio::task::spawn_local(planner::run(state.clone(), store.clone()));
-    tokio::task::spawn_local(gossip::announce(state.clone(), store.clone()));
-    tokio::task::spawn_local(quarantine::run(state.clone(), store.clone()));
-    tokio::task::spawn_local(slack::run(state.clone(), store));
-    tokio::task::spawn_local(run_retries(state.clone()));
-    tokio::task::spawn_local(gossip::run(state.clone(), gossip));
-    tokio::task::spawn_local(probe::probe_suspects(state.clone()));
-    tokio::task::spawn_local(probe::confirm_starts(state.clone()));
-    tokio::task::spawn_local(probe::check_closed(state.clone()));
-    tokio::task::spawn_local(watchdog::run(state.clone()));
-    tokio::task::spawn_local(waiting::run(state.clone()));
-    tokio::task::spawn_local(reload::run(state.clone()));
     let (trigger, closing) = shutdown::pair();
-    tokio::task::spawn_local(accept(state.clone(), listener, closing));
+    keep_for(&state, "callers", move |state| {
+        accept(state, listener.clone(), closing.clone())
+    });
+    keep_for(&state, "readiness", move |state| {
+        ready::serve(state, readiness.clone())
+    });
+    keep_for(&state, "metrics", move |state| {
+        ready::serve(state, metrics.clone())
+    });
+    keep_for(&state, "feed", move |state| {
+        feed::serve(
+            state.feed.clone(),
+            state.metrics.clone(),
+            feed_listener.clone(),
+        )
+    });
+    keep_with(&state, &gossip, "gossip", gossip::run);
+    keep_with(&state, &gossip, "gossip-receive", gossip::receive);
+    keep_with(&state, &gossip, "gossip-relay", gossip::relay);
+    keep_with(&state, &gossip, "loans", loans::run);
+    keep_controllers(&state, &store);
     shutdown::terminated().await?;
     log::info!("event=stopping in_flight={}", state.in_flight.get());
     state.enter(Lifecycle::Draining);
@@ -131,10 +151,68 @@
     Ok(())
 }
 
+/// Keeps the tasks that need no socket of their own.
+fn keep_controllers<D: Dialect, F: Feed>(state: &Rc<State<D>>, store: &F) {
+    keep_for(state, "store", {
+        let store = store.clone();
+        move |state| {
+            let source = Source::new(state.feed.clone(), store.clone(), state.metrics.clone());
+            store_watch::run(state, store.clone(), source)
+        }
+    });
+    let with_store = store.clone();
+    keep_for(state, "planner", move |state| {
+        planner::run(state, with_store.clone())
+    });
+    let with_store = store.clone();
+    keep_for(state, "announcement", move |state| {
+        gossip::announce(state, with_store.clone())
+    });
+    let with_store = store.clone();
+    keep_for(state, "quarantine", move |state| {
+        quarantine::run(state, with_store.clone())
+    });
+    let with_store = store.clone();
+    keep_for(state, "slack", move |state| {
+        slack::run(state, with_store.clone())
+    });
+    keep_for(state, "registrations", store_watch::expire);
+    keep_for(state, "retries", run_retries);
+    keep_for(state, "probes", probe::probe_suspects);
+    keep_for(state, "starts", probe::confirm_starts);
+    keep_for(state, "closed", probe::check_closed);
+    keep_for(state, "watchdog", watchdog::run);
+    keep_for(state, "waiting", waiting::run);
+    keep_for(state, "reload", reload::run);
+    keep_for(state, "vitals", vitals::run);
+}
+
+fn keep_for<D: Dialect, T: Future<Output = ()> + 'static>(
+    state: &Rc<State<D>>,
+    name: &'static str,
+    run: impl Fn(Rc<State<D>>) -> T + 'static,
+) {
+    let shared = state.clone();
+    keep(&state.metrics, name, move || run(shared.clone()));
+}
+
 async fn run_retries<D: Dialect>(state: Rc<State<D>>) {
     state.retries.run().await;
 }
 
+/// Keeps a task that uses the gossip socket.
+fn keep_with<D: Dialect, F: Future<Output = ()> + 'static>(
+    state: &Rc<State<D>>,
+    socket: &Rc<UdpSocket>,
+    name: &'static str,
+    run: fn(Rc<State<D>>, Rc<UdpSocket>) -> F,
+) {
+    let (shared, socket) = (state.clone(), socket.clone());
+    keep(&state.metrics, name, move || {
+        run(shared.clone(), socket.clone())
+    });
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener> {
     listen(address).with_context(|| format!("listen on {address}"))
 }
@@ -170,7 +248,7 @@
     }
 }
 
-async fn accept<D: Dialect>(state: Rc<State<D>>, listener: TcpListener, closing: Signal) {
+async fn accept<D: Dialect>(state: Rc<State<D>>, listener: Rc<TcpListener>, closing: Signal) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of file descriptors: without the pause this loop would spin.
@@ -178,7 +256,7 @@
             continue;
         };
         state.metrics.count("connections");
-        tokio::task::spawn_local(connection(state.clone(), stream, closing.clone()));
+        spawn_local(connection(state.clone(), stream, closing.clone()));
     }
 }
 
--- a/crates/front/src/feed/serve.rs
+++ b/crates/front/src/feed/serve.rs
@@ -35,7 +35,7 @@
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
 /// Accepts and answers other entries until the process ends.
-pub async fn serve(feed: Rc<Feed>, metrics: Rc<Metrics>, listener: TcpListener) {
+pub async fn serve(feed: Rc<Feed>, metrics: Rc<Metrics>, listener: Rc<TcpListener>) {
     let places = Arc::new(tokio::sync::Semaphore::new(MAX_FOLLOWERS));
     loop {
         let Ok((stream, address)) = listener.accept().await else {
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -63,12 +63,8 @@
 /// at a time, and aggregating a hundred reports takes some 30 microseconds.
 const AGGREGATE_INTERVAL: Span = Span(50);
 
-/// Sends this entry's reports and receives those of others until the process ends.
-pub async fn run<D: Dialect>(state: Rc<State<D>>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
-    tokio::task::spawn_local(receive(state.clone(), socket.clone()));
-    tokio::task::spawn_local(relay(state.clone(), socket.clone()));
-    tokio::task::spawn_local(loans::run(state.clone(), socket.clone()));
+/// Sends this entry's reports to the entries of its cell until the process ends.
+pub async fn run<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
     let mut sent_at = clock::now();
     let mut rest_sent_at = sent_at;
     loop {
@@ -112,7 +108,7 @@
 
 /// Sends the sum of this cell's reports to the other cells while this entry is a speaker of its
 /// cell.
-async fn relay<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
+pub async fn relay<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
     loop {
         tokio::time::sleep(millis(cell::RELAY_INTERVAL)).await;
         let now = clock::now();
@@ -194,7 +190,8 @@
     rows.map(|(server, row)| (server.clone(), row)).collect()
 }
 
-async fn receive<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
+/// Receives the reports of other entries until the process ends.
+pub async fn receive<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; message::RECEIVE_BUFFER_BYTES];
     loop {
         let datagram: io::Result<(usize, SocketAddr)> = socket.recv_from(&mut buffer).await;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -41,9 +41,11 @@
 mod state;
 mod store_watch;
 mod stream;
+mod tasks;
 mod unary;
 mod upload;
 mod upstream;
+mod vitals;
 mod waiting;
 mod watchdog;
 
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -83,6 +83,8 @@
 
 /// Campaigns for the planner's lease whenever it is free, until the process ends.
 pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F) {
+    // An earlier run of this task may have ended within a term.
+    state.leadership.own.set(None);
     loop {
         if let Some(term) = begin_term(&state, &store).await {
             term.serve().await;
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::fmt::Display;
 use std::fmt::Formatter;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -78,6 +79,16 @@
     pub(super) settlings: RefCell<BTreeMap<Service, Settling>>,
 }
 
+/// Ends a term when it is dropped, also by a panic: a planner that renews its lease and no longer
+/// plans, or the other way round, would keep others from planning.
+struct Over<'a, D, F>(&'a Term<D, F>);
+
+impl<D, F> Drop for Over<'_, D, F> {
+    fn drop(&mut self) {
+        self.0.is_over.set(true);
+    }
+}
+
 impl<D: Dialect, F: Feed> Term<D, F> {
     pub(super) fn new(
         state: &Rc<State<D>>,
@@ -102,12 +113,13 @@
     }
 
     pub(super) async fn serve(self: &Rc<Self>) {
+        let _over = Over(self);
         if let Authority::Lease(lease) = self.authority {
-            tokio::task::spawn_local(self.clone().renew(lease));
+            self.spawn(self.clone().renew(lease));
         }
-        tokio::task::spawn_local(self.clone().poll_servers());
-        tokio::task::spawn_local(self.clone().log_servers());
-        tokio::task::spawn_local(self.clone().check_missing());
+        self.spawn(self.clone().poll_servers());
+        self.spawn(self.clone().log_servers());
+        self.spawn(self.clone().check_missing());
         while !self.is_over.get() {
             if self.state.lifecycle.get() != Lifecycle::Serving {
                 self.resign().await;
@@ -123,10 +135,18 @@
                 self.plan();
             }
         }
-        self.is_over.set(true);
         log::info!("event=planner-lost token={}", self.lease.get().token);
     }
 
+    /// Begins one of the term's tasks; the term ends with each of them.
+    fn spawn(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
+        let term = self.clone();
+        tokio::task::spawn_local(async move {
+            let _over = Over(&term);
+            task.await;
+        });
+    }
+
     /// Returns whether a deputy is still needed.
     ///
     /// The store recovers some seconds before the lease of the lost planner expires, and until then
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -15,11 +15,12 @@
 use crate::body::Body;
 use crate::dialect::Dialect;
 use crate::state::State;
+use crate::vitals;
 
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves one listener until the process ends.
-pub async fn serve<D: Dialect>(state: Rc<State<D>>, listener: TcpListener) {
+pub async fn serve<D: Dialect>(state: Rc<State<D>>, listener: Rc<TcpListener>) {
     loop {
         // A failed accept affects one connection; the next may succeed.
         let Ok((stream, _)) = listener.accept().await else {
@@ -55,6 +56,10 @@
             ("slack_pieces", state.retries.pieces() as f64),
             ("served_tokens", state.served_tokens.get()),
             ("ready", f64::from(u8::from(state.is_ready()))),
+            (
+                "resident_bytes",
+                vitals::resident().map_or(0.0, |size| size.0 as f64),
+            ),
         ];
         return Response::new(Body::text(state.metrics.text(&gauges)));
     }
--- /dev/null
+++ b/crates/front/src/vitals.rs
@@ -0,0 +1,51 @@
+//! What tells how a process ended, if it ends: its memory, its tasks and panics, on the log.
+
+use std::panic;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujube_core::pipeline::memory::Cause;
+use jujube_core::pipeline::memory::Size;
+
+use crate::dialect::Dialect;
+use crate::state::State;
+
+/// How often the memory is logged.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+/// The size of a page, by which the system counts memory.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Logs each panic, which is otherwise told on standard error only.
+pub fn log_panics() {
+    let previous = panic::take_hook();
+    panic::set_hook(Box::new(move |panic| {
+        let cause = panic.to_string().replace(char::is_whitespace, "-");
+        log::error!("event=panic cause={cause}");
+        previous(panic);
+    }));
+}
+
+/// Returns the memory that the process occupies; `None` if the system does not tell.
+pub fn resident() -> Option<Size> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = text.split(' ').nth(1)?.parse().ok()?;
+    Some(Size(pages * PAGE_BYTES))
+}
+
+/// Logs the memory and what is under way until the process ends.
+pub async fn run<D: Dialect>(state: Rc<State<D>>) {
+    loop {
+        let resident = resident().map_or("-".into(), |size| size.0.to_string());
+        let held: u64 = Cause::ALL
+            .map(|cause| state.memory.held_for(cause).0)
+            .iter()
+            .sum();
+        log::info!(
+            "event=vitals resident={resident} held={held} capacity={} in_flight={} streams={}",
+            state.memory.capacity().0,
+            state.in_flight.get(),
+            state.streams.len()
+        );
+        tokio::time::sleep(LOG_INTERVAL).await;
+    }
+}
--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -43,6 +43,7 @@
         // Deadlines that pass are counted; the library would write a line for each.
         .level_for("tarpc", LevelFilter::Off)
         .level_for("jujube_entry", level)
+        .level_for("jujube_program", level)
         .level_for("jujube_sidecar", level)
         .level_for("jujube_store", level)
         .level_for("jujube_standin", level)
@@ -151,6 +152,7 @@
     let dispatch = lines(role)
         // The level in force is that of the logger as a whole, which a reload may change.
         .level_for("jujube_front", LevelFilter::Trace)
+        .level_for("jujube_program", LevelFilter::Trace)
         .level_for("jujube_store", LevelFilter::Trace)
         .filter(|metadata| is_within_budget(metadata.level()))
         .chain(Box::new(Queue::default()) as Box<dyn Write + Send>);
