Wait for the sockets that an entry needs, and serve without those that only help it

Cause: five sockets had to be free at the first try, and a failure of any ended the process. Class: a part that only helps is as necessary as one that is needed, and an obstacle that passes is taken for one that stays.

Change: the entry waits for the sockets of callers and readiness, and is ready once it has both. The internal sockets are taken on the first free port of the range that the platform gives (gossip_last_port), which is what the announcement and the reports name; the metrics come last and are also served at the readiness address. Only an error that no waiting mends (no permission) still ends the start. Signal handlers are installed first. jujube-entry and jujube-sidecar wait for their listeners too; jujube-local tells its user.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -5,14 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anyhow::Context;
 use anyhow::Result;
 use jujube_program::counters::Counters;
 use jujube_program::http;
+use jujube_program::listen::wait_to_listen;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Trigger;
 use jujube_wire::server;
-use tokio::net::TcpListener;
 use tower::ServiceExt;
 
 use crate::api;
@@ -41,13 +40,11 @@
 ///
 /// # Errors
 ///
-/// A socket or the control thread cannot be had.
+/// A socket can never be had, or the control thread cannot be had.
 pub async fn start(settings: Settings) -> Result<Handle> {
-    let web = TcpListener::bind(settings.listen).await;
-    let web = web.with_context(|| format!("listen on {}", settings.listen))?;
+    let web = wait_to_listen("callers", settings.listen).await?;
     let address = web.local_addr()?;
-    let listener = TcpListener::bind(settings.peer).await;
-    let listener = listener.with_context(|| format!("listen on {}", settings.peer))?;
+    let listener = wait_to_listen("peers", settings.peer).await?;
     let peer = listener.local_addr()?;
     let counters = Counters::to("jujube.entry", &settings.telemetry.statsd)?;
     let state = State::new(settings, peer.to_string().into(), counters);
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -1,9 +1,8 @@
 //! Startup, connection handling and graceful shutdown of an entry.
 
 use std::convert::Infallible;
+use std::future;
 use std::future::Future;
-use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,31 +18,29 @@
 use jujube_program::logs;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
+use jujube_program::shutdown::Termination;
 use jujube_program::shutdown::Trigger;
 use jujube_store::kv::Feed;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
-use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 
 use crate::delivery;
 use crate::delivery::Delivery;
 use crate::dialect::Dialect;
-use crate::feed;
 use crate::feed::Source;
-use crate::gossip;
-use crate::loans;
 use crate::planner;
 use crate::pool;
 use crate::probe;
 use crate::quarantine;
-use crate::ready;
 use crate::reload;
 use crate::request;
 use crate::settings::Settings;
 use crate::slack;
+use crate::sockets;
 use crate::state::Lifecycle;
 use crate::state::State;
 use crate::store_watch;
@@ -52,10 +49,6 @@
 use crate::waiting;
 use crate::watchdog;
 
-/// How many connections may wait to be accepted. The library's default of 128 overflows when hundreds
-/// of callers connect while the entry is busy; the system then drops their requests for a connection,
-/// which are repeated only after a second.
-const ACCEPT_BACKLOG: u32 = 4_096;
 /// How long new requests are still served after a termination signal. The platform checks readiness
 /// every second and stops sending callers after two failures; requests in flight need the rest of
 /// the time.
@@ -94,27 +87,18 @@
 }
 
 async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
+    let mut termination = Termination::new()?;
+    // Until its handler is installed, SIGHUP ends the process.
+    let _handled_from_now_on = signal(SignalKind::hangup());
     log::info!(
-        "event=starting name={} zone={} listen={} ready={} metrics={} gossip={}",
+        "event=starting name={} zone={} listen={} ready={} metrics={} gossip={} gossip_last_port={}",
         settings.name,
         settings.zone,
         settings.listen,
         settings.ready,
         settings.metrics,
-        settings.gossip
-    );
-    let listener = Rc::new(bind(settings.listen)?);
-    let readiness = Rc::new(bind(settings.ready)?);
-    let metrics = Rc::new(bind(settings.metrics)?);
-    let gossip = UdpSocket::bind(settings.gossip).await;
-    let gossip = Rc::new(gossip.with_context(|| format!("listen on {}", settings.gossip))?);
-    let feed_listener = Rc::new(bind(settings.gossip)?);
-    log::info!(
-        "event=started name={} zone={} listen={} store={}",
-        settings.name,
-        settings.zone,
-        settings.listen,
-        settings.store
+        settings.gossip,
+        settings.gossip_last_port
     );
     let state = Rc::new(State::<D>::new(settings));
     if state.settings.memory.is_none() {
@@ -122,28 +106,20 @@
         log::warn!("event=memory-unknown capacity={capacity}");
     }
     let (trigger, closing) = shutdown::pair();
-    keep_for(&state, "callers", move |state| {
-        accept(state, listener.clone(), closing.clone())
-    });
-    keep_for(&state, "readiness", move |state| {
-        ready::serve(state, readiness.clone())
-    });
-    keep_for(&state, "metrics", move |state| {
-        ready::serve(state, metrics.clone())
-    });
-    keep_for(&state, "feed", move |state| {
-        feed::serve(
-            state.feed.clone(),
-            state.metrics.clone(),
-            feed_listener.clone(),
-        )
-    });
-    keep_with(&state, &gossip, "gossip", gossip::run);
-    keep_with(&state, &gossip, "gossip-receive", gossip::receive);
-    keep_with(&state, &gossip, "gossip-relay", gossip::relay);
-    keep_with(&state, &gossip, "loans", loans::run);
+    let callers = spawn_local(sockets::serve_callers(state.clone(), closing));
+    let readiness = spawn_local(sockets::serve_readiness(state.clone()));
+    spawn_local(sockets::serve_others(state.clone(), store.clone()));
     keep_controllers(&state, &store);
-    shutdown::terminated().await?;
+    let served = async {
+        let (callers, readiness) = tokio::try_join!(callers, readiness)?;
+        callers.with_context(|| format!("listen on {}", state.settings.listen))?;
+        readiness.with_context(|| format!("listen on {}", state.settings.ready))?;
+        future::pending::<Result<()>>().await
+    };
+    tokio::select! {
+        () = termination.requested() => {}
+        failed = served => return failed,
+    }
     log::info!("event=stopping in_flight={}", state.in_flight.get());
     state.enter(Lifecycle::Draining);
     drain(&state, &trigger).await;
@@ -165,10 +141,6 @@
         planner::run(state, with_store.clone())
     });
     let with_store = store.clone();
-    keep_for(state, "announcement", move |state| {
-        gossip::announce(state, with_store.clone())
-    });
-    let with_store = store.clone();
     keep_for(state, "quarantine", move |state| {
         quarantine::run(state, with_store.clone())
     });
@@ -200,33 +172,6 @@
     state.retries.run().await;
 }
 
-/// Keeps a task that uses the gossip socket.
-fn keep_with<D: Dialect, F: Future<Output = ()> + 'static>(
-    state: &Rc<State<D>>,
-    socket: &Rc<UdpSocket>,
-    name: &'static str,
-    run: fn(Rc<State<D>>, Rc<UdpSocket>) -> F,
-) {
-    let (shared, socket) = (state.clone(), socket.clone());
-    keep(&state.metrics, name, move || {
-        run(shared.clone(), socket.clone())
-    });
-}
-
-fn bind(address: SocketAddr) -> Result<TcpListener> {
-    listen(address).with_context(|| format!("listen on {address}"))
-}
-
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(ACCEPT_BACKLOG)
-}
-
 /// Serves requests until the platform has stopped sending callers, then waits for those in flight.
 ///
 /// Connections stay open at first, and each response carries `Connection: close`. Closing idle
@@ -248,7 +193,8 @@
     }
 }
 
-async fn accept<D: Dialect>(state: Rc<State<D>>, listener: Rc<TcpListener>, closing: Signal) {
+/// Accepts callers' connections. Never returns.
+pub async fn accept<D: Dialect>(state: Rc<State<D>>, listener: Rc<TcpListener>, closing: Signal) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of file descriptors: without the pause this loop would spin.
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -46,6 +46,9 @@
     state: &State<D>,
     store: &F,
 ) -> Result<Option<Lease>, Error> {
+    let Some(address) = state.internal.get() else {
+        return Ok(None);
+    };
     let key = announcement_key(&state.settings.name);
     let started_at = clock::now();
     let lease = store.grant(state.retries.lease).await?;
@@ -53,7 +56,7 @@
     let announcement = Announcement {
         place: Location {
             zone: state.settings.zone.clone(),
-            address: state.settings.gossip,
+            address,
         },
         lease_id,
         key: Some(state.feed.public_key()),
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -156,7 +156,7 @@
     let suspicion = state.suspicion.borrow();
     let outliers = state.outliers.borrow();
     let now = clock::now();
-    let address = state.settings.gossip;
+    let address = state.internal.get();
     let token = state.leadership.own();
     let suspects = suspicion.suspects().map(|server| (server.clone(), 1));
     let ordered = state.ordered_layers.borrow();
@@ -166,8 +166,8 @@
     Summary {
         entries: 1,
         with_store: u64::from(!state.is_store_unavailable()),
-        ready: state.is_ready().then_some(address),
-        planner: token.map(|token| (token, address)),
+        ready: address.filter(|_| state.is_ready()),
+        planner: token.zip(address),
         usage: cloned(load.own_usage().map(|(server, usage)| (server, *usage))),
         outcomes: cloned(outliers.own(now)),
         slowness: cloned(load.recent_slowness(now)),
@@ -250,7 +250,7 @@
 fn record_planner<D>(state: &State<D>, sender: SocketAddr, scope: &Scope, summary: &Summary) {
     let now = clock::now();
     match (scope, summary.planner) {
-        (_, Some((token, planner))) if planner != state.settings.gossip => {
+        (_, Some((token, planner))) if Some(planner) != state.internal.get() => {
             state.leadership.record_report(now, planner, Some(token));
         }
         (Scope::Own, None) => state.leadership.record_report(now, sender, None),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -38,6 +38,7 @@
 mod retries;
 mod settings;
 mod slack;
+mod sockets;
 mod state;
 mod store_watch;
 mod stream;
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -131,7 +131,7 @@
     if !state.is_store_unavailable_to_all() {
         return None;
     }
-    let (now, own) = (clock::now(), state.settings.gossip);
+    let (now, own) = (clock::now(), state.internal.get()?);
     let election = state.leadership.election.get();
     let token = election.deputy_token(now, own, state.peers.ready())?;
     Some(HeldLease {
--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -57,6 +57,7 @@
     let needs_restart = settings.listen != before.listen
         || settings.ready != before.ready
         || settings.gossip != before.gossip
+        || settings.gossip_last_port != before.gossip_last_port
         || settings.store != before.store
         || settings.memory != before.memory
         || settings.zone != before.zone;
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -30,8 +30,10 @@
     pub ready: SocketAddr,
     /// The address that serves metrics.
     pub metrics: SocketAddr,
-    /// The address for gossip with other entries.
+    /// The first address for gossip with other entries.
     pub gossip: SocketAddr,
+    /// The last port that may be used in its place if it is taken; a lower one allows none.
+    pub gossip_last_port: u16,
     /// How long after a termination signal the platform kills the process.
     pub stop: Duration,
     /// The memory of the machine; `None` if it is unknown.
@@ -108,6 +110,7 @@
             ready: section.address("ready"),
             metrics: section.address("metrics"),
             gossip: section.address("gossip"),
+            gossip_last_port: section.value("gossip_last_port", "a port", Some(0)),
             stop: Duration::from_millis(section.seconds("stop_seconds", Span(8_000)).0),
             memory: memory(section.amount("memory_mb", "a number of megabytes", 0.0)),
             store,
@@ -123,5 +126,5 @@
 
 /// Returns the memory of a machine. The platform gives zero or no value if it does not know it.
 fn memory(megabytes: f64) -> Option<Size> {
-    (megabytes > 0.0).then(|| Size((megabytes * BYTES_PER_MEGABYTE) as u64))
+    (megabytes > 0.0).then_some(Size((megabytes * BYTES_PER_MEGABYTE) as u64))
 }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -46,11 +46,13 @@
 use crate::watchdog;
 use crate::watchdog::Streams;
 
-/// The stages of a graceful shutdown.
+/// The stages of a process, from its start to a graceful shutdown.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Lifecycle {
-    /// The entry is ready and serves callers.
+    /// The address for callers cannot be had yet.
     #[default]
+    Starting,
+    /// The entry is ready and serves callers.
     Serving,
     /// The entry reports not ready; new requests are still served.
     Draining,
@@ -65,6 +67,8 @@
     /// When the process started.
     pub started: Instant,
     pub settings: Settings,
+    /// The address at which other entries find this one; `None` until it has internal sockets.
+    pub internal: Cell<Option<SocketAddr>>,
     /// The configuration in force.
     pub table: RefCell<Option<Rc<Table>>>,
     /// What is known of the store, and passed on to other entries.
@@ -151,6 +155,7 @@
             peers: Peers::new(settings.name.clone(), place),
             feed: Rc::new(Feed::new(settings.name.clone(), bounds)),
             settings,
+            internal: Cell::default(),
             table: RefCell::default(),
             roster: RefCell::default(),
             settling: Cell::default(),
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod counters;
 pub mod http;
+pub mod listen;
 pub mod logs;
 pub mod settings;
 pub mod shutdown;
--- a/crates/program/src/shutdown.rs
+++ b/crates/program/src/shutdown.rs
@@ -1,7 +1,10 @@
 //! Graceful shutdown.
 
 use std::future::Future;
+use std::io;
 
+use tokio::signal::unix;
+use tokio::signal::unix::SignalKind;
 use tokio::sync::watch;
 
 /// The side that asks for the stop.
@@ -41,21 +44,42 @@
     }
 }
 
+/// The signals that ask a process to stop.
+#[derive(Debug)]
+pub struct Termination {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl Termination {
+    /// Installs the handlers: from now on the signals end nothing by themselves.
+    ///
+    /// # Errors
+    ///
+    /// The handlers cannot be set.
+    pub fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: unix::signal(SignalKind::terminate())?,
+            interrupt: unix::signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    pub async fn requested(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
 ///
 /// The handlers cannot be set.
-pub async fn terminated() -> std::io::Result<()> {
-    use tokio::signal::unix::SignalKind;
-    use tokio::signal::unix::signal;
-
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+pub async fn terminated() -> io::Result<()> {
+    Termination::new()?.requested().await;
     Ok(())
 }
 
@@ -64,7 +88,7 @@
 /// # Errors
 ///
 /// The thread or its runtime cannot be had.
-pub fn on_control_thread<F>(future: F) -> std::io::Result<std::thread::JoinHandle<()>>
+pub fn on_control_thread<F>(future: F) -> io::Result<std::thread::JoinHandle<()>>
 where
     F: Future<Output = ()> + Send + 'static,
 {
--- a/crates/programs/src/bin/jujube-local.rs
+++ b/crates/programs/src/bin/jujube-local.rs
@@ -1,6 +1,7 @@
 //! `jujube-local`: see the help below.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -79,6 +80,9 @@
 
 fn run(wish: Wish) -> Result<()> {
     let Wish { once, port, bundle } = wish;
+    let listen = SocketAddr::from(([127, 0, 0, 1], port));
+    // An entry waits for a port that is taken; somebody at a laptop is told.
+    drop(TcpListener::bind(listen).with_context(|| format!("listen on {listen}"))?);
     logs::start("local", if once { "warn" } else { "info" })?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -86,7 +90,7 @@
     runtime.block_on(async {
         let plan = Plan {
             bundle,
-            listen: SocketAddr::from(([127, 0, 0, 1], port)),
+            listen,
             ..Plan::default()
         };
         let cluster = Cluster::start(plan).await?;
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::Context;
 use anyhow::Result;
 use jujube_program::counters::Counters;
 use jujube_program::http;
+use jujube_program::listen::wait_to_listen;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Trigger;
 use jujube_wire::server;
-use tokio::net::TcpListener;
 
 use crate::control;
 use crate::handler;
@@ -38,13 +37,11 @@
 ///
 /// # Errors
 ///
-/// A socket or the control thread cannot be had.
+/// A socket can never be had, or the control thread cannot be had.
 pub async fn start(settings: Settings) -> Result<Handle> {
-    let listener = TcpListener::bind(settings.listen).await;
-    let listener = listener.with_context(|| format!("listen on {}", settings.listen))?;
+    let listener = wait_to_listen("peers", settings.listen).await?;
     let address = listener.local_addr()?;
-    let web = TcpListener::bind(settings.http).await;
-    let web = web.with_context(|| format!("listen on {}", settings.http))?;
+    let web = wait_to_listen("calls", settings.http).await?;
     let http = web.local_addr()?;
     let counters = Counters::to("jujube.sidecar", &settings.telemetry.statsd)?;
     let state = State::new(settings, http, counters);
