--- a/crates/front/src/vitals.rs
+++ b/crates/front/src/vitals.rs
@@ -12,8 +12,6 @@
 
 /// How often the memory is logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
-/// The size of a page, by which the system counts memory.
-const PAGE_BYTES: u64 = 4_096;
 
 /// Logs each panic, which is otherwise told on standard error only.
 pub fn log_panics() {
@@ -27,9 +25,12 @@
 
 /// Returns the memory that the process occupies; `None` if the system does not tell.
 pub fn resident() -> Option<Size> {
-    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
-    let pages: u64 = text.split(' ').nth(1)?.parse().ok()?;
-    Some(Size(pages * PAGE_BYTES))
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kib: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+    Some(Size(kib << 10))
 }
 
 /// Logs the memory and what is under way until the process ends.
