End a planner's term with a task of it that panics, not with one that is done

A term ended 250 ms after each election, since one of its tasks is done at once (log_servers): no layers were placed.

--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -138,12 +138,13 @@
         log::info!("event=planner-lost token={}", self.lease.get().token);
     }
 
-    /// Begins one of the term's tasks; the term ends with each of them.
+    /// Begins one of the term's tasks; the term ends if it panics.
     fn spawn(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
         let term = self.clone();
         tokio::task::spawn_local(async move {
-            let _over = Over(&term);
-            task.await;
+            if tokio::task::spawn_local(task).await.is_err() {
+                term.is_over.set(true);
+            }
         });
     }
 
