--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -1,8 +1,8 @@
 //! Startup, connection handling and graceful shutdown of an entry.
 
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
+use std::future;
+use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,39 +18,37 @@
 use jujube_program::logs;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
+use jujube_program::shutdown::Termination;
 use jujube_program::shutdown::Trigger;
 use jujube_store::kv::Feed;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
-use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
+use tokio::task::spawn_local;
 
 use crate::delivery;
 use crate::delivery::Delivery;
 use crate::dialect::Dialect;
-use crate::feed;
 use crate::feed::Source;
-use crate::gossip;
 use crate::planner;
 use crate::pool;
 use crate::probe;
 use crate::quarantine;
-use crate::ready;
 use crate::reload;
 use crate::request;
 use crate::settings::Settings;
 use crate::slack;
+use crate::sockets;
 use crate::state::Lifecycle;
 use crate::state::State;
 use crate::store_watch;
+use crate::tasks::keep;
+use crate::vitals;
 use crate::waiting;
 use crate::watchdog;
 
-/// How many connections may wait to be accepted. The library's default of 128 overflows when hundreds
-/// of callers connect while the entry is busy; the system then drops their requests for a connection,
-/// which are repeated only after a second.
-const ACCEPT_BACKLOG: u32 = 4_096;
 /// How long new requests are still served after a termination signal. The platform checks readiness
 /// every second and stops sending callers after two failures; requests in flight need the rest of
 /// the time.
@@ -69,14 +67,19 @@
 ///
 /// # Errors
 ///
-/// A socket cannot be bound, or a signal handler cannot be installed.
+/// A socket can never be had, or a signal handler cannot be installed.
 pub fn run<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
     logs::to_stdout("entry", &settings.telemetry.level)?;
+    vitals::log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let local = LocalSet::new();
     let served = local.block_on(&runtime, serve::<D, F>(settings, store));
+    if let Err(error) = &served {
+        let cause = format!("{error:#}").replace(char::is_whitespace, "-");
+        log::error!("event=ended cause={cause}");
+    }
     // Connections that the stop cuts log what was not delivered when they are dropped.
     drop(local);
     logs::flush();
@@ -84,46 +87,39 @@
 }
 
 async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
-    let listener = bind(settings.listen)?;
-    let readiness = bind(settings.ready)?;
-    let metrics = bind(settings.metrics)?;
-    let gossip = UdpSocket::bind(settings.gossip).await;
-    let gossip = gossip.with_context(|| format!("listen on {}", settings.gossip))?;
-    let feed_listener = bind(settings.gossip)?;
+    let mut termination = Termination::new()?;
+    // Until its handler is installed, SIGHUP ends the process.
+    let _handled_from_now_on = signal(SignalKind::hangup());
     log::info!(
-        "event=started name={} zone={} listen={} store={}",
+        "event=starting name={} zone={} listen={} ready={} metrics={} gossip={} gossip_last_port={}",
         settings.name,
         settings.zone,
         settings.listen,
-        settings.store
+        settings.ready,
+        settings.metrics,
+        settings.gossip,
+        settings.gossip_last_port
     );
     let state = Rc::new(State::<D>::new(settings));
     if state.settings.memory.is_none() {
         let capacity = state.memory.capacity();
         log::warn!("event=memory-unknown capacity={capacity}");
     }
-    tokio::task::spawn_local(ready::serve(state.clone(), readiness));
-    tokio::task::spawn_local(ready::serve(state.clone(), metrics));
-    let source = Source::new(state.feed.clone(), store.clone(), state.metrics.clone());
-    let serving = feed::serve(state.feed.clone(), state.metrics.clone(), feed_listener);
-    tokio::task::spawn_local(serving);
-    tokio::task::spawn_local(store_watch::run(state.clone(), store.clone(), source));
-    tokio::task::spawn_local(store_watch::expire(state.clone()));
-    tokio::task::spawn_local(planner::run(state.clone(), store.clone()));
-    tokio::task::spawn_local(gossip::announce(state.clone(), store.clone()));
-    tokio::task::spawn_local(quarantine::run(state.clone(), store.clone()));
-    tokio::task::spawn_local(slack::run(state.clone(), store));
-    tokio::task::spawn_local(run_retries(state.clone()));
-    tokio::task::spawn_local(gossip::run(state.clone(), gossip));
-    tokio::task::spawn_local(probe::probe_suspects(state.clone()));
-    tokio::task::spawn_local(probe::confirm_starts(state.clone()));
-    tokio::task::spawn_local(probe::check_closed(state.clone()));
-    tokio::task::spawn_local(watchdog::run(state.clone()));
-    tokio::task::spawn_local(waiting::run(state.clone()));
-    tokio::task::spawn_local(reload::run(state.clone()));
     let (trigger, closing) = shutdown::pair();
-    tokio::task::spawn_local(accept(state.clone(), listener, closing));
-    shutdown::terminated().await?;
+    let callers = spawn_local(sockets::serve_callers(state.clone(), closing));
+    let readiness = spawn_local(sockets::serve_readiness(state.clone()));
+    spawn_local(sockets::serve_others(state.clone(), store.clone()));
+    keep_controllers(&state, &store);
+    let served = async {
+        let (callers, readiness) = tokio::try_join!(callers, readiness)?;
+        callers.with_context(|| format!("listen on {}", state.settings.listen))?;
+        readiness.with_context(|| format!("listen on {}", state.settings.ready))?;
+        future::pending::<Result<()>>().await
+    };
+    tokio::select! {
+        () = termination.requested() => {}
+        failed = served => return failed,
+    }
     log::info!("event=stopping in_flight={}", state.in_flight.get());
     state.enter(Lifecycle::Draining);
     drain(&state, &trigger).await;
@@ -131,22 +127,49 @@
     Ok(())
 }
 
-async fn run_retries<D: Dialect>(state: Rc<State<D>>) {
-    state.retries.run().await;
+/// Keeps the tasks that need no socket of their own.
+fn keep_controllers<D: Dialect, F: Feed>(state: &Rc<State<D>>, store: &F) {
+    keep_for(state, "store", {
+        let store = store.clone();
+        move |state| {
+            let source = Source::new(state.feed.clone(), store.clone(), state.metrics.clone());
+            store_watch::run(state, store.clone(), source)
+        }
+    });
+    let with_store = store.clone();
+    keep_for(state, "planner", move |state| {
+        planner::run(state, with_store.clone())
+    });
+    let with_store = store.clone();
+    keep_for(state, "quarantine", move |state| {
+        quarantine::run(state, with_store.clone())
+    });
+    let with_store = store.clone();
+    keep_for(state, "slack", move |state| {
+        slack::run(state, with_store.clone())
+    });
+    keep_for(state, "registrations", store_watch::expire);
+    keep_for(state, "retries", run_retries);
+    keep_for(state, "probes", probe::probe_suspects);
+    keep_for(state, "starts", probe::confirm_starts);
+    keep_for(state, "closed", probe::check_closed);
+    keep_for(state, "watchdog", watchdog::run);
+    keep_for(state, "waiting", waiting::run);
+    keep_for(state, "reload", reload::run);
+    keep_for(state, "vitals", vitals::run);
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener> {
-    listen(address).with_context(|| format!("listen on {address}"))
+fn keep_for<D: Dialect, T: Future<Output = ()> + 'static>(
+    state: &Rc<State<D>>,
+    name: &'static str,
+    run: impl Fn(Rc<State<D>>) -> T + 'static,
+) {
+    let shared = state.clone();
+    keep(&state.metrics, name, move || run(shared.clone()));
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(ACCEPT_BACKLOG)
+async fn run_retries<D: Dialect>(state: Rc<State<D>>) {
+    state.retries.run().await;
 }
 
 /// Serves requests until the platform has stopped sending callers, then waits for those in flight.
@@ -170,7 +193,8 @@
     }
 }
 
-async fn accept<D: Dialect>(state: Rc<State<D>>, listener: TcpListener, closing: Signal) {
+/// Accepts callers' connections. Never returns.
+pub async fn accept<D: Dialect>(state: Rc<State<D>>, listener: Rc<TcpListener>, closing: Signal) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of file descriptors: without the pause this loop would spin.
@@ -178,7 +202,7 @@
             continue;
         };
         state.metrics.count("connections");
-        tokio::task::spawn_local(connection(state.clone(), stream, closing.clone()));
+        spawn_local(connection(state.clone(), stream, closing.clone()));
     }
 }
 
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -63,12 +63,8 @@
 /// at a time, and aggregating a hundred reports takes some 30 microseconds.
 const AGGREGATE_INTERVAL: Span = Span(50);
 
-/// Sends this entry's reports and receives those of others until the process ends.
-pub async fn run<D: Dialect>(state: Rc<State<D>>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
-    tokio::task::spawn_local(receive(state.clone(), socket.clone()));
-    tokio::task::spawn_local(relay(state.clone(), socket.clone()));
-    tokio::task::spawn_local(loans::run(state.clone(), socket.clone()));
+/// Sends this entry's reports to the entries of its cell until the process ends.
+pub async fn run<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
     let mut sent_at = clock::now();
     let mut rest_sent_at = sent_at;
     loop {
@@ -112,7 +108,7 @@
 
 /// Sends the sum of this cell's reports to the other cells while this entry is a speaker of its
 /// cell.
-async fn relay<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
+pub async fn relay<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
     loop {
         tokio::time::sleep(millis(cell::RELAY_INTERVAL)).await;
         let now = clock::now();
@@ -160,7 +156,7 @@
     let suspicion = state.suspicion.borrow();
     let outliers = state.outliers.borrow();
     let now = clock::now();
-    let address = state.settings.gossip;
+    let address = state.internal.get();
     let token = state.leadership.own();
     let suspects = suspicion.suspects().map(|server| (server.clone(), 1));
     let ordered = state.ordered_layers.borrow();
@@ -170,8 +166,8 @@
     Summary {
         entries: 1,
         with_store: u64::from(!state.is_store_unavailable()),
-        ready: state.is_ready().then_some(address),
-        planner: token.map(|token| (token, address)),
+        ready: address.filter(|_| state.is_ready()),
+        planner: token.zip(address),
         usage: cloned(load.own_usage().map(|(server, usage)| (server, *usage))),
         outcomes: cloned(outliers.own(now)),
         slowness: cloned(load.recent_slowness(now)),
@@ -194,7 +190,8 @@
     rows.map(|(server, row)| (server.clone(), row)).collect()
 }
 
-async fn receive<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
+/// Receives the reports of other entries until the process ends.
+pub async fn receive<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; message::RECEIVE_BUFFER_BYTES];
     loop {
         let datagram: io::Result<(usize, SocketAddr)> = socket.recv_from(&mut buffer).await;
@@ -253,7 +250,7 @@
 fn record_planner<D>(state: &State<D>, sender: SocketAddr, scope: &Scope, summary: &Summary) {
     let now = clock::now();
     match (scope, summary.planner) {
-        (_, Some((token, planner))) if planner != state.settings.gossip => {
+        (_, Some((token, planner))) if Some(planner) != state.internal.get() => {
             state.leadership.record_report(now, planner, Some(token));
         }
         (Scope::Own, None) => state.leadership.record_report(now, sender, None),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -38,12 +38,15 @@
 mod retries;
 mod settings;
 mod slack;
+mod sockets;
 mod state;
 mod store_watch;
 mod stream;
+mod tasks;
 mod unary;
 mod upload;
 mod upstream;
+mod vitals;
 mod waiting;
 mod watchdog;
 
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -83,6 +83,8 @@
 
 /// Campaigns for the planner's lease whenever it is free, until the process ends.
 pub async fn run<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F) {
+    // An earlier run of this task may have ended within a term.
+    state.leadership.own.set(None);
     loop {
         if let Some(term) = begin_term(&state, &store).await {
             term.serve().await;
@@ -129,7 +131,7 @@
     if !state.is_store_unavailable_to_all() {
         return None;
     }
-    let (now, own) = (clock::now(), state.settings.gossip);
+    let (now, own) = (clock::now(), state.internal.get()?);
     let election = state.leadership.election.get();
     let token = election.deputy_token(now, own, state.peers.ready())?;
     Some(HeldLease {
