Take no response for an answer whose status is not final

Callers got the statuses 101 and 600 to 999 of a server in trouble as answers, signed or not, on plain routes and streams. After 101, their connection was of no use: the next request on it failed. Requests that another server could have served ended with such a status. A health check believed what such a response said of its server, for example that it was leaving.

The HTTP library rejects what is not three digits from 100 on, and skips announcements (100 and 102 to 199), so 000, 001, 099, 20 and 2000 were failures already. What it lets through was taken for an answer unless it was a server error, which 101 and 600 are not.

core::status::is_final now answers, for all shells, which statuses are final: 200 to 599. A response with another one counts as none, before anything else in it is read: the request may have run, its connection is closed, and what follows is what follows any lost response.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod revision;
 pub mod section;
 pub mod session;
+pub mod status;
 pub mod subset;
 pub mod time;
 pub mod verdict;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -24,6 +24,7 @@
 use jujube_core::pipeline::carried::Carried;
 use jujube_core::pipeline::carried::Exchange;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::status;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -294,6 +295,10 @@
 ) -> anyhow::Result<Response<Bytes>> {
     let response = lease.sender().send_request(request).await?;
     let (parts, body) = response.into_parts();
+    let status = parts.status.as_u16();
+    if !status::is_final(status) {
+        anyhow::bail!("status {status} is not final");
+    }
     if parts.headers.contains_key(&D::NAMES.request) {
         anyhow::bail!("response belongs to a request");
     }
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -24,6 +24,7 @@
 use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::status;
 use jujube_core::time::Span;
 use jujube_program::clock;
 
@@ -178,6 +179,10 @@
                 continue;
             }
         };
+        let status = response.status().as_u16();
+        if !status::is_final(status) {
+            return Err(Failure::Unknown(format!("status {status} is not final")));
+        }
         if !is_own::<D>(&response, &outgoing.headers) {
             let cause = "response belongs to another request";
             return Err(Failure::Unknown(cause.into()));
