Tell callers of the first interface that a call without a final status may have run

A service's status 101, 600 or 999 was passed on by its sidecar and its entry as the answer to a call. The shared HTTP client took every status that the library lets through for an answer.

It now asks core::status, as the other entry does, so that sidecars, entries, and the clients of both stores treat such a response as one that did not come. Whoever sends with the client learns that the request may have run.

--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -25,6 +25,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
+use jujube_core::status;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
@@ -214,14 +215,20 @@
     ///
     /// # Errors
     ///
-    /// No connection, or no answer on it.
+    /// No connection, or no final answer on it.
     pub async fn send(&self, request: Request<Body>) -> Result<Response<Incoming>, Error> {
-        self.inner.request(request).await.map_err(|error| {
+        let answer = self.inner.request(request).await;
+        let response = answer.map_err(|error| {
             if error.is_connect() {
                 return Error::NotSent(describe(&error));
             }
             failed(&error)
-        })
+        })?;
+        let status = response.status().as_u16();
+        if !status::is_final(status) {
+            return Err(Error::Unknown(format!("status {status} is not final")));
+        }
+        Ok(response)
     }
 
     /// Posts JSON and reads JSON, all within a time.
--- a/crates/programs/tests/support/mod.rs
+++ b/crates/programs/tests/support/mod.rs
@@ -376,6 +376,31 @@
         self.backends.insert(name.into(), backend);
     }
 
+    /// Starts a backend server's sidecar again, at the addresses that it had, before another service.
+    pub fn move_sidecar(&mut self, name: &str, to: &str) {
+        let file = self.path(&format!("{name}.ini"));
+        let old = self.backends.remove(name).expect("a backend server");
+        let Backend {
+            engine,
+            sidecar,
+            url,
+        } = old;
+        let (address, http) = (sidecar.line[1].clone(), sidecar.line[3].clone());
+        drop(sidecar);
+        let settings = std::fs::read_to_string(&file)
+            .unwrap()
+            .replace("listen = 127.0.0.1:0", &format!("listen = {address}"))
+            .replace("http = 127.0.0.1:0", &format!("http = {http}"))
+            .replace(&url, to);
+        std::fs::write(&file, settings).unwrap();
+        let backend = Backend {
+            sidecar: Process::start(bin("sidecar"), &["--settings", &file]),
+            engine,
+            url: to.into(),
+        };
+        self.backends.insert(name.into(), backend);
+    }
+
     /// Starts one more entry.
     pub fn add_entry(&mut self, settings: &str) {
         self.entries
