--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -46,7 +46,7 @@
     let address = web.local_addr()?;
     let listener = wait_to_listen("peers", settings.peer).await?;
     let peer = listener.local_addr()?;
-    let counters = Counters::to("jujube.entry", &settings.telemetry.statsd)?;
+    let counters = Counters::to_or_silent("jujube.entry", &settings.telemetry.statsd);
     let state = State::new(settings, peer.to_string().into(), counters);
     let (trigger, stop) = shutdown::pair();
 
--- a/crates/program/src/counters.rs
+++ b/crates/program/src/counters.rs
@@ -59,6 +59,16 @@
         })
     }
 
+    /// Returns counters that are sent to a statsd address, or only kept if that cannot be used.
+    #[must_use]
+    pub fn to_or_silent(prefix: &str, statsd: &str) -> Self {
+        Self::to(prefix, statsd).unwrap_or_else(|error| {
+            let cause = format!("{error:#}").replace(char::is_whitespace, "-");
+            log::warn!("event=no-statsd address={statsd} cause={cause}");
+            Self::silent(prefix)
+        })
+    }
+
     /// Adds to a counter.
     pub fn add(&self, name: &'static str, count: u64) {
         if count == 0 {
--- a/crates/programs/src/bin/jujube-entry.rs
+++ b/crates/programs/src/bin/jujube-entry.rs
@@ -1,5 +1,7 @@
 //! `jujube-entry`: see the help below.
 
+use std::io;
+use std::io::Write;
 use std::process::ExitCode;
 
 use anyhow::Result;
@@ -45,7 +47,13 @@
         .build()?;
     runtime.block_on(async {
         let handle = jujube_entry::start(settings).await?;
-        println!("entry http://{} peer {}", handle.address, handle.peer);
+        // The addresses are in the log too.
+        let _nobody_reads = writeln!(
+            io::stdout(),
+            "entry http://{} peer {}",
+            handle.address,
+            handle.peer
+        );
         shutdown::terminated().await?;
         handle.drain().await;
         Ok(())
--- a/crates/programs/src/bin/jujube-sidecar.rs
+++ b/crates/programs/src/bin/jujube-sidecar.rs
@@ -1,5 +1,7 @@
 //! `jujube-sidecar`: see the help below.
 
+use std::io;
+use std::io::Write;
 use std::process::ExitCode;
 
 use anyhow::Result;
@@ -45,7 +47,13 @@
         .build()?;
     runtime.block_on(async {
         let handle = jujube_sidecar::start(settings).await?;
-        println!("sidecar {} http {}", handle.address, handle.http);
+        // The addresses are in the log too.
+        let _nobody_reads = writeln!(
+            io::stdout(),
+            "sidecar {} http {}",
+            handle.address,
+            handle.http
+        );
         shutdown::terminated().await?;
         handle.drain().await;
         Ok(())
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -43,7 +43,7 @@
     let address = listener.local_addr()?;
     let web = wait_to_listen("calls", settings.http).await?;
     let http = web.local_addr()?;
-    let counters = Counters::to("jujube.sidecar", &settings.telemetry.statsd)?;
+    let counters = Counters::to_or_silent("jujube.sidecar", &settings.telemetry.statsd);
     let state = State::new(settings, http, counters);
     let (trigger, stop) = shutdown::pair();
 
