Mend what the review of starts that wait found

A reload compares with the text that was read at the start, and names contact_ms, stop_seconds and metrics as needing a restart. - SIGHUP ended a process that waits for its settings (signal 1); its handler is now installed before they are read.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::Context;
 use anyhow::Result;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -23,8 +22,6 @@
 use jujube_store::kv::Feed;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 
@@ -69,7 +66,10 @@
 ///
 /// A socket can never be had, or a signal handler cannot be installed.
 pub fn run<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
-    logs::to_stdout("entry", &settings.telemetry.level)?;
+    if let Err(error) = logs::to_stdout("entry", &settings.telemetry.level) {
+        // It serves without a log, or with one of another level.
+        logs::tell("jujube-platform", &error);
+    }
     vitals::log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -88,8 +88,6 @@
 
 async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
     let mut termination = Termination::new()?;
-    // Until its handler is installed, SIGHUP ends the process.
-    let _handled_from_now_on = signal(SignalKind::hangup());
     log::info!(
         "event=starting name={} zone={} listen={} ready={} metrics={} gossip={} gossip_last_port={}",
         settings.name,
@@ -106,14 +104,12 @@
         log::warn!("event=memory-unknown capacity={capacity}");
     }
     let (trigger, closing) = shutdown::pair();
-    let callers = spawn_local(sockets::serve_callers(state.clone(), closing));
-    let readiness = spawn_local(sockets::serve_readiness(state.clone()));
+    let callers = sockets::serve_callers(state.clone(), closing);
+    let readiness = sockets::serve_readiness(state.clone());
     spawn_local(sockets::serve_others(state.clone(), store.clone()));
     keep_controllers(&state, &store);
     let served = async {
-        let (callers, readiness) = tokio::try_join!(callers, readiness)?;
-        callers.with_context(|| format!("listen on {}", state.settings.listen))?;
-        readiness.with_context(|| format!("listen on {}", state.settings.ready))?;
+        tokio::try_join!(callers, readiness)?;
         future::pending::<Result<()>>().await
     };
     tokio::select! {
@@ -121,6 +117,9 @@
         failed = served => return failed,
     }
     log::info!("event=stopping in_flight={}", state.in_flight.get());
+    if state.lifecycle.get() == Lifecycle::Starting {
+        return Ok(());
+    }
     state.enter(Lifecycle::Draining);
     drain(&state, &trigger).await;
     log::info!("event=stopped in_flight={}", state.in_flight.get());
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -17,6 +17,7 @@
 use jujube_store::kv::Lease;
 use jujube_store::kv::Write;
 
+use crate::state::Lifecycle;
 use crate::state::State;
 
 use super::Announcement;
@@ -25,8 +26,16 @@
 /// The pause before a failed announcement or renewal is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
+/// How often an entry that starts checks whether it has begun to serve.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Keeps this entry announced in the store until the process ends.
 pub async fn announce<D, F: Feed>(state: Rc<State<D>>, store: F) {
+    // Others divide limits among the entries that are announced, and this one gets no request yet. An
+    // earlier process of the same name may also still be announced.
+    while state.lifecycle.get() == Lifecycle::Starting {
+        tokio::time::sleep(START_CHECK_INTERVAL).await;
+    }
     loop {
         match write_announcement(&state, &store).await {
             Ok(Some(lease)) => renew(&state, &store, lease).await,
--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -26,7 +26,8 @@
         }
     };
     let path = state.settings.file.clone();
-    let mut previous = std::fs::read(&path).unwrap_or_default();
+    // What the settings in force were read from: the file may have changed since.
+    let mut previous = state.settings.text.as_bytes().to_vec();
     loop {
         let is_signalled = tokio::time::timeout(CHECK_INTERVAL, hangup.recv())
             .await
@@ -56,9 +57,12 @@
     let before = &state.settings;
     let needs_restart = settings.listen != before.listen
         || settings.ready != before.ready
+        || settings.metrics != before.metrics
         || settings.gossip != before.gossip
         || settings.gossip_last_port != before.gossip_last_port
         || settings.store != before.store
+        || settings.limits != before.limits
+        || settings.stop != before.stop
         || settings.memory != before.memory
         || settings.zone != before.zone;
     let outcome = if needs_restart {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::Context;
 use anyhow::Result;
 use jujube_core::name::Zone;
 use jujube_core::pipeline::budget::Policy;
@@ -48,10 +49,12 @@
     pub telemetry: Telemetry,
     /// The path of the settings file.
     pub file: Arc<Path>,
+    /// The text of the settings file, empty if they were not read from one.
+    pub text: Arc<str>,
 }
 
 /// How soon changes in the store must take effect.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreLimits {
     /// How long a VM must have been free of faults for the time limits to apply.
     pub contact: Span,
@@ -66,7 +69,11 @@
     ///
     /// The file cannot be read, or settings are invalid; one line per invalid setting.
     pub fn read(path: &Path) -> Result<Self> {
-        Self::from_file(File::open(path)?, path)
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).with_context(|| name.clone())?;
+        let settings = Self::from_file(File::parse(&name, &text)?, path)?;
+        let text = text.into();
+        Ok(Self { text, ..settings })
     }
 
     /// Validates parsed settings.
@@ -110,7 +117,7 @@
             ready: section.address("ready"),
             metrics: section.address("metrics"),
             gossip: section.address("gossip"),
-            gossip_last_port: section.value("gossip_last_port", "a port", Some(0)),
+            gossip_last_port: section.amount("gossip_last_port", "a port", 0.0) as u16,
             stop: Duration::from_millis(section.seconds("stop_seconds", Span(8_000)).0),
             memory: memory(section.amount("memory_mb", "a number of megabytes", 0.0)),
             store,
@@ -118,6 +125,7 @@
             retry,
             telemetry,
             file: path.into(),
+            text: "".into(),
         });
         file.finish()?;
         Ok(settings)
--- a/crates/front/src/sockets.rs
+++ b/crates/front/src/sockets.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use anyhow::Context;
+use anyhow::Result;
 use jujube_program::listen;
 use jujube_program::shutdown::Signal;
 use jujube_store::kv::Feed;
@@ -32,8 +34,10 @@
 const ACCEPT_BACKLOG: u32 = 4_096;
 
 /// Waits for a listener.
-async fn listener(what: &str, address: SocketAddr) -> io::Result<TcpListener> {
-    listen::until_bound(what, address, || listen::tcp(address, ACCEPT_BACKLOG)).await
+async fn listener(what: &str, address: SocketAddr) -> Result<TcpListener> {
+    let bind = || listen::tcp(address, ACCEPT_BACKLOG);
+    let listener = listen::until_bound(what, address, bind).await;
+    listener.with_context(|| format!("listen on {address}"))
 }
 
 /// Serves callers until the process ends.
@@ -41,7 +45,7 @@
 /// # Errors
 ///
 /// Their address can never be had.
-pub async fn serve_callers<D: Dialect>(state: Rc<State<D>>, closing: Signal) -> io::Result<()> {
+pub async fn serve_callers<D: Dialect>(state: Rc<State<D>>, closing: Signal) -> Result<()> {
     let listener = Rc::new(listener("callers", state.settings.listen).await?);
     let settings = &state.settings;
     log::info!(
@@ -65,7 +69,7 @@
 /// # Errors
 ///
 /// Their address can never be had.
-pub async fn serve_readiness<D: Dialect>(state: Rc<State<D>>) -> io::Result<()> {
+pub async fn serve_readiness<D: Dialect>(state: Rc<State<D>>) -> Result<()> {
     let listener = Rc::new(listener("readiness", state.settings.ready).await?);
     keep(&state.metrics.clone(), "readiness", move || {
         ready::serve(state.clone(), listener.clone())
@@ -86,7 +90,16 @@
 }
 
 async fn serve_metrics<D: Dialect>(state: Rc<State<D>>) {
-    // A failure is logged; the metrics can be had from the readiness address too.
+    let settings = &state.settings;
+    if [settings.listen, settings.ready].contains(&settings.metrics) {
+        // It must not take the port that callers come to; the readiness address has the metrics too.
+        log::warn!(
+            "event=listen what=metrics wanted={} outcome=left-out",
+            settings.metrics
+        );
+        return;
+    }
+    // A failure is logged.
     let Ok(listener) = listener("metrics", state.settings.metrics).await else {
         return;
     };
--- a/crates/front/src/tasks.rs
+++ b/crates/front/src/tasks.rs
@@ -19,9 +19,13 @@
 where
     F: Future<Output = ()> + 'static,
 {
-    let metrics = metrics.clone();
+    let (metrics, begin) = (metrics.clone(), Rc::new(begin));
     spawn_local(async move {
-        while let Err(error) = spawn_local(begin()).await {
+        loop {
+            let begin = begin.clone();
+            let Err(error) = spawn_local(async move { begin().await }).await else {
+                return;
+            };
             if !error.is_panic() {
                 return;
             }
--- a/crates/program/src/arguments.rs
+++ b/crates/program/src/arguments.rs
@@ -1,6 +1,5 @@
 //! The command line that the daemons share.
 
-use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -11,6 +10,9 @@
 use anyhow::bail;
 use pico_args::Arguments;
 
+use crate::logs;
+use crate::shutdown;
+
 /// What a daemon was asked to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Command {
@@ -109,7 +111,10 @@
             Command::Check(path) | Command::Run(path) => path,
         };
         let settings = match command {
-            Command::Run(_) => self.read_settled(path),
+            Command::Run(_) => {
+                shutdown::outlive_hangups();
+                self.read_settled(path)
+            }
             _ => (self.read)(path),
         };
         let settings = match settings {
@@ -178,8 +183,7 @@
 
 /// Says on standard error what is wrong, and returns the exit code.
 fn fail(name: &str, code: u8, error: &anyhow::Error) -> ExitCode {
-    // With standard error closed, the exit code still tells.
-    let _best_effort = writeln!(std::io::stderr(), "{name}: {error:#}");
+    logs::tell(name, error);
     ExitCode::from(code)
 }
 
--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -139,9 +139,9 @@
 ///
 /// # Errors
 ///
-/// The level is none, or the thread cannot be had.
+/// The level is none: `info` is used. The thread cannot be had: nothing is logged.
 pub fn to_stdout(role: &'static str, level: &str) -> Result<()> {
-    let level = LevelFilter::from_str(level).context("log level")?;
+    let parsed = LevelFilter::from_str(level).context("log level");
     let (sender, receiver) = mpsc::sync_channel(WAITING);
     if QUEUE.set(sender).is_err() {
         return Ok(());
@@ -157,8 +157,14 @@
         .filter(|metadata| is_within_budget(metadata.level()))
         .chain(Box::new(Queue::default()) as Box<dyn Write + Send>);
     let _already_started = dispatch.apply();
-    log::set_max_level(level);
-    Ok(())
+    log::set_max_level(*parsed.as_ref().unwrap_or(&LevelFilter::Info));
+    parsed.map(|_| ())
+}
+
+/// Tells on standard error what is wrong.
+pub fn tell(name: &str, error: &anyhow::Error) {
+    // With standard error closed, nobody is left to tell.
+    let _best_effort = writeln!(io::stderr(), "{name}: {error:#}");
 }
 
 fn write_lines(receiver: &mpsc::Receiver<Message>) {
--- a/crates/program/src/settings.rs
+++ b/crates/program/src/settings.rs
@@ -12,6 +12,9 @@
 use jujube_core::section::Fault;
 use jujube_core::section::Reader;
 
+/// The section in which a file tells about itself.
+const ABOUT_FILE: &str = "file";
+
 /// A settings file while it is read.
 ///
 /// # Examples
@@ -46,15 +49,33 @@
     ///
     /// # Errors
     ///
-    /// It is no INI.
+    /// It is no INI, or was cut off before the section that its `[file] last_section` names.
     pub fn parse(name: &str, text: &str) -> Result<Self> {
         let ini = section::load(text).with_context(|| name.to_string())?;
-        Ok(Self {
+        let mut file = Self {
             name: name.to_string(),
             ini,
             read: BTreeSet::new(),
             faults: Vec::new(),
-        })
+        };
+        file.check_end()?;
+        Ok(file)
+    }
+
+    /// Checks that the file is whole, if it says by which section it ends.
+    ///
+    /// A number that is cut off is still a number, and what is missing may have a default.
+    fn check_end(&mut self) -> Result<()> {
+        const UNNAMED: &str = "";
+        let about = self.ini.section(Some(ABOUT_FILE));
+        let Some(last) = about.and_then(|about| about.get("last_section")) else {
+            return Ok(());
+        };
+        if last == UNNAMED || self.ini.section(Some(last)).is_none() {
+            bail!("{}: cut off before the section `{last}`", self.name);
+        }
+        self.read.extend([ABOUT_FILE.to_string(), last.to_string()]);
+        Ok(())
     }
 
     /// Reads one section; a missing one reads as empty.
--- a/crates/program/src/shutdown.rs
+++ b/crates/program/src/shutdown.rs
@@ -73,6 +73,20 @@
     }
 }
 
+/// Installs a handler for SIGHUP, which ends a process without one.
+///
+/// It stays for as long as the process lives. Settings may change before the process listens to the
+/// signal, and it reads them later anyway. Without a handler the process may end, and is started again.
+pub fn outlive_hangups() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .build();
+    if let Ok(runtime) = runtime {
+        let _runtime = runtime.enter();
+        let _handler_stays = unix::signal(SignalKind::hangup());
+    }
+}
+
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
