--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -29,6 +29,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 
+use crate::allowance::Share;
 use crate::shutdown::Signal;
 
 /// A body that is whole or streamed.
@@ -164,6 +165,16 @@
 
 impl std::error::Error for Error {}
 
+/// How fast an answer must come whose size is not known beforehand.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// The time within which the head must come.
+    pub head: Duration,
+    /// How long each pause may last from then on. With one time for all of it, an answer that the
+    /// link carries more slowly than that is never read: each attempt is cut off and repeated.
+    pub pause: Duration,
+}
+
 /// An HTTP client with a pool of connections.
 #[derive(Clone)]
 pub struct Client {
@@ -290,30 +301,29 @@
 
     /// Fetches a whole answer whose size is not known beforehand, with its head.
     ///
-    /// The head must come within `head`; from then on each pause may last for `pause`. With one time
-    /// for all of it, an answer that the link carries more slowly than that is never read: each
-    /// attempt is cut off and repeated.
-    ///
     /// # Errors
     ///
-    /// As [`Client::fetch`].
+    /// As [`Client::fetch`], and an answer that is larger than its share.
     pub async fn fetch_large(
         &self,
         request: Request<Body>,
-        head: Duration,
-        pause: Duration,
+        pace: Pace,
+        mut share: Share,
     ) -> Result<(Parts, Bytes), Error> {
         let timeout = |_| Error::Unknown("timeout".into());
-        let response = tokio::time::timeout(head, self.send(request)).await;
+        let response = tokio::time::timeout(pace.head, self.send(request)).await;
         let (parts, mut body) = response.map_err(timeout)??.into_parts();
         let mut bytes = BytesMut::new();
         loop {
-            let frame = tokio::time::timeout(pause, body.frame()).await;
+            let frame = tokio::time::timeout(pace.pause, body.frame()).await;
             let Some(frame) = frame.map_err(timeout)? else {
                 return Ok((parts, bytes.freeze()));
             };
             let frame = frame.map_err(|error| failed(&error))?;
             if let Ok(data) = frame.into_data() {
+                if !share.grow(data.len()) {
+                    return Err(Error::Unknown("answer too large".into()));
+                }
                 bytes.extend_from_slice(&data);
             }
         }
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate is for code that no decision depends on. It is not for the protocol between the
 //! system's own processes, which is in `jujube-wire`, nor for anything that routes.
 
+pub mod allowance;
 pub mod arguments;
 pub mod clock;
 pub mod counters;
