Bound the connections for readiness checks and metrics

Heads without end on 400 connections to each of the two addresses, 400 kB each, gave a peak of 327 MiB on an entry of 160 MB: the library takes up to 417 kB of a head unless told otherwise, and its timeout for heads needs a timer that was not set, so that they were kept for good. Nothing bounded the number of connections either.

Heads may have 8 kB, connections may be idle for 15 s, and 256 are kept on each address; a new one replaces the oldest, so that silent ones keep no check away.

--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -1,16 +1,20 @@
 //! The HTTP endpoints for readiness checks and metrics.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
 use jujube_core::pipeline::memory::Cause;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 use crate::body::Body;
 use crate::dialect::Dialect;
@@ -18,16 +22,31 @@
 use crate::vitals;
 
 const METRICS_PATH: &str = "/metrics";
+/// The most bytes of a head: the least that the library accepts, far more than a check sends.
+const MAX_BUFFER_BYTES: usize = 8_192;
+/// How long a connection may take for a head, or stay idle. Checks come every second.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// The most open connections. A new one replaces the oldest, so that those of callers who stay silent
+/// keep no check away.
+const MAX_CONNECTIONS: usize = 256;
 
 /// Serves one listener until the process ends.
 pub async fn serve<D: Dialect>(state: Rc<State<D>>, listener: Rc<TcpListener>) {
+    let mut open = VecDeque::new();
     loop {
         // A failed accept affects one connection; the next may succeed.
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        tokio::task::spawn_local(connection(state.clone(), stream));
+        open.retain(|task: &AbortHandle| !task.is_finished());
+        if open.len() >= MAX_CONNECTIONS
+            && let Some(oldest) = open.pop_front()
+        {
+            oldest.abort();
+        }
+        let task = tokio::task::spawn_local(connection(state.clone(), stream));
+        open.push_back(task.abort_handle());
     }
 }
 
@@ -37,6 +56,9 @@
         async move { Ok::<_, Infallible>(response) }
     });
     let _disconnected = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
