Bound the reports and the entries that are known by messages only

Reports come unsigned by datagrams, and each is kept for 1.2 s under the names that it contains: ever new senders, ever new servers, and up to 65,536 fragments of one report. Only the rate of arrival bounded what they took. Tests on the code before: 200,000 of 200,000 senders kept, 65,536 of 65,536 fragments, 2,501 of 2,501 entries known by one message each.

Up to 1,024 entries that are not announced are known; those that were announced stay known whatever their number. Fragments are counted as they change, so that a report of many does not cost their number each time.

--- a/crates/core/src/pipeline/cell/mod.rs
+++ b/crates/core/src/pipeline/cell/mod.rs
@@ -37,6 +37,10 @@
 /// How long an entry that is no longer announced still receives reports after its last message.
 /// Announcements also expire during an outage of the store.
 const UNANNOUNCED_TTL: Span = Span(5_000);
+/// How many entries may be known by their messages only. Messages are not signed, and may name any
+/// entry. Those that are announced, and those that were before an outage of the store, are known
+/// whatever their number.
+const MAX_UNANNOUNCED: usize = 1_024;
 
 /// The name of a cell, the same at all entries that know the same members.
 #[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -195,15 +199,30 @@
         self.announced_all(announced);
     }
 
-    /// Records a message from an entry.
-    pub fn observe(&mut self, now: Instant, name: &Arc<str>, location: Location) {
+    /// Records a message from an entry; returns whether the entry is known from now on.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::cell::Directory;
+    /// # use jujube_core::pipeline::cell::Location;
+    /// # use jujube_core::time::Instant;
+    /// let location = Location { zone: "z".into(), address: ([10, 0, 0, 1], 7340).into() };
+    /// let mut directory = Directory::new("a", location.clone());
+    /// assert!(directory.observe(Instant(0), &"b".into(), location));
+    /// ```
+    pub fn observe(&mut self, now: Instant, name: &Arc<str>, location: Location) -> bool {
         if *name == self.own {
-            return;
+            return true;
         }
         let known = self.members.get_mut(name);
+        let is_new = known.is_none();
         if let Some(known) = known.filter(|known| known.location == location) {
             known.last_message = Some(now);
-            return;
+            return true;
+        }
+        if is_new && self.unannounced() >= MAX_UNANNOUNCED {
+            return false;
         }
         let member = Member {
             location,
@@ -212,6 +231,13 @@
         };
         self.members.insert(name.clone(), member);
         self.regroup();
+        true
+    }
+
+    /// Returns the number of entries that are known by their messages only.
+    fn unannounced(&self) -> usize {
+        let members = self.members.values();
+        members.filter(|member| !member.is_announced).count()
     }
 
     /// Removes entries that are neither announced nor sending messages.
--- a/crates/core/src/pipeline/memory.rs
+++ b/crates/core/src/pipeline/memory.rs
@@ -33,52 +33,13 @@
 /// The part of the capacity that a response may have that does not state its size: one in this many
 /// bytes. A server that sends several at a time which never end must not take all of it.
 const UNBOUNDED_DIVISOR: u64 = 16;
-/// The part of a machine's memory that one answer of the store may have: one in this many bytes.
-const ANSWER_DIVISOR: u64 = 40;
-/// What one answer may have at least: four of the store's pages.
-const MIN_ANSWER: Size = Size(4_000_000);
-/// The part of a machine's memory that all keys may have as the store sends them: one in this many
-/// bytes. They are kept once as they were read and once as they are used.
-const SNAPSHOT_DIVISOR: u64 = 8;
 /// How long a caller must have taken nothing of the data that waits for it before it may be evicted.
 /// Connections take data in large steps: a caller that reads 20 kB a second through a window of 64 kB
 /// is seen to take something every seven seconds.
 const MIN_IDLE: Span = Span(8_000);
 
-/// How much of what the store sends an entry takes. A store that has no more to tell than an entry
-/// can keep never comes near these limits.
-///
-/// # Examples
-///
-/// ```
-/// # use jujube_core::pipeline::memory::Size;
-/// # use jujube_core::pipeline::memory::StoreLimits;
-/// assert_eq!(StoreLimits::of(None).answer, Size(4_000_000));
-/// assert_eq!(StoreLimits::of(Some(Size(320_000_000))).snapshot, Size(40_000_000));
-/// ```
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct StoreLimits {
-    /// The largest answer.
-    pub answer: Size,
-    /// The most that all pages of a snapshot may have.
-    pub snapshot: Size,
-}
-
-impl StoreLimits {
-    /// Returns the limits on a machine. If its memory is unknown or zero, assumes that of the smallest
-    /// entry.
-    #[must_use]
-    pub fn of(memory: Option<Size>) -> Self {
-        let memory = known(memory).0;
-        Self {
-            answer: Size(memory / ANSWER_DIVISOR).max(MIN_ANSWER),
-            snapshot: Size(memory / SNAPSHOT_DIVISOR),
-        }
-    }
-}
-
 /// Returns the memory of a machine, or of the smallest entry if it is unknown or zero.
-fn known(memory: Option<Size>) -> Size {
+pub(super) fn known(memory: Option<Size>) -> Size {
     let memory = memory.filter(|memory| memory.0 > 0);
     memory.unwrap_or(DEFAULT_MEMORY)
 }
--- a/crates/core/src/pipeline/reports.rs
+++ b/crates/core/src/pipeline/reports.rs
@@ -1,10 +1,13 @@
 //! The reports that an entry receives from others, and the sums that it relays.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use crate::pipeline::cell::Id;
 use crate::pipeline::cell::REPORT_TTL;
+use crate::pipeline::memory::Size;
+use crate::pipeline::share::reports_limit;
 use crate::pipeline::summary::Summary;
 use crate::time::Instant;
 
@@ -32,35 +35,66 @@
 struct Report {
     at: Instant,
     summary: Summary,
+    size: Size,
 }
 
 /// The latest fragments of one sender's report. If a fragment is lost, the previous one stays in
 /// place.
 #[derive(Clone, Debug, Default)]
-struct Fragments(BTreeMap<u16, Report>);
+struct Fragments {
+    reports: BTreeMap<u16, Report>,
+    /// The size of all fragments.
+    size: u64,
+}
 
 impl Fragments {
     fn receive(&mut self, now: Instant, fragment: Fragment, summary: Summary) {
-        self.0.retain(|number, _| *number <= fragment.last);
-        self.0.insert(fragment.number, Report { at: now, summary });
+        self.size = self.size_beside(fragment);
+        while let Some(last) = self.reports.last_entry() {
+            if *last.key() <= fragment.last {
+                break;
+            }
+            last.remove();
+        }
+        let report = Report {
+            at: now,
+            size: summary.size(),
+            summary,
+        };
+        self.size += report.size.0;
+        self.reports.insert(fragment.number, report);
+    }
+
+    /// Returns the size of the fragments that another one leaves in place.
+    fn size_beside(&self, fragment: Fragment) -> u64 {
+        let surplus = (Bound::Excluded(fragment.last), Bound::Unbounded);
+        let surplus = self.reports.range::<u16, _>(surplus);
+        let surplus = surplus.filter(|(number, _)| **number != fragment.number);
+        let replaced = self.reports.get(&fragment.number);
+        let gone = surplus.map(|(_, report)| report).chain(replaced);
+        self.size - gone.map(|report| report.size.0).sum::<u64>()
     }
 
     fn expire(&mut self, now: Instant) -> bool {
-        self.0
-            .retain(|_, report| now.since(report.at) <= REPORT_TTL);
-        !self.0.is_empty()
+        let reports = &mut self.reports;
+        reports.retain(|_, report| now.since(report.at) <= REPORT_TTL);
+        self.size = reports.values().map(|report| report.size.0).sum();
+        !reports.is_empty()
     }
 
     fn entries(&self) -> u64 {
-        self.0.values().map(|report| report.summary.entries).sum()
+        self.reports
+            .values()
+            .map(|report| report.summary.entries)
+            .sum()
     }
 
     fn newest(&self) -> Option<Instant> {
-        self.0.values().map(|report| report.at).max()
+        self.reports.values().map(|report| report.at).max()
     }
 
     fn add_to(&self, sum: &mut Summary, now: Instant) {
-        for report in self.0.values() {
+        for report in self.reports.values() {
             sum.merge_aged(&report.summary, now.since(report.at));
         }
     }
@@ -68,6 +102,10 @@
 
 /// The latest reports of other entries.
 ///
+/// They take a limited size together, whoever sends them: reports are not signed, and a sender may
+/// name any entries and servers. Those that exceed the limit are dropped; a report that replaces
+/// one of its size always fits.
+///
 /// A sender's report is kept for [`REPORT_TTL`], so that a lost message only makes the data older.
 /// An entry that has exited leaves the sums when its report expires, and the relayed sums with the
 /// next relay.
@@ -91,8 +129,11 @@
 /// reports.expire(later);
 /// assert_eq!(reports.others(later).entries, 0);
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Reports {
+    limit: Size,
+    /// The size of all fragments.
+    held: u64,
     /// Reports from the own cell, by sender.
     own_cell: BTreeMap<Arc<str>, Fragments>,
     /// Sums of other cells, by sender; received only by speakers.
@@ -101,8 +142,26 @@
     rest: BTreeMap<Arc<str>, Fragments>,
 }
 
+impl Default for Reports {
+    fn default() -> Self {
+        Self::new(reports_limit(None))
+    }
+}
+
 impl Reports {
-    /// Applies a fragment of another entry's report.
+    /// Creates the reports of an entry that has received none.
+    #[must_use]
+    pub fn new(limit: Size) -> Self {
+        Self {
+            limit,
+            held: 0,
+            own_cell: BTreeMap::new(),
+            cells: BTreeMap::new(),
+            rest: BTreeMap::new(),
+        }
+    }
+
+    /// Applies a fragment of another entry's report; returns whether there was room for it.
     pub fn receive(
         &mut self,
         now: Instant,
@@ -110,14 +169,32 @@
         scope: Scope,
         fragment: Fragment,
         summary: Summary,
-    ) {
+    ) -> bool {
+        let sender = sender.into();
+        let known = self.senders(&scope).and_then(|known| known.get(&sender));
+        let before = known.map_or(0, |known| known.size);
+        let beside = known.map_or(0, |known| known.size_beside(fragment));
+        let held = self.held - before + beside + summary.size().0;
+        if held > self.limit.0 {
+            return false;
+        }
+        self.held = held;
         let senders = match scope {
             Scope::Own => &mut self.own_cell,
             Scope::Cell(id) => self.cells.entry(id).or_default(),
             Scope::Rest => &mut self.rest,
         };
-        let fragments = senders.entry(sender.into()).or_default();
+        let fragments = senders.entry(sender).or_default();
         fragments.receive(now, fragment, summary);
+        true
+    }
+
+    fn senders(&self, scope: &Scope) -> Option<&BTreeMap<Arc<str>, Fragments>> {
+        match scope {
+            Scope::Own => Some(&self.own_cell),
+            Scope::Cell(id) => self.cells.get(id),
+            Scope::Rest => Some(&self.rest),
+        }
     }
 
     /// Drops expired reports.
@@ -128,6 +205,13 @@
             senders.retain(|_, fragments| fragments.expire(now));
             !senders.is_empty()
         });
+        let cells = self.cells.values().flat_map(BTreeMap::values);
+        let all = self
+            .own_cell
+            .values()
+            .chain(self.rest.values())
+            .chain(cells);
+        self.held = all.map(|fragments| fragments.size).sum();
     }
 
     /// Returns the sum of all other entries, as far as known.
--- a/crates/core/src/pipeline/summary.rs
+++ b/crates/core/src/pipeline/summary.rs
@@ -9,6 +9,7 @@
 use crate::pipeline::digest::Digest;
 use crate::pipeline::limits;
 use crate::pipeline::load::Usage;
+use crate::pipeline::memory::Size;
 use crate::pipeline::outlier::Tally;
 use crate::pipeline::quarantine::lives;
 use crate::pipeline::quarantine::lives::Life;
@@ -70,7 +71,30 @@
     pub leaving: BTreeSet<Incarnation>,
 }
 
+/// What a row takes besides its name: its value, and the parts of a map and of an allocation.
+const ROW_BYTES: u64 = 96;
+
 impl Summary {
+    /// Returns how much memory the state takes, roughly.
+    #[must_use]
+    pub fn size(&self) -> Size {
+        let ends = self.ended_under.keys().map(|end| &end.server);
+        let servers = (self.usage.keys())
+            .chain(self.outcomes.keys())
+            .chain(self.slowness.keys())
+            .chain(self.refusing.keys())
+            .chain(self.suspects.keys())
+            .chain(self.held.keys())
+            .chain(self.ordered.keys())
+            .chain(self.limits.keys())
+            .chain(&self.leaving)
+            .chain(ends);
+        let named = servers.map(|server| ROW_BYTES + server.server.0.len() as u64);
+        let digests: usize = self.ended_under.values().map(BTreeSet::len).sum();
+        let others = digests + self.quarantined.len() + self.lives.len();
+        Size(size_of::<Self>() as u64 + named.sum::<u64>() + ROW_BYTES * others as u64)
+    }
+
     /// Merges the state of other entries.
     pub fn merge(&mut self, other: &Self) {
         self.merge_aged(other, Span(0));
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -225,8 +225,12 @@
     let zone = received.zone;
     let summary = received.summary;
     let mut directory = state.peers.directory.borrow_mut();
-    directory.observe(now, &entry, Location { zone, address });
+    let is_known = directory.observe(now, &entry, Location { zone, address });
     drop(directory);
+    if !is_known {
+        state.metrics.count("gossip_left_out");
+        return;
+    }
     if received.portion.number == 0 {
         record_planner(state, address, &received.scope, &summary);
     }
@@ -239,8 +243,11 @@
     }
     drop(load);
     let mut reports = state.peers.reports.borrow_mut();
-    reports.receive(now, entry, received.scope, received.portion, summary);
+    let has_room = reports.receive(now, entry, received.scope, received.portion, summary);
     drop(reports);
+    if !has_room {
+        state.metrics.count("gossip_left_out");
+    }
     if now.since(state.peers.aggregated_at.get()) >= AGGREGATE_INTERVAL {
         aggregate(state);
     }
--- a/crates/front/src/gossip/peers.rs
+++ b/crates/front/src/gossip/peers.rs
@@ -10,9 +10,11 @@
 use jujube_core::name::Zone;
 use jujube_core::pipeline::cell::Directory;
 use jujube_core::pipeline::cell::Location;
+use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::outage;
 use jujube_core::pipeline::reports::Reports;
 use jujube_core::pipeline::reserve::LeaseId;
+use jujube_core::pipeline::share;
 use jujube_core::time::Instant;
 use jujube_store::kv::Value;
 
@@ -82,11 +84,11 @@
 }
 
 impl Peers {
-    /// Creates the peers of an entry that knows no others.
-    pub fn new(own: Arc<str>, place: Location) -> Self {
+    /// Creates the peers of an entry that knows no others, on a machine with so much memory.
+    pub fn new(own: Arc<str>, place: Location, memory: Option<Size>) -> Self {
         Self {
             directory: RefCell::new(Directory::new(own, place)),
-            reports: RefCell::default(),
+            reports: RefCell::new(Reports::new(share::reports_limit(memory))),
             aggregated_at: Cell::default(),
             reachable: Cell::default(),
             with_store: Cell::default(),
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -152,7 +152,7 @@
             dialect: PhantomData,
             started: clock::now(),
             retries: Retries::new(settings.retry),
-            peers: Peers::new(settings.name.clone(), place),
+            peers: Peers::new(settings.name.clone(), place, settings.memory),
             feed: Rc::new(Feed::new(settings.name.clone(), bounds)),
             settings,
             internal: Cell::default(),
