--- a/crates/core/src/pipeline/memory.rs
+++ b/crates/core/src/pipeline/memory.rs
@@ -38,6 +38,12 @@
 /// is seen to take something every seven seconds.
 const MIN_IDLE: Span = Span(8_000);
 
+/// Returns the memory of a machine, or of the smallest entry if it is unknown or zero.
+pub(super) fn known(memory: Option<Size>) -> Size {
+    let memory = memory.filter(|memory| memory.0 > 0);
+    memory.unwrap_or(DEFAULT_MEMORY)
+}
+
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Cause {
@@ -204,8 +210,7 @@
     /// ```
     #[must_use]
     pub fn capacity_of(memory: Option<Size>) -> Size {
-        let memory = memory.filter(|memory| memory.0 > 0);
-        let memory = memory.unwrap_or(DEFAULT_MEMORY).0;
+        let memory = known(memory).0;
         Size(memory / 100 * CAPACITY_PERCENT + memory % 100 * CAPACITY_PERCENT / 100)
     }
 
