Take late in a stop only what can end before the exit, and answer the rest

What callers saw: in a planned stop, requests that came up to three seconds after the signal were all taken, whatever they might take, and cut without a response at the exit (7.6 s of 8). Among them were requests that may not be repeated, whose callers can then neither ask again nor know what happened. The same happened to requests from before the signal, to uploads that were still arriving, and to streams that waited for their first event.

Cause: `drain` took everything for three seconds and cut everything at the exit. Nothing compared what is left with what a request may take, and nothing answered what was left.

Why it works: core's `Departure` knows the time of the last responses, 0.15 s before the exit. A request that may not be repeated is taken if it is given up by then, whatever it takes; one that may be if it is expected to end by then: twice its route's target, or, for streams, their events at the pace of those under way. That is asked when a body begins and ends, when a stream leaves the queue, and before each further attempt. The rest is refused with a promise. What is still at a server at the last moment gets 504, which promises nothing.

The price is that patient routes that may not be repeated are refused earlier.

crates/front/tests/upload.rs only passes the new argument: nothing overtakes its uploads.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -15,6 +15,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use jujube_core::pipeline::departure::Departure;
+use jujube_core::time::Span;
+use jujube_program::clock;
 use jujube_program::logs;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
@@ -172,12 +175,15 @@
     state.retries.run().await;
 }
 
-/// Serves requests until the platform has stopped sending callers, then waits for those in flight.
+/// Serves requests that can end in time until the platform has stopped sending callers, then waits for
+/// those in flight. Shortly before the process exits, those that are left are answered as they are.
 ///
 /// Connections stay open at first, and each response carries `Connection: close`. Closing idle
 /// connections at once would race with new requests on them, and callers would have to retry.
 async fn drain<D: Dialect>(state: &State<D>, closing: &Trigger) {
     let stop = state.settings.stop.saturating_sub(KILL_MARGIN);
+    let exit = clock::now().plus(Span(stop.as_millis() as u64));
+    state.exit.plan(Departure::at(exit));
     let timeout = tokio::time::sleep(stop);
     let drained = async {
         tokio::time::sleep(DRAIN_TIME).await;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod daemon;
 mod delivery;
+mod departure;
 pub mod dialect;
 mod feed;
 mod fleet;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -14,6 +14,7 @@
 use hyper::http::uri::PathAndQuery;
 use jujube_core::name::Customer;
 use jujube_core::name::Service;
+use jujube_core::pipeline::departure::Work;
 use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::document::Account;
 use jujube_core::pipeline::document::Route;
@@ -47,7 +48,7 @@
 /// seconds.
 const RETRY_AFTER_OUTAGE_MS: std::ops::Range<u64> = 2_000..5_000;
 /// `Retry-After` while the entry shuts down; other entries can serve the request.
-const RETRY_AFTER_STOPPING: Span = Span(50);
+pub const RETRY_AFTER_STOPPING: Span = Span(50);
 /// The time over which requests that waited for longer than this go on. An entry that starts knows
 /// no limits of servers: sent at once, all that it held would go to a server beyond the limit that
 /// its first response names.
@@ -55,6 +56,9 @@
 /// `Retry-After` if there is no room for the request. Room is made as callers take their responses.
 const RETRY_AFTER_OUT_OF_MEMORY: Span = Span(1_000);
 
+/// How long a request is expected to take, in latency targets of its route.
+const EXPECTED_IN_TARGETS: u64 = 2;
+
 /// A request that passed routing and authentication.
 pub struct Admitted {
     /// The request identifier from the client.
@@ -80,6 +84,22 @@
     pub deadline: Instant,
 }
 
+impl Admitted {
+    /// Returns how long the request may take.
+    pub fn work(&self) -> Work {
+        work(&self.route, self.deadline)
+    }
+}
+
+/// Returns how long a request that is due at some time may take.
+fn work(route: &Route, due: Instant) -> Work {
+    Work {
+        due,
+        expected: Span(route.latency_target.0 * EXPECTED_IN_TARGETS),
+        may_repeat: route.may_repeat(),
+    }
+}
+
 /// Counts a request in flight until it is dropped.
 pub struct Guard(Rc<Cell<u64>>);
 
@@ -219,7 +239,8 @@
         size: Size(table.document.limits.body_bytes),
         deadline: arrived.plus(timeout),
     };
-    let upload = upload::read(body, limits, &state.memory).await?;
+    let overtaken = state.exit.forbids(work(&route, limits.deadline));
+    let upload = upload::read(body, limits, &state.memory, overtaken).await?;
     let service = route
         .pick_target(rand::random())
         .ok_or(Reason::NoServer)?
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -17,8 +17,10 @@
 pub enum Reason {
     /// The configuration or the registrations have not been read yet.
     Starting,
-    /// The process is shutting down.
+    /// The process is shutting down and cannot serve the request in time.
     Stopping,
+    /// The process exits while a backend server may be running the request.
+    Interrupted,
     /// No route matches.
     NoRoute,
     /// The key is unknown, or there is none.
@@ -54,6 +56,7 @@
             Refusal::Slow => Self::SlowBody,
             Refusal::Broken => Self::BrokenBody,
             Refusal::OutOfMemory => Self::OutOfMemory,
+            Refusal::Overtaken => Self::Stopping,
         }
     }
 }
@@ -77,7 +80,7 @@
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             Self::Failed => StatusCode::BAD_GATEWAY,
-            Self::Late => StatusCode::GATEWAY_TIMEOUT,
+            Self::Late | Self::Interrupted => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -87,6 +90,7 @@
         match self {
             Self::Starting => "starting",
             Self::Stopping => "stopping",
+            Self::Interrupted => "interrupted",
             Self::NoRoute => "no-route",
             Self::NoKey => "no-key",
             Self::TooLarge => "too-large",
@@ -116,7 +120,7 @@
             headers.insert(RETRY_AFTER, value);
         }
     }
-    if reason == Reason::Stopping {
+    if matches!(reason, Reason::Stopping | Reason::Interrupted) {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -29,6 +29,7 @@
 use jujube_core::time::Instant;
 use jujube_program::clock;
 
+use crate::departure::Exit;
 use crate::feed::Feed;
 use crate::fleet::Gaps;
 use crate::gossip::Peers;
@@ -54,7 +55,7 @@
     Starting,
     /// The entry is ready and serves callers.
     Serving,
-    /// The entry reports not ready; new requests are still served.
+    /// The entry reports not ready; new requests that can end in time are still served.
     Draining,
     /// New requests are refused: they might not complete before the process is killed.
     Closing,
@@ -129,6 +130,8 @@
     pub metrics: Rc<Metrics>,
     /// The stage of a graceful shutdown.
     pub lifecycle: Cell<Lifecycle>,
+    /// When the process exits, once it stops.
+    pub exit: Exit,
     /// Notified when a call to the store has failed or timed out.
     pub store_call_failed: tokio::sync::Notify,
     /// What is known about the planner.
@@ -182,6 +185,7 @@
             streams: Streams::default(),
             metrics: Rc::default(),
             lifecycle: Cell::default(),
+            exit: Exit::default(),
             store_call_failed: tokio::sync::Notify::new(),
             leadership: Leadership::default(),
             in_flight: Rc::default(),
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -23,6 +23,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderName;
 use jujube_core::pipeline::chooser::Demand;
+use jujube_core::pipeline::departure::Work;
 use jujube_core::pipeline::relay::Relay;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -34,6 +35,7 @@
 use crate::head;
 use crate::request;
 use crate::request::Admitted;
+use crate::request::RETRY_AFTER_STOPPING;
 use crate::response;
 use crate::response::Reason;
 use crate::state::State;
@@ -70,6 +72,27 @@
     status.is_success() && kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
 
+/// Returns whether a stream that resumes after the event `last` can end before the process exits, if
+/// its events come as fast as those of the streams under way.
+fn can_end<D>(state: &State<D>, stream: &Stream, work: Work, last: Option<u64>) -> bool {
+    if !state.exit.is_planned() {
+        return true;
+    }
+    let fleets = state.fleets.borrow();
+    let fleet = fleets.get(&stream.service);
+    let tokens_per_event = fleet.map_or(1.0, |fleet| fleet.model.tokens_per_event);
+    let events = stream.demand.answer_tokens / tokens_per_event - last.unwrap_or(0) as f64;
+    let gap_ms = state.streams.mean_gap_ms(&stream.service).unwrap_or(0.0);
+    let to_first_event = stream.route.latency_target.0 as f64;
+    let expected = Span((to_first_event + events.max(0.0) * gap_ms) as u64);
+    state.exit.allows(Work { expected, ..work })
+}
+
+/// Returns the refusal of a stream that another entry can serve.
+fn stopping() -> (Reason, Span, &'static str) {
+    (Reason::Stopping, RETRY_AFTER_STOPPING, "exit")
+}
+
 /// Serves one request.
 pub async fn serve<D: Dialect>(
     state: Rc<State<D>>,
@@ -82,6 +105,7 @@
     });
     let last = head::number(&request.outgoing.headers, &LAST_EVENT);
     let now = clock::now();
+    let work = request.work();
     let stream = Rc::new(Stream {
         id: request.id,
         features: request.features,
@@ -132,14 +156,24 @@
         demand,
         target: stream.route.latency_target,
     };
-    let permit = match waiting::admit(&state, admission).await {
+    let admitted = tokio::select! {
+        biased;
+        () = state.exit.forbids(work) => Err(stopping()),
+        admitted = waiting::admit(&state, admission) => admitted.map_err(|rejection| {
+            (Reason::Overloaded, rejection.retry_after, rejection.cause)
+        }),
+    };
+    let admitted = admitted.and_then(|permit| match can_end(&state, &stream, work, last) {
+        true => Ok(permit),
+        false => Err(stopping()),
+    });
+    let permit = match admitted {
         Ok(permit) => permit,
-        Err(rejection) => {
+        Err((reason, retry_after, cause)) => {
             outbound.abort();
-            let (route, reason) = (&stream.route.name, Reason::Overloaded);
-            let cause = rejection.cause;
+            let route = &stream.route.name;
             request::record_refusal(&state, &stream.id, route, reason, stream.arrived, cause);
-            return response::local(reason, Some(rejection.retry_after));
+            return response::local(reason, Some(retry_after));
         }
     };
     match open(&state, &stream, last, open::Progress::NotStarted).await {
@@ -168,6 +202,7 @@
             let retry_after = match reason {
                 Reason::NoServer => Some(RETRY_AFTER_NO_PATH),
                 Reason::Refused => Some(RETRY_AFTER_REFUSED),
+                Reason::Stopping => Some(RETRY_AFTER_STOPPING),
                 _ => None,
             };
             let opening = Opening::of_model(&state, &stream.service);
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -95,7 +95,7 @@
             return Err(run_goes_on());
         }
         if stream.is_expired.get() || clock::now() >= stream.deadline {
-            return Err((Reason::Late, "deadline".into()));
+            return Err(over(state, stream));
         }
         match permission(state, stream) {
             _ if stream.runs() == 0 => {}
@@ -221,6 +221,18 @@
     stream.has_gone_on.get()
 }
 
+/// Returns why a stream ends before its response has begun.
+fn over<D>(state: &State<D>, stream: &Stream) -> Refusal {
+    if !state.exit.is_due() {
+        return (Reason::Late, "deadline".into());
+    }
+    let reason = match stream.runs() {
+        0 => Reason::Stopping,
+        _ => Reason::Interrupted,
+    };
+    (reason, "exit".into())
+}
+
 /// Returns why no other run is opened for a stream whose run has recovered.
 fn run_goes_on() -> Refusal {
     (Reason::Failed, "run-goes-on".into())
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -93,15 +93,20 @@
         refusals: 0,
         cause: String::from("-"),
     };
-    let outcome = tokio::time::timeout(Duration::from_millis(left), attempts.run()).await;
+    // A request that was never sent would have failed before it is late or interrupted.
+    let outcome = tokio::select! {
+        outcome = attempts.run() => outcome,
+        () = tokio::time::sleep(Duration::from_millis(left)) => {
+            Err((Reason::Late, String::from("deadline"), None))
+        }
+        () = state.exit.due() => Err((Reason::Interrupted, String::from("exit"), None)),
+    };
     let (reason, cause, retry_after) = match outcome {
-        Ok(Ok(reply)) => {
+        Ok(reply) => {
             request.outgoing.release_body();
             return respond(reply, outbound);
         }
-        Ok(Err(refusal)) => refusal,
-        // A request that was never sent would have failed before its deadline.
-        Err(_late) => (Reason::Late, String::from("deadline"), None),
+        Err(refusal) => refusal,
     };
     outbound.abort();
     request::record_refusal(
@@ -316,7 +321,12 @@
             1
         };
         let cause = self.state.quarantine_cause(&self.request.features);
-        is_repeatable && cause.is_none() && self.sent < limit && self.refusals < MAX_REFUSALS
+        let can_end = self.state.exit.allows(self.request.work());
+        can_end
+            && is_repeatable
+            && cause.is_none()
+            && self.sent < limit
+            && self.refusals < MAX_REFUSALS
     }
 
     /// Returns a permit for another attempt. An attempt needs no retry while no server has received
--- a/crates/front/src/upload.rs
+++ b/crates/front/src/upload.rs
@@ -1,5 +1,6 @@
 //! Reading the bodies of callers' requests.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
     Broken,
     /// There is no room for it in the memory budget.
     OutOfMemory,
+    /// The process stops, and its request could not be passed on in time.
+    Overtaken,
 }
 
 /// A body that has arrived.
@@ -58,20 +61,30 @@
     pub reservation: Reservation,
 }
 
-/// Reads a body. If it is refused, the rest is read for a short time and dropped.
+/// Reads a body, unless it is `overtaken` by a stop. If it is refused, the rest is read for a short time
+/// and dropped.
 ///
 /// Memory is reserved for bytes that have arrived, not for those that the caller has announced.
 ///
 /// # Errors
 ///
 /// The body is not read to its end.
-pub async fn read<B>(mut body: B, limits: Limits, memory: &Rc<Memory>) -> Result<Upload, Refusal>
+pub async fn read<B>(
+    mut body: B,
+    limits: Limits,
+    memory: &Rc<Memory>,
+    overtaken: impl Future<Output = ()>,
+) -> Result<Upload, Refusal>
 where
     B: Body<Data = Bytes> + Unpin + 'static,
 {
     let announced = Size(body.size_hint().lower());
     let read = match check_announced(announced, limits.size, memory.capacity()) {
-        Ok(()) => read_frames(&mut body, limits, memory).await,
+        Ok(()) => tokio::select! {
+            biased;
+            () = overtaken => Err(Refusal::Overtaken),
+            read = read_frames(&mut body, limits, memory) => read,
+        },
         Err(refusal) => Err(refusal),
     };
     if read.is_err() {
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use jujube_core::name::Service;
 use jujube_core::pipeline::chooser::Continuation;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
@@ -69,6 +70,15 @@
         }
     }
 
+    /// Returns the mean time between two events of the streams of a service; `None` if there are none.
+    pub fn mean_gap_ms(&self, service: &Service) -> Option<f64> {
+        let streams = self.by_number.borrow();
+        let streams = streams.values().map(|entry| &entry.stream);
+        let under_way = streams.filter(|it| it.service == *service && it.events.get() > 1);
+        let gaps: Vec<f64> = under_way.map(|it| it.mean_gap_ms.get()).collect();
+        (!gaps.is_empty()).then(|| gaps.iter().sum::<f64>() / gaps.len() as f64)
+    }
+
     /// Removes a stream.
     pub fn remove(&self, number: u64) {
         self.by_number.borrow_mut().remove(&number);
@@ -139,7 +149,8 @@
         for Entry { stream, reader } in streams.values() {
             // Also at the deadline: a blocked connection does not poll the stream, which would not end.
             let is_paused = reader.upgrade().is_some_and(|reader| reader.check(now));
-            if now >= stream.deadline {
+            let is_interrupted = stream.events.get() == 0 && state.exit.is_due();
+            if now >= stream.deadline || is_interrupted {
                 stream.expire();
                 continue;
             }
--- a/crates/front/tests/upload.rs
+++ b/crates/front/tests/upload.rs
@@ -9,6 +9,7 @@
 mod upload;
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -101,7 +102,9 @@
     B: Body<Data = Bytes> + Unpin + 'static,
 {
     let local = LocalSet::new();
-    local.run_until(upload::read(body, limits, memory)).await
+    local
+        .run_until(upload::read(body, limits, memory, pending()))
+        .await
 }
 
 /// Guards against bytes that are lost or counted twice between frames, and against a reservation
@@ -273,7 +276,8 @@
     let server = async {
         let (stream, _) = listener.accept().await.unwrap();
         let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| async {
-            let read = upload::read(request.into_body(), limits(), &memory(MAX_SIZE)).await;
+            let read =
+                upload::read(request.into_body(), limits(), &memory(MAX_SIZE), pending()).await;
             let mut response = Response::new(Full::new(Bytes::new()));
             *response.status_mut() = hyper::StatusCode::PAYLOAD_TOO_LARGE;
             assert_eq!(read.err(), Some(Refusal::TooLarge));
