Keep a planner's term when its one look at the servers is over

Callers saw streams refused (503, no-path) for as long as the model's layers were not placed: a planner won its lease and lost its term some 250 ms later, again and again (planner-won, planner-lost token=1 to 6 in 20 s), and no order was sent.

--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -118,8 +118,9 @@
             self.spawn(self.clone().renew(lease));
         }
         self.spawn(self.clone().poll_servers());
-        self.spawn(self.clone().log_servers());
         self.spawn(self.clone().check_missing());
+        // It looks once, so its end is not that of the term.
+        tokio::task::spawn_local(self.clone().log_servers());
         while !self.is_over.get() {
             if self.state.lifecycle.get() != Lifecycle::Serving {
                 self.resign().await;
@@ -138,12 +139,13 @@
         log::info!("event=planner-lost token={}", self.lease.get().token);
     }
 
-    /// Begins one of the term's tasks; the term ends with each of them.
+    /// Begins one of the term's tasks; the term ends if it panics.
     fn spawn(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
         let term = self.clone();
         tokio::task::spawn_local(async move {
-            let _over = Over(&term);
-            task.await;
+            if tokio::task::spawn_local(task).await.is_err() {
+                term.is_over.set(true);
+            }
         });
     }
 
