--- a/crates/front/src/malformed.rs
+++ b/crates/front/src/malformed.rs
@@ -16,6 +16,8 @@
 /// The maximum number of remembered keys, so that a writer of ever new keys cannot exhaust the
 /// memory.
 const MAX_MALFORMED_KEYS: usize = 1_000;
+/// The most characters of a key or a cause that are logged.
+const MAX_LOGGED_CHARS: usize = 300;
 
 impl Malformed {
     /// Logs a value that cannot be decoded, once for each revision.
@@ -28,11 +30,19 @@
             logged.clear();
         }
         logged.insert(change.key.clone(), change.revision);
-        let cause = format!("{error:#}").replace(char::is_whitespace, "-");
+        let (key, cause) = (legible(&change.key), legible(&format!("{error:#}")));
         log::error!(
-            "event=malformed key={} revision={} cause={cause}",
-            change.key,
+            "event=malformed key={key} revision={} cause={cause}",
             change.revision
         );
     }
 }
+
+/// Returns a text of another writer as one word of a bounded length.
+fn legible(text: &str) -> String {
+    let is_odd = |char: char| char.is_whitespace() || char.is_control();
+    let shown = text.chars().take(MAX_LOGGED_CHARS);
+    shown
+        .map(|char| if is_odd(char) { '-' } else { char })
+        .collect()
+}
