Give a registered server nothing while another process answers at its address

Callers got 503 for most requests once another writer had registered servers of a configured service at the address of a process that turns requests meant for others away (421): every such request costs a retry, and a 421 taught nothing that lasted (plain services: nothing at all; engines: 0.2 to 3.2 s).

A plain service's 421 now says that the server isn't there, since the entry names the server and passes no other condition on. An engine also answers so without the layers of its part, so it is asked: a health check that names the server, on a new connection. Either way all servers registered at that address are asked for, as at most one is there. Strangers leave the choice, the paths and the plan until their registration changes or a check, after 1 s and then ever more rarely (64 s at most), finds them. A sound server is found at the first check.

--- a/crates/core/src/pipeline/document.rs
+++ b/crates/core/src/pipeline/document.rs
@@ -99,6 +99,8 @@
 pub struct Backend {
     /// The maximum number of connections that a backend server accepts from all callers.
     pub connections: u64,
+    /// The path of its backend servers' health checks; empty if unknown.
+    pub health_path: Arc<str>,
     /// The model, if the service runs one that is split by layers.
     pub model: Option<Arc<Model>>,
 }
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -41,5 +41,6 @@
 pub mod roster;
 pub mod server;
 pub mod settling;
+pub mod strangers;
 pub mod summary;
 pub mod suspicion;
--- a/crates/core/src/pipeline/roster/mod.rs
+++ b/crates/core/src/pipeline/roster/mod.rs
@@ -14,6 +14,7 @@
 use crate::pipeline::server::Incarnation;
 use crate::pipeline::server::Server;
 use crate::pipeline::server::State;
+use crate::pipeline::strangers::Strangers;
 use crate::pipeline::suspicion::Suspicion;
 use crate::time::Instant;
 use crate::time::Span;
@@ -56,6 +57,8 @@
     replaced: Vec<Incarnation>,
     /// Servers that said that they are leaving.
     pub leavers: Leavers,
+    /// Servers at whose addresses other processes answer.
+    pub strangers: Strangers,
     /// Servers whose registrations were removed.
     departed: BTreeMap<Incarnation, Departure>,
     /// Servers whose registrations vanished and that may register again.
@@ -219,6 +222,7 @@
         if before == registration {
             return Effect::None;
         }
+        self.strangers.found(&before.server.incarnation);
         if draining && before.server.state == State::Ready {
             return Effect::Draining;
         }
@@ -239,6 +243,7 @@
         }
         let name = registration.server.incarnation.server.clone();
         self.missing.registered(now, &name);
+        self.strangers.found(&registration.server.incarnation);
         self.registrations.insert(name, registration);
     }
 
@@ -419,6 +424,8 @@
         self.departed
             .retain(|_, departure| now.since(departure.at) < DEPARTED_TTL);
         self.missing.expire(now);
+        self.strangers
+            .retain(|incarnation| find(&self.registrations, incarnation).is_some());
         self.leavers.retain(
             |incarnation| find(&self.registrations, incarnation).is_some(),
             |incarnation| self.departed.contains_key(incarnation),
@@ -438,7 +445,9 @@
             .values()
             .map(|registration| &registration.server);
         servers.filter(|server| {
-            server.state == State::Ready && !self.leavers.is_unconfirmed(&server.incarnation)
+            server.state == State::Ready
+                && !self.leavers.is_unconfirmed(&server.incarnation)
+                && !self.strangers.contains(&server.incarnation)
         })
     }
 
--- /dev/null
+++ b/crates/core/tests/strangers.rs
@@ -0,0 +1,87 @@
+//! Registrations whose addresses belong to other processes.
+
+use jujube_core::layer::Range;
+use jujube_core::pipeline::roster::Roster;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::server::Server;
+use jujube_core::pipeline::server::State;
+use jujube_core::pipeline::strangers::Strangers;
+use jujube_core::time::Instant;
+use jujube_core::time::Span;
+
+fn server(name: &str, slots: u64) -> Server {
+    Server {
+        incarnation: name.into(),
+        service: "desk".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "a".into(),
+        state: State::Ready,
+        slots,
+        accelerator: None,
+        held: Range::default(),
+        warm_up: Span(0),
+    }
+}
+
+fn is_used(roster: &Roster, server: &Incarnation) -> bool {
+    roster.usable().any(|used| used.incarnation == *server)
+}
+
+/// Guards against a stranger that gets requests again because its registration is listed or written
+/// without a change.
+#[test]
+fn a_stranger_gets_nothing_until_its_registration_changes() {
+    let mut roster = Roster::default();
+    let odd: Incarnation = "odd".into();
+    roster.registered(Instant(0), server("odd", 8));
+
+    roster.strangers.turned_away(Instant(10), &odd);
+    assert!(!is_used(&roster, &odd));
+    roster.registered(Instant(20), server("odd", 8));
+    roster.replace(Instant(30), vec![server("odd", 8)], &[]);
+    roster.expire(Instant(40));
+    assert!(!is_used(&roster, &odd), "unchanged");
+
+    roster.registered(Instant(50), server("odd", 9));
+    assert!(is_used(&roster, &odd));
+}
+
+/// Guards against a sound server that stays out of use although it answers at its address.
+#[test]
+fn a_server_that_is_found_gets_requests() {
+    let mut roster = Roster::default();
+    let late: Incarnation = "late".into();
+    roster.registered(Instant(0), server("late", 8));
+    roster.strangers.turned_away(Instant(10), &late);
+
+    assert!(roster.strangers.found(&late));
+
+    assert!(is_used(&roster, &late));
+}
+
+/// Guards against a stranger that is kept in memory after its registration is gone.
+#[test]
+fn a_stranger_that_is_no_longer_registered_is_forgotten() {
+    let mut roster = Roster::default();
+    let odd: Incarnation = "odd".into();
+    roster.registered(Instant(0), server("odd", 8));
+    roster.strangers.turned_away(Instant(10), &odd);
+
+    roster.removed(Instant(20), &"odd".into());
+    roster.expire(Instant(30));
+
+    assert!(!roster.strangers.contains(&odd));
+}
+
+/// Guards against health checks without end at an address that is wrong for good.
+#[test]
+fn checks_of_a_stranger_become_rare() {
+    const HOUR: u64 = 3_600_000;
+    let mut strangers = Strangers::default();
+    strangers.turned_away(Instant(0), &"odd".into());
+
+    let times = (0..HOUR).step_by(100).map(Instant);
+    let checks: usize = times.map(|now| strangers.due(now).len()).sum();
+
+    assert!((50..=64).contains(&checks), "{checks}");
+}
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -44,6 +44,7 @@
 use crate::state::Lifecycle;
 use crate::state::State;
 use crate::store_watch;
+use crate::strangers;
 use crate::tasks::keep;
 use crate::vitals;
 use crate::waiting;
@@ -152,6 +153,7 @@
     keep_for(state, "retries", run_retries);
     keep_for(state, "probes", probe::probe_suspects);
     keep_for(state, "starts", probe::confirm_starts);
+    keep_for(state, "strangers", strangers::run);
     keep_for(state, "closed", probe::check_closed);
     keep_for(state, "watchdog", watchdog::run);
     keep_for(state, "waiting", waiting::run);
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -30,6 +30,8 @@
     pub customer: HeaderName,
     /// The incarnation of the backend server that the request is meant for.
     pub expected_server: HeaderName,
+    /// The name of the backend server that answers a health check.
+    pub server: HeaderName,
     /// The weights version that the request is meant for.
     pub expected_weights: HeaderName,
     /// The request's path.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -41,6 +41,7 @@
 mod sockets;
 mod state;
 mod store_watch;
+mod strangers;
 mod stream;
 mod tasks;
 mod unary;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -289,14 +289,27 @@
 /// There is no complete response, or it belongs to another exchange; the server may have handled the
 /// request.
 pub async fn call<D: Dialect>(
+    lease: Lease,
+    request: Request<Full<Bytes>>,
+) -> anyhow::Result<Response<Bytes>> {
+    let response = exchange(lease, request).await?;
+    if response.headers().contains_key(&D::NAMES.request) {
+        anyhow::bail!("response belongs to a request");
+    }
+    Ok(response)
+}
+
+/// Sends a request, such as the first one on a connection, and returns whatever the response is.
+///
+/// # Errors
+///
+/// There is no complete response.
+pub async fn exchange(
     mut lease: Lease,
     request: Request<Full<Bytes>>,
 ) -> anyhow::Result<Response<Bytes>> {
     let response = lease.sender().send_request(request).await?;
     let (parts, body) = response.into_parts();
-    if parts.headers.contains_key(&D::NAMES.request) {
-        anyhow::bail!("response belongs to a request");
-    }
     let body = Limited::new(body, MAX_CALL_BYTES).collect().await;
     let body = body.map_err(|error| anyhow::anyhow!(error))?.to_bytes();
     lease.release(&parts.headers);
--- /dev/null
+++ b/crates/front/src/strangers.rs
@@ -0,0 +1,162 @@
+//! Asks the processes at the addresses of servers who they are.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header::HOST;
+use jujube_core::pipeline::carried::Exchange;
+use jujube_core::pipeline::server::Incarnation;
+use jujube_program::clock;
+
+use crate::dialect::Dialect;
+use crate::head;
+use crate::pool;
+use crate::state::State;
+use crate::store_watch;
+
+/// How long a process may take to say who it is; a health check may wait for a slot.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How often the strangers are looked through for questions that are due.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The most processes that are asked at the same time.
+const MAX_QUESTIONS: usize = 8;
+
+/// Which server is at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Identity {
+    /// The registered one.
+    Own,
+    /// Another one.
+    Other,
+    /// The process did not say.
+    Unknown,
+}
+
+/// Records that the process at a server's address turned a request away as meant for another one.
+///
+/// An engine also does so if it does not hold its part of a path, so it is asked who it is.
+pub fn misdirected<D: Dialect>(state: &Rc<State<D>>, server: &Incarnation) {
+    if !may_hold_layers(state, server) {
+        record(state, server, "turned-away");
+    }
+    if let Some(address) = state.address(server) {
+        tokio::task::spawn_local(ask_all(state.clone(), address));
+    }
+}
+
+/// Returns whether a server runs a model that is split by layers.
+fn may_hold_layers<D>(state: &State<D>, server: &Incarnation) -> bool {
+    let (table, roster) = (state.table(), state.roster.borrow());
+    let service = roster.get(server).map(|server| &server.service);
+    let backend = table.as_ref().zip(service);
+    let backend = backend.and_then(|(table, service)| table.document.services.get(service));
+    backend.is_none_or(|backend| backend.model.is_some())
+}
+
+/// Asks for each server that is registered at an address, of which at most one is there.
+async fn ask_all<D: Dialect>(state: Rc<State<D>>, address: SocketAddr) {
+    for server in to_ask(&state, address) {
+        if ask(&state, &server).await == Identity::Other {
+            record(&state, &server, "asked");
+        }
+    }
+}
+
+/// Returns the servers registered at an address that have not been asked for lately.
+fn to_ask<D>(state: &State<D>, address: SocketAddr) -> Vec<Incarnation> {
+    let mut roster = state.roster.borrow_mut();
+    let there = roster.usable().filter(|server| server.address == address);
+    let mut there: Vec<Incarnation> = there.map(|server| server.incarnation.clone()).collect();
+    there.retain(|server| roster.strangers.may_ask(clock::now(), server));
+    there
+}
+
+fn record<D>(state: &State<D>, server: &Incarnation, cause: &str) {
+    let mut roster = state.roster.borrow_mut();
+    let Some(address) = roster.get(server).map(|server| server.address) else {
+        return;
+    };
+    if !roster.strangers.turned_away(clock::now(), server) {
+        return;
+    }
+    drop(roster);
+    state.metrics.count("strangers");
+    log::warn!("event=stranger server={server} address={address} cause={cause}");
+    store_watch::rebuild(state);
+}
+
+/// Asks at the addresses of strangers, more and more rarely, until the servers are there. Never
+/// returns.
+pub async fn run<D: Dialect>(state: Rc<State<D>>) {
+    loop {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let due = state.roster.borrow_mut().strangers.due(clock::now());
+        for servers in due.chunks(MAX_QUESTIONS) {
+            join_all(servers.iter().map(|server| ask_again(&state, server))).await;
+        }
+    }
+}
+
+async fn ask_again<D: Dialect>(state: &State<D>, server: &Incarnation) {
+    if ask(state, server).await != Identity::Own {
+        return;
+    }
+    let is_found = state.roster.borrow_mut().strangers.found(server);
+    if is_found {
+        log::info!("event=stranger-found server={server}");
+        store_watch::rebuild(state);
+    }
+}
+
+async fn ask<D: Dialect>(state: &State<D>, server: &Incarnation) -> Identity {
+    let Some((address, path)) = place(state, server) else {
+        return Identity::Unknown;
+    };
+    state.metrics.count("probes");
+    let answer = request_identity(state, server, address, &path);
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+    match answer {
+        Ok(Ok(identity)) => identity,
+        _ => Identity::Unknown,
+    }
+}
+
+/// Returns the address of a server and the path of its health checks.
+fn place<D>(state: &State<D>, server: &Incarnation) -> Option<(SocketAddr, Arc<str>)> {
+    let (table, roster) = (state.table()?, state.roster.borrow());
+    let server = roster.get(server)?;
+    let backend = table.document.services.get(&server.service)?;
+    Some((server.address, backend.health_path.clone()))
+}
+
+async fn request_identity<D: Dialect>(
+    state: &State<D>,
+    server: &Incarnation,
+    address: SocketAddr,
+    path: &str,
+) -> anyhow::Result<Identity> {
+    let name = &*server.server.0;
+    let request = Request::get(path)
+        .header(HOST, address.to_string())
+        .header(D::NAMES.expected_server, name)
+        .body(Full::default())?;
+    // On a new connection no response to an earlier exchange can arrive.
+    let lease = state.pool.connect(server, address, Exchange::Check).await?;
+    let response = pool::exchange(lease, request).await?;
+    let status = response.status();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Ok(Identity::Other);
+    }
+    Ok(match head::text(response.headers(), &D::NAMES.server) {
+        Some(other) if other.trim() != name => Identity::Other,
+        None if !status.is_success() => Identity::Unknown,
+        _ => Identity::Own,
+    })
+}
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use hyper::StatusCode;
 use jujube_core::pipeline::attempts::Permission;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
@@ -17,6 +18,7 @@
 use crate::quarantine;
 use crate::response::Reason;
 use crate::state::State;
+use crate::strangers;
 use crate::upstream::Failure;
 use crate::upstream::Incomplete;
 
@@ -174,9 +176,12 @@
                 continue;
             }
             Failure::Unwanted => continue,
-            Failure::NotRun { rest, .. } => {
+            Failure::NotRun { status, rest, .. } => {
                 rejections += 1;
                 if let Some(part) = at_fault {
+                    if status == StatusCode::MISDIRECTED_REQUEST {
+                        strangers::misdirected(state, &part.server);
+                    }
                     avoid.push(part.server.clone());
                     let is_first = first.is_some_and(|first| first.server == part.server);
                     if let Some(rest) = rest.filter(|_| !is_first) {
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -11,6 +11,7 @@
 use futures::future::Fuse;
 use futures::stream::FuturesUnordered;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::http::response::Parts;
 use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
@@ -35,6 +36,7 @@
 use crate::response::Reason;
 use crate::retries::Retry;
 use crate::state::State;
+use crate::strangers;
 use crate::upstream;
 use crate::upstream::Failure;
 
@@ -241,9 +243,12 @@
                 self.sent -= 1;
                 self.arrivals -= 1;
             }
-            Failure::NotRun { .. } => {
+            Failure::NotRun { status, .. } => {
                 self.sent -= 1;
                 self.refusals += 1;
+                if status == StatusCode::MISDIRECTED_REQUEST {
+                    strangers::misdirected(self.state, &server.incarnation);
+                }
             }
             Failure::Unknown(_) => {
                 self.may_have_run = true;
