Bring back the servers that a stranger's registration displaced

Callers got 503 for every request of a service once another writer had registered servers of that service at its only server's address, until that server wrote its registration again.

Cause: a written registration displaces others at its address for good, as at a reused address; that the writer's server isn't there (421) said nothing about those it had displaced. They are now kept with it while they are listed, and are back when it turns out to be a stranger. A dead server whose successor answers stays gone, as does one that is removed or unreadable meanwhile.

--- a/crates/core/src/pipeline/roster/mod.rs
+++ b/crates/core/src/pipeline/roster/mod.rs
@@ -1,5 +1,6 @@
 //! Tracks the registered backend servers through outages of the registry.
 
+mod displaced;
 mod registration;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 use crate::time::Instant;
 use crate::time::Span;
 
+use displaced::Displaced;
 use registration::Departure;
 pub use registration::Effect;
 use registration::Registration;
@@ -61,6 +63,8 @@
     pub strangers: Strangers,
     /// Servers whose registrations were removed.
     departed: BTreeMap<Incarnation, Departure>,
+    /// Those of them that others displaced and that are still listed.
+    displaced: Displaced,
     /// Servers whose registrations vanished and that may register again.
     pub missing: Missing,
     /// Until when the registrations may be outdated, after the store was restored from a copy.
@@ -117,6 +121,7 @@
     pub fn registered(&mut self, now: Instant, server: Server) -> Effect {
         let address = server.address;
         let name = server.incarnation.server.clone();
+        self.displaced.forget(&name);
         if !self.may_be_outdated(now) {
             self.departed.retain(|departed, departure| {
                 !departure.is_displaced || *departed != server.incarnation
@@ -125,10 +130,11 @@
                 |other: &Server| other.address == address && other.incarnation.server != name;
             let registered = self.registrations.values().map(|other| &other.server);
             let displaced = registered.filter(|other| is_other(other));
-            let displaced: Vec<Incarnation> = displaced.map(|s| s.incarnation.clone()).collect();
+            let displaced: Vec<Server> = displaced.cloned().collect();
             for other in &displaced {
-                self.displaced(now, other);
+                self.displaced(now, &other.incarnation);
             }
+            self.displaced.insert(&server.incarnation, displaced);
             self.missing.retain(|missing| !is_other(missing));
         }
         self.apply(now, server)
@@ -172,6 +178,21 @@
         leavers.filter(|incarnation| self.get(incarnation).is_some())
     }
 
+    /// Records that another process answers at the address of a server; returns `false` if that is
+    /// known. The servers that its registration displaced may be there, and are back.
+    pub fn stranger(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
+        if !self.strangers.turned_away(now, incarnation) {
+            return false;
+        }
+        for server in self.displaced.take(incarnation) {
+            self.departed.remove(&server.incarnation);
+            if !self.registrations.contains_key(&server.incarnation.server) {
+                self.insert(now, server);
+            }
+        }
+        true
+    }
+
     /// Records that another server has the address of this one, which has ended.
     pub fn displaced(&mut self, now: Instant, incarnation: &Incarnation) {
         if self.get(incarnation).is_none() {
@@ -252,6 +273,7 @@
     /// It may be draining or hold other layers by now, so it gets no new work until its
     /// registration is readable.
     pub fn unreadable(&mut self, name: &Name) -> Effect {
+        self.displaced.forget(name);
         let Some(registration) = self.registrations.get_mut(name) else {
             return Effect::None;
         };
@@ -317,6 +339,7 @@
     /// the two seconds until the servers register again, so a ready server counts a little longer.
     /// A draining server is removed at once, because it must not get new work.
     pub fn removed(&mut self, now: Instant, name: &Name) -> Effect {
+        self.displaced.forget(name);
         let may_be_outage_effect = self.may_be_outage_effect(now);
         // Counts from the store's return, not from the removal: live servers have registered again
         // by then, and a server that is removed late may be leaving.
@@ -389,6 +412,7 @@
         let mut effects = Vec::new();
         let listed = servers.iter().map(|server| &server.incarnation.server);
         let listed: BTreeSet<&Name> = listed.chain(unreadable).collect();
+        self.displaced.retain_listed(&listed);
         let known = self.registrations.keys();
         let missing: Vec<Name> = known
             .filter(|name| !listed.contains(name))
@@ -424,6 +448,8 @@
         self.departed
             .retain(|_, departure| now.since(departure.at) < DEPARTED_TTL);
         self.missing.expire(now);
+        self.displaced
+            .retain_by(|incarnation| find(&self.registrations, incarnation).is_some());
         self.strangers
             .retain(|incarnation| find(&self.registrations, incarnation).is_some());
         self.leavers.retain(
--- a/crates/core/tests/strangers.rs
+++ b/crates/core/tests/strangers.rs
@@ -85,3 +85,52 @@
 
     assert!((50..=64).contains(&checks), "{checks}");
 }
+
+/// Guards against a sound server that is out of use until it writes again, because another writer
+/// registered servers at its address.
+#[test]
+fn a_server_that_strangers_displaced_is_back() {
+    let mut roster = Roster::default();
+    let sound: Incarnation = "sound".into();
+    roster.registered(Instant(0), server("sound", 8));
+    roster.registered(Instant(10), server("odd-1", 8));
+    roster.registered(Instant(20), server("odd-2", 8));
+    assert!(!is_used(&roster, &sound));
+
+    roster.stranger(Instant(30), &"odd-2".into());
+
+    assert!(is_used(&roster, &sound));
+    assert!(!is_used(&roster, &"odd-2".into()));
+}
+
+/// Guards against a displaced server that is back although its registration was removed meanwhile.
+#[test]
+fn a_displaced_server_that_is_removed_stays_gone() {
+    let mut roster = Roster::default();
+    let sound: Incarnation = "sound".into();
+    roster.registered(Instant(0), server("sound", 8));
+    roster.registered(Instant(10), server("odd", 8));
+
+    roster.removed(Instant(20), &"sound".into());
+    roster.stranger(Instant(30), &"odd".into());
+
+    assert!(!is_used(&roster, &sound));
+}
+
+/// Guards against a dead server that is back at a reused address: its successor answers there.
+#[test]
+fn a_server_whose_successor_answers_stays_gone() {
+    let mut roster = Roster::default();
+    let dead: Incarnation = "dead".into();
+    roster.registered(Instant(0), server("dead", 8));
+    roster.registered(Instant(10), server("successor", 8));
+
+    roster.replace(
+        Instant(20),
+        vec![server("dead", 8), server("successor", 8)],
+        &[],
+    );
+
+    assert!(!is_used(&roster, &dead));
+    assert!(is_used(&roster, &"successor".into()));
+}
--- a/crates/front/src/strangers.rs
+++ b/crates/front/src/strangers.rs
@@ -83,7 +83,7 @@
     let Some(address) = roster.get(server).map(|server| server.address) else {
         return;
     };
-    if !roster.strangers.turned_away(clock::now(), server) {
+    if !roster.stranger(clock::now(), server) {
         return;
     }
     drop(roster);
