Replace a fencing token of another writer that is no number of ours

Callers got 503 (no-path) for streams for good: with an odd value under jujube/orders/token no entry became planner (planner-not-won), and no layers were placed.

Cause: a malformed number, or bytes that are no text, were an error of the store to whoever campaigned; a number at the end of its range has no successor. A malformed number, or one of 2^62 and more, is now replaced by the era's first one plus the revision at which it was read: above all numbers given out, as each took a revision of its own, so that two planners never share one. Sidecars still refuse a malformed number.

--- a/crates/store/src/orders.rs
+++ b/crates/store/src/orders.rs
@@ -16,6 +16,8 @@
 pub const HOLDER: &str = "jujube/orders/holder";
 /// The key of the last fencing number; it stays.
 const TOKEN: &str = "jujube/orders/token";
+/// The highest fencing number that can be one of ours; another writer may leave any text.
+const MAX_TOKEN: Token = Token(1 << 62);
 
 /// Reads the current fencing number; 0 before the first holder.
 ///
@@ -23,22 +25,34 @@
 ///
 /// The service gives no answer, or the value is malformed.
 pub async fn current(store: &impl Store) -> Result<Token, Error> {
-    Ok(read(store).await?.0)
+    let token = read(store).await?.0;
+    token.ok_or_else(|| Error::Unknown("a malformed fencing number".into()))
 }
 
-async fn read(store: &impl Store) -> Result<(Token, Revision), Error> {
+/// Reads the fencing number, `None` if it is malformed, and its revision.
+async fn read(store: &impl Store) -> Result<(Option<Token>, Revision), Error> {
     let Some(pair) = store.get(TOKEN).await? else {
-        return Ok((Token(0), Revision(0)));
+        return Ok((Some(Token(0)), Revision(0)));
     };
-    let token = pair.value.parse();
-    let token = token.map_err(|_| Error::Unknown("a malformed fencing number".into()))?;
-    Ok((token, pair.revision))
+    let token = pair.value.parse().ok();
+    Ok((token.filter(|token| *token < MAX_TOKEN), pair.revision))
+}
+
+/// Returns the number that follows one read at a revision.
+///
+/// A malformed one is followed by a number above all that were given out: each took a revision, and
+/// they began at `least`.
+fn following(token: Option<Token>, revision: Revision, least: Token) -> Token {
+    match token {
+        Some(token) => token.next().max(least),
+        None => Token(least.0.saturating_add(revision.0)),
+    }
 }
 
 /// Tries to become the holder; `None` when somebody else is.
 ///
 /// The number grows in the same transaction that takes the lease, so that no two holders ever share
-/// one. It is at least `least`, for a store that has forgotten numbers.
+/// one. It is at least `least`, for a store that has forgotten numbers. A malformed number is replaced.
 ///
 /// # Errors
 ///
@@ -66,7 +80,7 @@
             revision,
         },
     ];
-    let token = token.next().max(least);
+    let token = following(token, revision, least);
     let writes = [
         Write::Put {
             key: HOLDER.into(),
