--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -43,5 +43,6 @@
 pub mod server;
 pub mod settling;
 pub mod share;
+pub mod strangers;
 pub mod summary;
 pub mod suspicion;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -290,8 +290,23 @@
 /// There is no complete response, or it belongs to another exchange; the server may have handled the
 /// request.
 pub async fn call<D: Dialect>(
+    lease: Lease,
+    request: Request<Full<Bytes>>,
+) -> anyhow::Result<Response<Bytes>> {
+    let is_own = |headers: &HeaderMap| !headers.contains_key(&D::NAMES.request);
+    exchange(lease, request, is_own).await
+}
+
+/// Sends a request, such as the first one on a connection, and returns the response if its headers
+/// show that it is the one to the request. Otherwise the connection is closed.
+///
+/// # Errors
+///
+/// There is no complete response, or it belongs to another exchange.
+pub async fn exchange(
     mut lease: Lease,
     request: Request<Full<Bytes>>,
+    is_own: impl Fn(&HeaderMap) -> bool,
 ) -> anyhow::Result<Response<Bytes>> {
     let response = lease.sender().send_request(request).await?;
     let (parts, body) = response.into_parts();
@@ -299,7 +314,7 @@
     if !status::is_final(status) {
         anyhow::bail!("status {status} is not final");
     }
-    if parts.headers.contains_key(&D::NAMES.request) {
+    if !is_own(&parts.headers) {
         anyhow::bail!("response belongs to a request");
     }
     let body = Limited::new(body, MAX_CALL_BYTES).collect().await;
