--- a/crates/core/src/pipeline/roster/mod.rs
+++ b/crates/core/src/pipeline/roster/mod.rs
@@ -1,7 +1,9 @@
 //! Tracks the registered backend servers through outages of the registry.
 
 mod displaced;
+mod lookup;
 mod registration;
+mod store;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -72,48 +74,6 @@
 }
 
 impl Roster {
-    /// Records that the store is unavailable.
-    pub fn store_lost(&mut self) {
-        self.is_away = true;
-    }
-
-    /// Records that the store is available again.
-    pub fn store_returned(&mut self, now: Instant) {
-        if self.is_away {
-            self.is_away = false;
-            self.returned = Some(now);
-        }
-    }
-
-    /// Records that the store was restored from an older copy.
-    ///
-    /// The copy may list a draining server as ready, or a departed one as registered; both must get
-    /// no new work. Servers that are missing may have joined since the copy was made, and count for
-    /// as long as after an outage.
-    pub fn restored(&mut self, now: Instant) {
-        self.store_lost();
-        self.store_returned(now);
-        self.outdated_until = Some(now.plus(STALE_COPY_WINDOW));
-    }
-
-    /// Returns whether the registrations may be those of an older copy.
-    #[must_use]
-    pub fn may_be_outdated(&self, now: Instant) -> bool {
-        self.outdated_until.is_some_and(|until| now < until)
-    }
-
-    /// Returns whether servers have had time to register again after a restore, so that the
-    /// registrations are to be read again.
-    #[must_use]
-    pub fn needs_reread(&self, now: Instant) -> bool {
-        self.outdated_until.is_some_and(|until| now >= until)
-    }
-
-    /// Records that the registrations are being read again after a restore.
-    pub fn start_reread(&mut self) {
-        self.outdated_until = None;
-    }
-
     /// Applies a registration that was written.
     ///
     /// The server that writes it has its address. Another one that is still registered there has
@@ -290,18 +250,6 @@
         std::mem::take(&mut self.replaced)
     }
 
-    /// Returns when the store last became available again, if it was unavailable.
-    #[must_use]
-    pub fn returned(&self) -> Option<Instant> {
-        self.returned
-    }
-
-    /// Returns whether the store is unavailable.
-    #[must_use]
-    pub fn is_store_away(&self) -> bool {
-        self.is_away
-    }
-
     /// Applies the layers that a server itself reports to hold.
     ///
     /// Only while the store is unavailable, because a report lags behind the registration. Lets
@@ -367,19 +315,6 @@
         Effect::Gone
     }
 
-    /// Returns the evidence that a server that is no longer registered has ended; `None` if it may
-    /// still be serving requests.
-    ///
-    /// Some servers leave without draining. Counting them as ended when their registration is
-    /// removed would let their requests run on one more server than their routes allow.
-    #[must_use]
-    pub fn end(&self, incarnation: &Incarnation) -> Option<Evidence> {
-        match self.departed.get(incarnation) {
-            Some(departure) => departure.end,
-            None => Some(Evidence::Unregistered),
-        }
-    }
-
     /// Marks departed servers as dead that count as ended by the suspicions. A missing server that
     /// is suspected has failed, and is not expected back.
     pub fn record_deaths(
@@ -396,11 +331,6 @@
             .retain(|server| !suspicion.is_suspected(&server.incarnation));
     }
 
-    fn may_be_outage_effect(&self, now: Instant) -> bool {
-        let returned = self.returned;
-        self.is_away || returned.is_some_and(|returned| now.since(returned) <= OUTAGE_EFFECT_WINDOW)
-    }
-
     /// Replaces all registrations, as read after a start or a gap in the watch. `unreadable` names
     /// the servers whose registrations cannot be read.
     pub fn replace(
@@ -463,78 +393,6 @@
         }
         incarnations
     }
-
-    /// Returns the servers that may get new work.
-    pub fn usable(&self) -> impl Iterator<Item = &Server> {
-        let servers = self
-            .registrations
-            .values()
-            .map(|registration| &registration.server);
-        servers.filter(|server| {
-            server.state == State::Ready
-                && !self.leavers.is_unconfirmed(&server.incarnation)
-                && !self.strangers.contains(&server.incarnation)
-        })
-    }
-
-    /// Returns how long this incarnation of a server has been registered, as far as this entry has
-    /// seen.
-    #[must_use]
-    pub fn age(&self, now: Instant, incarnation: &Incarnation) -> Option<Span> {
-        let registration = self.registration(incarnation)?;
-        Some(now.since(registration.since))
-    }
-
-    /// Returns whether a registered server is draining.
-    #[must_use]
-    pub fn is_draining(&self, incarnation: &Incarnation) -> bool {
-        self.registration(incarnation)
-            .is_some_and(|registration| registration.draining_since.is_some())
-    }
-
-    /// Returns the servers that have been draining for at least `min_duration`.
-    pub fn draining(&self, now: Instant, min_duration: Span) -> impl Iterator<Item = &Incarnation> {
-        let has_drained = move |registration: &&Registration| {
-            let since = registration
-                .draining_since
-                .map(|draining_since| now.since(draining_since));
-            since.is_some_and(|since| since >= min_duration)
-        };
-        let leaving = self.registrations.values().filter(has_drained);
-        leaving.map(|registration| &registration.server.incarnation)
-    }
-
-    /// Returns a registered server, or `None` if it has restarted since.
-    #[must_use]
-    pub fn get(&self, incarnation: &Incarnation) -> Option<&Server> {
-        Some(&self.registration(incarnation)?.server)
-    }
-
-    /// Returns the registered incarnation of a server.
-    #[must_use]
-    pub fn incarnation(&self, name: &Name) -> Option<&Incarnation> {
-        let registration = self.registrations.get(name)?;
-        Some(&registration.server.incarnation)
-    }
-
-    /// Returns the layers that a server holds, whichever incarnation is registered.
-    #[must_use]
-    pub fn held(&self, name: &Name) -> Option<Range> {
-        self.registrations
-            .get(name)
-            .map(|registration| registration.server.held)
-    }
-
-    /// Returns whether another incarnation of the server is registered.
-    #[must_use]
-    pub fn has_restarted(&self, incarnation: &Incarnation) -> bool {
-        let registration = self.registrations.get(&incarnation.server);
-        registration.is_some_and(|registration| registration.server.incarnation != *incarnation)
-    }
-
-    fn registration(&self, incarnation: &Incarnation) -> Option<&Registration> {
-        find(&self.registrations, incarnation)
-    }
 }
 
 /// Returns the registration of a server, unless it is that of another start.
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -35,7 +36,6 @@
 use crate::metrics::Metrics;
 use crate::notices;
 use crate::pool::Lease;
-use crate::pool::Pool;
 use crate::state::State;
 
 use announcements::Announcements;
@@ -143,7 +143,7 @@
     let pool = &state.pool;
     let id = head::text(&outgoing.headers, &D::NAMES.request);
     let exchange = || id.map_or(Exchange::Unnamed, |id| Exchange::Request(id.into()));
-    let mut lease = lease(pool, server, address, exchange()).await?;
+    let mut lease = leased(pool.lease(server, address, exchange()).await)?;
     loop {
         if gate::is_unwanted(state, server, features) {
             lease.release(&HeaderMap::new());
@@ -175,7 +175,7 @@
                 if !is_reused {
                     return Err(Failure::NotSent(cause));
                 }
-                lease = connect(pool, server, address, exchange()).await?;
+                lease = leased(pool.connect(server, address, exchange()).await)?;
                 continue;
             }
         };
@@ -193,23 +193,8 @@
     }
 }
 
-async fn lease(
-    pool: &Pool,
-    server: &Incarnation,
-    address: SocketAddr,
-    exchange: Exchange,
-) -> Result<Lease, Failure> {
-    let lease = pool.lease(server, address, exchange).await;
-    lease.map_err(|error| Failure::NotSent(error.to_string()))
-}
-
-async fn connect(
-    pool: &Pool,
-    server: &Incarnation,
-    address: SocketAddr,
-    exchange: Exchange,
-) -> Result<Lease, Failure> {
-    let lease = pool.connect(server, address, exchange).await;
+/// Returns a connection for a request, or why the request was not sent.
+fn leased(lease: io::Result<Lease>) -> Result<Lease, Failure> {
     lease.map_err(|error| Failure::NotSent(error.to_string()))
 }
 
