--- a/crates/programs/tests/support/mod.rs
+++ b/crates/programs/tests/support/mod.rs
@@ -347,11 +347,8 @@
         let member = &self.bundle.servers[&name.into()];
         let held = member.layers.to_string();
         let listen = url.trim_start_matches("http://").to_string();
-        let (address, http) = (sidecar.line[1].clone(), sidecar.line[3].clone());
+        let settings = settings_at(&file, &sidecar);
         drop((engine, sidecar));
-        let settings = std::fs::read_to_string(&file).unwrap();
-        let settings = settings.replace("listen = 127.0.0.1:0", &format!("listen = {address}"));
-        let settings = settings.replace("http = 127.0.0.1:0", &format!("http = {http}"));
         std::fs::write(&file, settings).unwrap();
         let layers = self.bundle.services[&MODEL.into()].layers.to_string();
         let base = self.base_micros.to_string();
@@ -385,13 +382,8 @@
             sidecar,
             url,
         } = old;
-        let (address, http) = (sidecar.line[1].clone(), sidecar.line[3].clone());
+        let settings = settings_at(&file, &sidecar).replace(&url, to);
         drop(sidecar);
-        let settings = std::fs::read_to_string(&file)
-            .unwrap()
-            .replace("listen = 127.0.0.1:0", &format!("listen = {address}"))
-            .replace("http = 127.0.0.1:0", &format!("http = {http}"))
-            .replace(&url, to);
         std::fs::write(&file, settings).unwrap();
         let backend = Backend {
             sidecar: Process::start(bin("sidecar"), &["--settings", &file]),
@@ -507,3 +499,12 @@
     }
     text
 }
+
+/// Returns the settings of a sidecar with the addresses that it has.
+fn settings_at(file: &str, sidecar: &Process) -> String {
+    let (address, http) = (&sidecar.line[1], &sidecar.line[3]);
+    std::fs::read_to_string(file)
+        .unwrap()
+        .replace("listen = 127.0.0.1:0", &format!("listen = {address}"))
+        .replace("http = 127.0.0.1:0", &format!("http = {http}"))
+}
