Take no more callers than there is memory for

Callers lost their connections all at once when an entry was over its memory limit and was ended. The cause: the memory budget counted the bytes of bodies and responses, and what one connection may hold was bounded, but not how many do so at once. Not counted were the library's read buffer (up to 64 KiB, doubled by each read that fills it), heads, the spare part of a body's buffer, the state of each connection and request, and a request's connection to its server.

Class: a bound for each and none for the sum.

Now each connection and each request in flight takes a place (core::pipeline::crowd), and places have three tenths of the memory less 8 MB for the program. A body reserves what its buffer takes. A request's future is allocated with its request, not with its connection. The system's receive buffer of a caller is bounded like its send buffer.

Two tests name the number of causes by the list of causes instead of 3; the model of the budget knows the new cause.

--- /dev/null
+++ b/crates/core/src/pipeline/crowd.rs
@@ -0,0 +1,131 @@
+//! How many callers' connections and requests an entry takes at the same time, by the memory that each
+//! of them uses besides its bytes.
+
+use crate::pipeline::memory::Size;
+use crate::pipeline::memory::known;
+
+/// The part of a machine's memory for the program itself, connections and requests, in percent.
+const SHARE_PERCENT: u64 = 30;
+/// What the program uses without any connection.
+const PROGRAM: Size = Size(8_000_000);
+/// The part of a machine's memory for connections and requests at least, in percent.
+const MIN_PERCENT: u64 = 10;
+/// The part of the capacity that connections leave to requests: one in this many bytes. Callers that
+/// keep connections open must not block those that send requests.
+const REQUESTS_DIVISOR: u64 = 8;
+
+/// What an open connection uses: the buffers of the HTTP library and of its tasks.
+const CONNECTION: Size = Size(16 << 10);
+/// What a request in flight uses besides its body: its own state, and a connection to a server.
+const REQUEST: Size = Size(30 << 10);
+/// How much memory keeps one byte of a head: the buffer that it was read into grows by doubling.
+const BYTES_PER_HEAD_BYTE: u64 = 2;
+
+/// What takes a place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Visitor {
+    /// A caller's connection.
+    Connection,
+    /// A request in flight with a head of this size.
+    Request(Size),
+}
+
+impl Visitor {
+    /// Returns the memory that it uses.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::crowd::Visitor;
+    /// # use jujube_core::pipeline::memory::Size;
+    /// let (small, large) = (Visitor::Request(Size(100)), Visitor::Request(Size(15_000)));
+    /// assert_eq!(large.size().0 - small.size().0, 2 * 14_900);
+    /// ```
+    #[must_use]
+    pub fn size(self) -> Size {
+        match self {
+            Self::Connection => CONNECTION,
+            Self::Request(head) => {
+                let head = head.0.saturating_mul(BYTES_PER_HEAD_BYTE);
+                Size(REQUEST.0.saturating_add(head))
+            }
+        }
+    }
+}
+
+/// The connections and requests at an entry.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::crowd::Crowd;
+/// # use jujube_core::pipeline::crowd::Visitor;
+/// # use jujube_core::pipeline::memory::Size;
+/// let mut crowd = Crowd::new(Some(Size(60_000_000)));
+/// assert_eq!(crowd.capacity(), Size(10_000_000));
+/// let connections = (0..1_000).filter(|_| crowd.admit(Visitor::Connection)).count();
+/// assert_eq!(connections, 534);
+/// assert!(crowd.admit(Visitor::Request(Size(500))), "connections leave room for requests");
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Crowd {
+    capacity: Size,
+    held: Size,
+    connections: u64,
+}
+
+impl Crowd {
+    /// Creates the crowd of an entry on a machine with this memory. If it is unknown or zero, assumes
+    /// that of the smallest entry.
+    #[must_use]
+    pub fn new(memory: Option<Size>) -> Self {
+        let percent = known(memory).0 / 100;
+        let besides_program = (percent * SHARE_PERCENT).saturating_sub(PROGRAM.0);
+        Self {
+            capacity: Size(besides_program.max(percent * MIN_PERCENT)),
+            held: Size(0),
+            connections: 0,
+        }
+    }
+
+    /// Returns the memory for connections and requests.
+    #[must_use]
+    pub fn capacity(&self) -> Size {
+        self.capacity
+    }
+
+    /// Returns the memory that connections and requests use.
+    #[must_use]
+    pub fn held(&self) -> Size {
+        self.held
+    }
+
+    /// Returns the number of connections.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.connections
+    }
+
+    /// Takes a place, which is to be given back by [`Crowd::leave`]; returns whether there is one.
+    pub fn admit(&mut self, visitor: Visitor) -> bool {
+        let held = self.held.0.saturating_add(visitor.size().0);
+        let limit = match visitor {
+            Visitor::Connection => self.capacity.0 - self.capacity.0 / REQUESTS_DIVISOR,
+            Visitor::Request(_) => self.capacity.0,
+        };
+        if held > limit {
+            return false;
+        }
+        self.held = Size(held);
+        self.connections += u64::from(visitor == Visitor::Connection);
+        true
+    }
+
+    /// Gives a place back.
+    pub fn leave(&mut self, visitor: Visitor) {
+        self.held = Size(self.held.0.saturating_sub(visitor.size().0));
+        if visitor == Visitor::Connection {
+            self.connections = self.connections.saturating_sub(1);
+        }
+    }
+}
--- a/crates/core/src/pipeline/memory.rs
+++ b/crates/core/src/pipeline/memory.rs
@@ -27,7 +27,7 @@
 /// The part of the memory that the budget gives out, in percent. The rest is for the program, the
 /// buffers that each connection has, socket buffers and tables.
 const CAPACITY_PERCENT: u64 = 40;
-/// The part of the capacity that read-ahead leaves free, so that slow callers do not block new
+/// The part of the capacity that read-ahead and heads leave free, so that slow callers do not block new
 /// requests: one in this many bytes.
 const RESERVED_DIVISOR: u64 = 4;
 /// The part of the capacity that a response may have that does not state its size: one in this many
@@ -47,6 +47,8 @@
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Cause {
+    /// The part of a request's head that has arrived, beyond what each connection has room for.
+    RequestHead,
     /// The part of a request body that has arrived.
     RequestBody,
     /// The part of a response that the caller has not taken.
@@ -57,12 +59,18 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 3] = [Self::RequestBody, Self::Response, Self::ReadAhead];
+    pub const ALL: [Self; 4] = [
+        Self::RequestHead,
+        Self::RequestBody,
+        Self::Response,
+        Self::ReadAhead,
+    ];
 }
 
 impl fmt::Display for Cause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::RequestHead => "request-head",
             Self::RequestBody => "request-body",
             Self::Response => "response",
             Self::ReadAhead => "read-ahead",
@@ -152,8 +160,8 @@
 
 /// Decides which owner may hold how much memory, and who is evicted if there is not enough.
 ///
-/// Request bodies and responses may use the whole capacity. Read-ahead leaves a quarter of it free,
-/// and one owner may read ahead at most as much as is then still free for read-ahead: one slow
+/// Request bodies and responses may use the whole capacity. Heads and read-ahead leave a quarter of it
+/// free, and one owner may read ahead at most as much as is then still free for read-ahead: one slow
 /// caller gets up to half, and each of n slow callers a share of 1/(n + 1).
 ///
 /// # Examples
@@ -283,7 +291,7 @@
     pub fn transfer(&mut self, owner: Owner, from: Cause, to: Cause, size: Size) {
         let is_read_ahead = to == Cause::ReadAhead && from != to;
         let read_ahead = self.held.of(to).saturating_add(size.0);
-        if is_read_ahead && read_ahead > self.read_ahead_limit() {
+        if is_read_ahead && read_ahead > self.yielding_limit() {
             return;
         }
         if let Some(mut held) = self.without(owner, from, size) {
@@ -371,10 +379,12 @@
 
     fn has_room(&self, own: &Held, cause: Cause, size: Size) -> bool {
         let held = self.held.sum().saturating_add(size.0);
-        if cause != Cause::ReadAhead {
-            return held <= self.capacity.0;
+        match cause {
+            Cause::RequestBody | Cause::Response => return held <= self.capacity.0,
+            Cause::RequestHead => return held <= self.yielding_limit(),
+            Cause::ReadAhead => {}
         }
-        let free = self.read_ahead_limit().checked_sub(held);
+        let free = self.yielding_limit().checked_sub(held);
         let own = own.of(cause).saturating_add(size.0);
         free.is_some_and(|free| own <= free)
     }
@@ -389,12 +399,13 @@
                 own.saturating_add(size.0) > self.capacity.0
             }
             Cause::Response => size > self.capacity,
-            Cause::ReadAhead => size.0 > self.read_ahead_limit() / 2,
+            Cause::RequestHead => size.0 > self.yielding_limit(),
+            Cause::ReadAhead => size.0 > self.yielding_limit() / 2,
         }
     }
 
-    /// Returns how much may be held if read-ahead is to grow.
-    fn read_ahead_limit(&self) -> u64 {
+    /// Returns how much may be held if heads or read-ahead are to grow.
+    fn yielding_limit(&self) -> u64 {
         self.capacity.0 - self.capacity.0.div_ceil(RESERVED_DIVISOR)
     }
 
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -13,6 +13,7 @@
 pub mod carried;
 pub mod cell;
 pub mod chooser;
+pub mod crowd;
 pub mod departure;
 pub mod deputy;
 pub mod digest;
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -83,7 +83,11 @@
         }
         let own = size + self.count(|other, of| other == caller.owner && of == cause);
         let usable = self.capacity - self.capacity.div_ceil(4);
-        cause != Cause::ReadAhead || own + held <= usable
+        match cause {
+            Cause::RequestBody | Cause::Response => true,
+            Cause::RequestHead => held <= usable,
+            Cause::ReadAhead => own + held <= usable,
+        }
     }
 
     fn remove(&mut self, owner: Owner, cause: Cause, size: u64) {
@@ -289,7 +293,7 @@
         model.callers.iter().for_each(|caller| budget.close(caller.owner));
 
         prop_assert_eq!(budget.held(), Size(0));
-        prop_assert_eq!(Cause::ALL.map(|cause| budget.held_for(cause)), [Size(0); 3]);
+        prop_assert_eq!(Cause::ALL.map(|cause| budget.held_for(cause)), [Size(0); Cause::ALL.len()]);
     }
 
     /// Guards against slow callers that get unequal shares, or a share that depends on how many
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use jujube_core::pipeline::crowd::Visitor;
 use jujube_core::pipeline::departure::Departure;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -30,6 +31,7 @@
 
 use crate::delivery;
 use crate::delivery::Delivery;
+use crate::delivery::Intake;
 use crate::dialect::Dialect;
 use crate::feed::Source;
 use crate::planner;
@@ -38,6 +40,7 @@
 use crate::quarantine;
 use crate::reload;
 use crate::request;
+use crate::request::Guard;
 use crate::settings::Settings;
 use crate::slack;
 use crate::sockets;
@@ -46,6 +49,7 @@
 use crate::store_watch;
 use crate::strangers;
 use crate::tasks::keep;
+use crate::turn_away;
 use crate::vitals;
 use crate::waiting;
 use crate::watchdog;
@@ -209,23 +213,37 @@
             continue;
         };
         state.metrics.count("connections");
-        spawn_local(connection(state.clone(), stream, closing.clone()));
+        let Some(place) = state.crowd.admit(Visitor::Connection) else {
+            spawn_local(turn_away::run(stream, state.metrics.clone()));
+            continue;
+        };
+        let intake = Rc::new(Intake::new(place, &state.memory));
+        spawn_local(connection(state.clone(), stream, intake, closing.clone()));
     }
 }
 
-async fn connection<D: Dialect>(state: Rc<State<D>>, stream: TcpStream, mut closing: Signal) {
+async fn connection<D: Dialect>(
+    state: Rc<State<D>>,
+    stream: TcpStream,
+    intake: Rc<Intake>,
+    mut closing: Signal,
+) {
     pool::configure_caller(&stream);
     let delivery = Rc::new(Delivery::new(state.metrics.clone()));
-    let io = delivery::Io::new(stream, delivery.clone());
+    let io = delivery::Io::new(stream, delivery.clone(), intake.clone());
     let limits = state
         .table()
         .map(|table| table.document.limits)
         .unwrap_or_default();
     let buffer = (limits.header_bytes as usize).clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES);
     let service = service_fn(move |request| {
-        let (state, delivery) = (state.clone(), delivery.clone());
+        let (state, delivery, intake) = (state.clone(), delivery.clone(), intake.clone());
         async move {
-            let mut response = request::serve(state.clone(), request, delivery).await;
+            let reading = intake.begin();
+            let guard = Guard::new(&state.in_flight, &intake);
+            let mut response =
+                Box::pin(request::serve(state.clone(), request, delivery, guard)).await;
+            drop(reading);
             if state.lifecycle.get() != Lifecycle::Serving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
--- a/crates/front/src/delivery/io.rs
+++ b/crates/front/src/delivery/io.rs
@@ -10,19 +10,26 @@
 
 use jujube_program::clock;
 use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::io::Take;
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
 use super::Delivery;
 use super::End;
 use super::IDLE_TIMEOUT;
+use super::Intake;
+use super::intake::Admission;
+use super::intake::READ_STEP;
+use crate::turn_away;
 
 /// A caller's connection that records its progress.
 pub struct Io {
-    stream: TcpStream,
+    stream: Take<TcpStream>,
     delivery: Rc<Delivery>,
+    intake: Rc<Intake>,
     /// Wakes the connection while it is blocked; left armed when data is taken again, and armed anew
     /// when it expires early.
     idle: Option<Pin<Box<Sleep>>>,
@@ -30,10 +37,11 @@
 
 impl Io {
     /// Wraps a caller's connection.
-    pub fn new(stream: TcpStream, delivery: Rc<Delivery>) -> Self {
+    pub fn new(stream: TcpStream, delivery: Rc<Delivery>, intake: Rc<Intake>) -> Self {
         Self {
-            stream,
+            stream: stream.take(READ_STEP),
             delivery,
+            intake,
             idle: None,
         }
     }
@@ -97,6 +105,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        match self.intake.admit(context) {
+            Admission::Read => {}
+            Admission::Wait => return Poll::Pending,
+            Admission::Refused => {
+                self.delivery.record_refused();
+                turn_away::answer(self.stream.get_ref());
+                return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+            }
+        }
+        self.stream.set_limit(READ_STEP);
+        let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         if let Poll::Ready(Err(error)) = &polled {
             // The system reports its user timeout to whichever operation comes first.
@@ -104,6 +123,7 @@
                 self.delivery.record_idle();
             }
         }
+        self.intake.record_read(buffer.filled().len() - before);
         polled
     }
 }
@@ -115,7 +135,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check_evicted()?;
-        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let polled = Pin::new(self.stream.get_mut()).poll_write(context, bytes);
         self.handle_write(context, polled)
     }
 
@@ -125,16 +145,16 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check_evicted()?;
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let polled = Pin::new(self.stream.get_mut()).poll_write_vectored(context, slices);
         self.handle_write(context, polled)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.stream).poll_flush(context);
+        let polled = Pin::new(self.stream.get_mut()).poll_flush(context);
         if matches!(polled, Poll::Ready(Ok(()))) {
             // The HTTP layer flushes only once it has written all that it was given.
             self.delivery.record_flushed();
@@ -143,6 +163,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(self.stream.get_mut()).poll_shutdown(context)
     }
 }
--- a/crates/front/src/delivery/mod.rs
+++ b/crates/front/src/delivery/mod.rs
@@ -1,5 +1,6 @@
 //! Delivery of responses to callers: what their connections take, and what they do not.
 
+mod intake;
 mod io;
 mod outbound;
 
@@ -19,9 +20,13 @@
 use crate::memory::Evicted;
 use crate::memory::Reservation;
 use crate::metrics::Metrics;
+use crate::turn_away;
 
 use outbound::Receipt;
 
+pub use intake::Inbound;
+pub use intake::Intake;
+pub use intake::Occupied;
 pub use io::Io;
 pub use outbound::Completion;
 pub use outbound::Outbound;
@@ -198,6 +203,12 @@
         }
     }
 
+    /// Records that the connection was ended because there was no room for the head that arrived.
+    fn record_refused(&self) {
+        self.metrics.count("callers_turned_away");
+        turn_away::log("head");
+    }
+
     /// Records that the connection was ended because the caller took nothing.
     fn record_idle(&self) {
         if self.end.replace(End::Idle) == End::Idle {
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -9,6 +9,8 @@
 use hyper::header::TRAILER;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
+use hyper::http::request::Parts;
+use jujube_core::pipeline::memory::Size;
 use jujube_program::http::named_by_connection;
 
 use crate::dialect::Dialect;
@@ -36,6 +38,19 @@
     }
 }
 
+/// Returns about how many bytes a request's head has.
+pub fn size(parts: &Parts) -> Size {
+    let of_headers = parts
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    Size((path + of_headers.sum::<usize>()) as u64)
+}
+
 /// Returns whether a response tells where its body ends: it has a length, or chunks.
 ///
 /// Otherwise the body ends with its connection, and so does one whose server has crashed.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 //! decision logic belong in this crate.
 
 mod body;
+mod crowd;
 mod daemon;
 mod delivery;
 mod departure;
@@ -45,6 +46,7 @@
 mod strangers;
 mod stream;
 mod tasks;
+mod turn_away;
 mod unary;
 mod upload;
 mod upstream;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -49,6 +49,9 @@
 /// megabytes for each caller that does not read, which neither the memory budget nor the record of what was
 /// delivered includes.
 const CALLER_SEND_BUFFER: usize = 32 << 10;
+/// Size of the system's receive buffer of a caller's connection, which by default grows to some megabytes
+/// while requests that arrive early are not read.
+const CALLER_RECEIVE_BUFFER: usize = 32 << 10;
 /// Upper bound of the read buffer of a server's connection.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 /// What a server's connection holds while its response is not read on: the last read, which waits for
@@ -370,6 +373,7 @@
     let _unsupported = stream.set_nodelay(true);
     let _unsupported = set_timeouts(stream, delivery::IDLE_TIMEOUT);
     let _unsupported = SockRef::from(stream).set_send_buffer_size(CALLER_SEND_BUFFER);
+    let _unsupported = SockRef::from(stream).set_recv_buffer_size(CALLER_RECEIVE_BUFFER);
 }
 
 /// Enables TCP keepalive and the user timeout, so that the system detects dead connections.
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -66,15 +66,20 @@
 fn respond<D: Dialect>(state: &State<D>, path: &str) -> Response<Body<D>> {
     if path == METRICS_PATH {
         let held = |cause| state.memory.held_for(cause).0 as f64;
+        let crowd = state.crowd.view();
         let gauges = [
             ("in_flight", state.in_flight.get() as f64),
             ("streams", state.streams.len() as f64),
             ("waiting", state.waiting.len() as f64),
             ("held", state.held.len() as f64),
+            ("memory_held_request_head", held(Cause::RequestHead)),
             ("memory_held_request_body", held(Cause::RequestBody)),
             ("memory_held_response", held(Cause::Response)),
             ("memory_held_read_ahead", held(Cause::ReadAhead)),
             ("memory_capacity", state.memory.capacity().0 as f64),
+            ("callers_connections", crowd.connections() as f64),
+            ("crowd_held", crowd.held().0 as f64),
+            ("crowd_capacity", crowd.capacity().0 as f64),
             ("slack_pieces", state.retries.pieces() as f64),
             ("served_tokens", state.served_tokens.get()),
             ("ready", f64::from(u8::from(state.is_ready()))),
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -14,6 +14,7 @@
 use hyper::http::uri::PathAndQuery;
 use jujube_core::name::Customer;
 use jujube_core::name::Service;
+use jujube_core::pipeline::crowd::Visitor;
 use jujube_core::pipeline::departure::Work;
 use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::document::Account;
@@ -26,7 +27,11 @@
 use jujube_program::clock;
 
 use crate::body::Body;
+use crate::crowd::Place;
 use crate::delivery::Delivery;
+use crate::delivery::Inbound;
+use crate::delivery::Intake;
+use crate::delivery::Occupied;
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::head;
@@ -100,20 +105,28 @@
     }
 }
 
-/// Counts a request in flight until it is dropped.
-pub struct Guard(Rc<Cell<u64>>);
+/// Counts a request in flight, and takes its place, until it is dropped.
+pub struct Guard {
+    in_flight: Rc<Cell<u64>>,
+    occupied: Occupied,
+    place: Option<Place>,
+}
 
 impl Guard {
     /// Increments the count.
-    pub fn new(in_flight: &Rc<Cell<u64>>) -> Self {
+    pub fn new(in_flight: &Rc<Cell<u64>>, intake: &Rc<Intake>) -> Self {
         in_flight.set(in_flight.get() + 1);
-        Self(in_flight.clone())
+        Self {
+            in_flight: in_flight.clone(),
+            occupied: intake.occupy(),
+            place: None,
+        }
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.in_flight.set(self.in_flight.get() - 1);
     }
 }
 
@@ -122,16 +135,16 @@
     state: Rc<State<D>>,
     request: Request<Incoming>,
     delivery: Rc<Delivery>,
+    mut guard: Guard,
 ) -> Response<Body<D>> {
     let arrived = clock::now();
-    let guard = Guard::new(&state.in_flight);
     state.metrics.count("requests");
     let id = head::text(request.headers(), &D::NAMES.request).unwrap_or("-");
     let id: Arc<str> = id.into();
     if !state.is_initialized() {
         wait_for_start(&state, &request, &id, arrived).await;
     }
-    let admitted = match admit(&state, request, id.clone(), arrived).await {
+    let admitted = match admit(&state, request, id.clone(), arrived, &mut guard).await {
         Ok(admitted) => admitted,
         Err(reason) => return refuse(&state, &id, reason, arrived),
     };
@@ -220,6 +233,7 @@
     request: Request<Incoming>,
     id: Arc<str>,
     arrived: Instant,
+    guard: &mut Guard,
 ) -> Result<Admitted, Reason> {
     if state.lifecycle.get() == Lifecycle::Closing {
         return Err(Reason::Stopping);
@@ -233,6 +247,12 @@
     let route = route.ok_or(Reason::NoRoute)?;
     let account = authenticate::<D>(&table, &request, &route)?;
     let (parts, body) = request.into_parts();
+    let body = Inbound::new(body, guard.occupied.intake());
+    guard.place = state.crowd.admit(Visitor::Request(head::size(&parts)));
+    if guard.place.is_none() {
+        upload::drop_rest(body);
+        return Err(Reason::OutOfMemory);
+    }
     let timeout = head::number(&parts.headers, &D::NAMES.deadline).map(Span);
     let timeout = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let limits = upload::Limits {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -29,6 +29,7 @@
 use jujube_core::time::Instant;
 use jujube_program::clock;
 
+use crate::crowd::Crowd;
 use crate::departure::Exit;
 use crate::feed::Feed;
 use crate::fleet::Gaps;
@@ -122,6 +123,8 @@
     pub held: Held,
     /// The memory held for callers and servers.
     pub memory: Rc<Memory>,
+    /// The connections and requests of callers.
+    pub crowd: Crowd,
     /// The requests waiting for capacity.
     pub waiting: Waiting,
     /// The streams in flight.
@@ -151,6 +154,7 @@
         };
         let bounds = Bounds::new(settings.limits.contact, settings.limits.apply);
         let capacity = MemoryBudget::capacity_of(settings.memory);
+        let crowd = Crowd::new(settings.memory);
         Self {
             dialect: PhantomData,
             started: clock::now(),
@@ -181,6 +185,7 @@
             probes: Probes::default(),
             held: Held::default(),
             memory: Rc::new(Memory::new(capacity)),
+            crowd,
             waiting: Waiting::default(),
             streams: Streams::default(),
             metrics: Rc::default(),
--- a/crates/front/src/upload.rs
+++ b/crates/front/src/upload.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use jujube_core::pipeline::memory::Cause;
@@ -88,7 +87,7 @@
         Err(refusal) => Err(refusal),
     };
     if read.is_err() {
-        tokio::task::spawn_local(discard(body));
+        drop_rest(body);
     }
     read
 }
@@ -102,8 +101,7 @@
     B: Body<Data = Bytes> + Unpin,
 {
     let began = clock::now();
-    let reservation = Memory::open(memory);
-    let mut received = Received::default();
+    let mut received = Received::new(Memory::open(memory), limits.size);
     loop {
         let now = clock::now();
         let due = due(began, now, received.size(), limits.deadline);
@@ -116,18 +114,9 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let size = Size(data.len() as u64);
-        if received.size().0 + size.0 > limits.size.0 {
-            return Err(Refusal::TooLarge);
-        }
-        let reserved = reservation.reserve(Cause::RequestBody, size);
-        reserved.map_err(|_| Refusal::OutOfMemory)?;
-        received.push(data);
+        received.push(data)?;
     }
-    Ok(Upload {
-        bytes: received.into_bytes(),
-        reservation,
-    })
+    Ok(received.finish())
 }
 
 fn check_announced(announced: Size, max: Size, capacity: Size) -> Result<(), Refusal> {
@@ -148,37 +137,93 @@
     now.plus(MAX_PAUSE).min(of_rate).min(of_whole)
 }
 
+/// Has the rest of a body that nobody needs read for a short time and dropped.
+pub fn drop_rest<B: Body + Unpin + 'static>(body: B) {
+    tokio::task::spawn_local(discard(body));
+}
+
 async fn discard<B: Body + Unpin>(mut body: B) {
     let rest = async { while let Some(Ok(_)) = body.frame().await {} };
     let _is_whole = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
 }
 
 /// The part of a body that has arrived.
-#[derive(Default)]
 struct Received {
     /// The only frame so far. Most bodies arrive in one and need no copy.
     first: Option<Bytes>,
-    buffer: BytesMut,
+    buffer: Vec<u8>,
+    /// The most that the body may have.
+    limit: Size,
+    /// What is reserved: as much as the buffer has room for.
+    reservation: Reservation,
 }
 
 impl Received {
+    fn new(reservation: Reservation, limit: Size) -> Self {
+        Self {
+            first: None,
+            buffer: Vec::new(),
+            limit,
+            reservation,
+        }
+    }
+
     fn size(&self) -> Size {
         let first = self.first.as_ref().map_or(0, Bytes::len);
         Size((first + self.buffer.len()) as u64)
     }
 
-    fn push(&mut self, data: Bytes) {
-        if self.first.is_none() && self.buffer.is_empty() {
+    fn push(&mut self, data: Bytes) -> Result<(), Refusal> {
+        let size = Size(self.size().0 + data.len() as u64);
+        if size > self.limit {
+            return Err(Refusal::TooLarge);
+        }
+        if self.size() == Size(0) {
+            self.reserve(size)?;
             self.first = Some(data);
-            return;
+            return Ok(());
         }
+        self.grow(size)?;
         if let Some(first) = self.first.take() {
             self.buffer.extend_from_slice(&first);
         }
         self.buffer.extend_from_slice(&data);
+        Ok(())
+    }
+
+    /// Makes room for so many bytes: for twice as many as there were, if there is memory for that.
+    fn grow(&mut self, size: Size) -> Result<(), Refusal> {
+        let room = self.buffer.capacity() as u64;
+        if size.0 <= room {
+            return Ok(());
+        }
+        let doubled = Size((2 * room).max(size.0).min(self.limit.0));
+        let room = match self.reserve(doubled) {
+            Ok(()) => doubled,
+            Err(_) => self.reserve(size).map(|()| size)?,
+        };
+        let more = room.0 as usize - self.buffer.len();
+        self.buffer.reserve_exact(more);
+        Ok(())
+    }
+
+    /// Reserves so much in all.
+    fn reserve(&self, size: Size) -> Result<(), Refusal> {
+        let held = self.reservation.held();
+        let missing = Size(size.0.saturating_sub(held.0));
+        let reserved = self.reservation.reserve(Cause::RequestBody, missing);
+        reserved.map_err(|_| Refusal::OutOfMemory)
     }
 
-    fn into_bytes(self) -> Bytes {
-        self.first.unwrap_or_else(|| self.buffer.freeze())
+    fn finish(mut self) -> Upload {
+        self.buffer.shrink_to_fit();
+        let surplus = self.reservation.held().0 - self.size().0;
+        let released = Size(surplus);
+        self.reservation.release(Cause::RequestBody, released);
+        let bytes = self.first.unwrap_or_else(|| self.buffer.into());
+        Upload {
+            bytes,
+            reservation: self.reservation,
+        }
     }
 }
--- a/crates/front/src/vitals.rs
+++ b/crates/front/src/vitals.rs
@@ -41,9 +41,14 @@
             .map(|cause| state.memory.held_for(cause).0)
             .iter()
             .sum();
+        let crowd = state.crowd.view();
         log::info!(
-            "event=vitals resident={resident} held={held} capacity={} in_flight={} streams={}",
+            "event=vitals resident={resident} held={held} capacity={} connections={} crowd={} \
+             crowd_capacity={} in_flight={} streams={}",
             state.memory.capacity().0,
+            crowd.connections(),
+            crowd.held(),
+            crowd.capacity(),
             state.in_flight.get(),
             state.streams.len()
         );
--- a/crates/front/tests/memory.rs
+++ b/crates/front/tests/memory.rs
@@ -60,7 +60,10 @@
 
     drop(owner);
 
-    assert_eq!(Cause::ALL.map(|cause| memory.held_for(cause)), [Size(0); 3]);
+    assert_eq!(
+        Cause::ALL.map(|cause| memory.held_for(cause)),
+        [Size(0); Cause::ALL.len()]
+    );
     assert_eq!(memory.capacity(), Size(100));
 }
 
