Outlive signals that ask nothing of an entry, and a log that may not grow

What callers saw: the process ended with all their connections. SIGUSR1, SIGUSR2 (log rotation), SIGALRM, SIGVTALRM, SIGPROF (timers outlast exec) and SIGIO ended it too.

Cause: of all signals whose default ends a process only SIGHUP, SIGTERM and SIGINT had a handler.

Why it works: a handler that does nothing is installed for each of them where that of SIGHUP is, before the settings are read. A write to a file that is full then fails, and the log's thread ignores failed writes already.

Left as they are: SIGQUIT (asks for an end), SIGXCPU (the limit's next step kills), SIGPWR, SIGSTKFLT, real-time signals.

--- a/crates/program/src/arguments.rs
+++ b/crates/program/src/arguments.rs
@@ -112,7 +112,7 @@
         };
         let settings = match command {
             Command::Run(_) => {
-                shutdown::outlive_hangups();
+                shutdown::outlive_signals();
                 self.read_settled(path)
             }
             _ => (self.read)(path),
--- a/crates/program/src/shutdown.rs
+++ b/crates/program/src/shutdown.rs
@@ -73,17 +73,35 @@
     }
 }
 
-/// Installs a handler for SIGHUP, which ends a process without one.
+/// Sent when a file reaches the size that the system allows; the write fails then.
+const FILE_SIZE: SignalKind = SignalKind::from_raw(25);
+/// Timers, which a process may inherit.
+const TIMERS: [SignalKind; 3] = [
+    SignalKind::alarm(),
+    SignalKind::from_raw(26),
+    SignalKind::from_raw(27),
+];
+/// What tools send to have logs reopened or figures told.
+const TOOLS: [SignalKind; 3] = [
+    SignalKind::user_defined1(),
+    SignalKind::user_defined2(),
+    SignalKind::io(),
+];
+
+/// Installs handlers for signals that do not ask a process to stop, and end one without a handler.
 ///
-/// It stays for as long as the process lives. Settings may change before the process listens to the
-/// signal, and it reads them later anyway. Without a handler the process may end, and is started again.
-pub fn outlive_hangups() {
+/// They stay for as long as the process lives. One of them is SIGHUP: settings may change before the
+/// process listens to it, and it reads them later anyway.
+pub fn outlive_signals() {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_io()
         .build();
     if let Ok(runtime) = runtime {
         let _runtime = runtime.enter();
-        let _handler_stays = unix::signal(SignalKind::hangup());
+        let always = [SignalKind::hangup(), FILE_SIZE];
+        for kind in always.into_iter().chain(TIMERS).chain(TOOLS) {
+            let _handler_stays = unix::signal(kind);
+        }
     }
 }
 
