Start with names that begin with a quote, bounds that are true or false, and no address for what only helps

What callers saw: no entry of a deployment ever served; each start ended with exit code 2.

Cause: the platform fills in its settings as they are. (1) A name or zone that begins with " or ' was read as a quoted text, which took in the following lines ("not valid INI ... found EOF"). (3) A platform that names no Ip or no InternalPortRange leaves ":9464" or "IP:" where the metrics and the gossip are, and both were needed.

Why it works: settings files are read without quoting (bundles, which people write, still with it); true and false count as missing where a figure with a default is expected; without an address the metrics are at the readiness address alone, and without a port for other entries the entry serves as it does while all internal ports are taken.

--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 
 use ini::Ini;
+use ini::ParseError;
+use ini::ParseOption;
 use ini::Properties;
 
 use crate::time::Span;
@@ -43,8 +45,37 @@
 ///
 /// Returns a fault when the text is not valid INI.
 pub fn load(text: &str) -> Result<Ini, Fault> {
-    Ini::load_from_str_noescape(text)
-        .map_err(|error| Fault::new("-", "-", format!("not valid INI: {error}")))
+    Ini::load_from_str_noescape(text).map_err(|error| not_valid(&error))
+}
+
+/// Parses INI text in which a quote is a part of its value.
+///
+/// The platform fills in names as they are, and one that begins with a quote would take in the lines after
+/// it.
+///
+/// # Errors
+///
+/// Returns a fault when the text is not valid INI.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::section::load_plain;
+/// let ini = load_plain("[entry]\nname = \"front\nzone = 'a\n").unwrap();
+/// assert_eq!(ini.get_from(Some("entry"), "name"), Some("\"front"));
+/// assert_eq!(ini.get_from(Some("entry"), "zone"), Some("'a"));
+/// ```
+pub fn load_plain(text: &str) -> Result<Ini, Fault> {
+    let options = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        ..ParseOption::default()
+    };
+    Ini::load_from_str_opt(text, options).map_err(|error| not_valid(&error))
+}
+
+fn not_valid(error: &ParseError) -> Fault {
+    Fault::new("-", "-", format!("not valid INI: {error}"))
 }
 
 /// The longest time that can be set: a year.
@@ -140,11 +171,24 @@
         self.value(key, "a whole number", default)
     }
 
-    /// Reads a number that may be a fraction; it is finite and not negative.
+    /// Reads a number that may be a fraction; it is finite and not negative. True or false count as
+    /// missing: a platform fills them in where it has no figure.
     pub fn amount(&mut self, key: &'static str, expected: &str, default: f64) -> f64 {
+        if self.is_truth(key) {
+            self.known.insert(key);
+            return default;
+        }
         self.value(key, expected, Some(Amount(default))).0
     }
 
+    fn is_truth(&self, key: &str) -> bool {
+        let mut texts = self.properties.get_all(key).map(str::trim);
+        let is_truth = texts
+            .next()
+            .is_some_and(|text| text.parse::<bool>().is_ok());
+        is_truth && texts.next().is_none()
+    }
+
     /// Reads a time in milliseconds; a part of a millisecond is dropped.
     pub fn millis(&mut self, key: &'static str, default: Span) -> Span {
         let millis = self.amount(key, "a time in milliseconds", default.0 as f64);
@@ -184,6 +228,26 @@
         })
     }
 
+    /// Reads an IP address and port that the program works without; `None` if either is missing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::section::Reader;
+    /// let ini = jujube_core::section::load_plain("metrics = :9464\n").unwrap();
+    /// let mut reader = Reader::new("entry", ini.general_section());
+    /// assert_eq!(reader.optional_address("metrics"), None);
+    /// ```
+    pub fn optional_address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        let text = self.properties.get(key).unwrap_or_default().trim();
+        let is_part = text.is_empty() || text.starts_with(':') || text.ends_with(':');
+        if is_part {
+            self.known.insert(key);
+            return None;
+        }
+        Some(self.address(key))
+    }
+
     /// Reads a comma-separated list of names.
     pub fn list(&mut self, key: &'static str) -> BTreeSet<Arc<str>> {
         let text = self.text(key, "names, separated by commas", Some(""));
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -18,6 +18,9 @@
 /// The smaller of the two meanings of a megabyte, so that no entry counts on more than it has.
 const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
 
+/// The port of an address that there is none for.
+const NO_PORT: u16 = 0;
+
 /// Settings of an entry.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -29,9 +32,10 @@
     pub listen: SocketAddr,
     /// The address for the platform's readiness checks.
     pub ready: SocketAddr,
-    /// The address that serves metrics.
+    /// The address that serves metrics; that of the readiness checks if none is named.
     pub metrics: SocketAddr,
-    /// The first address for gossip with other entries.
+    /// The first address for gossip with other entries; its port is 0 if none is named, and there is no
+    /// gossip then.
     pub gossip: SocketAddr,
     /// The last port that may be used in its place if it is taken; a lower one allows none.
     pub gossip_last_port: u16,
@@ -110,22 +114,26 @@
             slack: section.amount("slack", "retries beyond the ratio", 100.0),
             window: section.seconds("window_seconds", Span(10_000)),
         });
-        let settings = file.section("entry", |section| Self {
-            name: section.text("name", "a name", None).into(),
-            zone: section.text("zone", "an availability zone", None).into(),
-            listen: section.address("listen"),
-            ready: section.address("ready"),
-            metrics: section.address("metrics"),
-            gossip: section.address("gossip"),
-            gossip_last_port: section.amount("gossip_last_port", "a port", 0.0) as u16,
-            stop: Duration::from_millis(section.seconds("stop_seconds", Span(8_000)).0),
-            memory: memory(section.amount("memory_mb", "a number of megabytes", 0.0)),
-            store,
-            limits,
-            retry,
-            telemetry,
-            file: path.into(),
-            text: "".into(),
+        let settings = file.section("entry", |section| {
+            let (listen, ready) = (section.address("listen"), section.address("ready"));
+            let gossip = section.optional_address("gossip");
+            Self {
+                name: section.text("name", "a name", None).into(),
+                zone: section.text("zone", "an availability zone", None).into(),
+                listen,
+                ready,
+                metrics: section.optional_address("metrics").unwrap_or(ready),
+                gossip: gossip.unwrap_or(SocketAddr::new(listen.ip(), NO_PORT)),
+                gossip_last_port: section.amount("gossip_last_port", "a port", 0.0) as u16,
+                stop: Duration::from_millis(section.seconds("stop_seconds", Span(8_000)).0),
+                memory: memory(section.amount("memory_mb", "a number of megabytes", 0.0)),
+                store,
+                limits,
+                retry,
+                telemetry,
+                file: path.into(),
+                text: "".into(),
+            }
         });
         file.finish()?;
         Ok(settings)
--- a/crates/front/src/sockets.rs
+++ b/crates/front/src/sockets.rs
@@ -81,6 +81,10 @@
 /// an internal port can be had, until the process ends.
 pub async fn serve_others<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F) {
     tokio::task::spawn_local(serve_metrics(state.clone()));
+    if state.settings.gossip.port() == 0 {
+        log::warn!("event=listen what=internal outcome=left-out");
+        return;
+    }
     let ports = internal_ports(&state.settings);
     let wanted = state.settings.gossip;
     let bound = listen::until_bound("internal", wanted, || first_free(&ports)).await;
--- a/crates/program/src/settings.rs
+++ b/crates/program/src/settings.rs
@@ -51,7 +51,7 @@
     ///
     /// It is no INI, or was cut off before the section that its `[file] last_section` names.
     pub fn parse(name: &str, text: &str) -> Result<Self> {
-        let ini = section::load(text).with_context(|| name.to_string())?;
+        let ini = section::load_plain(text).with_context(|| name.to_string())?;
         let mut file = Self {
             name: name.to_string(),
             ini,
