Resume a cut stream at another engine than the one that cut it

Cause: the engine of a run that was lost after its head was not avoided by the next run, unless it had sent bytes that are no events (`faulty`). It was chosen again, cut again, and both runs that the route allows were used. The entry's log shows it: `event=path-chosen run=2 earlier=cutting:alive` with the same path, a retry taken, then `event=cut earlier=cutting:alive,cutting:alive`.

Ruled out: cuts by two engines (all 16 broken streams logged have one name twice), and the retry budget (some right after the entry's start were denied a retry, waited, and had it; each broken stream had its second run).

Fix: the next run prefers a path without the servers of earlier runs, which `attempts` knows already; they are used if there is no other path, as plain services do. `faulty` is gone. It could also blame the server of the run that was being opened instead of the one that sent nonsense.

--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -154,12 +154,7 @@
             Ok(()) => None,
             // Another run would give the same, so no server is to blame.
             Err(Fault::TooLarge) => Some(self.abort("event-too-large")),
-            Err(fault) => {
-                if let Some(first) = stream.first_part() {
-                    stream.faulty.borrow_mut().push(first.server);
-                }
-                self.resume(&fault.to_string(), Loss::Broken)
-            }
+            Err(fault) => self.resume(&fault.to_string(), Loss::Broken),
         }
     }
 
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -115,7 +115,6 @@
         previous_path: RefCell::default(),
         planned_path: RefCell::default(),
         excluded: RefCell::default(),
-        faulty: RefCell::default(),
         last_activity: Cell::new(now),
         run_sent: Cell::new(now),
         run_began: Cell::default(),
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -118,7 +118,7 @@
         if has_gone_on(stream, progress, started) {
             return Err(run_goes_on());
         }
-        let path = match next_sound_path(state, stream, &avoid) {
+        let path = match next_fresh_path(state, stream, &avoid) {
             Some(path) => path,
             None if wait_briefly(stream).await => continue,
             None => {
@@ -276,14 +276,14 @@
     }
 }
 
-/// Returns the next path to try: one without servers that sent the stream bytes that are no events, if
-/// there is one.
-fn next_sound_path<D>(state: &State<D>, stream: &Stream, avoid: &[Incarnation]) -> Option<Path> {
-    let faulty = stream.faulty.borrow();
-    if !faulty.is_empty() {
-        let sound = next_path(state, stream, &[avoid, &faulty].concat());
-        if sound.is_some() {
-            return sound;
+/// Returns the next path to try: one without the servers of earlier runs, if there is one. What ended
+/// such a run may last, and another run on its server counts as much as one elsewhere.
+fn next_fresh_path<D>(state: &State<D>, stream: &Stream, avoid: &[Incarnation]) -> Option<Path> {
+    let earlier: Vec<Incarnation> = stream.attempts.borrow().servers().cloned().collect();
+    if !earlier.is_empty() {
+        let fresh = next_path(state, stream, &[avoid, &earlier].concat());
+        if fresh.is_some() {
+            return fresh;
         }
     }
     next_path(state, stream, avoid)
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -160,8 +160,6 @@
     pub planned_path: RefCell<Option<Path>>,
     /// Servers on which it stalled for no reported reason.
     pub excluded: RefCell<Vec<Incarnation>>,
-    /// Servers that sent it bytes that are no events; used only if no others can run it.
-    pub(super) faulty: RefCell<Vec<Incarnation>>,
     pub(super) demand: Demand,
     pub(super) outgoing: Outgoing,
     pub(super) arrived: Instant,
