Give up an answer of the store that drips

What callers saw: a configuration, a drain or a key that was taken away never came into force at an entry, without a line in its log: it waited for the answer to one watch, which came byte by byte, for as long as it came.

Cause: an answer was given up after a pause of 0.7 s, or at 4 MB. One time for the whole answer is no way out: a slow link would cut each attempt (the comment on `Pace::pause`).

Why it works: from its head on an answer may fall behind 16 kB a second by the contact time at most, so that 4 MB take under five minutes whatever the store does, and a drip ends after 3 s; links of entries carry a hundred times that. The entry then takes the store for silent and asks again.

--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::io;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -174,6 +175,22 @@
     /// How long each pause may last from then on. With one time for all of it, an answer that the
     /// link carries more slowly than that is never read: each attempt is cut off and repeated.
     pub pause: Duration,
+    /// How long an answer at less than [`MIN_RATE`] may take. One that drips shows no pause, and would be
+    /// waited for as if for good.
+    pub drip: Duration,
+}
+
+/// The least bytes of an answer in a second, from its head on; far less than any link of a machine carries.
+const MIN_RATE: f64 = 16_384.0;
+
+impl Pace {
+    /// Returns how long the next part of an answer may take that has had some time and brought some
+    /// bytes.
+    fn next_part(&self, elapsed: Duration, received: usize) -> Duration {
+        let paid = Duration::from_secs_f64(received as f64 / MIN_RATE);
+        let left = (self.drip + paid).saturating_sub(elapsed);
+        left.min(self.pause)
+    }
 }
 
 /// An HTTP client with a pool of connections.
@@ -321,8 +338,10 @@
         let response = tokio::time::timeout(pace.head, self.send(request)).await;
         let (parts, mut body) = response.map_err(timeout)??.into_parts();
         let mut bytes = BytesMut::new();
+        let began = Instant::now();
         loop {
-            let frame = tokio::time::timeout(pace.pause, body.frame()).await;
+            let left = pace.next_part(began.elapsed(), bytes.len());
+            let frame = tokio::time::timeout(left, body.frame()).await;
             let Some(frame) = frame.map_err(timeout)? else {
                 return Ok((parts, bytes.freeze()));
             };
