Keep no reports of servers that nobody registered

What callers saw: in time, an entry over its memory limit, which the platform ends. Limits that others report were kept for each server that they name, until a registration changes; refusals and slowness for 2.5 to 3.2 s. Reports have a bound (a tenth of the memory), what was made of them had none.

Why it works: what a report says of a server is applied only if that server is registered, and registrations come from the store. A server that registers later is reported again, every 0.15 s.

--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -234,14 +234,7 @@
     if received.portion.number == 0 {
         record_planner(state, address, &received.scope, &summary);
     }
-    let mut load = state.load.borrow_mut();
-    for (server, duration) in &summary.refusing {
-        load.refusals.receive(now, server.clone(), *duration);
-    }
-    for (server, slowness) in &summary.slowness {
-        load.record_slowness(now, server, *slowness);
-    }
-    drop(load);
+    record_states(state, &summary);
     let mut reports = state.peers.reports.borrow_mut();
     let has_room = reports.receive(now, entry, received.scope, received.portion, summary);
     drop(reports);
@@ -253,6 +246,23 @@
     }
 }
 
+/// Records which servers refuse requests or are slow, of those that are registered: others have no bound.
+fn record_states<D>(state: &State<D>, summary: &Summary) {
+    let now = clock::now();
+    let (roster, mut load) = (state.roster.borrow(), state.load.borrow_mut());
+    let is_registered = |server: &Incarnation| roster.get(server).is_some();
+    for (server, duration) in &summary.refusing {
+        if is_registered(server) {
+            load.refusals.receive(now, server.clone(), *duration);
+        }
+    }
+    for (server, slowness) in &summary.slowness {
+        if is_registered(server) {
+            load.record_slowness(now, server, *slowness);
+        }
+    }
+}
+
 /// Records which entry is the planner. Only an entry itself can say that it is not the planner.
 fn record_planner<D>(state: &State<D>, sender: SocketAddr, scope: &Scope, summary: &Summary) {
     let now = clock::now();
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -64,6 +64,10 @@
 pub fn apply_reports<D: Dialect>(state: &State<D>, others: &Summary) {
     let now = clock::now();
     for (server, report) in &others.limits {
+        // What is known of others goes only when a registration changes.
+        if state.roster.borrow().get(server).is_none() {
+            continue;
+        }
         let mut load = state.load.borrow_mut();
         let is_changed = load.limits.receive(now, server, *report);
         drop(load);
