Pass responses on in the entry's version of HTTP, not in the server's

What callers saw: a server that speaks HTTP/1.0 was reset within a stream; the caller got a 200 that ended as a whole stream.

Cause: the head of the server's response was passed on with its version. In HTTP/1.0 there are no chunks, so the library ended the stream, and also one that it had to break off, with the end of the caller's connection. The caller's connection could not be used again either.

Evidence: reset_response_of_an_old_server_never_looks_whole failed before (the stream: 1 of 7 cuts, the HTTP/1.0 one; the 7 plain ones of each kind were right). Passes after.

The version belongs to one connection, as hop-by-hop headers do: it is now set where these are removed. Callers that speak HTTP/1.0 themselves cannot tell still.

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -1,6 +1,7 @@
 //! Header handling for forwarded requests and responses.
 
 use hyper::HeaderMap;
+use hyper::Version;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderName;
@@ -9,6 +10,7 @@
 use hyper::header::TRAILER;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
+use hyper::http::response::Parts;
 use jujube_program::http::named_by_connection;
 
 use crate::dialect::Dialect;
@@ -36,6 +38,15 @@
     }
 }
 
+/// Turns the head of a backend server's response into that for the caller.
+///
+/// The version is that of the connection to the server: in HTTP/1.0 nothing but the end of the
+/// connection would end a stream, and one that broke off would look whole.
+pub fn forward(parts: &mut Parts) {
+    parts.version = Version::HTTP_11;
+    strip(&mut parts.headers);
+}
+
 /// Returns whether a response tells where its body ends: it has a length, or chunks.
 ///
 /// Otherwise the body ends with its connection, and so does one whose server has crashed.
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -184,7 +184,7 @@
                 lease: Some(incomplete.lease),
                 headers: parts.headers.clone(),
             };
-            head::strip(&mut parts.headers);
+            head::forward(&mut parts);
             outbound.begin();
             let event_body = EventBody {
                 is_events: is_events(parts.status, &parts.headers),
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -128,7 +128,7 @@
     outbound.complete(Completion::Answered {
         status: parts.status.as_u16(),
     });
-    head::strip(&mut parts.headers);
+    head::forward(&mut parts);
     Response::from_parts(parts, Body::Answer(Answer::new(reply.body, outbound)))
 }
 
