Take a response for whole only if something proves it

Cause: whatever ended by the close of its connection counted as whole, and was framed anew. A close proves nothing: a server that breaks off, or that lost the lines that frame its body, closes as well.

Fix: core::pipeline::framing decides, for plain responses and streams. A length, the last chunk, or a kind of response without a body (HEAD, 204, 304) is proof. Otherwise a success counts as whole only if it has a body and no server of its service has stated a length since it is configured; never with codings other than chunks alone ('gzip, chunked' included: the entry took the line off and passed the coded bytes on). An unproven one is one that broke off: another server, resumed, or 502; it may have run. What is known is a set of services, cut to those that are configured. A line event=unproven and a counter responses_unproven tell operators why. Health checks, reports and orders with such codings fail.

--- /dev/null
+++ b/crates/core/src/pipeline/framing.rs
@@ -0,0 +1,168 @@
+//! What proves that a response is whole.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::ops::RangeInclusive;
+
+use crate::name::Service;
+
+/// The only transfer coding that is decoded.
+const CHUNKED: &str = "chunked";
+/// The statuses of responses without a body, besides those to `HEAD`.
+const BODILESS: [u16; 2] = [204, 304];
+/// The statuses of successful responses.
+const SUCCESS: RangeInclusive<u16> = 200..=299;
+
+/// The parts of a response's head that tell where its body ends.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Head<'a> {
+    /// Whether the request had the method `HEAD`.
+    pub is_to_head: bool,
+    /// The status.
+    pub status: u16,
+    /// Whether a length is stated.
+    pub has_length: bool,
+    /// The transfer codings, separated by commas, if any are stated.
+    pub codings: Option<&'a str>,
+}
+
+/// How a response tells where its body ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// It has no body.
+    Bodiless,
+    /// A length or a last chunk tells, which the HTTP library checks.
+    Stated,
+    /// Nothing tells but the end of the connection, which also comes when a server breaks off.
+    Unstated,
+    /// The body has codings that are not decoded: what is received is not the body.
+    Coded,
+}
+
+impl Framing {
+    /// Returns the framing of a response with this head.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::framing::Framing;
+    /// # use jujube_core::pipeline::framing::Head;
+    /// let head = Head { status: 200, ..Head::default() };
+    /// assert_eq!(Framing::of(head), Framing::Unstated);
+    /// assert_eq!(Framing::of(Head { has_length: true, ..head }), Framing::Stated);
+    /// assert_eq!(Framing::of(Head { codings: Some("gzip"), ..head }), Framing::Coded);
+    /// assert_eq!(Framing::of(Head { status: 204, ..head }), Framing::Bodiless);
+    /// ```
+    #[must_use]
+    pub fn of(head: Head<'_>) -> Self {
+        if head.is_to_head || BODILESS.contains(&head.status) {
+            return Self::Bodiless;
+        }
+        match head.codings {
+            Some(codings) if codings.trim().eq_ignore_ascii_case(CHUNKED) => Self::Stated,
+            // A length beside transfer codings is not valid and says nothing.
+            Some(_) => Self::Coded,
+            None if head.has_length => Self::Stated,
+            None => Self::Unstated,
+        }
+    }
+
+    /// Returns whether the response tells itself where its body ends.
+    #[must_use]
+    pub fn is_stated(self) -> bool {
+        matches!(self, Self::Bodiless | Self::Stated)
+    }
+}
+
+/// A response whose body ended without an error of its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Ended {
+    /// The status.
+    pub status: u16,
+    /// How it tells where its body ends.
+    pub framing: Framing,
+    /// Whether a part of the body arrived.
+    pub has_body: bool,
+}
+
+/// Why nothing proves that a successful response is whole that ended with its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unproven {
+    /// Its body has codings that are not decoded.
+    Coded,
+    /// Nothing but its head arrived.
+    Empty,
+    /// Servers of its service state where bodies end, and this one did not.
+    Unusual,
+}
+
+/// The value of `cause=` in logs.
+impl fmt::Display for Unproven {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Coded => "body-coded",
+            Self::Empty => "body-empty-without-length",
+            Self::Unusual => "no-length-unlike-others-of-the-service",
+        })
+    }
+}
+
+/// The services whose servers state where the bodies of their responses end.
+///
+/// A server that breaks off after its head, or loses the lines that frame its body, looks like one
+/// that never states a length, and a caller would take what arrived for the whole. Servers of one
+/// service run the same program: if one of them states lengths, a response without is not what that
+/// program sends.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::framing::Ended;
+/// # use jujube_core::pipeline::framing::Framing;
+/// # use jujube_core::pipeline::framing::Framings;
+/// # use jujube_core::pipeline::framing::Unproven;
+/// let mut framings = Framings::default();
+/// let desk = "desk".into();
+/// let ended = Ended { status: 200, framing: Framing::Unstated, has_body: true };
+/// assert_eq!(framings.check(&desk, ended), Ok(()));
+/// assert_eq!(framings.check(&desk, Ended { has_body: false, ..ended }), Err(Unproven::Empty));
+/// framings.received(&desk, 200, Framing::Stated);
+/// assert_eq!(framings.check(&desk, ended), Err(Unproven::Unusual));
+/// assert_eq!(framings.check(&desk, Ended { framing: Framing::Stated, ..ended }), Ok(()));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Framings {
+    stating: BTreeSet<Service>,
+}
+
+impl Framings {
+    /// Records that a server of a service sent a part of the body of a response.
+    pub fn received(&mut self, service: &Service, status: u16, framing: Framing) {
+        let is_stating = SUCCESS.contains(&status) && framing == Framing::Stated;
+        if is_stating && !self.stating.contains(service) {
+            self.stating.insert(service.clone());
+        }
+    }
+
+    /// Checks whether a response is whole whose body ended without an error. Only a success has to be:
+    /// callers take nothing from the body of another response.
+    ///
+    /// # Errors
+    ///
+    /// Nothing proves it: the server may have broken off.
+    pub fn check(&self, service: &Service, ended: Ended) -> Result<(), Unproven> {
+        match ended.framing {
+            _ if !SUCCESS.contains(&ended.status) => Ok(()),
+            Framing::Bodiless | Framing::Stated => Ok(()),
+            Framing::Coded => Err(Unproven::Coded),
+            Framing::Unstated if !ended.has_body => Err(Unproven::Empty),
+            Framing::Unstated if self.stating.contains(service) => Err(Unproven::Unusual),
+            Framing::Unstated => Ok(()),
+        }
+    }
+
+    /// Forgets the services that are not configured.
+    pub fn retain(&mut self, is_configured: impl Fn(&Service) -> bool) {
+        self.stating.retain(is_configured);
+    }
+}
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -19,6 +19,7 @@
 pub mod document;
 pub mod era;
 pub mod feed;
+pub mod framing;
 pub mod hold;
 pub mod leavers;
 pub mod limits;
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -47,13 +47,6 @@
     strip(&mut parts.headers);
 }
 
-/// Returns whether a response tells where its body ends: it has a length, or chunks.
-///
-/// Otherwise the body ends with its connection, and so does one whose server has crashed.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Removes headers that only the entry may send to a backend server, so that callers cannot forge
 /// them.
 pub fn remove_reserved<D: Dialect>(headers: &mut HeaderMap) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dialect;
 mod feed;
 mod fleet;
+mod framing;
 mod gate;
 mod gossip;
 mod head;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -23,6 +23,7 @@
 use hyper_util::rt::TokioIo;
 use jujube_core::pipeline::carried::Carried;
 use jujube_core::pipeline::carried::Exchange;
+use jujube_core::pipeline::framing::Framing;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::status;
 use jujube_core::time::Instant;
@@ -34,6 +35,7 @@
 
 use crate::delivery;
 use crate::dialect::Dialect;
+use crate::framing;
 
 /// The sending half of a connection.
 pub type Sender = SendRequest<Full<Bytes>>;
@@ -308,6 +310,7 @@
     request: Request<Full<Bytes>>,
     is_own: impl Fn(&HeaderMap) -> bool,
 ) -> anyhow::Result<Response<Bytes>> {
+    let method = request.method().clone();
     let response = lease.sender().send_request(request).await?;
     let (parts, body) = response.into_parts();
     let status = parts.status.as_u16();
@@ -317,6 +320,9 @@
     if !is_own(&parts.headers) {
         anyhow::bail!("response belongs to a request");
     }
+    if framing::of(&method, parts.status, &parts.headers) == Framing::Coded {
+        anyhow::bail!("body has codings that are not decoded");
+    }
     let body = Limited::new(body, MAX_CALL_BYTES).collect().await;
     let body = body.map_err(|error| anyhow::anyhow!(error))?.to_bytes();
     lease.release(&parts.headers);
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -15,6 +15,7 @@
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::era::Settling;
 use jujube_core::pipeline::feed::bounds::Bounds;
+use jujube_core::pipeline::framing::Framings;
 use jujube_core::pipeline::limits::Limits;
 use jujube_core::pipeline::liveness::Liveness;
 use jujube_core::pipeline::load::Load;
@@ -94,6 +95,8 @@
     pub local_health: RefCell<LocalHealth>,
     /// The failure rates of backend servers.
     pub outliers: RefCell<Outliers>,
+    /// The services whose servers state where the bodies of their responses end.
+    pub framings: RefCell<Framings>,
     /// The requests that crash backend servers.
     pub quarantine: RefCell<Quarantine>,
     /// Notified when a request was quarantined and is to be written to the store.
@@ -170,6 +173,7 @@
             suspicion: RefCell::default(),
             local_health: RefCell::new(LocalHealth::new(watchdog::TICK)),
             outliers: RefCell::default(),
+            framings: RefCell::default(),
             quarantine: RefCell::default(),
             quarantine_added: tokio::sync::Notify::new(),
             loan_wanted: tokio::sync::Notify::new(),
--- a/crates/front/src/store_watch/apply.rs
+++ b/crates/front/src/store_watch/apply.rs
@@ -155,6 +155,10 @@
         document.accounts.len()
     );
     state.metrics.count("configurations");
+    let services = &document.services;
+    let mut framings = state.framings.borrow_mut();
+    framings.retain(|service| services.contains_key(service));
+    drop(framings);
     *state.table.borrow_mut() = Some(Rc::new(Table::new(document)));
     rebuild(state);
 }
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -8,9 +8,15 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 use jujube_core::pipeline::attempts::Permission;
+use jujube_core::pipeline::framing::Ended;
+use jujube_core::pipeline::framing::Framing;
+use jujube_core::pipeline::framing::Unproven;
+use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::quarantine::BEGINNING;
 use jujube_core::pipeline::quarantine::SURVIVAL;
 use jujube_core::pipeline::relay::Fault;
@@ -21,7 +27,7 @@
 
 use crate::delivery::Completion;
 use crate::dialect::Dialect;
-use crate::head;
+use crate::framing;
 use crate::quarantine;
 use crate::response::Reason;
 use crate::upstream::Incomplete;
@@ -46,12 +52,32 @@
         body: Incoming,
         lease: Option<crate::pool::Lease>,
         headers: HeaderMap,
+        status: StatusCode,
+        framing: Framing,
+        /// Whether a part of the body arrived.
+        has_data: bool,
     },
     /// The last run was lost; the next one is being opened.
     Lost,
     Done,
 }
 
+impl Upstream {
+    /// Returns the response whose head has arrived, and its head.
+    pub(super) fn reading(incomplete: Incomplete) -> (Self, Parts) {
+        let (parts, body) = incomplete.response.into_parts();
+        let upstream = Self::Reading {
+            body,
+            lease: Some(incomplete.lease),
+            headers: parts.headers.clone(),
+            status: parts.status,
+            framing: incomplete.framing,
+            has_data: false,
+        };
+        (upstream, parts)
+    }
+}
+
 /// A run that is being opened to replace the current or lost one.
 pub(super) struct Opening<D> {
     result: oneshot::Receiver<Result<Incomplete, Refusal>>,
@@ -125,6 +151,7 @@
     }
 
     fn handle_data(&mut self, data: Bytes) -> Option<Next> {
+        self.record_data(&data);
         if !self.is_events {
             self.out.push_back(data);
             return None;
@@ -163,6 +190,24 @@
         }
     }
 
+    /// Records for each run that a part of its response's body arrived.
+    fn record_data(&mut self, data: &Bytes) {
+        let Upstream::Reading {
+            status,
+            framing,
+            has_data,
+            ..
+        } = &mut self.upstream
+        else {
+            return;
+        };
+        if !*has_data && !data.is_empty() {
+            *has_data = true;
+            let Registration { state, stream, .. } = &self.registration;
+            framing::received(state, &stream.service, *status, *framing);
+        }
+    }
+
     /// Records once for each run that its server lived on, and that the request survived its beginning.
     fn record_survival(&self, now: Instant) {
         let stream = &self.registration.stream;
@@ -190,6 +235,9 @@
         if let Err(fault) = self.relay.end() {
             return self.resume(&fault.to_string(), self.broken());
         }
+        if let Err(unproven) = self.check_end() {
+            return self.resume(&unproven.to_string(), self.broken());
+        }
         let stream = &self.registration.stream;
         let state = &self.registration.state;
         if self.is_end_known() {
@@ -210,11 +258,33 @@
         Some(None)
     }
 
+    /// Checks whether the response of the current run is whole.
+    fn check_end(&self) -> Result<(), Unproven> {
+        let Upstream::Reading {
+            status,
+            framing,
+            has_data,
+            ..
+        } = self.upstream
+        else {
+            return Ok(());
+        };
+        let Registration { state, stream, .. } = &self.registration;
+        let ended = Ended {
+            status: status.as_u16(),
+            framing,
+            has_body: has_data,
+        };
+        let first = self.current_first();
+        let server = first.map_or("-".into(), |first| first.server.to_string());
+        framing::check(state, &stream.id, &server, &stream.service, ended)
+    }
+
     /// Returns whether the server must have completed the response, and not crashed at the beginning of
     /// the run.
     fn is_end_known(&self) -> bool {
         let is_framed = match &self.upstream {
-            Upstream::Reading { headers, .. } => head::is_framed(headers),
+            Upstream::Reading { framing, .. } => framing.is_stated(),
             Upstream::Lost | Upstream::Done => true,
         };
         is_framed || self.registration.stream.has_lived.get()
@@ -276,17 +346,22 @@
         None
     }
 
+    /// Returns the first part of the current run's path.
+    fn current_first(&self) -> Option<Part> {
+        let current_path = self
+            .opening
+            .as_ref()
+            .and_then(|opening| opening.current_path.first());
+        let stream = &self.registration.stream;
+        current_path.cloned().or_else(|| stream.first_part())
+    }
+
     /// Resumes the stream on another path after its last complete event, if the route allows it.
     fn resume(&mut self, cause: &str, loss: Loss) -> Option<Next> {
         let state = &self.registration.state;
         let stream = &self.registration.stream;
         let cause = cause.replace(' ', "-");
-        let current_path = self
-            .opening
-            .as_ref()
-            .and_then(|opening| opening.current_path.first());
-        let first = current_path.cloned().or_else(|| stream.first_part());
-        if let Some(first) = first {
+        if let Some(first) = self.current_first() {
             record_loss(state, stream, &first, loss, stream.run_began.get());
         }
         // Dropping the body closes its connection, which stops the engine.
@@ -389,15 +464,10 @@
     }
 
     fn switch_to(&mut self, incomplete: Incomplete) {
-        let (parts, body) = incomplete.response.into_parts();
         self.relay.restart();
         self.registration.stream.run_began.set(None);
         self.registration.stream.has_lived.set(false);
-        self.upstream = Upstream::Reading {
-            body,
-            lease: Some(incomplete.lease),
-            headers: parts.headers,
-        };
+        (self.upstream, _) = Upstream::reading(incomplete);
     }
 
     /// Aborts the response; the client sees a truncated body.
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -178,12 +178,7 @@
     };
     match open(&state, &stream, last, open::Progress::NotStarted).await {
         Ok(incomplete) => {
-            let (mut parts, body) = incomplete.response.into_parts();
-            let upstream = Upstream::Reading {
-                body,
-                lease: Some(incomplete.lease),
-                headers: parts.headers.clone(),
-            };
+            let (upstream, mut parts) = Upstream::reading(incomplete);
             head::forward(&mut parts);
             outbound.begin();
             let event_body = EventBody {
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -13,6 +13,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::http::response::Parts;
+use jujube_core::pipeline::framing::Ended;
+use jujube_core::pipeline::framing::Framing;
 use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
@@ -25,6 +27,7 @@
 use crate::delivery::Completion;
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
+use crate::framing;
 use crate::gate;
 use crate::gate::Opening;
 use crate::head;
@@ -39,6 +42,7 @@
 use crate::strangers;
 use crate::upstream;
 use crate::upstream::Failure;
+use crate::upstream::Incomplete;
 
 pub use received::Received;
 
@@ -59,6 +63,7 @@
 struct Reply {
     parts: Parts,
     body: Received,
+    framing: Framing,
 }
 
 /// Why another attempt is allowed.
@@ -275,7 +280,7 @@
 
     /// Records that a server answered and lives, unless it may have crashed under the request.
     fn record_answer(&self, server: &Server, sent: Instant, reply: &Reply) {
-        if !head::is_framed(&reply.parts.headers) {
+        if !reply.framing.is_stated() {
             let run = self.run_on(server, sent);
             quarantine::lost(self.state, run.perhaps_complete());
             return;
@@ -425,21 +430,46 @@
     )
     .await;
     let result = match sent {
-        Ok(incomplete) => {
-            let (parts, body) = incomplete.response.into_parts();
-            let reservation = request.outgoing.reservation.clone();
-            let body = Received::read(body, reservation).await;
-            body.map(|body| {
-                incomplete.lease.release(&parts.headers);
-                Reply { parts, body }
-            })
-        }
+        Ok(incomplete) => read(state, request, &server, incomplete).await,
         Err(failure) => Err(failure),
     };
     drop(in_flight);
     (server, sent_at, result)
 }
 
+/// Reads a response to its end.
+async fn read<D: Dialect>(
+    state: &State<D>,
+    request: &Admitted,
+    server: &Server,
+    incomplete: Incomplete,
+) -> Result<Reply, Failure> {
+    let Incomplete {
+        response,
+        lease,
+        framing,
+    } = incomplete;
+    let (parts, body) = response.into_parts();
+    let body = Received::read(body, request.outgoing.reservation.clone()).await?;
+    let ended = Ended {
+        status: parts.status.as_u16(),
+        framing,
+        has_body: !body.is_empty(),
+    };
+    let service = &request.service;
+    if ended.has_body {
+        framing::received(state, service, parts.status, framing);
+    }
+    framing::check(state, &request.id, &server.incarnation, service, ended)
+        .map_err(|unproven| Failure::Unknown(unproven.to_string()))?;
+    lease.release(&parts.headers);
+    Ok(Reply {
+        parts,
+        body,
+        framing,
+    })
+}
+
 /// Counts a request in flight at a server until dropped.
 struct InFlight<'a, D> {
     state: &'a Rc<State<D>>,
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -21,6 +21,7 @@
 use hyper::Uri;
 use hyper::body::Incoming;
 use jujube_core::pipeline::carried::Exchange;
+use jujube_core::pipeline::framing::Framing;
 use jujube_core::pipeline::memory::Cause;
 use jujube_core::pipeline::memory::Size;
 use jujube_core::pipeline::quarantine::features::Features;
@@ -30,6 +31,7 @@
 use jujube_program::clock;
 
 use crate::dialect::Dialect;
+use crate::framing;
 use crate::gate;
 use crate::head;
 use crate::memory::Reservation;
@@ -69,6 +71,8 @@
     pub response: Response<Incoming>,
     /// The connection; returned to the pool once the body was read to its end.
     pub lease: Lease,
+    /// How the response tells where its body ends.
+    pub framing: Framing,
 }
 
 /// Why there is no response to forward.
@@ -189,7 +193,13 @@
         }
         let id = id.unwrap_or("-");
         let rest = notices::observe(state, server, id, sent_at, &response);
-        return check_response::<D>(lease, response, id, rest).await;
+        let framing = framing::of(&outgoing.method, response.status(), response.headers());
+        let (response, lease) = check_response::<D>(lease, response, id, rest).await?;
+        return Ok(Incomplete {
+            response,
+            lease,
+            framing,
+        });
     }
 }
 
@@ -225,7 +235,7 @@
     response: Response<Incoming>,
     id: &str,
     rest: Option<Span>,
-) -> Result<Incomplete, Failure> {
+) -> Result<(Response<Incoming>, Lease), Failure> {
     let names = D::NAMES;
     let headers = response.headers();
     let status = response.status();
@@ -247,7 +257,7 @@
             "successful response has no signature".into(),
         ));
     }
-    Ok(Incomplete { response, lease })
+    Ok((response, lease))
 }
 
 /// Reads the body of a rejection, so that its connection can be reused.
