--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -7,14 +7,8 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use hyper::HeaderMap;
-use hyper::StatusCode;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
-use hyper::http::response::Parts;
 use jujube_core::pipeline::attempts::Permission;
-use jujube_core::pipeline::framing::Ended;
-use jujube_core::pipeline::framing::Framing;
 use jujube_core::pipeline::framing::Unproven;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::quarantine::BEGINNING;
@@ -33,6 +27,8 @@
 use crate::upstream::Incomplete;
 use crate::waiting::Permit;
 
+use super::download::Download;
+use super::download::Upstream;
 use super::interrupt::Interrupt;
 use super::open::Progress;
 use super::open::Refusal;
@@ -46,38 +42,6 @@
 use super::runs::permission;
 use super::runs::record_loss;
 
-/// The source of the events.
-pub(super) enum Upstream {
-    Reading {
-        body: Incoming,
-        lease: Option<crate::pool::Lease>,
-        headers: HeaderMap,
-        status: StatusCode,
-        framing: Framing,
-        /// Whether a part of the body arrived.
-        has_data: bool,
-    },
-    /// The last run was lost; the next one is being opened.
-    Lost,
-    Done,
-}
-
-impl Upstream {
-    /// Returns the response whose head has arrived, and its head.
-    pub(super) fn reading(incomplete: Incomplete) -> (Self, Parts) {
-        let (parts, body) = incomplete.response.into_parts();
-        let upstream = Self::Reading {
-            body,
-            lease: Some(incomplete.lease),
-            headers: parts.headers.clone(),
-            status: parts.status,
-            framing: incomplete.framing,
-            has_data: false,
-        };
-        (upstream, parts)
-    }
-}
-
 /// A run that is being opened to replace the current or lost one.
 pub(super) struct Opening<D> {
     result: oneshot::Receiver<Result<Incomplete, Refusal>>,
@@ -133,7 +97,7 @@
             let polled = match &mut self.upstream {
                 Upstream::Done => return Poll::Ready(None),
                 Upstream::Lost => return Poll::Pending,
-                Upstream::Reading { body, .. } => Pin::new(body).poll_frame(context),
+                Upstream::Reading(download) => Pin::new(&mut download.body).poll_frame(context),
             };
             let end = match polled {
                 Poll::Pending => return Poll::Pending,
@@ -192,19 +156,12 @@
 
     /// Records for each run that a part of its response's body arrived.
     fn record_data(&mut self, data: &Bytes) {
-        let Upstream::Reading {
-            status,
-            framing,
-            has_data,
-            ..
-        } = &mut self.upstream
-        else {
+        let Upstream::Reading(download) = &mut self.upstream else {
             return;
         };
-        if !*has_data && !data.is_empty() {
-            *has_data = true;
+        if download.begins(data) {
             let Registration { state, stream, .. } = &self.registration;
-            framing::received(state, &stream.service, *status, *framing);
+            framing::received(state, &stream.service, download.status, download.framing);
         }
     }
 
@@ -249,34 +206,21 @@
             let run = stream.run_on(&first.server, stream.run_began.get());
             quarantine::lost(state, run.perhaps_complete());
         }
-        if let Upstream::Reading { lease, headers, .. } = &mut self.upstream {
-            if let Some(lease) = lease.take() {
-                lease.release(headers);
-            }
+        if let Upstream::Reading(download) = std::mem::replace(&mut self.upstream, Upstream::Done) {
+            download.release();
         }
-        self.upstream = Upstream::Done;
         Some(None)
     }
 
     /// Checks whether the response of the current run is whole.
     fn check_end(&self) -> Result<(), Unproven> {
-        let Upstream::Reading {
-            status,
-            framing,
-            has_data,
-            ..
-        } = self.upstream
-        else {
+        let Upstream::Reading(download) = &self.upstream else {
             return Ok(());
         };
         let Registration { state, stream, .. } = &self.registration;
-        let ended = Ended {
-            status: status.as_u16(),
-            framing,
-            has_body: has_data,
-        };
         let first = self.current_first();
         let server = first.map_or("-".into(), |first| first.server.to_string());
+        let ended = download.ended();
         framing::check(state, &stream.id, &server, &stream.service, ended)
     }
 
@@ -284,7 +228,7 @@
     /// the run.
     fn is_end_known(&self) -> bool {
         let is_framed = match &self.upstream {
-            Upstream::Reading { framing, .. } => framing.is_stated(),
+            Upstream::Reading(download) => download.framing.is_stated(),
             Upstream::Lost | Upstream::Done => true,
         };
         is_framed || self.registration.stream.has_lived.get()
@@ -311,7 +255,7 @@
     }
 
     fn is_reading(&self) -> bool {
-        matches!(self.upstream, Upstream::Reading { .. })
+        matches!(self.upstream, Upstream::Reading(_))
     }
 
     /// Returns whether the stream may be resumed after its last complete event.
@@ -467,7 +411,8 @@
         self.relay.restart();
         self.registration.stream.run_began.set(None);
         self.registration.stream.has_lived.set(false);
-        (self.upstream, _) = Upstream::reading(incomplete);
+        let (download, _) = Download::begin(incomplete);
+        self.upstream = Upstream::Reading(download);
     }
 
     /// Aborts the response; the client sees a truncated body.
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -1,6 +1,7 @@
 //! Event streams along a path of backend servers.
 
 mod body;
+mod download;
 mod holding;
 mod interrupt;
 mod open;
@@ -42,7 +43,8 @@
 use crate::waiting;
 
 use body::EventBody;
-use body::Upstream;
+use download::Download;
+use download::Upstream;
 use open::open;
 use path::Registration;
 use record::Reading;
@@ -178,7 +180,7 @@
     };
     match open(&state, &stream, last, open::Progress::NotStarted).await {
         Ok(incomplete) => {
-            let (upstream, mut parts) = Upstream::reading(incomplete);
+            let (download, mut parts) = Download::begin(incomplete);
             head::forward(&mut parts);
             outbound.begin();
             let event_body = EventBody {
@@ -186,7 +188,7 @@
                 registration,
                 permit,
                 relay: Relay::after(last).limited_to(state.memory.capacity()),
-                upstream,
+                upstream: Upstream::Reading(download),
                 opening: None,
                 out: VecDeque::new(),
             };
