--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -1,5 +1,6 @@
 //! Requests to plain services, each with a single buffered response.
 
+mod attempt;
 mod choice;
 mod received;
 
@@ -12,7 +13,6 @@
 use futures::stream::FuturesUnordered;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::http::response::Parts;
 use jujube_core::pipeline::quarantine::run::Run;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
@@ -25,7 +25,6 @@
 use crate::delivery::Completion;
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
-use crate::gate;
 use crate::gate::Opening;
 use crate::head;
 use crate::probe;
@@ -40,6 +39,10 @@
 use crate::upstream;
 use crate::upstream::Failure;
 
+use attempt::Outcome;
+use attempt::Reply;
+use attempt::attempt;
+
 pub use received::Received;
 
 /// Share of the route's target after which a hedged request is sent: later than a typical response,
@@ -55,12 +58,6 @@
 /// arrives in time.
 const DEADLINE_MARGIN: Span = Span(10);
 
-/// A buffered response.
-struct Reply {
-    parts: Parts,
-    body: Received,
-}
-
 /// Why another attempt is allowed.
 enum Permit {
     /// No server has received the request yet.
@@ -69,9 +66,6 @@
     Retry(Retry),
 }
 
-/// The server of one attempt, when it was sent, and the result.
-type Outcome = (Server, Instant, Result<Reply, Failure>);
-
 /// Serves one request.
 pub async fn serve<D: Dialect>(
     state: &Rc<State<D>>,
@@ -128,7 +122,7 @@
     outbound.complete(Completion::Answered {
         status: parts.status.as_u16(),
     });
-    head::strip(&mut parts.headers);
+    head::forward(&mut parts);
     Response::from_parts(parts, Body::Answer(Answer::new(reply.body, outbound)))
 }
 
@@ -275,7 +269,7 @@
 
     /// Records that a server answered and lives, unless it may have crashed under the request.
     fn record_answer(&self, server: &Server, sent: Instant, reply: &Reply) {
-        if !head::is_framed(&reply.parts.headers) {
+        if !reply.framing.is_stated() {
             let run = self.run_on(server, sent);
             quarantine::lost(self.state, run.perhaps_complete());
             return;
@@ -396,68 +390,3 @@
         (Reason::Refused, self.cause.clone(), Some(retry_after))
     }
 }
-
-/// Sends the request to a server and buffers the response.
-///
-/// Buffering detects a truncated body while the request can still be retried; responses of plain
-/// services are a few kilobytes at most.
-async fn attempt<D: Dialect>(state: &Rc<State<D>>, request: &Admitted, server: Server) -> Outcome {
-    let in_flight = InFlight::new(state, &server.incarnation);
-    gate::record_sent(state, &request.id, &server.incarnation);
-    let mut outgoing = request.outgoing.clone();
-    let sent_at = clock::now();
-    let left = request.deadline.since(sent_at);
-    head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
-    log::info!(
-        "event=sent request={} {} server={} in_flight={} {} left_ms={left}",
-        request.id,
-        request.features,
-        server.incarnation,
-        state.load.borrow().requests(&server.incarnation),
-        state.feed.view()
-    );
-    let sent = upstream::send::<D>(
-        state,
-        &server.incarnation,
-        server.address,
-        &outgoing,
-        &request.features,
-    )
-    .await;
-    let result = match sent {
-        Ok(incomplete) => {
-            let (parts, body) = incomplete.response.into_parts();
-            let reservation = request.outgoing.reservation.clone();
-            let body = Received::read(body, reservation).await;
-            body.map(|body| {
-                incomplete.lease.release(&parts.headers);
-                Reply { parts, body }
-            })
-        }
-        Err(failure) => Err(failure),
-    };
-    drop(in_flight);
-    (server, sent_at, result)
-}
-
-/// Counts a request in flight at a server until dropped.
-struct InFlight<'a, D> {
-    state: &'a Rc<State<D>>,
-    server: Incarnation,
-}
-
-impl<'a, D> InFlight<'a, D> {
-    fn new(state: &'a Rc<State<D>>, server: &Incarnation) -> Self {
-        state.load.borrow_mut().start_request(server, 0.0);
-        Self {
-            state,
-            server: server.clone(),
-        }
-    }
-}
-
-impl<D> Drop for InFlight<'_, D> {
-    fn drop(&mut self) {
-        self.state.load.borrow_mut().end_request(&self.server, 0.0);
-    }
-}
--- a/crates/front/tests/intake.rs
+++ b/crates/front/tests/intake.rs
@@ -135,12 +135,12 @@
     drop(intake.begin());
     let occupied = intake.occupy();
     let waker = wakes.clone().into();
-    let mut context = Context::from_waker(&waker);
+    let context = Context::from_waker(&waker);
 
     read(&intake, MAX_HEAD);
-    let before = intake.admit(&mut context);
+    let before = intake.admit(&context);
     drop(occupied);
-    let after = intake.admit(&mut context);
+    let after = intake.admit(&context);
 
     assert_eq!((before, after), (Admission::Wait, Admission::Refused));
     assert_eq!(wakes.0.load(Ordering::Relaxed), 1);
