--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -1,6 +1,7 @@
 //! Header handling for forwarded requests and responses.
 
 use hyper::HeaderMap;
+use hyper::Version;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderName;
@@ -9,7 +10,8 @@
 use hyper::header::TRAILER;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
-use hyper::http::request::Parts;
+use hyper::http::request;
+use hyper::http::response;
 use jujube_core::pipeline::memory::Size;
 use jujube_program::http::named_by_connection;
 
@@ -39,7 +41,7 @@
 }
 
 /// Returns about how many bytes a request's head has.
-pub fn size(parts: &Parts) -> Size {
+pub fn size(parts: &request::Parts) -> Size {
     let of_headers = parts
         .headers
         .iter()
@@ -51,11 +53,13 @@
     Size((path + of_headers.sum::<usize>()) as u64)
 }
 
-/// Returns whether a response tells where its body ends: it has a length, or chunks.
+/// Turns the head of a backend server's response into that for the caller.
 ///
-/// Otherwise the body ends with its connection, and so does one whose server has crashed.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+/// The version is that of the connection to the server: in HTTP/1.0 nothing but the end of the
+/// connection would end a stream, and one that broke off would look whole.
+pub fn forward(parts: &mut response::Parts) {
+    parts.version = Version::HTTP_11;
+    strip(&mut parts.headers);
 }
 
 /// Removes headers that only the entry may send to a backend server, so that callers cannot forge
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -7,10 +7,10 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use hyper::HeaderMap;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
 use jujube_core::pipeline::attempts::Permission;
+use jujube_core::pipeline::framing::Unproven;
+use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::quarantine::BEGINNING;
 use jujube_core::pipeline::quarantine::SURVIVAL;
 use jujube_core::pipeline::relay::Fault;
@@ -21,12 +21,14 @@
 
 use crate::delivery::Completion;
 use crate::dialect::Dialect;
-use crate::head;
+use crate::framing;
 use crate::quarantine;
 use crate::response::Reason;
 use crate::upstream::Incomplete;
 use crate::waiting::Permit;
 
+use super::download::Download;
+use super::download::Upstream;
 use super::interrupt::Interrupt;
 use super::open::Progress;
 use super::open::Refusal;
@@ -40,18 +42,6 @@
 use super::runs::permission;
 use super::runs::record_loss;
 
-/// The source of the events.
-pub(super) enum Upstream {
-    Reading {
-        body: Incoming,
-        lease: Option<crate::pool::Lease>,
-        headers: HeaderMap,
-    },
-    /// The last run was lost; the next one is being opened.
-    Lost,
-    Done,
-}
-
 /// A run that is being opened to replace the current or lost one.
 pub(super) struct Opening<D> {
     result: oneshot::Receiver<Result<Incomplete, Refusal>>,
@@ -107,7 +97,7 @@
             let polled = match &mut self.upstream {
                 Upstream::Done => return Poll::Ready(None),
                 Upstream::Lost => return Poll::Pending,
-                Upstream::Reading { body, .. } => Pin::new(body).poll_frame(context),
+                Upstream::Reading(download) => Pin::new(&mut download.body).poll_frame(context),
             };
             let end = match polled {
                 Poll::Pending => return Poll::Pending,
@@ -125,6 +115,7 @@
     }
 
     fn handle_data(&mut self, data: Bytes) -> Option<Next> {
+        self.record_data(&data);
         if !self.is_events {
             self.out.push_back(data);
             return None;
@@ -154,12 +145,18 @@
             Ok(()) => None,
             // Another run would give the same, so no server is to blame.
             Err(Fault::TooLarge) => Some(self.abort("event-too-large")),
-            Err(fault) => {
-                if let Some(first) = stream.first_part() {
-                    stream.faulty.borrow_mut().push(first.server);
-                }
-                self.resume(&fault.to_string(), Loss::Broken)
-            }
+            Err(fault) => self.resume(&fault.to_string(), Loss::Broken),
+        }
+    }
+
+    /// Records for each run that a part of its response's body arrived.
+    fn record_data(&mut self, data: &Bytes) {
+        let Upstream::Reading(download) = &mut self.upstream else {
+            return;
+        };
+        if download.begins(data) {
+            let Registration { state, stream, .. } = &self.registration;
+            framing::received(state, &stream.service, download.status, download.framing);
         }
     }
 
@@ -190,6 +187,9 @@
         if let Err(fault) = self.relay.end() {
             return self.resume(&fault.to_string(), self.broken());
         }
+        if let Err(unproven) = self.check_end() {
+            return self.resume(&unproven.to_string(), self.broken());
+        }
         let stream = &self.registration.stream;
         let state = &self.registration.state;
         if self.is_end_known() {
@@ -201,20 +201,29 @@
             let run = stream.run_on(&first.server, stream.run_began.get());
             quarantine::lost(state, run.perhaps_complete());
         }
-        if let Upstream::Reading { lease, headers, .. } = &mut self.upstream {
-            if let Some(lease) = lease.take() {
-                lease.release(headers);
-            }
+        if let Upstream::Reading(download) = std::mem::replace(&mut self.upstream, Upstream::Done) {
+            download.release();
         }
-        self.upstream = Upstream::Done;
         Some(None)
     }
 
+    /// Checks whether the response of the current run is whole.
+    fn check_end(&self) -> Result<(), Unproven> {
+        let Upstream::Reading(download) = &self.upstream else {
+            return Ok(());
+        };
+        let Registration { state, stream, .. } = &self.registration;
+        let first = self.current_first();
+        let server = first.map_or("-".into(), |first| first.server.to_string());
+        let ended = download.ended();
+        framing::check(state, &stream.id, &server, &stream.service, ended)
+    }
+
     /// Returns whether the server must have completed the response, and not crashed at the beginning of
     /// the run.
     fn is_end_known(&self) -> bool {
         let is_framed = match &self.upstream {
-            Upstream::Reading { headers, .. } => head::is_framed(headers),
+            Upstream::Reading(download) => download.framing.is_stated(),
             Upstream::Lost | Upstream::Done => true,
         };
         is_framed || self.registration.stream.has_lived.get()
@@ -241,7 +250,7 @@
     }
 
     fn is_reading(&self) -> bool {
-        matches!(self.upstream, Upstream::Reading { .. })
+        matches!(self.upstream, Upstream::Reading(_))
     }
 
     /// Returns whether the stream may be resumed after its last complete event.
@@ -276,17 +285,22 @@
         None
     }
 
+    /// Returns the first part of the current run's path.
+    fn current_first(&self) -> Option<Part> {
+        let current_path = self
+            .opening
+            .as_ref()
+            .and_then(|opening| opening.current_path.first());
+        let stream = &self.registration.stream;
+        current_path.cloned().or_else(|| stream.first_part())
+    }
+
     /// Resumes the stream on another path after its last complete event, if the route allows it.
     fn resume(&mut self, cause: &str, loss: Loss) -> Option<Next> {
         let state = &self.registration.state;
         let stream = &self.registration.stream;
         let cause = cause.replace(' ', "-");
-        let current_path = self
-            .opening
-            .as_ref()
-            .and_then(|opening| opening.current_path.first());
-        let first = current_path.cloned().or_else(|| stream.first_part());
-        if let Some(first) = first {
+        if let Some(first) = self.current_first() {
             record_loss(state, stream, &first, loss, stream.run_began.get());
         }
         // Dropping the body closes its connection, which stops the engine.
@@ -389,15 +403,11 @@
     }
 
     fn switch_to(&mut self, incomplete: Incomplete) {
-        let (parts, body) = incomplete.response.into_parts();
         self.relay.restart();
         self.registration.stream.run_began.set(None);
         self.registration.stream.has_lived.set(false);
-        self.upstream = Upstream::Reading {
-            body,
-            lease: Some(incomplete.lease),
-            headers: parts.headers,
-        };
+        let (download, _) = Download::begin(incomplete);
+        self.upstream = Upstream::Reading(download);
     }
 
     /// Aborts the response; the client sees a truncated body.
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -1,6 +1,7 @@
 //! Event streams along a path of backend servers.
 
 mod body;
+mod download;
 mod holding;
 mod interrupt;
 mod open;
@@ -42,7 +43,8 @@
 use crate::waiting;
 
 use body::EventBody;
-use body::Upstream;
+use download::Download;
+use download::Upstream;
 use open::open;
 use path::Registration;
 use record::Reading;
@@ -115,7 +117,6 @@
         previous_path: RefCell::default(),
         planned_path: RefCell::default(),
         excluded: RefCell::default(),
-        faulty: RefCell::default(),
         last_activity: Cell::new(now),
         run_sent: Cell::new(now),
         run_began: Cell::default(),
@@ -178,20 +179,15 @@
     };
     match open(&state, &stream, last, open::Progress::NotStarted).await {
         Ok(incomplete) => {
-            let (mut parts, body) = incomplete.response.into_parts();
-            let upstream = Upstream::Reading {
-                body,
-                lease: Some(incomplete.lease),
-                headers: parts.headers.clone(),
-            };
-            head::strip(&mut parts.headers);
+            let (download, mut parts) = Download::begin(incomplete);
+            head::forward(&mut parts);
             outbound.begin();
             let event_body = EventBody {
                 is_events: is_events(parts.status, &parts.headers),
                 registration,
                 permit,
                 relay: Relay::after(last).limited_to(state.memory.capacity()),
-                upstream,
+                upstream: Upstream::Reading(download),
                 opening: None,
                 out: VecDeque::new(),
             };
