--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -213,6 +213,7 @@
             continue;
         };
         state.metrics.count("connections");
+        pool::configure_caller(&stream);
         let Some(place) = state.crowd.admit(Visitor::Connection) else {
             spawn_local(turn_away::run(stream, state.metrics.clone()));
             continue;
@@ -228,7 +229,6 @@
     intake: Rc<Intake>,
     mut closing: Signal,
 ) {
-    pool::configure_caller(&stream);
     let delivery = Rc::new(Delivery::new(state.metrics.clone()));
     let io = delivery::Io::new(stream, delivery.clone(), intake.clone());
     let limits = state
--- a/crates/front/src/delivery/intake.rs
+++ b/crates/front/src/delivery/intake.rs
@@ -42,6 +42,9 @@
     busy: Cell<u64>,
     /// Wakes the connection once it is no longer busy.
     reader: RefCell<Option<Waker>>,
+    /// Whether the last step found no room. The head may be whole all the same, and the library about
+    /// to tell: it also reads on to learn whether the caller is gone.
+    is_short: Cell<bool>,
 }
 
 /// Whether more may be read.
@@ -49,7 +52,7 @@
 pub enum Admission {
     /// At most [`READ_STEP`] bytes.
     Read,
-    /// Not before the responses that are under way have been sent.
+    /// Not now: responses are under way, or the library has not told yet whether the head is whole.
     Wait,
     /// There is no room for the rest of the head.
     Refused,
@@ -66,16 +69,18 @@
             users: Cell::default(),
             busy: Cell::default(),
             reader: RefCell::default(),
+            is_short: Cell::default(),
         }
     }
 
-    /// Returns whether more may be read now.
-    pub fn admit(&self, context: &Context<'_>) -> Admission {
+    /// Returns whether more may be read now; `is_blocked` tells that bytes for the caller are waiting.
+    pub fn admit(&self, context: &Context<'_>, is_blocked: bool) -> Admission {
         if self.users.get() > 0 {
             self.head.set(0);
         }
         // The library's buffer grows by doubling; that of the first step belongs to the connection.
-        let needed = (2 * self.head.get()).saturating_sub(READ_STEP);
+        let head = Some(self.head.get()).filter(|head| *head > READ_STEP);
+        let needed = head.map_or(0, |head| 2 * head - READ_STEP);
         let missing = needed.saturating_sub(self.reserved.get());
         let is_refused = missing > 0
             && self
@@ -84,12 +89,17 @@
                 .is_err();
         if !is_refused {
             self.reserved.set(self.reserved.get().max(needed));
+            self.is_short.set(false);
             return Admission::Read;
         }
-        if self.busy.get() > 0 {
+        if self.busy.get() > 0 || is_blocked {
             self.reader.replace(Some(context.waker().clone()));
             return Admission::Wait;
         }
+        if !self.is_short.replace(true) {
+            context.waker().wake_by_ref();
+            return Admission::Wait;
+        }
         Admission::Refused
     }
 
@@ -102,6 +112,7 @@
     /// returned value is dropped, the library reads nothing of the next head.
     pub fn begin(self: &Rc<Self>) -> Reading {
         self.head.set(0);
+        self.is_short.set(false);
         let reserved = self.reserved.take();
         self.reservation.release(Cause::RequestHead, Size(reserved));
         self.read()
--- a/crates/front/src/delivery/io.rs
+++ b/crates/front/src/delivery/io.rs
@@ -105,7 +105,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        match self.intake.admit(context) {
+        match self.intake.admit(context, self.delivery.is_blocked()) {
             Admission::Read => {}
             Admission::Wait => return Poll::Pending,
             Admission::Refused => {
--- a/crates/front/src/delivery/mod.rs
+++ b/crates/front/src/delivery/mod.rs
@@ -194,6 +194,11 @@
         self.flushes.set(self.flushes.get() + 1);
         if self.blocked_since.take().is_some() {
             self.stop_waiting();
+            // The HTTP library may have ended a response with this flush, and then waits for an event
+            // although the next request is in its buffer.
+            if let Some(blocked) = self.blocked.take() {
+                blocked.wake();
+            }
         }
         if self.unflushed.borrow().is_empty() {
             return;
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -157,7 +157,7 @@
 
 impl Reservation {
     /// Reserves memory. If there is no room for a request body or a response, evicts owners whose
-    /// callers take nothing; read-ahead evicts nobody.
+    /// callers take nothing; heads and read-ahead evict nobody.
     ///
     /// # Errors
     ///
@@ -168,7 +168,8 @@
             budget.reserve(self.owner, cause, size)
         };
         let mut reserved = reserve();
-        let may_evict = cause != Cause::ReadAhead && !self.is_evicted();
+        let may_evict =
+            !matches!(cause, Cause::ReadAhead | Cause::RequestHead) && !self.is_evicted();
         if reserved.is_err() && may_evict && self.memory.make_room(self.owner, size) {
             reserved = reserve();
         }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -31,6 +31,7 @@
 use jujube_program::clock;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::delivery;
@@ -53,7 +54,10 @@
 const CALLER_SEND_BUFFER: usize = 32 << 10;
 /// Size of the system's receive buffer of a caller's connection, which by default grows to some megabytes
 /// while requests that arrive early are not read.
-const CALLER_RECEIVE_BUFFER: usize = 32 << 10;
+const CALLER_RECEIVE_BUFFER: usize = 16 << 10;
+/// Size of the system's receive buffer of a server's connection, for the same reason: responses wait in it
+/// while there is no room for them.
+const SERVER_RECEIVE_BUFFER: usize = 16 << 10;
 /// Upper bound of the read buffer of a server's connection.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 /// What a server's connection holds while its response is not read on: the last read, which waits for
@@ -148,6 +152,7 @@
         let stream = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
         set_timeouts(&stream, USER_TIMEOUT)?;
+        let _unsupported = SockRef::from(&stream).set_recv_buffer_size(SERVER_RECEIVE_BUFFER);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -371,6 +376,13 @@
     (timeout.0 > 0).then_some(timeout)
 }
 
+/// Sets the options that callers' connections take from their listener.
+///
+/// What callers send before their connection is accepted is received as well, so that it is too late then.
+pub fn configure_listener(listener: &TcpListener) {
+    let _unsupported = SockRef::from(listener).set_recv_buffer_size(CALLER_RECEIVE_BUFFER);
+}
+
 /// Sets the options of a caller's connection.
 ///
 /// A closed receive window counts as unacknowledged data, so the user timeout must allow for a
@@ -379,7 +391,6 @@
     let _unsupported = stream.set_nodelay(true);
     let _unsupported = set_timeouts(stream, delivery::IDLE_TIMEOUT);
     let _unsupported = SockRef::from(stream).set_send_buffer_size(CALLER_SEND_BUFFER);
-    let _unsupported = SockRef::from(stream).set_recv_buffer_size(CALLER_RECEIVE_BUFFER);
 }
 
 /// Enables TCP keepalive and the user timeout, so that the system detects dead connections.
--- a/crates/front/src/sockets.rs
+++ b/crates/front/src/sockets.rs
@@ -22,6 +22,7 @@
 use crate::feed;
 use crate::gossip;
 use crate::loans;
+use crate::pool;
 use crate::ready;
 use crate::settings::Settings;
 use crate::state::Lifecycle;
@@ -47,6 +48,7 @@
 /// Their address can never be had.
 pub async fn serve_callers<D: Dialect>(state: Rc<State<D>>, closing: Signal) -> Result<()> {
     let listener = Rc::new(listener("callers", state.settings.listen).await?);
+    pool::configure_listener(&listener);
     let settings = &state.settings;
     log::info!(
         "event=started name={} zone={} listen={} store={}",
