Give a new connection the place of the one that has been at rest for longest

Callers that came while others kept as many connections open as there are places for were told 503 for as long as these stayed (0 of 15 served beside 900 silent connections at 64 MB, in the test of crowds). A connection without a request is now asked to close, as in a stop, and the new one has its place; a caller is turned away only if none is at rest.

--- a/crates/front/src/crowd.rs
+++ b/crates/front/src/crowd.rs
@@ -1,34 +1,72 @@
 //! The places of callers' connections and requests.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use jujube_core::pipeline::crowd;
 use jujube_core::pipeline::crowd::Visitor;
 use jujube_core::pipeline::memory::Size;
+use tokio::sync::Notify;
+
+/// How long a new connection waits for the place of one that is asked to close.
+const HANDOVER_TIME: Duration = Duration::from_millis(100);
 
 /// The connections and requests at this entry.
 #[derive(Clone)]
-pub struct Crowd(Rc<RefCell<crowd::Crowd>>);
+pub struct Crowd(Rc<Shared>);
+
+struct Shared {
+    crowd: RefCell<crowd::Crowd>,
+    /// The connections without a request, in the order in which they came to rest.
+    resting: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// How often a connection came to rest.
+    rests: Cell<u64>,
+    freed: Notify,
+}
 
 impl Crowd {
     /// Creates the crowd of an entry on a machine with this memory.
     pub fn new(memory: Option<Size>) -> Self {
-        Self(Rc::new(RefCell::new(crowd::Crowd::new(memory))))
+        Self(Rc::new(Shared {
+            crowd: RefCell::new(crowd::Crowd::new(memory)),
+            resting: RefCell::default(),
+            rests: Cell::default(),
+            freed: Notify::new(),
+        }))
     }
 
     /// Takes a place; `None` if there is none.
     pub fn admit(&self, visitor: Visitor) -> Option<Place> {
-        let is_admitted = self.0.borrow_mut().admit(visitor);
+        let is_admitted = self.0.crowd.borrow_mut().admit(visitor);
         is_admitted.then(|| Place {
             crowd: self.clone(),
             visitor,
         })
     }
 
+    /// Takes the place of the connection that has been at rest for longest; `None` if none is at rest, or
+    /// it gets a request at the same time.
+    pub async fn displace(&self) -> Option<Place> {
+        let (_, longest) = self.0.resting.borrow_mut().pop_first()?;
+        longest.notify_one();
+        let handover = async {
+            loop {
+                let freed = self.0.freed.notified();
+                if let Some(place) = self.admit(Visitor::Connection) {
+                    return place;
+                }
+                freed.await;
+            }
+        };
+        tokio::time::timeout(HANDOVER_TIME, handover).await.ok()
+    }
+
     /// Returns how things stand.
     pub fn view(&self) -> crowd::Crowd {
-        *self.0.borrow()
+        *self.0.crowd.borrow()
     }
 }
 
@@ -38,8 +76,61 @@
     visitor: Visitor,
 }
 
+impl Place {
+    /// Returns the record of whether the connection that has this place is at rest. It is at first.
+    pub fn rest(&self) -> Rest {
+        let rest = Rest {
+            crowd: self.crowd.clone(),
+            number: Cell::default(),
+            asked: Rc::default(),
+        };
+        rest.begin();
+        rest
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
-        self.crowd.0.borrow_mut().leave(self.visitor);
+        let Shared { crowd, freed, .. } = &*self.crowd.0;
+        crowd.borrow_mut().leave(self.visitor);
+        if self.visitor == Visitor::Connection {
+            freed.notify_waiters();
+        }
+    }
+}
+
+/// Whether a connection is at rest: it may then be asked to close in favour of a new one.
+pub struct Rest {
+    crowd: Crowd,
+    number: Cell<Option<u64>>,
+    asked: Rc<Notify>,
+}
+
+impl Rest {
+    /// Records that the connection has no request.
+    pub fn begin(&self) {
+        let Shared { resting, rests, .. } = &*self.crowd.0;
+        let number = rests.get() + 1;
+        rests.set(number);
+        resting.borrow_mut().insert(number, self.asked.clone());
+        self.number.set(Some(number));
+    }
+
+    /// Records that a request arrives.
+    pub fn end(&self) {
+        if let Some(number) = self.number.take() {
+            self.crowd.0.resting.borrow_mut().remove(&number);
+        }
+    }
+
+    /// Waits until the connection is asked to close.
+    pub async fn displaced(&self) {
+        self.asked.notified().await;
+    }
+}
+
+impl Drop for Rest {
+    fn drop(&mut self) {
+        self.end();
     }
 }
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -29,6 +29,7 @@
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 
+use crate::crowd::Place;
 use crate::delivery;
 use crate::delivery::Delivery;
 use crate::delivery::Intake;
@@ -215,20 +216,30 @@
         state.metrics.count("connections");
         pool::configure_caller(&stream);
         let Some(place) = state.crowd.admit(Visitor::Connection) else {
-            spawn_local(turn_away::run(stream, state.metrics.clone()));
+            spawn_local(without_place(state.clone(), stream, closing.clone()));
             continue;
         };
-        let intake = Rc::new(Intake::new(place, &state.memory));
-        spawn_local(connection(state.clone(), stream, intake, closing.clone()));
+        spawn_local(connection(state.clone(), stream, place, closing.clone()));
     }
 }
 
+/// Serves a connection in the place of one that is at rest, or turns its caller away.
+async fn without_place<D: Dialect>(state: Rc<State<D>>, stream: TcpStream, closing: Signal) {
+    let Some(place) = state.crowd.displace().await else {
+        return turn_away::run(stream, state.metrics.clone()).await;
+    };
+    state.metrics.count("callers_displaced");
+    log::info!("event=displaced what=connection-at-rest");
+    connection(state, stream, place, closing).await;
+}
+
 async fn connection<D: Dialect>(
     state: Rc<State<D>>,
     stream: TcpStream,
-    intake: Rc<Intake>,
+    place: Place,
     mut closing: Signal,
 ) {
+    let intake = Rc::new(Intake::new(place, &state.memory));
     let delivery = Rc::new(Delivery::new(state.metrics.clone()));
     let io = delivery::Io::new(stream, delivery.clone(), intake.clone());
     let limits = state
@@ -236,8 +247,9 @@
         .map(|table| table.document.limits)
         .unwrap_or_default();
     let buffer = (limits.header_bytes as usize).clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES);
+    let of_requests = intake.clone();
     let service = service_fn(move |request| {
-        let (state, delivery, intake) = (state.clone(), delivery.clone(), intake.clone());
+        let (state, delivery, intake) = (state.clone(), delivery.clone(), of_requests.clone());
         async move {
             let reading = intake.begin();
             let guard = Guard::new(&state.in_flight, &intake);
@@ -258,11 +270,11 @@
         .header_read_timeout(Duration::from_millis(limits.idle.0));
     let connection = builder.serve_connection(TokioIo::new(io), service);
     let mut connection = pin!(connection);
-    let _disconnected = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = closing.stopped() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
+    tokio::select! {
+        ended = connection.as_mut() => return drop(ended),
+        () = closing.stopped() => {}
+        () = intake.displaced() => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _disconnected = connection.await;
 }
--- a/crates/front/src/delivery/intake.rs
+++ b/crates/front/src/delivery/intake.rs
@@ -17,6 +17,7 @@
 use jujube_core::pipeline::memory::Size;
 
 use crate::crowd::Place;
+use crate::crowd::Rest;
 use crate::memory::Memory;
 use crate::memory::Reservation;
 
@@ -31,6 +32,7 @@
 pub struct Intake {
     #[expect(dead_code, reason = "takes a place until dropped")]
     place: Place,
+    rest: Rest,
     reservation: Reservation,
     /// The bytes of the head that arrives.
     head: Cell<u64>,
@@ -62,6 +64,7 @@
     /// Creates the record of a connection from which nothing was read.
     pub fn new(place: Place, memory: &Rc<Memory>) -> Self {
         Self {
+            rest: place.rest(),
             place,
             reservation: Memory::open(memory),
             head: Cell::default(),
@@ -105,6 +108,9 @@
 
     /// Records that bytes were read.
     pub fn record_read(&self, bytes: usize) {
+        if bytes > 0 {
+            self.rest.end();
+        }
         self.head.set(self.head.get() + bytes as u64);
     }
 
@@ -124,6 +130,11 @@
         Reading(self.clone())
     }
 
+    /// Waits until the connection is asked to close, because it is at rest and a new one needs its place.
+    pub async fn displaced(&self) {
+        self.rest.displaced().await;
+    }
+
     /// Records that a request is served until the returned value is dropped.
     pub fn occupy(self: &Rc<Self>) -> Occupied {
         self.busy.set(self.busy.get() + 1);
@@ -193,9 +204,13 @@
     fn drop(&mut self) {
         let Self(intake) = self;
         intake.busy.set(intake.busy.get() - 1);
-        if intake.busy.get() == 0
-            && let Some(reader) = intake.reader.take()
-        {
+        if intake.busy.get() > 0 {
+            return;
+        }
+        if intake.head.get() == 0 {
+            intake.rest.begin();
+        }
+        if let Some(reader) = intake.reader.take() {
             reader.wake();
         }
     }
