Break off at the caller what nothing proves whole, also through a sidecar

What callers of the first interface saw: a call of a plain service got a 200 with an empty, short or coded body, framed as whole.

Fix: the sidecar sits beside one service, so it learns by itself whether that one tells where bodies end. Ended::check in core decides for both; http::framing reads heads for both. An unproven body ends with an error, so that the entry's and the caller's connections break off. The version is set where the fields of one connection are removed.

Evidence: cut_calls, both tests red before: 7 of 8 kinds were taken for whole (empty, short, connection: close, HTTP/1.0 by FIN and by reset, gzip, identity; a stated length was not). Both green after, with calls (4), statuses (1), and of the platform cut_heads (8), unframed (3), statuses (6), endless_answers (5).

Not mended: the head has been sent by then, so a call that could be repeated isn't.

--- a/crates/core/src/pipeline/framing.rs
+++ b/crates/core/src/pipeline/framing.rs
@@ -85,6 +85,45 @@
     pub has_body: bool,
 }
 
+impl Ended {
+    /// Checks whether the response is whole. Only a success has to be: callers take nothing from the
+    /// body of another response.
+    ///
+    /// `is_unusual` is whether other responses of its service tell where their bodies end.
+    ///
+    /// # Errors
+    ///
+    /// Nothing proves it: the server may have broken off.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::framing::Ended;
+    /// # use jujube_core::pipeline::framing::Framing;
+    /// # use jujube_core::pipeline::framing::Unproven;
+    /// let ended = Ended { status: 200, framing: Framing::Unstated, has_body: true };
+    /// assert_eq!(ended.check(false), Ok(()));
+    /// assert_eq!(ended.check(true), Err(Unproven::Unusual));
+    /// ```
+    pub fn check(self, is_unusual: bool) -> Result<(), Unproven> {
+        match self.framing {
+            _ if !SUCCESS.contains(&self.status) => Ok(()),
+            Framing::Bodiless | Framing::Stated => Ok(()),
+            Framing::Coded => Err(Unproven::Coded),
+            Framing::Unstated if !self.has_body => Err(Unproven::Empty),
+            Framing::Unstated if is_unusual => Err(Unproven::Unusual),
+            Framing::Unstated => Ok(()),
+        }
+    }
+
+    /// Returns whether the response shows that its server tells where the bodies of successful
+    /// responses end.
+    #[must_use]
+    pub fn shows_end(self) -> bool {
+        SUCCESS.contains(&self.status) && self.framing == Framing::Stated && self.has_body
+    }
+}
+
 /// Why nothing proves that a successful response is whole that ended with its connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Unproven {
@@ -138,27 +177,23 @@
 impl Framings {
     /// Records that a server of a service sent a part of the body of a response.
     pub fn received(&mut self, service: &Service, status: u16, framing: Framing) {
-        let is_stating = SUCCESS.contains(&status) && framing == Framing::Stated;
-        if is_stating && !self.stating.contains(service) {
+        let received = Ended {
+            status,
+            framing,
+            has_body: true,
+        };
+        if received.shows_end() && !self.stating.contains(service) {
             self.stating.insert(service.clone());
         }
     }
 
-    /// Checks whether a response is whole whose body ended without an error. Only a success has to be:
-    /// callers take nothing from the body of another response.
+    /// Checks whether a response is whole whose body ended without an error.
     ///
     /// # Errors
     ///
     /// Nothing proves it: the server may have broken off.
     pub fn check(&self, service: &Service, ended: Ended) -> Result<(), Unproven> {
-        match ended.framing {
-            _ if !SUCCESS.contains(&ended.status) => Ok(()),
-            Framing::Bodiless | Framing::Stated => Ok(()),
-            Framing::Coded => Err(Unproven::Coded),
-            Framing::Unstated if !ended.has_body => Err(Unproven::Empty),
-            Framing::Unstated if self.stating.contains(service) => Err(Unproven::Unusual),
-            Framing::Unstated => Ok(()),
-        }
+        ended.check(self.stating.contains(service))
     }
 
     /// Forgets the services that are not configured.
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -29,13 +29,13 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::http;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
 use crate::delivery;
 use crate::dialect::Dialect;
-use crate::framing;
 
 /// The sending half of a connection.
 pub type Sender = SendRequest<Full<Bytes>>;
@@ -320,7 +320,7 @@
     if !is_own(&parts.headers) {
         anyhow::bail!("response belongs to a request");
     }
-    if framing::of(&method, parts.status, &parts.headers) == Framing::Coded {
+    if http::framing(&method, parts.status, &parts.headers) == Framing::Coded {
         anyhow::bail!("body has codings that are not decoded");
     }
     let body = Limited::new(body, MAX_CALL_BYTES).collect().await;
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -29,9 +29,9 @@
 use jujube_core::status;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::http;
 
 use crate::dialect::Dialect;
-use crate::framing;
 use crate::gate;
 use crate::head;
 use crate::memory::Reservation;
@@ -193,7 +193,7 @@
         }
         let id = id.unwrap_or("-");
         let rest = notices::observe(state, server, id, sent_at, &response);
-        let framing = framing::of(&outgoing.method, response.status(), response.headers());
+        let framing = http::framing(&outgoing.method, response.status(), response.headers());
         let (response, lease) = check_response::<D>(lease, response, id, rest).await?;
         return Ok(Incomplete {
             response,
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -10,14 +10,17 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
 use hyper::service::service_fn;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -25,6 +28,8 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
+use jujube_core::pipeline::framing::Framing;
+use jujube_core::pipeline::framing::Head;
 use jujube_core::status;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -135,6 +140,38 @@
         .collect()
 }
 
+/// Returns how a response to a request with this method tells where its body ends.
+///
+/// # Examples
+///
+/// ```
+/// # use hyper::Method;
+/// # use hyper::StatusCode;
+/// # use hyper::header::HeaderMap;
+/// # use jujube_core::pipeline::framing::Framing;
+/// # use jujube_program::http;
+/// let mut headers = HeaderMap::new();
+/// let framing = |headers: &HeaderMap| http::framing(&Method::GET, StatusCode::OK, headers);
+/// assert_eq!(framing(&headers), Framing::Unstated);
+/// headers.insert("content-length", 4.into());
+/// assert_eq!(framing(&headers), Framing::Stated);
+/// ```
+#[must_use]
+pub fn framing(method: &Method, status: StatusCode, headers: &HeaderMap) -> Framing {
+    let codings: Vec<&str> = headers
+        .get_all(TRANSFER_ENCODING)
+        .iter()
+        .map(|value| value.to_str().unwrap_or_default())
+        .collect();
+    let codings = codings.join(",");
+    Framing::of(Head {
+        is_to_head: method == Method::HEAD,
+        status: status.as_u16(),
+        has_length: headers.contains_key(CONTENT_LENGTH),
+        codings: headers.contains_key(TRANSFER_ENCODING).then_some(&codings),
+    })
+}
+
 /// The errors of a connection that has ended.
 const BROKEN: [io::ErrorKind; 4] = [
     io::ErrorKind::ConnectionReset,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod handler;
 mod perform;
+mod proof;
 mod proxy;
 mod settings;
 mod state;
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -9,12 +9,14 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use jujube_core::at_most_once;
+use jujube_core::pipeline::framing::Ended;
 use jujube_core::request::BootId;
 use jujube_core::request::Request as Call;
 use jujube_core::verdict::Verdict;
@@ -24,6 +26,7 @@
 use jujube_wire::plain;
 use serde_json::json;
 
+use crate::proof::Checked;
 use crate::state::State;
 
 /// The client of the plain service.
@@ -109,13 +112,21 @@
     state
         .deduplicator()
         .advance(clock::now(), call, at_most_once::State::Handed);
+    let method = request.method().clone();
     match client.send(request).await {
         Ok(response) => {
             let status = response.status().as_u16();
             state
                 .deduplicator()
                 .advance(clock::now(), call, at_most_once::State::Answered(status));
-            pass_on(response, slot)
+            let framing = http::framing(&method, response.status(), response.headers());
+            let received = Ended {
+                status,
+                framing,
+                has_body: false,
+            };
+            let checked = |body| Checked::new(body, received, call, state);
+            pass_on(response.map(checked), slot)
         }
         Err(http::Error::NotSent(why)) => {
             state
@@ -152,8 +163,10 @@
     Ok(Request::from_parts(parts, body))
 }
 
-fn pass_on(response: Response<Incoming>, slot: Slot) -> Response<Body> {
+fn pass_on(response: Response<Checked>, slot: Slot) -> Response<Body> {
     let (mut parts, body) = response.into_parts();
+    // In HTTP/1.0 the end of the connection would end the body, also where it broke off.
+    parts.version = Version::HTTP_11;
     plain::remove_hop_by_hop(&mut parts.headers);
     // The slot is free when the body has been sent, not before: a drain waits for it.
     Response::from_parts(parts, http::held(body, slot))
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -40,6 +40,8 @@
     pub(crate) counters: Counters,
     pub(crate) healthy: AtomicBool,
     pub(crate) draining: AtomicBool,
+    /// Whether a response of the service told where its body ends.
+    pub(crate) shows_ends: AtomicBool,
     ledger: Mutex<Ledger>,
     deduplicator: Mutex<at_most_once::Deduplicator>,
     gate: Mutex<Gate>,
@@ -69,6 +71,7 @@
             counters,
             healthy: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            shows_ends: AtomicBool::new(false),
             ledger: Mutex::new(Ledger::new(settings.server.clone(), limits)),
             deduplicator: Mutex::new(at_most_once::Deduplicator::new(incarnation, FIRST_SLOTS)),
             gate: Mutex::default(),
