Count failures that follow a request against no server

Callers saw: beside one caller whose requests let every server close its connection, all sound servers were avoided as outliers, so that a faulty one (four of ten calls fail) was used as much as they: the others lost 17 of 156 calls that may run once.

Cause: each failure counted against its server, whoever caused it.

Fix: `Outliers` keeps, for requests that failed, the outcomes at each server by the request's digest. A failure counts as far as the same request succeeds at other servers, and fully if no other had it. 128 requests are kept; the oldest one leaves what counts of it. What entries exchange keeps its form.

The core tests of outliers have one digest a request now and are as strict. streams, retries, services, statuses, deadly, parts, unframed and core's moves, paths, rests, size, reports, incarnations, choose pass.

--- a/crates/core/src/pipeline/outlier.rs
+++ b/crates/core/src/pipeline/outlier/mod.rs
@@ -1,71 +1,60 @@
 //! Detects backend servers that fail more requests than others, although they report to be
 //! healthy.
 
+mod requests;
+mod tally;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::pipeline::digest::Digest;
 use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
-use crate::time::Span;
 
-/// The time in which the weight of an outcome halves: long enough for some requests at each server,
-/// short enough to retry a recovered server after a few seconds.
-const HALF_LIFE: Span = Span(3_000);
+use requests::Requests;
+use tally::DecayingTally;
+
+pub use tally::Tally;
+
 /// The minimum weight of failures for a server to be avoided; fewer say nothing about it.
 const MIN_FAILURES: f64 = 2.5;
 /// The minimum share of failed requests for a server to be avoided. About 5 % of requests fail on
 /// any server, and 40 % on a faulty one.
 const MIN_FAILED_SHARE: f64 = 0.25;
 
-/// The outcomes of requests at one server, weighted by age.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Tally {
-    /// The weight of the successes.
-    pub succeeded: f64,
-    /// The weight of the failures.
-    pub failed: f64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct DecayingTally {
-    tally: Tally,
-    at: Instant,
-}
-
-impl DecayingTally {
-    fn at(&self, now: Instant) -> Tally {
-        let age = now.since(self.at).0 as f64 / HALF_LIFE.0 as f64;
-        let weight = 0.5_f64.powf(age);
-        Tally {
-            succeeded: self.tally.succeeded * weight,
-            failed: self.tally.failed * weight,
-        }
-    }
-}
-
 /// The servers that fail too often.
 ///
 /// A server may fail part of its requests while it passes every health check. One entry sends each
 /// server too few requests to notice soon, so entries share their outcomes. Such a server is
 /// avoided rather than excluded: it is used if there is no other.
 ///
+/// A failure counts against a server as far as the same request succeeds at others. Otherwise one caller
+/// whose request fails everywhere would have all servers avoided, faulty ones and sound ones alike.
+///
 /// # Examples
 ///
 /// ```
+/// # use jujube_core::pipeline::digest::Digest;
 /// # use jujube_core::pipeline::outlier::Outliers;
 /// # use jujube_core::time::Instant;
 /// let mut outliers = Outliers::default();
-/// for _ in 0..3 {
-///     outliers.failed(Instant(0), &"a".into());
+/// for request in 0..3 {
+///     outliers.failed(Instant(0), &"a".into(), Digest(request));
+///     outliers.failed(Instant(0), &"b".into(), Digest(7));
+///     outliers.failed(Instant(0), &"c".into(), Digest(7));
 /// }
 /// outliers.evaluate(Instant(0));
 /// assert!(outliers.contains(&"a".into()));
+/// assert!(!outliers.contains(&"b".into()), "the request fails everywhere");
 /// outliers.evaluate(Instant(3_000));
 /// assert!(!outliers.contains(&"a".into()), "retried after a while");
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Outliers {
+    /// What counts without regard to the request.
     own: BTreeMap<Incarnation, DecayingTally>,
+    /// Requests that failed.
+    requests: Requests,
     /// The sum of the other entries' outcomes.
     others: BTreeMap<Incarnation, Tally>,
     avoided: BTreeSet<Incarnation>,
@@ -73,38 +62,38 @@
 
 impl Outliers {
     /// Records a request that succeeded.
-    pub fn served(&mut self, now: Instant, server: &Incarnation) {
-        self.add(
-            now,
-            server,
-            Tally {
-                succeeded: 1.0,
-                failed: 0.0,
-            },
-        );
+    pub fn served(&mut self, now: Instant, server: &Incarnation, request: Digest) {
+        self.add(now, server, Tally::SUCCESS);
+        self.requests.served(now, server, request);
     }
 
     /// Records a request that failed.
-    pub fn failed(&mut self, now: Instant, server: &Incarnation) {
-        self.add(
-            now,
-            server,
-            Tally {
+    pub fn failed(&mut self, now: Instant, server: &Incarnation, request: Digest) {
+        for (server, failed) in self.requests.failed(now, server, request) {
+            let outcome = Tally {
                 succeeded: 0.0,
-                failed: 1.0,
-            },
-        );
+                failed,
+            };
+            self.add(now, &server, outcome);
+        }
     }
 
     fn add(&mut self, now: Instant, server: &Incarnation, outcome: Tally) {
-        let before = self.own.get(server).map(|decaying| decaying.at(now));
-        let before = before.unwrap_or_default();
-        let tally = Tally {
-            succeeded: before.succeeded + outcome.succeeded,
-            failed: before.failed + outcome.failed,
-        };
-        self.own
-            .insert(server.clone(), DecayingTally { tally, at: now });
+        let tally = self.own.entry(server.clone()).or_default();
+        tally.add(now, outcome);
+    }
+
+    /// Returns the outcomes at each server as this entry saw them.
+    fn sums(&self, now: Instant) -> BTreeMap<&Incarnation, Tally> {
+        let own = self
+            .own
+            .iter()
+            .map(|(server, decaying)| (server, decaying.at(now)));
+        let mut sums: BTreeMap<&Incarnation, Tally> = own.collect();
+        for (server, failed) in self.requests.counted(now) {
+            sums.entry(server).or_default().failed += failed;
+        }
+        sums
     }
 
     /// Sets the sum of the other entries' outcomes.
@@ -116,28 +105,19 @@
     /// otherwise a single entry with a failure would outweigh all others.
     pub fn own(&self, now: Instant) -> impl Iterator<Item = (&Incarnation, Tally)> {
         const MIN_REPORTED_WEIGHT: f64 = 0.2;
-        let decayed = self
-            .own
-            .iter()
-            .map(move |(name, decaying)| (name, decaying.at(now)));
-        decayed.filter(|(_, tally)| tally.succeeded + tally.failed >= MIN_REPORTED_WEIGHT)
+        let sums = self.sums(now).into_iter();
+        sums.filter(|(_, tally)| tally.weight() >= MIN_REPORTED_WEIGHT)
     }
 
     /// Evaluates all servers; returns those that are newly avoided.
     pub fn evaluate(&mut self, now: Instant) -> Vec<Incarnation> {
-        let own = self
-            .own
-            .iter()
-            .map(|(name, decaying)| (name, decaying.at(now)));
-        let mut sums: BTreeMap<&Incarnation, Tally> = own.collect();
+        self.requests.forget_old(now);
+        let mut sums = self.sums(now);
         for (server, tally) in &self.others {
-            let sum = sums.entry(server).or_default();
-            sum.succeeded += tally.succeeded;
-            sum.failed += tally.failed;
+            sums.entry(server).or_default().add(*tally);
         }
         let is_bad = |tally: &Tally| {
-            tally.failed >= MIN_FAILURES
-                && tally.failed >= MIN_FAILED_SHARE * (tally.succeeded + tally.failed)
+            tally.failed >= MIN_FAILURES && tally.failed >= MIN_FAILED_SHARE * tally.weight()
         };
         let bad = sums.into_iter().filter(|(_, tally)| is_bad(tally));
         let avoided: BTreeSet<Incarnation> = bad.map(|(server, _)| server.clone()).collect();
@@ -155,5 +135,6 @@
     /// Keeps only the servers that are still registered.
     pub fn retain(&mut self, keep: impl Fn(&Incarnation) -> bool) {
         self.own.retain(|server, _| keep(server));
+        self.requests.retain(keep);
     }
 }
--- a/crates/core/tests/incarnations.rs
+++ b/crates/core/tests/incarnations.rs
@@ -9,6 +9,7 @@
 mod registry;
 
 use jujube_core::layer::Range;
+use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::load::Load;
 use jujube_core::pipeline::outlier::Outliers;
 use jujube_core::pipeline::roster::Effect;
@@ -196,8 +197,8 @@
     load.refusals.refused(now, &earlier);
     load.backlog.add(now, &earlier, 400.0);
     suspicion.suspect(now, &earlier);
-    for _ in 0..5 {
-        outliers.failed(now, &earlier);
+    for request in 0..5 {
+        outliers.failed(now, &earlier, Digest(request));
     }
     outliers.evaluate(now);
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -275,13 +275,15 @@
     }
 
     /// Records a successful request at a backend server.
-    pub fn served(&self, server: &Incarnation) {
-        self.outliers.borrow_mut().served(clock::now(), server);
+    pub fn served(&self, server: &Incarnation, request: Digest) {
+        let mut outliers = self.outliers.borrow_mut();
+        outliers.served(clock::now(), server, request);
     }
 
     /// Records a failed request at a backend server.
-    pub fn failed(&self, server: &Incarnation) {
-        self.outliers.borrow_mut().failed(clock::now(), server);
+    pub fn failed(&self, server: &Incarnation, request: Digest) {
+        let mut outliers = self.outliers.borrow_mut();
+        outliers.failed(clock::now(), server, request);
     }
 
     /// Records that a backend server refused a request; the first refusal is reported to the other
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -264,7 +264,7 @@
                 return self.keep_run(interrupt, "no-retry-left");
             }
             if let Some(first) = stream.first_part() {
-                state.failed(&first.server);
+                state.failed(&first.server, stream.features.request);
             }
         }
         self.start_open(Some(interrupt), "abandoned");
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -202,7 +202,7 @@
             }
             Failure::Failed(_) => {
                 if let Some(first) = first {
-                    state.failed(&first.server);
+                    state.failed(&first.server, stream.features.request);
                     stream.attempts.borrow_mut().left(&first.server);
                     avoid.push(first.server);
                 }
--- a/crates/front/src/stream/path.rs
+++ b/crates/front/src/stream/path.rs
@@ -38,7 +38,8 @@
     /// Records that every part of the path accepted the request.
     pub(super) fn record_accepted(&self) {
         if let Some(first) = self.stream.first_part() {
-            self.state.served(&first.server);
+            self.state
+                .served(&first.server, self.stream.features.request);
         }
         let path = self.stream.path.borrow();
         let mut load = self.state.load.borrow_mut();
--- a/crates/front/src/stream/runs.rs
+++ b/crates/front/src/stream/runs.rs
@@ -84,7 +84,7 @@
         first.server,
         began.map_or("-".into(), |began| now.since(began).to_string())
     );
-    state.failed(&first.server);
+    state.failed(&first.server, stream.features.request);
     if loss == Loss::Broken {
         state
             .suspicion
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -308,10 +308,11 @@
 
     /// Records the outcome of a request at a server.
     fn record_outcome(&self, server: &Server, is_success: bool) {
+        let request = self.request.features.request;
         if is_success {
-            self.state.served(&server.incarnation);
+            self.state.served(&server.incarnation, request);
         } else {
-            self.state.failed(&server.incarnation);
+            self.state.failed(&server.incarnation, request);
         }
     }
 
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -331,7 +331,7 @@
         stream.events.get()
     );
     state.metrics.count("streams_stalled");
-    state.failed(&first.server);
+    state.failed(&first.server, stream.features.request);
     stream.excluded.borrow_mut().push(first.server.clone());
     stream.interrupt(Interrupt::Reopen);
 }
