Pause before an order is sent once more after a wrong count

Seen: an engine that refuses an order (409) and reports another number of accepted orders each time got 7,711 and 6,064 orders in 5 s, and twice as many questions, from the one thread that serves callers too.

Cause: an order whose count was wrong was sent again at once, so that a planner that has just taken over corrects its count; nothing said that once is enough, and the engine set the pace of the loop.

Fix: only the first correction is sent at once; later ones wait 0.7 s as after any refusal.

--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -71,6 +71,8 @@
     /// Delivers one order; after a failure the server's report decides what to do next.
     async fn deliver(self: Rc<Self>, order: Order, address: SocketAddr) {
         let mut accepted = None;
+        // What is known of the server at first may be old, so it is corrected without a pause, once.
+        let mut was_corrected = false;
         while self.is_current(&order) {
             if !self.may_order() {
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -89,7 +91,12 @@
                     tokio::time::sleep(RETRY_PAUSE).await;
                     self.wait_until_idle(&order, address).await;
                 }
-                Progress::Overtaken => self.wait_until_idle(&order, address).await,
+                Progress::Overtaken => {
+                    if std::mem::replace(&mut was_corrected, true) {
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                    }
+                    self.wait_until_idle(&order, address).await;
+                }
             }
         }
     }
