Keep no more of the store than there is room for

What callers saw: entries that started while the store held many small keys of others never served, at every start; those that ran grew with each key, or no longer handed back the processor. Anybody may write keys, and none of them needs to be wrong.

Each new registration was compared with all known ones, so that a hundred thousand of them take hours. Earlier values of removed keys were kept for good.

Why it works: keys that no entry reads are not kept. New keys leave a quarter to the growth of known ones. A known key whose new value has no room counts as removed, so that no old value stays in use. Once there is room, all keys are read again, every 5 s at most.

What remains: which registrations are kept at a start before more than fit is decided by their names; those that are known already stay.

--- a/crates/core/src/pipeline/feed/earlier.rs
+++ b/crates/core/src/pipeline/feed/earlier.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Forgets the values of a key that was removed.
+    pub fn forget(&mut self, key: &str) {
+        self.0.remove(key);
+    }
+
     /// Returns the newest value of a key as its difference from the one that was known through
     /// `after`, with the revision of that one.
     pub fn difference(
--- a/crates/core/src/pipeline/feed/mod.rs
+++ b/crates/core/src/pipeline/feed/mod.rs
@@ -11,3 +11,4 @@
 pub mod earlier;
 pub mod follower;
 pub mod replica;
+pub mod room;
--- a/crates/core/src/pipeline/feed/replica.rs
+++ b/crates/core/src/pipeline/feed/replica.rs
@@ -4,8 +4,12 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use crate::pipeline::memory::Size;
 use crate::revision::Revision;
 
+use super::room::Kind;
+use super::room::Room;
+
 /// The number of removed keys that are remembered, ten rolls of a thousand entries. Whoever knows
 /// less than that gets the whole.
 const MAX_REMOVED: usize = 10_000;
@@ -30,8 +34,65 @@
     Whole(Vec<Item<V>>),
 }
 
+/// What a copy keeps.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules<V> {
+    /// Returns what a key is about; `None` if it is not kept.
+    pub kind_of: fn(&str) -> Option<Kind>,
+    /// Returns the bytes of a value.
+    pub size_of: fn(&V) -> usize,
+    /// What all keys together may take.
+    pub room: Size,
+}
+
+/// What is left of the room of a copy.
+#[derive(Clone, Debug)]
+struct Bound<V> {
+    rules: Rules<V>,
+    room: Room,
+    /// The kinds of which keys were left out since all were read.
+    left_out: Vec<Kind>,
+}
+
+impl<V> Bound<V> {
+    fn cost(&self, kind: Kind, key: &str, value: &V) -> u64 {
+        Room::cost(kind, key, (self.rules.size_of)(value))
+    }
+
+    /// Takes room for a value in place of an earlier one; returns whether there is any.
+    fn replace(&mut self, key: &str, earlier: Option<&V>, value: Option<&V>) -> bool {
+        let Some(kind) = (self.rules.kind_of)(key) else {
+            return false;
+        };
+        if let Some(earlier) = earlier {
+            self.room.give_back(kind, self.cost(kind, key, earlier));
+        }
+        let Some(value) = value else {
+            return true;
+        };
+        let cost = self.cost(kind, key, value);
+        let has_room = match earlier {
+            Some(_) => self.room.take(kind, cost),
+            None => self.room.take_new(kind, cost),
+        };
+        if !has_room {
+            self.leave_out(kind);
+        }
+        has_room
+    }
+
+    fn leave_out(&mut self, kind: Kind) {
+        if !self.left_out.contains(&kind) {
+            self.left_out.push(kind);
+        }
+    }
+}
+
 /// A copy of the store's keys with the last change of each.
 ///
+/// A copy with [`Rules`] leaves out keys for which there is no room, and takes a known key that has none
+/// any more for removed. Otherwise ever new keys, which anybody may write, would end the process.
+///
 /// Only the last change of a key is kept and passed on, so that one who falls behind a storm of
 /// configurations receives the newest alone.
 ///
@@ -61,6 +122,7 @@
     /// The revision from which all removals are known.
     complete_from: Option<Revision>,
     through: Revision,
+    bound: Option<Bound<V>>,
 }
 
 impl<V> Default for Replica<V> {
@@ -71,16 +133,63 @@
             removed: BTreeSet::new(),
             complete_from: None,
             through: Revision::default(),
+            bound: None,
         }
     }
 }
 
 impl<V: Clone> Replica<V> {
+    /// Creates a copy that keeps no more than its rules allow.
+    #[must_use]
+    pub fn bounded(rules: Rules<V>) -> Self {
+        let bound = Bound {
+            room: Room::new(rules.room),
+            rules,
+            left_out: Vec::new(),
+        };
+        Self {
+            bound: Some(bound),
+            ..Self::default()
+        }
+    }
+
+    /// Returns an empty copy with the same rules.
+    #[must_use]
+    pub fn emptied(&self) -> Self {
+        let rules = self.bound.as_ref().map(|bound| &bound.rules);
+        rules.map_or_else(Self::default, |rules| {
+            Self::bounded(Rules {
+                kind_of: rules.kind_of,
+                size_of: rules.size_of,
+                room: rules.room,
+            })
+        })
+    }
+
+    /// Returns whether keys were left out that there is room for by now.
+    #[must_use]
+    pub fn has_room_again(&self) -> bool {
+        self.bound.as_ref().is_some_and(|bound| {
+            let mut kinds = bound.left_out.iter();
+            kinds.any(|kind| bound.room.is_wide(*kind))
+        })
+    }
+
+    /// Records keys that the reader of all keys has left out, by kind.
+    pub fn left_out(&mut self, kinds: &[Kind]) {
+        if let Some(bound) = &mut self.bound {
+            kinds.iter().for_each(|kind| bound.leave_out(*kind));
+        }
+    }
+
     /// Replaces all keys with those that the store held at a revision, or a little later.
     ///
     /// Keys that are missing were removed meanwhile; those who know the keys before learn of that.
     pub fn replace(&mut self, items: impl IntoIterator<Item = Item<V>>, through: Revision) {
         let mut gone: BTreeSet<Arc<str>> = self.items.keys().cloned().collect();
+        if let Some(bound) = &mut self.bound {
+            bound.left_out.clear();
+        }
         for item in items {
             gone.remove(&item.key);
             self.insert(item);
@@ -99,25 +208,48 @@
         self.through = self.through.max(through);
     }
 
-    /// Applies changes, after which all changes through a revision are known.
-    pub fn apply(&mut self, changes: impl IntoIterator<Item = Item<V>>, through: Revision) {
+    /// Applies changes, after which all changes through a revision are known. Returns the keys that are
+    /// left out; they count as removed.
+    pub fn apply(
+        &mut self,
+        changes: impl IntoIterator<Item = Item<V>>,
+        through: Revision,
+    ) -> BTreeSet<Arc<str>> {
+        let mut left_out = BTreeSet::new();
         for change in changes {
-            self.insert(change);
+            let key = change.key.clone();
+            match self.insert(change) {
+                true => left_out.remove(&key),
+                false => left_out.insert(key),
+            };
         }
         self.through = self.through.max(through);
+        left_out
     }
 
-    /// Applies one change, unless a later one of its key is known.
-    fn insert(&mut self, item: Item<V>) {
+    /// Applies one change, unless a later one of its key is known. Returns whether its value is kept.
+    fn insert(&mut self, item: Item<V>) -> bool {
         let Item {
             key,
             value,
             revision,
         } = item;
-        if let Some((_, known)) = self.items.get(&key) {
-            if *known > revision {
-                return;
+        let earlier = self.items.get(&key);
+        if earlier.is_some_and(|(_, known)| *known > revision) {
+            return true;
+        }
+        let is_kept = match &mut self.bound {
+            None => true,
+            Some(bound) => {
+                let earlier = earlier.and_then(|(value, _)| value.as_ref());
+                bound.replace(&key, earlier, value.as_ref())
             }
+        };
+        if !is_kept && earlier.is_none() {
+            return false;
+        }
+        let value = value.filter(|_| is_kept);
+        if let Some((_, known)) = earlier {
             self.order.remove(&(*known, key.clone()));
             self.removed.remove(&(*known, key.clone()));
         }
@@ -129,6 +261,7 @@
         if self.removed.len() > MAX_REMOVED {
             self.forget_oldest();
         }
+        is_kept
     }
 
     fn forget_oldest(&mut self) {
--- a/crates/core/tests/feed_replica.rs
+++ b/crates/core/tests/feed_replica.rs
@@ -100,7 +100,9 @@
 
 fn follow(follower: &mut Replica<u32>, source: &Replica<u32>) {
     match source.since(follower.through()) {
-        Missing::Changes(items) => follower.apply(items, source.through()),
+        Missing::Changes(items) => {
+            follower.apply(items, source.through());
+        }
         Missing::Whole(items) => follower.replace(items, source.through()),
     }
 }
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -96,6 +96,10 @@
     const REPORT: &'static str;
     /// The path at which an engine accepts orders.
     const ORDER: &'static str;
+    /// The key of the configuration.
+    const CONFIGURATION: &'static str;
+    /// The prefix of the keys of registrations.
+    const SERVERS: &'static str;
 
     /// Decodes a key of the store; `value` is `None` if the key was removed.
     fn record(key: &str, value: Option<&Value>) -> Record;
--- /dev/null
+++ b/crates/front/src/feed/kind.rs
@@ -0,0 +1,37 @@
+//! What the keys of the store are about.
+
+use jujube_core::pipeline::feed::room::Kind;
+
+use crate::dialect::Dialect;
+use crate::gossip;
+use crate::quarantine;
+use crate::slack;
+
+/// The prefix of the keys that entries write.
+pub(crate) const ENTRY_KEYS: &str = "jujube/";
+/// The longest key that is kept, far beyond any name of a server. Removed keys are kept for a while, and
+/// counted by their number.
+const MAX_KEY_BYTES: usize = 512;
+
+/// Returns what a key is about; `None` if no entry reads it.
+pub fn of<D: Dialect>(key: &str) -> Option<Kind> {
+    if key.len() > MAX_KEY_BYTES {
+        return None;
+    }
+    if key == D::CONFIGURATION {
+        return Some(Kind::Configuration);
+    }
+    if key.starts_with(D::SERVERS) {
+        return Some(Kind::Registration);
+    }
+    if gossip::announced(key).is_some() {
+        return Some(Kind::Announcement);
+    }
+    if key.starts_with(slack::KEY_PREFIX) {
+        return Some(Kind::Piece);
+    }
+    if key.starts_with(quarantine::KEY_PREFIX) {
+        return Some(Kind::Quarantine);
+    }
+    key.starts_with(ENTRY_KEYS).then_some(Kind::Other)
+}
--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod exchange;
+pub(crate) mod kind;
 mod serve;
 mod source;
 
@@ -17,6 +18,9 @@
 use jujube_core::pipeline::feed::earlier::Earlier;
 use jujube_core::pipeline::feed::replica::Item;
 use jujube_core::pipeline::feed::replica::Replica;
+use jujube_core::pipeline::feed::replica::Rules;
+use jujube_core::pipeline::feed::room::Kind;
+use jujube_core::pipeline::memory::Size;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -57,6 +61,19 @@
     }
 }
 
+/// The smallest value of which earlier ones are kept as well, and how many of these.
+const LARGE_BYTES: usize = 4_096;
+const EARLIER: usize = 4;
+
+/// Returns what is kept of a value at most, with its earlier ones.
+fn size_of(content: &Content) -> usize {
+    let (Content::Text(text) | Content::Unreadable(text)) = content;
+    match text.len() {
+        small if small < LARGE_BYTES => small,
+        large => large * (1 + EARLIER),
+    }
+}
+
 fn item(change: Change) -> Item<Content> {
     Item {
         key: change.key.into(),
@@ -113,14 +130,26 @@
 
 impl Feed {
     /// Creates the feed of an entry that knows nothing of the store.
-    pub fn new(own: Arc<str>, bounds: Bounds) -> Self {
+    ///
+    /// Of the keys it keeps those for which `kind_of` returns a kind, as far as `room` goes.
+    pub fn new(
+        own: Arc<str>,
+        bounds: Bounds,
+        kind_of: fn(&str) -> Option<Kind>,
+        room: Size,
+    ) -> Self {
+        let rules = Rules {
+            kind_of,
+            size_of,
+            room,
+        };
         Self {
             bounds,
             source: RefCell::new(own.clone()),
             own,
             boot: rand::random(),
             key: SigningKey::from_bytes(&rand::random()),
-            replica: RefCell::default(),
+            replica: RefCell::new(Replica::bounded(rules)),
             earlier: RefCell::default(),
             belief: RefCell::default(),
             changed: tokio::sync::Notify::new(),
@@ -164,16 +193,18 @@
 
     /// Starts a later era, of which nothing is known yet.
     fn restore(&self, era: Option<Era>) {
-        *self.replica.borrow_mut() = Replica::default();
+        let emptied = self.replica.borrow().emptied();
+        self.replica.replace(emptied);
         *self.earlier.borrow_mut() = Earlier::default();
         self.belief.borrow_mut().restore(era);
         self.changed.notify_waiters();
     }
 
-    /// Applies changes as of `asked_at`, which `source` told.
+    /// Applies changes as of `asked_at`, which `source` told; those of keys that are left out become
+    /// removals.
     fn apply(
         &self,
-        changes: &[Item<Content>],
+        changes: &mut [Change],
         through: Revision,
         asked_at: Instant,
         source: &Arc<str>,
@@ -183,30 +214,49 @@
     }
 
     /// Applies changes that `source` told, after which there may be others.
-    fn apply_part(&self, changes: &[Item<Content>], through: Revision, source: &Arc<str>) {
+    fn apply_part(&self, changes: &mut [Change], through: Revision, source: &Arc<str>) {
         self.keep(changes, through);
         self.belief.borrow_mut().advance(through);
         self.tell(source);
     }
 
-    fn keep(&self, changes: &[Item<Content>], through: Revision) {
-        self.record_earlier(changes);
-        let mut replica = self.replica.borrow_mut();
-        replica.apply(changes.iter().cloned(), through);
+    fn keep(&self, changes: &mut [Change], through: Revision) {
+        let items: Vec<Item<Content>> = changes.iter().cloned().map(item).collect();
+        let left_out = self
+            .replica
+            .borrow_mut()
+            .apply(items.iter().cloned(), through);
+        let left = changes
+            .iter_mut()
+            .filter(|change| left_out.contains(change.key.as_str()));
+        left.for_each(|change| change.value = None);
+        self.record_earlier(&items);
     }
 
-    /// Applies all keys of the store, read at a revision.
-    fn replace(&self, items: Vec<Item<Content>>, through: Revision) {
+    /// Applies all keys of the store, read at a revision, of which the reader has left out some kinds.
+    fn replace(&self, items: Vec<Item<Content>>, through: Revision, left_out: &[Kind]) {
+        let mut replica = self.replica.borrow_mut();
+        replica.replace(items.iter().cloned(), through);
+        replica.left_out(left_out);
+        drop(replica);
         self.record_earlier(&items);
-        self.replica.borrow_mut().replace(items, through);
     }
 
-    /// Keeps texts, so that later ones can be told as differences.
+    /// Returns whether all keys should be read again, because there is room for those that were left
+    /// out.
+    fn has_room_again(&self) -> bool {
+        self.replica.borrow().has_room_again()
+    }
+
+    /// Keeps texts of known keys, so that later ones can be told as differences.
     fn record_earlier(&self, items: &[Item<Content>]) {
-        let mut earlier = self.earlier.borrow_mut();
+        let (mut earlier, replica) = (self.earlier.borrow_mut(), self.replica.borrow());
         for item in items {
-            if let Some(Content::Text(text)) = &item.value {
-                earlier.record(&item.key, item.revision, text);
+            match &item.value {
+                Some(Content::Text(text)) if replica.get(&item.key).is_some() => {
+                    earlier.record(&item.key, item.revision, text);
+                }
+                _ => earlier.forget(&item.key),
             }
         }
     }
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -51,6 +51,9 @@
 /// store answers within it.
 const FIRST_CALL_PAUSE_MS: std::ops::Range<u64> = 300..400;
 
+/// The shortest time between two reads of all keys because some were left out.
+const READ_AGAIN_INTERVAL: Span = Span(5_000);
+
 /// What asking another entry brought.
 enum Outcome {
     /// Changes, perhaps none.
@@ -87,6 +90,8 @@
     is_forgotten: bool,
     /// Whether a difference could not be applied.
     wants_texts: bool,
+    /// When all keys were last read.
+    read_at: Instant,
 }
 
 impl<F: kv::Feed> Source<F> {
@@ -104,6 +109,7 @@
             is_whole: false,
             is_forgotten: false,
             wants_texts: false,
+            read_at: clock::now(),
         }
     }
 
@@ -158,9 +164,8 @@
                             log::info!("event=store-regained");
                         }
                         self.feed.restore(self.store.era());
-                        let items = changes.iter().cloned().map(item).collect();
-                        self.feed.replace(items, revision);
-                        return (changes, revision);
+                        self.replace(changes, revision);
+                        return self.feed.all();
                     }
                     Err(error) if !is_lost => {
                         is_lost = true;
@@ -212,19 +217,28 @@
     async fn read_all(&mut self) -> Result<(), kv::Error> {
         self.metrics.count("store_calls_whole");
         let asked_at = clock::now();
+        self.read_at = asked_at;
         let (changes, revision) = self.store.snapshot(ALL_KEYS).await?;
         let era = self.store.era();
         if self.feed.belief.borrow().era() != era {
             self.feed.restore(era);
         }
-        let items = changes.into_iter().map(item).collect();
-        self.feed.replace(items, revision);
+        self.replace(changes, revision);
         self.feed.confirm(revision, asked_at, &self.feed.own);
         self.was_told = false;
         self.is_forgotten = false;
         Ok(())
     }
 
+    fn replace(&self, changes: Vec<Change>, revision: Revision) {
+        let left_out = self.store.left_out();
+        if !left_out.is_empty() {
+            log::warn!("event=store-keys-left-out kinds={left_out:?}");
+        }
+        let items = changes.into_iter().map(item).collect();
+        self.feed.replace(items, revision, &left_out);
+    }
+
     /// Waits for changes after those that are known, for a bounded time.
     pub async fn follow(&mut self, directory: &RefCell<Directory>) -> Result<News, kv::Error> {
         loop {
@@ -263,13 +277,12 @@
         let after = self.feed.replica.borrow().through();
         let asked_at = clock::now();
         self.metrics.count(counter);
-        let news = self.store.follow(ALL_KEYS, after, wait).await?;
+        let mut news = self.store.follow(ALL_KEYS, after, wait).await?;
         self.was_told = false;
         self.follower.set_behind(matches!(news, News::Part(..)));
-        match &news {
+        match &mut news {
             News::Part(changes, through) => {
-                let items: Vec<Item<Content>> = changes.iter().cloned().map(item).collect();
-                self.feed.apply_part(&items, *through, &self.feed.own);
+                self.feed.apply_part(changes, *through, &self.feed.own);
             }
             News::Forgotten => {
                 log::info!("event=history-lost revision={after}");
@@ -279,11 +292,21 @@
                 if changes.is_empty() {
                     self.metrics.count("store_answers_empty");
                 }
-                let items: Vec<Item<Content>> = changes.iter().cloned().map(item).collect();
-                self.feed.apply(&items, *through, asked_at, &self.feed.own);
+                self.feed.apply(changes, *through, asked_at, &self.feed.own);
             }
         }
-        Ok(news)
+        Ok(self.or_forgotten(news))
+    }
+
+    /// Returns the changes, or that all keys are to be read again.
+    fn or_forgotten(&mut self, news: News) -> News {
+        let is_due = clock::now().since(self.read_at) >= READ_AGAIN_INTERVAL;
+        if !matches!(news, News::Changes(..)) || !is_due || !self.feed.has_room_again() {
+            return news;
+        }
+        log::info!("event=store-keys-read-again");
+        self.is_forgotten = true;
+        News::Forgotten
     }
 
     fn report(&self, name: &Arc<str>, error: &exchange::Error) {
@@ -362,14 +385,16 @@
         let items = self.items(answer.rows)?;
         self.was_told = true;
         if answer.is_whole {
-            self.feed.replace(items, answer.through);
+            self.feed.replace(items, answer.through, &[]);
             self.feed.confirm(answer.through, asked_at, name);
             self.is_whole = true;
             return Ok(Outcome::News(News::Forgotten));
         }
-        self.feed.apply(&items, answer.through, asked_at, name);
-        let changes = items.into_iter().map(super::change).collect();
-        Ok(Outcome::News(News::Changes(changes, answer.through)))
+        let mut changes: Vec<Change> = items.into_iter().map(super::change).collect();
+        self.feed
+            .apply(&mut changes, answer.through, asked_at, name);
+        let news = News::Changes(changes, answer.through);
+        Ok(Outcome::News(self.or_forgotten(news)))
     }
 
     /// Returns the changes that rows describe.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -53,4 +53,5 @@
 mod watchdog;
 
 pub use daemon::run;
+pub use feed::kind::of as kind_of;
 pub use settings::Settings;
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -24,7 +24,7 @@
 use crate::state::State;
 
 /// The prefix of the keys of requests in quarantine; the digest follows.
-const KEY_PREFIX: &str = "jujube/quarantine/";
+pub(crate) const KEY_PREFIX: &str = "jujube/quarantine/";
 /// How long an entry leaves the write to the one that quarantined a request. By then every entry
 /// that reaches the store has received the change.
 const OTHERS_DELAY: Span = Span(6_000);
--- a/crates/front/src/slack.rs
+++ b/crates/front/src/slack.rs
@@ -20,7 +20,7 @@
 use crate::state::State;
 
 /// The prefix of the keys of pieces; the service and the piece's number follow.
-const KEY_PREFIX: &str = "jujube/slack/";
+pub(crate) const KEY_PREFIX: &str = "jujube/slack/";
 /// The most pieces per transaction, which takes 32 rows: each piece needs a condition and a write.
 const MAX_PIECES_PER_CALL: usize = 12;
 /// How often pieces are checked when nothing asks for any.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -25,12 +25,15 @@
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::share::StoreLimits;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use jujube_program::clock;
 
 use crate::departure::Exit;
+use crate::dialect::Dialect;
 use crate::feed::Feed;
+use crate::feed::kind;
 use crate::fleet::Gaps;
 use crate::gossip::Peers;
 use crate::hold::Held;
@@ -142,7 +145,7 @@
     pub roster_changed: tokio::sync::Notify,
 }
 
-impl<D> State<D> {
+impl<D: Dialect> State<D> {
     /// Creates the state of an entry that has read nothing from the store yet.
     pub fn new(settings: Settings) -> Self {
         let place = Location {
@@ -156,7 +159,12 @@
             started: clock::now(),
             retries: Retries::new(settings.retry),
             peers: Peers::new(settings.name.clone(), place, settings.memory),
-            feed: Rc::new(Feed::new(settings.name.clone(), bounds)),
+            feed: Rc::new(Feed::new(
+                settings.name.clone(),
+                bounds,
+                kind::of::<D>,
+                StoreLimits::of(settings.memory).snapshot,
+            )),
             settings,
             internal: Cell::default(),
             table: RefCell::default(),
@@ -192,7 +200,9 @@
             roster_changed: tokio::sync::Notify::new(),
         }
     }
+}
 
+impl<D> State<D> {
     /// Returns the configuration in force.
     pub fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
--- a/crates/front/src/store_watch/mod.rs
+++ b/crates/front/src/store_watch/mod.rs
@@ -23,6 +23,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::Record;
 use crate::feed::Source;
+use crate::feed::kind::ENTRY_KEYS;
 use crate::gossip;
 use crate::quarantine;
 use crate::restore;
@@ -42,8 +43,6 @@
 use apply::log_registration;
 pub use apply::rebuild;
 
-/// The prefix of the keys that entries write.
-const ENTRY_KEYS: &str = "jujube/";
 /// The part of the time limit reserved for the next call after an answer that contained only keys
 /// of entries. Such changes may wait longer than a configuration. A slow store answers within a
 /// third of a second, and decoding a large snapshot takes as long on the smallest VMs.
--- a/crates/store/src/kv/feed.rs
+++ b/crates/store/src/kv/feed.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 
 use jujube_core::pipeline::era::Era;
+use jujube_core::pipeline::feed::room::Kind;
 use jujube_core::time::Span;
 
 use crate::kv::Condition;
@@ -79,6 +80,9 @@
         prefix: &str,
     ) -> impl Future<Output = Result<(Vec<Change>, Revision), Error>> + Send;
 
+    /// Returns the kinds of keys of which the last snapshot left out some, because there was no room.
+    fn left_out(&self) -> Vec<Kind>;
+
     /// Writes everything if every condition holds, and returns the revision of the writes; `None` if
     /// one did not hold.
     fn swap_at(
