Bound the sum of idle connections to servers

What callers saw: nothing yet; with hundreds of servers an entry could pass its memory limit, or have no descriptor left for new callers, by connections on which nothing is sent.

Cause: 64 idle connections were kept for each server, as long as the server states, and nothing bounded their sum or that time. An idle one holds some 17 KiB (the lead's trial), so that 4,000 descriptors of them are 68 MB; a stated time of u64::MAX seconds overflowed (a panic of the request's task in a debug build).

Why it works: an eighth of the memory at 20 kB each bounds the sum (1,000 at 160 MB, 1,625 at 260 MB); the one that has been idle the longest is closed for a new one, so that busy servers keep theirs. No server's word keeps one for more than ten minutes. The decisions are in core::pipeline::idle.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -20,6 +20,7 @@
 pub mod era;
 pub mod feed;
 pub mod hold;
+pub mod idle;
 pub mod leavers;
 pub mod limits;
 pub mod liveness;
--- a/crates/core/src/pipeline/share.rs
+++ b/crates/core/src/pipeline/share.rs
@@ -13,6 +13,24 @@
 /// The part of a machine's memory that the reports of other entries may have: one in this many bytes.
 /// Their sums take as much again a few times. Sums of a thousand entries on five hundred servers fit.
 const REPORTS_DIVISOR: u64 = 10;
+/// The part of a machine's memory that idle connections to servers may have: one in this many bytes.
+const IDLE_DIVISOR: u64 = 8;
+/// What an idle connection holds: its task, and buffers for reading and writing.
+const IDLE_CONNECTION: Size = Size(20_000);
+
+/// Returns how many idle connections to servers are kept on a machine. If its memory is unknown or
+/// zero, assumes that of the smallest entry.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::share::idle_connections;
+/// assert_eq!(idle_connections(None), 1_000);
+/// ```
+#[must_use]
+pub fn idle_connections(memory: Option<Size>) -> usize {
+    (known(memory).0 / IDLE_DIVISOR / IDLE_CONNECTION.0) as usize
+}
 
 /// Returns how much the reports of other entries may have on a machine. If its memory is unknown or
 /// zero, assumes that of the smallest entry.
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,9 +22,10 @@
 use hyper_util::rt::TokioIo;
 use jujube_core::pipeline::carried::Carried;
 use jujube_core::pipeline::carried::Exchange;
+use jujube_core::pipeline::idle;
+use jujube_core::pipeline::idle::Idle;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::status;
-use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use socket2::SockRef;
@@ -56,15 +56,8 @@
 pub const READ_BYTES: u64 = 2 * MAX_BUFFER_BYTES as u64;
 /// How many keepalive probes may be lost before the system closes the connection.
 const KEEPALIVE_PROBES: u32 = 2;
-/// How long an idle connection is kept if the server sends no `Keep-Alive` timeout.
-const IDLE_TIMEOUT: Span = Span(4_000);
-/// How long before the server's keep-alive timeout a connection is closed, so that no request races
-/// with the server's close.
-const CLOSE_MARGIN: Span = Span(800);
 /// The largest response to an order or a health check. They have some hundred bytes.
 const MAX_CALL_BYTES: usize = 256 << 10;
-/// Maximum idle connections per server.
-const MAX_IDLE: usize = 64;
 
 /// An open connection.
 struct Connection {
@@ -76,18 +69,18 @@
     carried: Carried,
 }
 
-struct Idle {
-    connection: Box<Connection>,
-    expires_at: Instant,
+impl Connection {
+    fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
 }
 
 /// Idle connections by backend server.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pool(Rc<Shared>);
 
-#[derive(Default)]
 struct Shared {
-    idle: RefCell<HashMap<Incarnation, Vec<Idle>>>,
+    idle: RefCell<Idle<Box<Connection>>>,
     /// The number of connections opened.
     opened: Cell<u64>,
     closed: Closed,
@@ -110,6 +103,15 @@
 }
 
 impl Pool {
+    /// Creates a pool that keeps at most `max_idle` idle connections.
+    pub fn new(max_idle: usize) -> Self {
+        Self(Rc::new(Shared {
+            idle: RefCell::new(Idle::new(max_idle)),
+            opened: Cell::default(),
+            closed: Closed::default(),
+        }))
+    }
+
     /// Returns a connection to a server for an exchange, an idle one if possible.
     ///
     /// # Errors
@@ -184,21 +186,13 @@
 
     /// Returns the connection that was used last, of those that may carry an exchange.
     fn take_idle(&self, server: &Incarnation, exchange: &Exchange) -> Option<Box<Connection>> {
-        let now = clock::now();
         let mut idle = self.0.idle.borrow_mut();
-        let kept = idle.get_mut(server)?;
-        for number in (0..kept.len()).rev() {
-            let Idle {
-                connection,
-                expires_at,
-            } = &kept[number];
-            if *expires_at <= now || !connection.sender.is_ready() {
-                kept.remove(number);
-            } else if connection.carried.may_carry(exchange) {
-                return Some(kept.remove(number).connection);
-            }
-        }
-        None
+        idle.take(
+            clock::now(),
+            server,
+            |connection| connection.sender.is_ready(),
+            |connection| connection.carried.may_carry(exchange),
+        )
     }
 
     /// Handles the end of a connection to a server.
@@ -208,12 +202,7 @@
     /// of a later part of a path is noticed only after its streams have stalled.
     fn connection_closed(&self, server: &Incarnation) {
         let mut idle = self.0.idle.borrow_mut();
-        let Some(kept) = idle.get_mut(server) else {
-            return;
-        };
-        let before = kept.len();
-        kept.retain(|idle| !idle.connection.sender.is_closed());
-        if kept.len() < before {
+        if idle.retain_of(server, |connection| connection.is_open()) {
             self.0.closed.servers.borrow_mut().push(server.clone());
             self.0.closed.changed.notify_one();
         }
@@ -227,17 +216,17 @@
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: &Incarnation) {
-        self.0.idle.borrow_mut().remove(server);
+        self.0.idle.borrow_mut().retain_of(server, |_| false);
     }
 
     /// Closes idle connections that have expired or whose server is no longer registered.
     pub fn close_expired(&self, is_registered: impl Fn(&Incarnation) -> bool) {
-        let now = clock::now();
         let mut idle = self.0.idle.borrow_mut();
-        idle.retain(|server, kept| {
-            kept.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
-            !kept.is_empty() && is_registered(server)
-        });
+        idle.expire(
+            clock::now(),
+            |connection| connection.is_open(),
+            is_registered,
+        );
     }
 }
 
@@ -272,13 +261,7 @@
                 return;
             }
             let mut idle = self.pool.0.idle.borrow_mut();
-            let connections = idle.entry(self.server).or_default();
-            if connections.len() < MAX_IDLE {
-                connections.push(Idle {
-                    connection: self.connection,
-                    expires_at: clock::now().plus(timeout),
-                });
-            }
+            idle.keep(&self.server, self.connection, clock::now().plus(timeout));
         });
     }
 }
@@ -357,9 +340,7 @@
             .find_map(|part| part.trim().strip_prefix("timeout="));
         parameter?.trim().parse::<u64>().ok()
     });
-    let timeout = seconds.map_or(IDLE_TIMEOUT, |seconds| Span(seconds * 1000));
-    let timeout = Span(timeout.0.saturating_sub(CLOSE_MARGIN.0));
-    (timeout.0 > 0).then_some(timeout)
+    idle::keep_time(seconds)
 }
 
 /// Sets the options of a caller's connection.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -25,6 +25,7 @@
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::share;
 use jujube_core::pipeline::share::StoreLimits;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
@@ -154,6 +155,7 @@
         };
         let bounds = Bounds::new(settings.limits.contact, settings.limits.apply);
         let capacity = MemoryBudget::capacity_of(settings.memory);
+        let idle_connections = share::idle_connections(settings.memory);
         Self {
             dialect: PhantomData,
             started: clock::now(),
@@ -185,7 +187,7 @@
             reported_layers: RefCell::default(),
             ordered_layers: RefCell::default(),
             served_tokens: Cell::default(),
-            pool: Pool::default(),
+            pool: Pool::new(idle_connections),
             probes: Probes::default(),
             held: Held::default(),
             memory: Rc::new(Memory::new(capacity)),
