Keep no whole configuration for a request that still arrives

What callers saw: an entry over its memory limit, which the platform ends with all its connections, after some dozens of changes of a large configuration within the time that slow uploads take.

Cause: a request held the table of its configuration until its body was whole. Each version that came meanwhile, with a slow upload under each, stayed in memory: some 2.7 MiB for a configuration of almost a megabyte, whose number is bounded by the uploads' deadlines only.

Why it works: what the request needs of the table (its route, service and whether that is a model's) is taken before the body is read, and the table let go. A route without a server is refused before the body, not after it.

--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -232,6 +232,11 @@
     let route = table.route(host, request.uri().path()).cloned();
     let route = route.ok_or(Reason::NoRoute)?;
     let account = authenticate::<D>(&table, &request, &route)?;
+    let service = route
+        .pick_target(rand::random())
+        .ok_or(Reason::NoServer)?
+        .clone();
+    let is_model = table.model(&service).is_some();
     let (parts, body) = request.into_parts();
     let timeout = head::number(&parts.headers, &D::NAMES.deadline).map(Span);
     let timeout = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
@@ -240,11 +245,9 @@
         deadline: arrived.plus(timeout),
     };
     let overtaken = state.exit.forbids(work(&route, limits.deadline));
+    // A body may take long, and a whole configuration is a lot to keep for it.
+    drop(table);
     let upload = upload::read(body, limits, &state.memory, overtaken).await?;
-    let service = route
-        .pick_target(rand::random())
-        .ok_or(Reason::NoServer)?
-        .clone();
     let customer = account.as_ref().map(|account| account.customer.clone());
     let customer = customer.unwrap_or_else(|| "".into());
     let digest = digest(&parts, &customer, &upload.bytes);
@@ -262,7 +265,7 @@
         customer,
         priority: priority.unwrap_or(route.priority),
         route,
-        is_model: table.model(&service).is_some(),
+        is_model,
         service,
         outgoing: Outgoing {
             method: parts.method,
