--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -22,6 +22,7 @@
 pub mod feed;
 pub mod framing;
 pub mod hold;
+pub mod idle;
 pub mod leavers;
 pub mod limits;
 pub mod liveness;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,18 +23,20 @@
 use jujube_core::pipeline::carried::Carried;
 use jujube_core::pipeline::carried::Exchange;
 use jujube_core::pipeline::framing::Framing;
+use jujube_core::pipeline::idle;
+use jujube_core::pipeline::idle::Idle;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::status;
-use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::http;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::delivery;
 use crate::dialect::Dialect;
-use crate::framing;
 
 /// The sending half of a connection.
 pub type Sender = SendRequest<Full<Bytes>>;
@@ -53,7 +54,10 @@
 const CALLER_SEND_BUFFER: usize = 32 << 10;
 /// Size of the system's receive buffer of a caller's connection, which by default grows to some megabytes
 /// while requests that arrive early are not read.
-const CALLER_RECEIVE_BUFFER: usize = 32 << 10;
+const CALLER_RECEIVE_BUFFER: usize = 16 << 10;
+/// Size of the system's receive buffer of a server's connection, for the same reason: responses wait in it
+/// while there is no room for them.
+const SERVER_RECEIVE_BUFFER: usize = 16 << 10;
 /// Upper bound of the read buffer of a server's connection.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 /// What a server's connection holds while its response is not read on: the last read, which waits for
@@ -61,15 +65,8 @@
 pub const READ_BYTES: u64 = 2 * MAX_BUFFER_BYTES as u64;
 /// How many keepalive probes may be lost before the system closes the connection.
 const KEEPALIVE_PROBES: u32 = 2;
-/// How long an idle connection is kept if the server sends no `Keep-Alive` timeout.
-const IDLE_TIMEOUT: Span = Span(4_000);
-/// How long before the server's keep-alive timeout a connection is closed, so that no request races
-/// with the server's close.
-const CLOSE_MARGIN: Span = Span(800);
 /// The largest response to an order or a health check. They have some hundred bytes.
 const MAX_CALL_BYTES: usize = 256 << 10;
-/// Maximum idle connections per server.
-const MAX_IDLE: usize = 64;
 
 /// An open connection.
 struct Connection {
@@ -81,18 +78,18 @@
     carried: Carried,
 }
 
-struct Idle {
-    connection: Box<Connection>,
-    expires_at: Instant,
+impl Connection {
+    fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
 }
 
 /// Idle connections by backend server.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pool(Rc<Shared>);
 
-#[derive(Default)]
 struct Shared {
-    idle: RefCell<HashMap<Incarnation, Vec<Idle>>>,
+    idle: RefCell<Idle<Box<Connection>>>,
     /// The number of connections opened.
     opened: Cell<u64>,
     closed: Closed,
@@ -115,6 +112,15 @@
 }
 
 impl Pool {
+    /// Creates a pool that keeps at most `max_idle` idle connections.
+    pub fn new(max_idle: usize) -> Self {
+        Self(Rc::new(Shared {
+            idle: RefCell::new(Idle::new(max_idle)),
+            opened: Cell::default(),
+            closed: Closed::default(),
+        }))
+    }
+
     /// Returns a connection to a server for an exchange, an idle one if possible.
     ///
     /// # Errors
@@ -148,6 +154,7 @@
         let stream = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
         set_timeouts(&stream, USER_TIMEOUT)?;
+        let _unsupported = SockRef::from(&stream).set_recv_buffer_size(SERVER_RECEIVE_BUFFER);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -189,21 +196,13 @@
 
     /// Returns the connection that was used last, of those that may carry an exchange.
     fn take_idle(&self, server: &Incarnation, exchange: &Exchange) -> Option<Box<Connection>> {
-        let now = clock::now();
         let mut idle = self.0.idle.borrow_mut();
-        let kept = idle.get_mut(server)?;
-        for number in (0..kept.len()).rev() {
-            let Idle {
-                connection,
-                expires_at,
-            } = &kept[number];
-            if *expires_at <= now || !connection.sender.is_ready() {
-                kept.remove(number);
-            } else if connection.carried.may_carry(exchange) {
-                return Some(kept.remove(number).connection);
-            }
-        }
-        None
+        idle.take(
+            clock::now(),
+            server,
+            |connection| connection.sender.is_ready(),
+            |connection| connection.carried.may_carry(exchange),
+        )
     }
 
     /// Handles the end of a connection to a server.
@@ -213,12 +212,7 @@
     /// of a later part of a path is noticed only after its streams have stalled.
     fn connection_closed(&self, server: &Incarnation) {
         let mut idle = self.0.idle.borrow_mut();
-        let Some(kept) = idle.get_mut(server) else {
-            return;
-        };
-        let before = kept.len();
-        kept.retain(|idle| !idle.connection.sender.is_closed());
-        if kept.len() < before {
+        if idle.retain_of(server, |connection| connection.is_open()) {
             self.0.closed.servers.borrow_mut().push(server.clone());
             self.0.closed.changed.notify_one();
         }
@@ -232,17 +226,17 @@
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: &Incarnation) {
-        self.0.idle.borrow_mut().remove(server);
+        self.0.idle.borrow_mut().retain_of(server, |_| false);
     }
 
     /// Closes idle connections that have expired or whose server is no longer registered.
     pub fn close_expired(&self, is_registered: impl Fn(&Incarnation) -> bool) {
-        let now = clock::now();
         let mut idle = self.0.idle.borrow_mut();
-        idle.retain(|server, kept| {
-            kept.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
-            !kept.is_empty() && is_registered(server)
-        });
+        idle.expire(
+            clock::now(),
+            |connection| connection.is_open(),
+            is_registered,
+        );
     }
 }
 
@@ -277,13 +271,7 @@
                 return;
             }
             let mut idle = self.pool.0.idle.borrow_mut();
-            let connections = idle.entry(self.server).or_default();
-            if connections.len() < MAX_IDLE {
-                connections.push(Idle {
-                    connection: self.connection,
-                    expires_at: clock::now().plus(timeout),
-                });
-            }
+            idle.keep(&self.server, self.connection, clock::now().plus(timeout));
         });
     }
 }
@@ -323,7 +311,7 @@
     if !is_own(&parts.headers) {
         anyhow::bail!("response belongs to a request");
     }
-    if framing::of(&method, parts.status, &parts.headers) == Framing::Coded {
+    if http::framing(&method, parts.status, &parts.headers) == Framing::Coded {
         anyhow::bail!("body has codings that are not decoded");
     }
     let body = Limited::new(body, MAX_CALL_BYTES).collect().await;
@@ -366,9 +354,14 @@
             .find_map(|part| part.trim().strip_prefix("timeout="));
         parameter?.trim().parse::<u64>().ok()
     });
-    let timeout = seconds.map_or(IDLE_TIMEOUT, |seconds| Span(seconds * 1000));
-    let timeout = Span(timeout.0.saturating_sub(CLOSE_MARGIN.0));
-    (timeout.0 > 0).then_some(timeout)
+    idle::keep_time(seconds)
+}
+
+/// Sets the options that callers' connections take from their listener.
+///
+/// What callers send before their connection is accepted is received as well, so that it is too late then.
+pub fn configure_listener(listener: &TcpListener) {
+    let _unsupported = SockRef::from(listener).set_recv_buffer_size(CALLER_RECEIVE_BUFFER);
 }
 
 /// Sets the options of a caller's connection.
@@ -379,7 +372,6 @@
     let _unsupported = stream.set_nodelay(true);
     let _unsupported = set_timeouts(stream, delivery::IDLE_TIMEOUT);
     let _unsupported = SockRef::from(stream).set_send_buffer_size(CALLER_SEND_BUFFER);
-    let _unsupported = SockRef::from(stream).set_recv_buffer_size(CALLER_RECEIVE_BUFFER);
 }
 
 /// Enables TCP keepalive and the user timeout, so that the system detects dead connections.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -26,13 +26,17 @@
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::share;
+use jujube_core::pipeline::share::StoreLimits;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use jujube_program::clock;
 
 use crate::crowd::Crowd;
 use crate::departure::Exit;
+use crate::dialect::Dialect;
 use crate::feed::Feed;
+use crate::feed::kind;
 use crate::fleet::Gaps;
 use crate::gossip::Peers;
 use crate::hold::Held;
@@ -148,7 +152,7 @@
     pub roster_changed: tokio::sync::Notify,
 }
 
-impl<D> State<D> {
+impl<D: Dialect> State<D> {
     /// Creates the state of an entry that has read nothing from the store yet.
     pub fn new(settings: Settings) -> Self {
         let place = Location {
@@ -158,12 +162,18 @@
         let bounds = Bounds::new(settings.limits.contact, settings.limits.apply);
         let capacity = MemoryBudget::capacity_of(settings.memory);
         let crowd = Crowd::new(settings.memory);
+        let idle_connections = share::idle_connections(settings.memory);
         Self {
             dialect: PhantomData,
             started: clock::now(),
             retries: Retries::new(settings.retry),
             peers: Peers::new(settings.name.clone(), place, settings.memory),
-            feed: Rc::new(Feed::new(settings.name.clone(), bounds)),
+            feed: Rc::new(Feed::new(
+                settings.name.clone(),
+                bounds,
+                kind::of::<D>,
+                StoreLimits::of(settings.memory).snapshot,
+            )),
             settings,
             internal: Cell::default(),
             table: RefCell::default(),
@@ -185,7 +195,7 @@
             reported_layers: RefCell::default(),
             ordered_layers: RefCell::default(),
             served_tokens: Cell::default(),
-            pool: Pool::default(),
+            pool: Pool::new(idle_connections),
             probes: Probes::default(),
             held: Held::default(),
             memory: Rc::new(Memory::new(capacity)),
@@ -201,7 +211,9 @@
             roster_changed: tokio::sync::Notify::new(),
         }
     }
+}
 
+impl<D> State<D> {
     /// Returns the configuration in force.
     pub fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
@@ -284,13 +296,15 @@
     }
 
     /// Records a successful request at a backend server.
-    pub fn served(&self, server: &Incarnation) {
-        self.outliers.borrow_mut().served(clock::now(), server);
+    pub fn served(&self, server: &Incarnation, request: Digest) {
+        let mut outliers = self.outliers.borrow_mut();
+        outliers.served(clock::now(), server, request);
     }
 
     /// Records a failed request at a backend server.
-    pub fn failed(&self, server: &Incarnation) {
-        self.outliers.borrow_mut().failed(clock::now(), server);
+    pub fn failed(&self, server: &Incarnation, request: Digest) {
+        let mut outliers = self.outliers.borrow_mut();
+        outliers.failed(clock::now(), server, request);
     }
 
     /// Records that a backend server refused a request; the first refusal is reported to the other
