--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -212,7 +212,7 @@
     /// How long each pause may last from then on. With one time for all of it, an answer that the
     /// link carries more slowly than that is never read: each attempt is cut off and repeated.
     pub pause: Duration,
-    /// How long an answer at less than [`MIN_RATE`] may take. One that drips shows no pause, and would be
+    /// How long an answer at less than the lowest rate may take. One that drips shows no pause, and would be
     /// waited for as if for good.
     pub drip: Duration,
 }
