--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -171,24 +171,11 @@
         self.value(key, "a whole number", default)
     }
 
-    /// Reads a number that may be a fraction; it is finite and not negative. True or false count as
-    /// missing: a platform fills them in where it has no figure.
+    /// Reads a number that may be a fraction; it is finite and not negative.
     pub fn amount(&mut self, key: &'static str, expected: &str, default: f64) -> f64 {
-        if self.is_truth(key) {
-            self.known.insert(key);
-            return default;
-        }
         self.value(key, expected, Some(Amount(default))).0
     }
 
-    fn is_truth(&self, key: &str) -> bool {
-        let mut texts = self.properties.get_all(key).map(str::trim);
-        let is_truth = texts
-            .next()
-            .is_some_and(|text| text.parse::<bool>().is_ok());
-        is_truth && texts.next().is_none()
-    }
-
     /// Reads a time in milliseconds; a part of a millisecond is dropped.
     pub fn millis(&mut self, key: &'static str, default: Span) -> Span {
         let millis = self.amount(key, "a time in milliseconds", default.0 as f64);
