Count a connection at rest once, and keep a freed place for the one that waits for it

What would have happened: each request that came in one read with an earlier one left an entry of its connection among those at rest, for good, and a connection with such a request could be asked to close.

--- a/crates/front/src/crowd.rs
+++ b/crates/front/src/crowd.rs
@@ -24,6 +24,8 @@
     resting: RefCell<BTreeMap<u64, Rc<Notify>>>,
     /// How often a connection came to rest.
     rests: Cell<u64>,
+    /// The new connections that wait for a place, and what tells the first of them that one is free.
+    waiting: Cell<u64>,
     freed: Notify,
 }
 
@@ -34,10 +36,17 @@
             crowd: RefCell::new(crowd::Crowd::new(memory)),
             resting: RefCell::default(),
             rests: Cell::default(),
+            waiting: Cell::default(),
             freed: Notify::new(),
         }))
     }
 
+    /// Takes a place for a connection; `None` if there is none, or others wait for one.
+    pub fn connect(&self) -> Option<Place> {
+        let is_free = self.0.waiting.get() == 0;
+        is_free.then(|| self.admit(Visitor::Connection)).flatten()
+    }
+
     /// Takes a place; `None` if there is none.
     pub fn admit(&self, visitor: Visitor) -> Option<Place> {
         let is_admitted = self.0.crowd.borrow_mut().admit(visitor);
@@ -52,16 +61,18 @@
     pub async fn displace(&self) -> Option<Place> {
         let (_, longest) = self.0.resting.borrow_mut().pop_first()?;
         longest.notify_one();
+        self.0.waiting.set(self.0.waiting.get() + 1);
         let handover = async {
             loop {
-                let freed = self.0.freed.notified();
                 if let Some(place) = self.admit(Visitor::Connection) {
                     return place;
                 }
-                freed.await;
+                self.0.freed.notified().await;
             }
         };
-        tokio::time::timeout(HANDOVER_TIME, handover).await.ok()
+        let place = tokio::time::timeout(HANDOVER_TIME, handover).await.ok();
+        self.0.waiting.set(self.0.waiting.get() - 1);
+        place
     }
 
     /// Returns how things stand.
@@ -94,7 +105,7 @@
         let Shared { crowd, freed, .. } = &*self.crowd.0;
         crowd.borrow_mut().leave(self.visitor);
         if self.visitor == Visitor::Connection {
-            freed.notify_waiters();
+            freed.notify_one();
         }
     }
 }
@@ -109,6 +120,7 @@
 impl Rest {
     /// Records that the connection has no request.
     pub fn begin(&self) {
+        self.end();
         let Shared { resting, rests, .. } = &*self.crowd.0;
         let number = rests.get() + 1;
         rests.set(number);
@@ -116,7 +128,7 @@
         self.number.set(Some(number));
     }
 
-    /// Records that a request arrives.
+    /// Records that a request arrives, or is served.
     pub fn end(&self) {
         if let Some(number) = self.number.take() {
             self.crowd.0.resting.borrow_mut().remove(&number);
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -14,7 +14,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use jujube_core::pipeline::crowd::Visitor;
 use jujube_core::pipeline::departure::Departure;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -215,7 +214,7 @@
         };
         state.metrics.count("connections");
         pool::configure_caller(&stream);
-        let Some(place) = state.crowd.admit(Visitor::Connection) else {
+        let Some(place) = state.crowd.connect() else {
             spawn_local(without_place(state.clone(), stream, closing.clone()));
             continue;
         };
--- a/crates/front/src/delivery/intake.rs
+++ b/crates/front/src/delivery/intake.rs
@@ -117,6 +117,8 @@
     /// Records that the library has read a head. What is behind it came with the last read. Until the
     /// returned value is dropped, the library reads nothing of the next head.
     pub fn begin(self: &Rc<Self>) -> Reading {
+        // It may have come with an earlier one, in one read.
+        self.rest.end();
         self.head.set(0);
         self.is_short.set(false);
         let reserved = self.reserved.take();
--- a/crates/front/tests/intake.rs
+++ b/crates/front/tests/intake.rs
@@ -154,6 +154,28 @@
     assert_eq!(after, [Admission::Wait, Admission::Refused]);
 }
 
+/// Guards against connections that count as at rest more than once, or while they have a request, after
+/// requests that came together: what is kept of them would grow with each.
+#[tokio::test]
+async fn a_connection_is_at_rest_once_and_only_without_a_request() {
+    let (memory, crowd) = (memory(MAX_HEAD), Crowd::new(None));
+    let place = crowd.admit(Visitor::Connection).unwrap();
+    let intake = Rc::new(Intake::new(place, &memory));
+    intake.record_read(1_000);
+    for _ in 0..3 {
+        let _reading = intake.begin();
+        let _occupied = intake.occupy();
+        assert!(crowd.displace().await.is_none(), "it has a request");
+    }
+
+    let at_rest = crowd.displace().await;
+    drop(intake);
+    let gone = crowd.displace().await;
+
+    assert!(at_rest.is_some());
+    assert!(gone.is_none());
+}
+
 /// Guards against a whole head that is refused because the library reads on before it serves it.
 #[test]
 fn a_whole_head_is_served_without_room_for_more() {
