Begin the first read of the store again only if no page comes

Cause: read_first began one more read of all keys every 0.3 to 0.4 s until one ended. Reads share what the store, the network and the process can do, so that each delayed those before it; with enough keys, or a slow store or machine, none ended and the entry did not start.

Change: core::pipeline::feed::first_read. Another read beside others only if no page has come since the last look, five at most, which is what a silent store was asked before (1.5 s of timeout, one call every 0.3 s).

Conclusion: the entry starts however long the store takes to tell its keys.

--- a/crates/core/src/pipeline/feed/mod.rs
+++ b/crates/core/src/pipeline/feed/mod.rs
@@ -9,6 +9,7 @@
 pub mod contact;
 pub mod difference;
 pub mod earlier;
+pub mod first_read;
 pub mod follower;
 pub mod replica;
 pub mod room;
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -4,6 +4,8 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -13,6 +15,7 @@
 use jujube_core::pipeline::cell::Role;
 use jujube_core::pipeline::feed::bounds::Bounds;
 use jujube_core::pipeline::feed::contact::Contact;
+use jujube_core::pipeline::feed::first_read::FirstRead;
 use jujube_core::pipeline::feed::follower::AT_ONCE;
 use jujube_core::pipeline::feed::follower::Follower;
 use jujube_core::pipeline::feed::follower::Reason;
@@ -47,7 +50,7 @@
 /// The pause before the sources are asked again if all failed at once, such as by refusing
 /// connections.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
-/// The range of the random pause between two calls for the first snapshot, in milliseconds; a slow
+/// The range of the random pause before another call for the first snapshot, in milliseconds; a slow
 /// store answers within it.
 const FIRST_CALL_PAUSE_MS: std::ops::Range<u64> = 300..400;
 
@@ -143,14 +146,18 @@
     /// old.
     ///
     /// Until then every caller is refused. A call made while the store was silent may stay unanswered
-    /// even after the store has recovered, so further calls are made at intervals, while the earlier
-    /// ones may still be answered by a slow store.
+    /// even after the store has recovered, so further calls are made at intervals unless pages still
+    /// come, while the earlier ones may still be answered by a slow store.
     pub async fn read_first(&self) -> (Vec<Change>, Revision) {
+        let pages = AtomicU64::new(0);
+        let mut first_read = FirstRead::default();
         let mut calls = FuturesUnordered::new();
         let mut is_lost = false;
         loop {
-            self.metrics.count("store_calls_start");
-            calls.push(self.store.snapshot_stale(ALL_KEYS));
+            if first_read.is_due(calls.len(), pages.load(Ordering::Relaxed)) {
+                self.metrics.count("store_calls_start");
+                calls.push(self.store.snapshot_stale(ALL_KEYS, &pages));
+            }
             let pause = rand::random_range(FIRST_CALL_PAUSE_MS);
             let mut pause = pin!(tokio::time::sleep(Duration::from_millis(pause)).fuse());
             loop {
--- a/crates/store/src/kv/feed.rs
+++ b/crates/store/src/kv/feed.rs
@@ -1,6 +1,7 @@
 //! A key-value service that can be followed as a whole.
 
 use std::future::Future;
+use std::sync::atomic::AtomicU64;
 
 use jujube_core::pipeline::era::Era;
 use jujube_core::pipeline::feed::room::Kind;
@@ -74,10 +75,11 @@
     ) -> impl Future<Output = Result<(Vec<Change>, Revision), Error>> + Send;
 
     /// Reads all keys with a prefix as [`Feed::snapshot`] does, at a fraction of its price; the store
-    /// may answer with what it held some seconds ago.
+    /// may answer with what it held some seconds ago. Each part that is received is added to `pages`.
     fn snapshot_stale(
         &self,
         prefix: &str,
+        pages: &AtomicU64,
     ) -> impl Future<Output = Result<(Vec<Change>, Revision), Error>> + Send;
 
     /// Returns the kinds of keys of which the last snapshot left out some, because there was no room.
