Give a server's connection its receive buffer before it connects

Cause: since the receive buffer shrinks to 16 KiB after the connection is there. The server was told of a larger one, fills it, and is then told that there is no room; its system asks again after 0.2 s.

Change: the buffer is set before the connection is made.

Conclusion: each first response of more than a few 10 kB on a new connection waited 0.2 s; this is mended. Two copies of a response of more than half of the memory still block one another until the deadline: listed in the issue.

--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -33,6 +33,7 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use crate::delivery;
@@ -57,7 +58,7 @@
 const CALLER_RECEIVE_BUFFER: usize = 16 << 10;
 /// Size of the system's receive buffer of a server's connection, for the same reason: responses wait in it
 /// while there is no room for them.
-const SERVER_RECEIVE_BUFFER: usize = 16 << 10;
+const SERVER_RECEIVE_BUFFER: u32 = 16 << 10;
 /// Upper bound of the read buffer of a server's connection.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 /// What a server's connection holds while its response is not read on: the last read, which waits for
@@ -150,11 +151,10 @@
         address: SocketAddr,
         exchange: Exchange,
     ) -> io::Result<Lease> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
         set_timeouts(&stream, USER_TIMEOUT)?;
-        let _unsupported = SockRef::from(&stream).set_recv_buffer_size(SERVER_RECEIVE_BUFFER);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -341,6 +341,19 @@
     Ok((response.status(), response.into_body()))
 }
 
+/// Connects to a server.
+///
+/// The buffer has its size before the server is told how much may be sent. If it shrinks afterwards, the
+/// server waits 0.2 s in the first response that is larger, until its system asks whether there is room.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    let _unsupported = socket.set_recv_buffer_size(SERVER_RECEIVE_BUFFER);
+    socket.connect(address).await
+}
+
 /// Returns how long to keep an idle connection; `None` if the server will close it.
 fn idle_timeout(headers: &HeaderMap) -> Option<Span> {
     let connection = headers.get("connection").and_then(|v| v.to_str().ok());
