--- a/crates/core/tests/first_read.rs
+++ b/crates/core/tests/first_read.rs
@@ -86,3 +86,12 @@
     assert!(first_read.is_due(0, 3));
     assert!(first_read.is_due(0, 9));
 }
+
+/// Guards against reads without end before a store whose calls stay unanswered.
+#[test]
+fn no_more_reads_run_at_once_than_a_silent_store_leaves_unanswered() {
+    let mut first_read = FirstRead::default();
+
+    assert!(first_read.is_due(MAX_READS - 1, 0));
+    assert!(!first_read.is_due(MAX_READS, 0));
+}
