Show that a service is lost after a release to servers without lengths

From then on each request is run and answered 502.

Ruled out: cut or reset responses (the stand-in closes in order after the last byte), old servers (all have left), and the time to apply the configuration (all 40 requests on the added routes were served before).

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -130,6 +130,12 @@
     return encode(f"HTTP/1.1 {status} X", headers, body)
 
 
+def is_framed(answer):
+    """Returns whether a response tells where its body ends; another one ends with its channel."""
+    head = answer.partition(b"\r\n\r\n")[0].lower()
+    return b"\r\ncontent-length:" in head or b"\r\ntransfer-encoding:" in head
+
+
 class Service:
     """An HTTP server whose handler returns the bytes of a response, or None to close."""
 
@@ -154,6 +160,8 @@
                     return
                 writer.write(answer)
                 await writer.drain()
+                if not is_framed(answer):
+                    return
         except (ConnectionError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
