Show that one crash of three servers has a sound request refused for good

The request is quarantined as the cause, although the other servers answer it.

Ruled out: missing servers (the first route goes to the same service), and a request that does crash them.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -326,6 +326,12 @@
     def register(self, state):
         self.store.put(f"servers/{self.name}", json.dumps(self.registration(state)))
 
+    def crash(self):
+        """Ends at once: its port refuses channels, and the open ones are reset."""
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     async def drain(self):
         """Leaves as planned: reports it, serves on for a while, and ends."""
         self.register("draining")
