Show that servers stay suspected for good whose reports take 150 ms

Their reports take 150 ms before, meanwhile and after. Once each was slow, all streams are refused although all servers are sound.

Ruled out: placement (no server changes its layers), full servers, and an entry that is late itself.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -136,6 +136,20 @@
     return b"\r\ncontent-length:" in head or b"\r\ntransfer-encoding:" in head
 
 
+class Stream:
+    """A response that is written in parts, with a pause before each."""
+
+    def __init__(self, head, parts, pause_s):
+        self.head, self.parts, self.pause_s = head, parts, pause_s
+
+    async def write(self, writer):
+        writer.write(self.head)
+        for part in self.parts:
+            await asyncio.sleep(self.pause_s())
+            writer.write(part)
+            await writer.drain()
+
+
 class Service:
     """An HTTP server whose handler returns the bytes of a response, or None to close."""
 
@@ -158,6 +172,9 @@
                 answer = await self.handle(request)
                 if answer is None:
                     return
+                if isinstance(answer, Stream):
+                    await answer.write(writer)
+                    continue
                 writer.write(answer)
                 await writer.drain()
                 if not is_framed(answer):
@@ -374,17 +391,15 @@
 
 
 class Engine(PlainServer):
-    """A model server that holds all layers and writes a stream of events.
-
-    `step` is the distance of the ids of two events.
-    """
+    """A model server that holds all layers and writes a stream of events."""
 
     EVENTS = 8
     EVENT_GAP_S = 0.02
 
-    def __init__(self, store, record, name, service, step=1):
+    def __init__(self, store, record, name, service, report_s=0.0):
         super().__init__(store, record, name, service)
-        self.step = step
+        self.report_s = report_s
+        self.slowness = 1
         self.orders = 0
 
     def registration(self, state):
@@ -397,12 +412,14 @@
         own = self.registration("ready")
         fields = {name: own[name] for name in ("Stage", "Models", "Kind", "Layers")}
         load = {"Busy": False, "QueueDepth": 0, "NumRunning": 0, "Handles": 0}
-        memory = {"KvUsed": 0, "KvTotal": 800000, "pace": 1.0, "Sequence": self.orders}
-        return json.dumps({**fields, **load, **memory}).encode()
+        memory = {"KvUsed": 0, "KvTotal": 800000, "Sequence": self.orders}
+        pace = {"pace": float(self.slowness)}
+        return json.dumps({**fields, **load, **memory, **pace}).encode()
 
     async def handle(self, request):
         own = [("X-Jujubeshore-Instance-Id", self.name)]
         if request.target == "/-/report":
+            await asyncio.sleep(self.report_s)
             return response(200, own + [("Content-Type", "application/json")], self.report())
         if request.target == "/-/order":
             self.record.line(f"server {self.name} is ordered {request.body.decode()}")
@@ -412,13 +429,13 @@
 
     def answer(self, request, headers):
         after = int(request.header("Last-Event-Id", 0))
-        ids = [self.step * (index + 1) for index in range(self.EVENTS)]
-        events = [f"id: {number}\ndata: token {number}\n\n" for number in ids if number > after]
+        ids = range(after + 1, self.EVENTS + 1)
+        events = [f"id: {number}\ndata: token {number}\n\n" for number in ids]
+        chunks = [f"{len(event):x}\r\n{event}\r\n".encode() for event in events]
         signature = [("X-Jujubeshore-Server-Signature", f"{self.name}.{len(self.runs)}")]
         kind = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
-        chunks = [f"{len(event):x}\r\n{event}\r\n" for event in events] + ["0\r\n\r\n"]
-        body = "".join(chunks).encode()
-        return encode("HTTP/1.1 200 OK", headers + signature + kind, body)
+        head = encode("HTTP/1.1 200 OK", headers + signature + kind)
+        return Stream(head, chunks + [b"0\r\n\r\n"], lambda: self.EVENT_GAP_S * self.slowness)
 
 
 # A small model: all layers fit on one accelerator.
