Write each case's record in its own file, and keep the doses strictly

The form of the review: each case.py now opens the record.txt of its folder.

Ports now lie below those that the system gives out.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,7 +20,6 @@
 CALM_S = 2.0
 ORDERS_PER_S = 30
 REPEATS = 1
-SEED = 78
 PROMISES = (408, 421, 429, 503)
 
 
@@ -31,11 +30,18 @@
         super().__init__(*arguments)
         self.is_grey = False
         self.filed = []
-        self.random = random.Random(SEED)
+        self.grey_runs = self.grey_failures = 0
+
+    def end_grey(self):
+        self.is_grey = False
+        self.record.line(f"server {self.name} is whole; {self.grey_failures} of its "
+                         f"{self.grey_runs} runs have failed")
 
     def answer(self, request, headers):
         self.filed.append(request.body.decode())
-        if self.is_grey and self.random.random() < GREY_SHARE:
+        self.grey_runs += self.is_grey
+        if self.is_grey and self.grey_failures + 1 <= GREY_SHARE * self.grey_runs:
+            self.grey_failures += 1
             signature = [("X-Jujubeshore-Server-Signature", f"{self.name}.{len(self.runs)}")]
             return lab2.response(503, headers + signature, b"filed, but the register went away")
         return super().answer(request, headers)
@@ -86,6 +92,7 @@
         for server in site.servers[:GREY_SERVERS]:
             server.is_grey = has_trouble
             record.line(f"server {server.name} is grey: {server.is_grey}")
+            asyncio.get_running_loop().call_later(GREY_S, server.end_grey)
         await send_orders(requester, GREY_S, "meanwhile")
         return judge(site, requester)
     finally:
@@ -106,4 +113,4 @@
     return lab2.BROKEN if broken else lab2.HELD
 
 
-lab2.main(case, __file__)
+lab2.main(case, Path(__file__).resolve().parent / "record.txt")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -75,6 +75,12 @@
     return tally
 
 
+def end_slow(site, slow):
+    site.record.line(f"fast again are {[engine.name for engine in slow]}")
+    for engine in slow:
+        engine.slowness = 1
+
+
 async def turn_slow(site, engines, has_trouble):
     for turn in range(ROUNDS):
         chosen = [engines[(turn * SLOW + index) % SERVERS] for index in range(SLOW)]
@@ -82,9 +88,8 @@
         site.record.line(f"slow are {[engine.name for engine in slow]}")
         for engine in slow:
             engine.slowness = SLOW_X
+        asyncio.get_running_loop().call_later(SLOW_S, end_slow, site, slow)
         await traffic(site, SLOW_S, "meanwhile")
-        for engine in slow:
-            engine.slowness = 1
         await traffic(site, CALM_S, "between")
 
 
@@ -127,4 +132,4 @@
     return lab2.BROKEN if is_broken else lab2.HELD
 
 
-lab2.main(case, __file__)
+lab2.main(case, Path(__file__).resolve().parent / "record.txt")
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -8,8 +8,10 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -19,6 +21,7 @@
 PROGRAM = "target/release/jujube-platform"
 TEMPLATE = ROOT / "deploy" / "entry.ini"
 LOOPBACK = "127.0.0.1"
+PORTS = range(12000, 30000)
 
 HELD = 0
 BROKEN = 1
@@ -47,8 +50,8 @@
 class Record:
     """The file in which a case tells what was sent, answered and run."""
 
-    def __init__(self, path):
-        self.file = open(path, "w", encoding="utf-8")
+    def __init__(self, file):
+        self.file = file
         self.began = time.monotonic()
 
     def line(self, text):
@@ -595,15 +598,25 @@
 
 
 def free_ports(count):
-    import socket
-
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((LOOPBACK, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Returns ports that are free for both protocols, below those that the system gives to channels."""
+    ports = []
+    for port in random.sample(PORTS, len(PORTS)):
+        if is_free(port):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CannotRun("no free ports")
+
+
+def is_free(port):
+    kinds = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+    for kind in kinds:
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
 
 
 async def ask(port, method, path, headers, body=b"", timeout=5.0):
@@ -712,8 +725,7 @@
     return site
 
 
-async def play(case, folder):
-    record = Record(Path(folder) / "record.txt")
+async def play(case, record):
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"the disruption is {'on' if has_trouble else 'off'}")
     with tempfile.TemporaryDirectory() as scratch:
@@ -726,6 +738,8 @@
     return code
 
 
-def main(case, script):
+def main(case, path):
+    """Plays a case, writes its record to `path`, and exits with its result."""
     os.chdir(ROOT)
-    sys.exit(asyncio.run(play(case, Path(script).resolve().parent)))
+    with open(path, "w", encoding="utf-8") as file:
+        sys.exit(asyncio.run(play(case, Record(file))))
