Have no key valid once the last customer is removed

Cause: an empty list of customers and no list were the same, and meant that no key is needed. Now a configuration that lists customers needs keys, also if the list is empty; one without the list needs none.

The field of the document becomes optional, so that core/tests/routes.rs names its customers in Some; what it checks is the same.

--- a/crates/core/src/pipeline/document.rs
+++ b/crates/core/src/pipeline/document.rs
@@ -148,8 +148,8 @@
     pub services: BTreeMap<Service, Backend>,
     /// Limits on requests and connections.
     pub limits: Limits,
-    /// All customers; if empty, requests need no key.
-    pub accounts: Vec<Account>,
+    /// All customers, if requests need keys. If there are none, no key is valid.
+    pub accounts: Option<Vec<Account>>,
 }
 
 /// A document with its lookup tables.
@@ -175,7 +175,7 @@
             host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let mut keys = HashMap::new();
-        for (index, account) in document.accounts.iter().enumerate() {
+        for (index, account) in document.accounts.iter().flatten().enumerate() {
             for key in &account.keys {
                 keys.insert(key.clone(), index);
             }
@@ -204,16 +204,27 @@
     }
 
     /// Returns whether requests need a key.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::document::Document;
+    /// # use jujube_core::pipeline::document::Table;
+    /// let without_customers = Document { accounts: Some(Vec::new()), ..Document::default() };
+    /// let table = Table::new(without_customers);
+    /// assert!(table.needs_key() && table.account("key-1").is_none());
+    /// assert!(!Table::new(Document::default()).needs_key());
+    /// ```
     #[must_use]
-    pub fn has_accounts(&self) -> bool {
-        !self.document.accounts.is_empty()
+    pub fn needs_key(&self) -> bool {
+        self.document.accounts.is_some()
     }
 
     /// Returns the account that a key belongs to.
     #[must_use]
     pub fn account(&self, key: &str) -> Option<&Account> {
         let index = self.keys.get(key)?;
-        self.document.accounts.get(*index)
+        self.document.accounts.as_ref()?.get(*index)
     }
 
     /// Returns the model of a service, if it runs one that is split by layers.
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -39,11 +39,11 @@
             route("all", "/notes/", &[("desk", 1)]),
             route("old", "/notes/old/", &[("archive", 1)]),
         ],
-        accounts: vec![Account {
+        accounts: Some(vec![Account {
             customer: "crew".into(),
             keys: vec!["k1".into(), "k2".into()],
             priority: None,
-        }],
+        }]),
         ..Document::default()
     })
 }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -304,7 +304,7 @@
     request: &Request<Incoming>,
     route: &Route,
 ) -> Result<Option<Account>, Reason> {
-    if !table.has_accounts() || route.public {
+    if !table.needs_key() || route.public {
         return Ok(None);
     }
     let key = head::text(request.headers(), &D::NAMES.key).ok_or(Reason::NoKey)?;
--- a/crates/front/src/store_watch/apply.rs
+++ b/crates/front/src/store_watch/apply.rs
@@ -152,7 +152,7 @@
         "event=configuration version={version} routes={} services={} customers={}",
         document.routes.len(),
         document.services.len(),
-        document.accounts.len()
+        document.accounts.as_ref().map_or(0, Vec::len)
     );
     state.metrics.count("configurations");
     let services = &document.services;
