Pass on no promise that a server did not state, where a request may run once only

Cause: statuses 408, 429 and 503 went through unchanged. A caller cannot tell the server's from the entry's. Of a request that may run once only they now count as a failure of the server: 502. Requests that may be repeated get them unchanged.

--- a/crates/core/src/pipeline/document.rs
+++ b/crates/core/src/pipeline/document.rs
@@ -8,6 +8,7 @@
 use crate::name::Service;
 use crate::number::numbers;
 use crate::pipeline::model::Model;
+use crate::status;
 use crate::time::Span;
 
 numbers! {
@@ -76,6 +77,15 @@
         }
     }
 
+    /// Returns whether a server's response with a status may be passed on although the server did not
+    /// state that the request has not run.
+    ///
+    /// The caller of a request that may run once only repeats it after some statuses.
+    #[must_use]
+    pub fn may_forward(&self, status: u16) -> bool {
+        self.may_repeat() || !status::promises_no_run(status)
+    }
+
     /// Picks a target by weight; `draw` is a random number.
     #[must_use]
     pub fn pick_target(&self, draw: u64) -> Option<&Service> {
--- a/crates/core/src/status.rs
+++ b/crates/core/src/status.rs
@@ -23,3 +23,21 @@
 pub fn is_final(status: u16) -> bool {
     FINAL.contains(&status)
 }
+
+/// The statuses that tell a caller that its request has not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Returns whether a caller takes a status as the promise that its request has not run, and may send it
+/// again although it may run once only.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::status;
+/// assert!(status::promises_no_run(503));
+/// assert!(!status::promises_no_run(502));
+/// ```
+#[must_use]
+pub fn promises_no_run(status: u16) -> bool {
+    PROMISES.contains(&status)
+}
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -74,7 +74,7 @@
     match (result, silent) {
         (Err(refusal), Some(silent)) => {
             let response = silent.finish(stream).await;
-            let response = response.filter(|response| is_acceptable(response, &progress));
+            let response = response.filter(|response| is_acceptable(stream, response, &progress));
             response.ok_or(refusal)
         }
         (result, _) => result,
@@ -130,14 +130,17 @@
         };
         let mut exchange = None;
         let failure = match send(state, stream, path, last).await {
-            Sent::Ended(Ok(incomplete)) if is_acceptable(&incomplete, progress) => {
+            Sent::Ended(Ok(incomplete)) if is_acceptable(stream, &incomplete, progress) => {
                 return Ok(incomplete);
             }
             Sent::Ended(Ok(incomplete)) => {
                 let failure = Failure::Failed(incomplete.response.status());
+                let may_forward = may_forward(stream, &incomplete);
                 match may_run_again(state, stream) {
                     true => failure,
-                    false if *progress == Progress::NotStarted => return Ok(incomplete),
+                    false if *progress == Progress::NotStarted && may_forward => {
+                        return Ok(incomplete);
+                    }
                     false => return Err((Reason::Failed, failure.to_string())),
                 }
             }
@@ -268,14 +271,21 @@
 ///
 /// Once a response has started, only events may follow: the body of an error would be taken for the
 /// rest of the stream, and its end for the stream's end.
-fn is_acceptable(incomplete: &Incomplete, progress: &Progress) -> bool {
+fn is_acceptable(stream: &Stream, incomplete: &Incomplete, progress: &Progress) -> bool {
     let response = &incomplete.response;
     match progress {
-        Progress::NotStarted => !response.status().is_server_error(),
+        Progress::NotStarted => {
+            !response.status().is_server_error() && may_forward(stream, incomplete)
+        }
         Progress::Started(_) => super::is_events(response.status(), response.headers()),
     }
 }
 
+fn may_forward(stream: &Stream, incomplete: &Incomplete) -> bool {
+    let status = incomplete.response.status();
+    stream.route.may_forward(status.as_u16())
+}
+
 /// Returns the next path to try: one without the servers of earlier runs, if there is one. What ended
 /// such a run may last, and another run on its server counts as much as one elsewhere.
 fn next_fresh_path<D>(state: &State<D>, stream: &Stream, avoid: &[Incarnation]) -> Option<Path> {
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -208,7 +208,7 @@
         sent: Instant,
         result: Result<Reply, Failure>,
     ) -> Option<Reply> {
-        let failure = match result {
+        let failure = match result.and_then(|reply| self.check_forward(reply)) {
             Ok(reply) => {
                 self.record_answer(server, sent, &reply);
                 let failed = reply.parts.status.is_server_error();
@@ -267,6 +267,15 @@
         None
     }
 
+    /// Checks that a response may be passed on.
+    fn check_forward(&self, reply: Reply) -> Result<Reply, Failure> {
+        let status = reply.parts.status;
+        match self.request.route.may_forward(status.as_u16()) {
+            true => Ok(reply),
+            false => Err(Failure::Failed(status)),
+        }
+    }
+
     /// Records that a server answered and lives, unless it may have crashed under the request.
     fn record_answer(&self, server: &Server, sent: Instant, reply: &Reply) {
         if !reply.framing.is_stated() {
