Serve servers of a release whose responses state no length

Cause: one framed response made each unframed one of its service unproven, also those of another program. Now a server that never framed a response is taken for another program after two unproven ones if another server of the service is like it, and after eight if none is. A server that has framed one is never excused.

--- a/crates/core/src/pipeline/framing.rs
+++ b/crates/core/src/pipeline/framing.rs
@@ -1,10 +1,12 @@
 //! What proves that a response is whole.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::ops::RangeInclusive;
 
 use crate::name::Service;
+use crate::pipeline::server::Incarnation;
 
 /// The only transfer coding that is decoded.
 const CHUNKED: &str = "chunked";
@@ -146,12 +148,44 @@
     }
 }
 
-/// The services whose servers state where the bodies of their responses end.
+/// Who sent a response.
+#[derive(Clone, Copy, Debug)]
+pub struct Sender<'a> {
+    /// The service.
+    pub service: &'a Service,
+    /// The server, if it is known.
+    pub server: Option<&'a Incarnation>,
+}
+
+/// How many unproven responses of a server show that it states no lengths, if another server of its
+/// service does as well: a release replaces several.
+const UNPROVEN_BESIDE_OTHERS: u32 = 2;
+/// How many do if it is the only one.
+const UNPROVEN_ALONE: u32 = 8;
+
+/// What a server's responses were like.
+#[derive(Clone, Debug)]
+struct Habit {
+    service: Service,
+    /// Whether one of them told where its body ends.
+    is_stating: bool,
+    /// How many did not, unlike those of other servers.
+    unproven: u32,
+}
+
+impl Habit {
+    fn is_other(&self, least: u32) -> bool {
+        !self.is_stating && self.unproven >= least
+    }
+}
+
+/// The services whose servers state where the bodies of their responses end, and the servers of these that
+/// never do.
 ///
 /// A server that breaks off after its head, or loses the lines that frame its body, looks like one
 /// that never states a length, and a caller would take what arrived for the whole. Servers of one
 /// service run the same program: if one of them states lengths, a response without is not what that
-/// program sends.
+/// program sends. A release may bring another program, whose servers state none from their start on.
 ///
 /// # Examples
 ///
@@ -159,31 +193,40 @@
 /// # use jujube_core::pipeline::framing::Ended;
 /// # use jujube_core::pipeline::framing::Framing;
 /// # use jujube_core::pipeline::framing::Framings;
+/// # use jujube_core::pipeline::framing::Sender;
 /// # use jujube_core::pipeline::framing::Unproven;
 /// let mut framings = Framings::default();
-/// let desk = "desk".into();
+/// let (desk, server) = ("desk".into(), "s1".into());
+/// let sender = Sender { service: &desk, server: Some(&server) };
 /// let ended = Ended { status: 200, framing: Framing::Unstated, has_body: true };
-/// assert_eq!(framings.check(&desk, ended), Ok(()));
-/// assert_eq!(framings.check(&desk, Ended { has_body: false, ..ended }), Err(Unproven::Empty));
-/// framings.received(&desk, 200, Framing::Stated);
-/// assert_eq!(framings.check(&desk, ended), Err(Unproven::Unusual));
-/// assert_eq!(framings.check(&desk, Ended { framing: Framing::Stated, ..ended }), Ok(()));
+/// assert_eq!(framings.check(sender, ended), Ok(()));
+/// assert_eq!(framings.check(sender, Ended { has_body: false, ..ended }), Err(Unproven::Empty));
+/// framings.received(sender, 200, Framing::Stated);
+/// assert_eq!(framings.check(sender, ended), Err(Unproven::Unusual));
+/// assert_eq!(framings.check(sender, Ended { framing: Framing::Stated, ..ended }), Ok(()));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Framings {
     stating: BTreeSet<Service>,
+    habits: BTreeMap<Incarnation, Habit>,
 }
 
 impl Framings {
-    /// Records that a server of a service sent a part of the body of a response.
-    pub fn received(&mut self, service: &Service, status: u16, framing: Framing) {
+    /// Records that a server sent a part of the body of a response.
+    pub fn received(&mut self, sender: Sender<'_>, status: u16, framing: Framing) {
         let received = Ended {
             status,
             framing,
             has_body: true,
         };
-        if received.shows_end() && !self.stating.contains(service) {
-            self.stating.insert(service.clone());
+        if !received.shows_end() {
+            return;
+        }
+        if !self.stating.contains(sender.service) {
+            self.stating.insert(sender.service.clone());
+        }
+        if let Some(habit) = self.habit(sender) {
+            habit.is_stating = true;
         }
     }
 
@@ -192,12 +235,48 @@
     /// # Errors
     ///
     /// Nothing proves it: the server may have broken off.
-    pub fn check(&self, service: &Service, ended: Ended) -> Result<(), Unproven> {
-        ended.check(self.stating.contains(service))
+    pub fn check(&mut self, sender: Sender<'_>, ended: Ended) -> Result<(), Unproven> {
+        let is_stating = self.stating.contains(sender.service);
+        let checked = ended.check(is_stating && !self.is_of_another_program(sender));
+        if checked == Err(Unproven::Unusual) {
+            if let Some(habit) = self.habit(sender) {
+                habit.unproven += 1;
+            }
+        }
+        checked
     }
 
-    /// Forgets the services that are not configured.
-    pub fn retain(&mut self, is_configured: impl Fn(&Service) -> bool) {
+    /// Forgets the services that are not configured, and the servers that are not registered.
+    pub fn retain(
+        &mut self,
+        is_configured: impl Fn(&Service) -> bool,
+        is_registered: impl Fn(&Incarnation) -> bool,
+    ) {
         self.stating.retain(is_configured);
+        self.habits.retain(|server, _| is_registered(server));
+    }
+
+    fn habit(&mut self, sender: Sender<'_>) -> Option<&mut Habit> {
+        let server = sender.server?;
+        if !self.habits.contains_key(server) {
+            let habit = Habit {
+                service: sender.service.clone(),
+                is_stating: false,
+                unproven: 0,
+            };
+            self.habits.insert(server.clone(), habit);
+        }
+        self.habits.get_mut(server)
+    }
+
+    fn is_of_another_program(&self, sender: Sender<'_>) -> bool {
+        let own = sender.server.and_then(|server| self.habits.get(server));
+        let Some(own) = own.filter(|own| own.is_other(UNPROVEN_BESIDE_OTHERS)) else {
+            return false;
+        };
+        let of_service = self.habits.values();
+        let of_service = of_service.filter(|habit| habit.service == *sender.service);
+        let others = of_service.filter(|habit| habit.is_other(UNPROVEN_BESIDE_OTHERS));
+        own.is_other(UNPROVEN_ALONE) || others.count() > 1
     }
 }
--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -1,19 +1,17 @@
 //! Whether responses of backend servers are whole.
 
-use std::fmt::Display;
-
 use hyper::StatusCode;
-use jujube_core::name::Service;
 use jujube_core::pipeline::framing::Ended;
 use jujube_core::pipeline::framing::Framing;
+use jujube_core::pipeline::framing::Sender;
 use jujube_core::pipeline::framing::Unproven;
 
 use crate::state::State;
 
 /// Records that a part of the body of a response arrived.
-pub fn received<D>(state: &State<D>, service: &Service, status: StatusCode, framing: Framing) {
+pub fn received<D>(state: &State<D>, sender: Sender<'_>, status: StatusCode, framing: Framing) {
     let mut framings = state.framings.borrow_mut();
-    framings.received(service, status.as_u16(), framing);
+    framings.received(sender, status.as_u16(), framing);
 }
 
 /// Checks whether a response is whole whose body ended without an error of its connection; logs why
@@ -25,12 +23,13 @@
 pub fn check<D>(
     state: &State<D>,
     request: &str,
-    server: impl Display,
-    service: &Service,
+    sender: Sender<'_>,
     ended: Ended,
 ) -> Result<(), Unproven> {
-    let checked = state.framings.borrow().check(service, ended);
+    let checked = state.framings.borrow_mut().check(sender, ended);
     if let Err(cause) = checked {
+        let Sender { service, server } = sender;
+        let server = server.map_or("-".into(), ToString::to_string);
         state.metrics.count("responses_unproven");
         log::warn!(
             "event=unproven request={request} server={server} service={service} cause={cause}"
--- a/crates/front/src/store_watch/apply.rs
+++ b/crates/front/src/store_watch/apply.rs
@@ -7,6 +7,7 @@
 
 use jujube_core::layer::Range;
 use jujube_core::name::Server as Name;
+use jujube_core::name::Service;
 use jujube_core::pipeline::cell::Location;
 use jujube_core::pipeline::document::Document;
 use jujube_core::pipeline::document::Table;
@@ -155,10 +156,6 @@
         document.accounts.as_ref().map_or(0, Vec::len)
     );
     state.metrics.count("configurations");
-    let services = &document.services;
-    let mut framings = state.framings.borrow_mut();
-    framings.retain(|service| services.contains_key(service));
-    drop(framings);
     *state.table.borrow_mut() = Some(Rc::new(Table::new(document)));
     rebuild(state);
 }
@@ -245,6 +242,8 @@
     state.suspicion.borrow_mut().retain(is_known);
     state.load.borrow_mut().retain(is_known);
     state.outliers.borrow_mut().retain(is_known);
+    let is_configured = |service: &Service| table.document.services.contains_key(service);
+    state.framings.borrow_mut().retain(is_configured, is_known);
     drop(roster);
     limits::divide(state);
     for replaced in replaced {
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hyper::body::Body as _;
 use jujube_core::pipeline::attempts::Permission;
+use jujube_core::pipeline::framing::Sender;
 use jujube_core::pipeline::framing::Unproven;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::quarantine::BEGINNING;
@@ -154,10 +155,17 @@
         let Upstream::Reading(download) = &mut self.upstream else {
             return;
         };
-        if download.begins(data) {
-            let Registration { state, stream, .. } = &self.registration;
-            framing::received(state, &stream.service, download.status, download.framing);
+        if !download.begins(data) {
+            return;
         }
+        let (status, framing) = (download.status, download.framing);
+        let first = self.current_first();
+        let Registration { state, stream, .. } = &self.registration;
+        let sender = Sender {
+            service: &stream.service,
+            server: first.as_ref().map(|first| &first.server),
+        };
+        framing::received(state, sender, status, framing);
     }
 
     /// Records once for each run that its server lived on, and that the request survived its beginning.
@@ -214,9 +222,11 @@
         };
         let Registration { state, stream, .. } = &self.registration;
         let first = self.current_first();
-        let server = first.map_or("-".into(), |first| first.server.to_string());
-        let ended = download.ended();
-        framing::check(state, &stream.id, &server, &stream.service, ended)
+        let sender = Sender {
+            service: &stream.service,
+            server: first.as_ref().map(|first| &first.server),
+        };
+        framing::check(state, &stream.id, sender, download.ended())
     }
 
     /// Returns whether the server must have completed the response, and not crashed at the beginning of
--- a/crates/front/src/unary/attempt.rs
+++ b/crates/front/src/unary/attempt.rs
@@ -5,6 +5,7 @@
 use hyper::http::response::Parts;
 use jujube_core::pipeline::framing::Ended;
 use jujube_core::pipeline::framing::Framing;
+use jujube_core::pipeline::framing::Sender;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
 use jujube_core::time::Instant;
@@ -90,11 +91,14 @@
         framing,
         has_body: !body.is_empty(),
     };
-    let service = &request.service;
+    let sender = Sender {
+        service: &request.service,
+        server: Some(&server.incarnation),
+    };
     if ended.has_body {
-        framing::received(state, service, parts.status, framing);
+        framing::received(state, sender, parts.status, framing);
     }
-    framing::check(state, &request.id, &server.incarnation, service, ended)
+    framing::check(state, &request.id, sender, ended)
         .map_err(|unproven| Failure::Unknown(unproven.to_string()))?;
     lease.release(&parts.headers);
     Ok(Reply {
