Trust suspected servers whose reports are slow

Cause: a check is given 100 ms, and nothing but a check that is answered in that time ended a suspicion. A check of a suspect counts as failed after that time as before, and its answer is taken for a second.

Test: server_with_slow_reports_is_used_again.

--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -19,6 +19,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use tokio::time::error::Elapsed;
 
 use crate::dialect::Dialect;
 use crate::dialect::Report;
@@ -30,6 +31,9 @@
 
 /// Probe timeout; a report needs no slot, and a round trip takes two milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a suspected server may take to answer a probe that counts as failed meanwhile: its reports
+/// may always be slow.
+const SUSPECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// When a second probe is sent, on a new connection: before a lost packet would be retransmitted,
 /// and in case the pooled connection is dead.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(40);
@@ -93,8 +97,16 @@
     let started = clock::now();
     let request = request_report::<D>(state, server, address);
     let body = tokio::time::timeout(PROBE_TIMEOUT, request).await??;
-    let report = D::report(&body)?;
     state.local_health.borrow_mut().record_answer(started);
+    read_report(state, server, &body)
+}
+
+fn read_report<D: Dialect>(
+    state: &State<D>,
+    server: &Incarnation,
+    body: &[u8],
+) -> anyhow::Result<Report> {
+    let report = D::report(body)?;
     if server.conflicts_with(report.born) {
         handle_restart(state, server, &report);
         anyhow::bail!("restarted");
@@ -216,7 +228,7 @@
 /// Otherwise an overloaded entry would take live servers for dead, move their streams, and add to
 /// its own load. Dead servers are detected by the next probe or by other entries.
 fn is_inconclusive<D>(state: &State<D>, sent: Instant, error: &anyhow::Error) -> bool {
-    let is_timeout = error.is::<tokio::time::error::Elapsed>();
+    let is_timeout = error.is::<Elapsed>();
     is_timeout && state.local_health.borrow().was_delayed(sent, clock::now())
 }
 
@@ -340,13 +352,38 @@
     }
 }
 
-async fn probe_suspect<D: Dialect>(state: Rc<State<D>>, server: Incarnation, address: SocketAddr) {
-    state.metrics.count("probes");
+/// Requests the report of a suspected server; one that comes late is read as well.
+async fn report_of_suspect<D: Dialect>(
+    state: &Rc<State<D>>,
+    server: &Incarnation,
+    address: SocketAddr,
+) -> anyhow::Result<Report> {
     let sent = clock::now();
-    if let Err(error) = report(&state, &server, address).await {
-        if !is_inconclusive(&state, sent, &error) {
-            record_failed_check(&state, &server, &error);
+    let mut request = std::pin::pin!(request_report::<D>(state, server, address));
+    let prompt = tokio::time::timeout(PROBE_TIMEOUT, request.as_mut()).await;
+    let failed = match prompt {
+        Ok(Ok(body)) => {
+            state.local_health.borrow_mut().record_answer(sent);
+            return read_report(state, server, &body);
         }
+        Ok(Err(error)) => error,
+        Err(elapsed) => elapsed.into(),
+    };
+    if !is_inconclusive(state, sent, &failed) {
+        record_failed_check(state, server, &failed);
+    }
+    if !failed.is::<Elapsed>() {
+        return Err(failed);
+    }
+    let left = SUSPECT_TIMEOUT.saturating_sub(PROBE_TIMEOUT);
+    let body = tokio::time::timeout(left, request).await??;
+    read_report(state, server, &body)
+}
+
+async fn probe_suspect<D: Dialect>(state: Rc<State<D>>, server: Incarnation, address: SocketAddr) {
+    state.metrics.count("probes");
+    if let Err(error) = report_of_suspect(&state, &server, address).await {
+        log::debug!("event=still-suspected server={server} cause={error:#}");
         return;
     }
     let since = state.suspicion.borrow_mut().clear(&server);
