Release a request from quarantine once it ran to its end at a server that lives

Cause: a request that survived was no suspect any more, but stayed in quarantine if it had got there before its first answer. Now it leaves it, is removed from the store, and is not taken back there from others.

Test: request_that_survives_leaves_the_quarantine.

--- a/crates/core/src/pipeline/quarantine/mod.rs
+++ b/crates/core/src/pipeline/quarantine/mod.rs
@@ -172,12 +172,18 @@
         is_quarantined
     }
 
-    /// Records that a request ran to its end, or survived its beginning on a server.
-    pub fn survived(&mut self, request: Digest) {
+    /// Records that a request ran to its end, or survived its beginning on a server. Returns whether it
+    /// was in quarantine, which it leaves: the servers that ended under it ended for another reason.
+    pub fn survived(&mut self, request: Digest) -> bool {
         self.survivors.insert(request);
         self.suspects.remove(request);
         self.lost
             .retain(|lost| lost.run.features.request != request);
+        let was_quarantined = self.records.remove(request);
+        if was_quarantined {
+            self.records.remove_from_store(request);
+        }
+        was_quarantined
     }
 
     /// Records that a server wrote for longer than [`BEGINNING`], or to the end, on the parts of a
@@ -250,6 +256,9 @@
 
     /// Quarantines a request or a part; returns whether it was not in quarantine before. Unless
     /// another entry does so first, it is written to the store at `store_at`.
+    ///
+    /// A request that survived here is not quarantined, and is removed from the store if another entry
+    /// wrote it there.
     pub fn insert(
         &mut self,
         now: Instant,
@@ -257,6 +266,12 @@
         source: Source,
         store_at: Instant,
     ) -> bool {
+        if self.survivors.contains(digest) {
+            if source == Source::Store {
+                self.records.remove_from_store(digest);
+            }
+            return false;
+        }
         if self.records.contains(digest) {
             if source == Source::Store {
                 self.records.stored(digest);
@@ -347,7 +362,7 @@
         self.records.replaced(contained, store_at);
     }
 
-    /// Returns the requests and parts that left the full quarantine and are still in the store.
+    /// Returns the requests and parts that left the quarantine and may still be in the store.
     pub fn take_evicted(&mut self) -> Vec<Digest> {
         self.records.take_evicted()
     }
--- a/crates/core/src/pipeline/quarantine/records.rs
+++ b/crates/core/src/pipeline/quarantine/records.rs
@@ -68,7 +68,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Records {
     by_digest: BTreeMap<Digest, Record>,
-    /// Those that left a full quarantine, until they are removed from the store.
+    /// Those that left the quarantine, until they are removed from the store.
     evicted: Vec<Digest>,
 }
 
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Has a digest that is not in quarantine removed from the store.
+    pub(super) fn remove_from_store(&mut self, digest: Digest) {
+        self.evicted.push(digest);
+    }
+
     /// Removes a digest; returns whether it was in quarantine.
     pub(super) fn remove(&mut self, digest: Digest) -> bool {
         self.by_digest.remove(&digest).is_some()
@@ -186,7 +191,7 @@
         }
     }
 
-    /// Returns the digests that left the full quarantine and are still in the store.
+    /// Returns the digests that left the quarantine and may still be in the store.
     pub(super) fn take_evicted(&mut self) -> Vec<Digest> {
         std::mem::take(&mut self.evicted)
     }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -209,6 +209,32 @@
     assert!(evaluate(&mut quarantine, 0).is_empty());
 }
 
+/// Guards against a sound request being refused for good, because several servers that ran it ended at once
+/// before any other had answered it.
+#[test]
+fn request_that_survives_leaves_the_quarantine() {
+    let mut quarantine = Quarantine::default();
+    for server in ["a", "b", "c"] {
+        end(&mut quarantine, 0, server, &[INNOCENT]);
+    }
+    assert_eq!(evaluate(&mut quarantine, 0), [INNOCENT]);
+    quarantine.stored(INNOCENT);
+
+    assert!(quarantine.survived(INNOCENT));
+
+    assert!(!quarantine.contains(INNOCENT));
+    assert_eq!(quarantine.take_evicted(), [INNOCENT]);
+    assert!(!quarantine.insert(Instant(9), INNOCENT, Source::Report, Instant(9)));
+    assert!(!quarantine.insert(Instant(9), INNOCENT, Source::Store, Instant(9)));
+    assert!(!quarantine.contains(INNOCENT));
+    assert_eq!(
+        quarantine.take_evicted(),
+        [INNOCENT],
+        "another entry wrote it"
+    );
+    assert!(evaluate(&mut quarantine, 9).is_empty());
+}
+
 #[test]
 fn run_with_earlier_events_is_not_blamed() {
     let mut quarantine = Quarantine::default();
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -74,7 +74,11 @@
 
 /// Records that a request ran to its end, or survived its beginning on a server.
 pub fn survived<D>(state: &State<D>, digest: Digest) {
-    state.quarantine.borrow_mut().survived(digest);
+    let is_released = state.quarantine.borrow_mut().survived(digest);
+    if is_released {
+        log::warn!("event=quarantine-released digest={digest} cause=survived");
+        state.quarantine_added.notify_one();
+    }
 }
 
 /// Records that a server wrote on the parts of a request, sent to it at an instant, and lives.
@@ -166,7 +170,7 @@
     if change.value.is_some() {
         insert(state, digest, Source::Store);
     } else if state.quarantine.borrow_mut().release(digest) {
-        log::warn!("event=quarantine-released digest={digest}");
+        log::warn!("event=quarantine-released digest={digest} cause=store");
     }
 }
 
@@ -229,7 +233,7 @@
     is_stored
 }
 
-/// Removes a request that left the full quarantine from the store.
+/// Removes a request that left the quarantine from the store.
 async fn remove<F: Feed>(store: &F, digest: Digest) {
     let write = Write::Delete { key: key(digest) };
     if let Err(error) = store.swap(&[], &[write]).await {
