Tell how long the event loop of an entry did not run

A tick that exists already now measures it. vitals has the longest stall of ten seconds, longest_stall_ms is a histogram, and a stall of 150 ms or more is a line loop-stalled, at most one a second, counted as loop_stalls_total.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -46,6 +46,7 @@
 pub mod server;
 pub mod settling;
 pub mod share;
+pub mod stalls;
 pub mod strangers;
 pub mod summary;
 pub mod suspicion;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -28,6 +28,7 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::share;
 use jujube_core::pipeline::share::StoreLimits;
+use jujube_core::pipeline::stalls::Stalls;
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use jujube_program::clock;
@@ -98,6 +99,8 @@
     pub suspicion: RefCell<Suspicion>,
     /// Detects stalls of this process.
     pub local_health: RefCell<LocalHealth>,
+    /// How long the event loop did not run.
+    pub stalls: RefCell<Stalls>,
     /// The failure rates of backend servers.
     pub outliers: RefCell<Outliers>,
     /// The services whose servers state where the bodies of their responses end.
@@ -186,6 +189,7 @@
             load: RefCell::new(Load::new(Limits::started(clock::now(), rand::random()))),
             suspicion: RefCell::default(),
             local_health: RefCell::new(LocalHealth::new(watchdog::TICK)),
+            stalls: RefCell::new(Stalls::new(watchdog::TICK)),
             outliers: RefCell::default(),
             framings: RefCell::default(),
             quarantine: RefCell::default(),
--- a/crates/front/src/vitals.rs
+++ b/crates/front/src/vitals.rs
@@ -1,4 +1,4 @@
-//! What tells how a process ended, if it ends: its memory, its tasks and panics, on the log.
+//! What tells how a process ended, if it ends: its memory, its stalls, tasks and panics, on the log.
 
 use std::panic;
 use std::rc::Rc;
@@ -6,6 +6,7 @@
 
 use jujube_core::pipeline::memory::Cause;
 use jujube_core::pipeline::memory::Size;
+use jujube_core::time::Instant;
 
 use crate::dialect::Dialect;
 use crate::state::State;
@@ -33,6 +34,15 @@
     Some(Size(kib << 10))
 }
 
+/// Records a tick of the event loop, and logs how late it came.
+pub fn tick<D>(state: &State<D>, now: Instant) {
+    let told = state.stalls.borrow_mut().tick(now);
+    if let Some(stall) = told {
+        state.metrics.count("loop_stalls");
+        log::warn!("event=loop-stalled ms={stall}");
+    }
+}
+
 /// Logs the memory and what is under way until the process ends.
 pub async fn run<D: Dialect>(state: Rc<State<D>>) {
     loop {
@@ -42,9 +52,11 @@
             .iter()
             .sum();
         let crowd = state.crowd.view();
+        let longest_stall = state.stalls.borrow_mut().take_longest();
+        state.metrics.observe("longest_stall", longest_stall);
         log::info!(
             "event=vitals resident={resident} held={held} capacity={} connections={} crowd={} \
-             crowd_capacity={} in_flight={} streams={}",
+             crowd_capacity={} in_flight={} streams={} longest_stall_ms={longest_stall}",
             state.memory.capacity().0,
             crowd.connections(),
             crowd.held(),
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -28,6 +28,7 @@
 use crate::stream::Interrupt;
 use crate::stream::Reader;
 use crate::stream::Stream;
+use crate::vitals;
 
 /// Streams in flight.
 pub struct Streams<D> {
@@ -142,6 +143,7 @@
         tokio::time::sleep(Duration::from_millis(TICK.0)).await;
         let now = clock::now();
         state.local_health.borrow_mut().tick(now);
+        vitals::tick(&state, now);
         quarantine::settle(&state);
         let draining = draining(&state, now);
         let mut moved = 0;
