Place no models with more layers than a plan can hold

A planner reserved memory for each layer that a configuration stated. The process would come back to the same configuration, and the next planner would end as well, so all entries ended in turn.

Models of over 1,024 layers are not placed; not-placed tells so, their servers keep what they hold, and paths through these work as before. Models of 1,025 layers and more were placed until now, at a cost that grows with the square.

--- a/crates/core/src/pipeline/model.rs
+++ b/crates/core/src/pipeline/model.rs
@@ -69,6 +69,9 @@
 }
 
 const BYTES_PER_MB: f64 = 1e6;
+/// The most layers of a model whose layers are placed, several times those of the largest models in
+/// use. The memory of a plan grows with their number, and its time with the square.
+const MAX_PLACED_LAYERS: u32 = 1_024;
 
 impl Model {
     /// Returns the number of layers that fit when weights may use `share` of the memory.
@@ -88,6 +91,22 @@
         (layers.max(0.0) as u32).min(self.layers)
     }
 
+    /// Returns whether the layers of this model can be placed; servers keep those of others.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::model::Model;
+    /// let of = |layers| Model { layers, ..Model::default() };
+    /// assert!(of(80).is_placeable());
+    /// assert!(!of(0).is_placeable());
+    /// assert!(!of(u32::MAX).is_placeable());
+    /// ```
+    #[must_use]
+    pub fn is_placeable(&self) -> bool {
+        (1..=MAX_PLACED_LAYERS).contains(&self.layers)
+    }
+
     /// Returns whether the range lies within this model. A server may report layers of another
     /// model, and a path through them would run past the last layer.
     #[must_use]
--- a/crates/core/src/pipeline/placement/layers.rs
+++ b/crates/core/src/pipeline/placement/layers.rs
@@ -143,6 +143,9 @@
 /// Returns the KV capacity of a group, in tokens: that of the layer with the least.
 #[must_use]
 pub fn capacity(model: &Model, group: &[Holder]) -> f64 {
+    if !model.is_placeable() {
+        return 0.0;
+    }
     let layers = Layers::of(model, group);
     layers.capacity.into_iter().fold(f64::INFINITY, f64::min)
 }
--- a/crates/core/src/pipeline/placement/mod.rs
+++ b/crates/core/src/pipeline/placement/mod.rs
@@ -25,7 +25,8 @@
 pub use repair::has_path;
 pub use schedule::schedule;
 
-/// Returns the orders that improve the placement; none if it is good.
+/// Returns the orders that improve the placement; none if it is good, or if the model has too many
+/// layers to be placed.
 ///
 /// Each availability zone with enough memory for a replica of the model is planned on its own. The
 /// other zones form one group.
@@ -35,7 +36,7 @@
 /// wait again, because each that does not interrupts the streams of its server.
 #[must_use]
 pub fn plan(model: &Model, holders: &[Holder]) -> Vec<Order> {
-    if model.layers == 0 {
+    if !model.is_placeable() {
         return Vec::new();
     }
     let is_unserved = !has_path(model, holders);
--- a/crates/core/src/pipeline/placement/schedule.rs
+++ b/crates/core/src/pipeline/placement/schedule.rs
@@ -60,6 +60,9 @@
     orders: Vec<Order>,
     concurrent: usize,
 ) -> Vec<Order> {
+    if orders.is_empty() || !model.is_placeable() {
+        return Vec::new();
+    }
     let by_server: BTreeMap<&Incarnation, &Holder> = holders
         .iter()
         .map(|holder| (&holder.server, holder))
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -11,6 +11,7 @@
 use jujube_core::pipeline::placement::Phase;
 use jujube_core::pipeline::placement::capacity;
 use jujube_core::pipeline::placement::plan;
+use jujube_core::pipeline::placement::schedule;
 use proptest::prelude::*;
 
 use pipeline::carried_out;
@@ -56,6 +57,27 @@
     }
 }
 
+/// Guards against plans whose memory grows with the number of layers that a configuration states: an
+/// allocation of gigabytes ended the process.
+#[test]
+fn a_model_of_any_number_of_layers_can_be_planned() {
+    for layers in [0, 1, 80, 10_000, 1_000_000_000, u32::MAX] {
+        let model = Model {
+            layers,
+            layer_mb: 1e-3,
+            ..model()
+        };
+
+        let orders = plan(&model, &region());
+
+        assert!(capacity(&model, &region()) <= 0.0, "{layers} layers");
+        let is_within = orders.iter().all(|order| model.contains(order.layers));
+        assert!(is_within, "{layers} layers");
+        let given = schedule(&model, &region(), orders, 5);
+        assert!(given.len() <= region().len(), "{layers} layers");
+    }
+}
+
 #[test]
 fn a_settled_placement_gets_no_orders() {
     let model = model();
--- a/crates/front/src/planner/plan.rs
+++ b/crates/front/src/planner/plan.rs
@@ -81,6 +81,9 @@
         if last.is_some_and(|last| is_same_input(&last, &input)) {
             return;
         }
+        if !model.is_placeable() {
+            log::warn!("event=not-placed service={service} layers={}", model.layers);
+        }
         let orders = placement::plan(model, &input.holders);
         let wanted = orders.len();
         let orders = placement::schedule(model, &input.holders, orders, input.concurrent);
@@ -127,7 +130,7 @@
             self.state.roster.borrow().missing.servers().count(),
             self.orders.borrow().len(),
             loads.len(),
-            loads.iter().sum::<u32>()
+            loads.iter().copied().map(u64::from).sum::<u64>()
         );
     }
 
