Plan anew when a model changes while its servers stay

A planner compared its servers with those of the last plan, not the model. After a version with another number of layers, memory or speed it kept to the last plan until a server came, went or changed: no layers were placed, and no prompt was served, though the entry lived and its log showed nothing.

The model now belongs to what a plan is made from.

--- a/crates/front/src/planner/plan.rs
+++ b/crates/front/src/planner/plan.rs
@@ -1,6 +1,7 @@
 //! The plan of a term: what it is made from, and the orders that have their turn.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use jujube_core::layer::Range;
 use jujube_core::name::Service;
@@ -32,6 +33,7 @@
 /// What a model's orders are decided from.
 #[derive(Clone, Debug)]
 pub(super) struct Input {
+    model: Arc<Model>,
     holders: Vec<Holder>,
     /// The number of servers that may load at the same time.
     concurrent: usize,
@@ -55,10 +57,11 @@
             let others = all_loads - loads(&holders);
             let concurrent = self.concurrent_loads(service, model, others);
             let input = Input {
+                model: model.clone(),
                 holders,
                 concurrent,
             };
-            self.plan_model(service, model, input);
+            self.plan_model(service, input);
         }
     }
 
@@ -71,7 +74,8 @@
         all.saturating_sub(others).max(1)
     }
 
-    fn plan_model(self: &Rc<Self>, service: &Service, model: &Model, input: Input) {
+    fn plan_model(self: &Rc<Self>, service: &Service, input: Input) {
+        let model = &*input.model;
         if self.must_wait(service, model, &input.holders) {
             return;
         }
@@ -87,7 +91,7 @@
         let orders = placement::plan(model, &input.holders);
         let wanted = orders.len();
         let orders = placement::schedule(model, &input.holders, orders, input.concurrent);
-        self.log_plan(service, model, &input, orders.len(), wanted);
+        self.log_plan(service, &input, orders.len(), wanted);
         for order in orders {
             self.start_order(order);
         }
@@ -105,15 +109,9 @@
 
     /// Logs what a plan was made from: the KV capacity for requests that arrive now, the orders under
     /// way, and the loads among them, which share a rate.
-    fn log_plan(
-        &self,
-        service: &Service,
-        model: &Model,
-        input: &Input,
-        orders: usize,
-        wanted: usize,
-    ) {
+    fn log_plan(&self, service: &Service, input: &Input, orders: usize, wanted: usize) {
         let Input {
+            model,
             holders,
             concurrent,
         } = input;
@@ -269,5 +267,6 @@
     };
     let is_same_size = before.holders.len() == now.holders.len();
     let mut pairs = before.holders.iter().zip(&now.holders);
-    before.concurrent == now.concurrent && is_same_size && pairs.all(is_same)
+    let is_same_model = before.model == now.model && before.concurrent == now.concurrent;
+    is_same_model && is_same_size && pairs.all(is_same)
 }
