Answer checks on one connection at most ten times a second

Nothing limited how many checks of readiness, or reads of the metrics, an entry answers.

The next answer on a connection comes 100 ms after the last one. Checks come once a second, so none of them waits.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -10,6 +10,7 @@
 pub mod backlog;
 pub mod bandwidth;
 pub mod budget;
+pub mod cadence;
 pub mod carried;
 pub mod cell;
 pub mod chooser;
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -1,5 +1,6 @@
 //! The HTTP endpoints for readiness checks and metrics.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -11,7 +12,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use jujube_core::pipeline::cadence::Cadence;
 use jujube_core::pipeline::memory::Cause;
+use jujube_program::clock;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -51,9 +54,16 @@
 }
 
 async fn connection<D: Dialect>(state: Rc<State<D>>, stream: TcpStream) {
+    let cadence = Cell::new(Cadence::default());
     let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
-        let response = respond(&state, request.uri().path());
-        async move { Ok::<_, Infallible>(response) }
+        let mut next = cadence.get();
+        let wait = Duration::from_millis(next.wait(clock::now()).0);
+        cadence.set(next);
+        let state = state.clone();
+        async move {
+            tokio::time::sleep(wait).await;
+            Ok::<_, Infallible>(respond(&state, request.uri().path()))
+        }
     });
     let _disconnected = http1::Builder::new()
         .timer(TokioTimer::new())
