Read what others send to the internal port in turns

A turn of 10 ms now reads 256 kB at most, with 2 kB for each message, which is far more than entries send. The rest waits in the system's queue, which drops what does not fit; gossip_paused_total counts such turns.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -51,3 +51,4 @@
 pub mod strangers;
 pub mod summary;
 pub mod suspicion;
+pub mod turn;
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -20,6 +20,7 @@
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::summary::Summary;
+use jujube_core::pipeline::turn::Turn;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use tokio::net::UdpSocket;
@@ -193,6 +194,7 @@
 /// Receives the reports of other entries until the process ends.
 pub async fn receive<D: Dialect>(state: Rc<State<D>>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; message::RECEIVE_BUFFER_BYTES];
+    let mut turn = Turn::default();
     loop {
         let datagram: io::Result<(usize, SocketAddr)> = socket.recv_from(&mut buffer).await;
         let Ok((length, address)) = datagram else {
@@ -215,6 +217,11 @@
             Err(Malformed::Encoding) => state.metrics.count("gossip_malformed"),
             Err(Malformed::NotFinite) => state.metrics.count("gossip_senseless"),
         }
+        let wait = turn.read(clock::now(), length);
+        if wait > Span(0) {
+            state.metrics.count("gossip_paused");
+            tokio::time::sleep(millis(wait)).await;
+        }
     }
 }
 
