Bound the time that an order takes to what a span holds

A load time of 1e300 s, which a configuration may state, saturates, and the delay of the registration was added to that: in a release build the sum began anew at 1.5 s, so that each order counted as overdue after it, and in a debug build the planner's task panicked. The sum saturates too.

The test panicked with "attempt to add with overflow" before.

--- a/crates/core/src/pipeline/assignment.rs
+++ b/crates/core/src/pipeline/assignment.rs
@@ -101,7 +101,7 @@
         concurrent => (loads as f64 / f64::from(concurrent)).max(1.0),
     };
     let load = model.load_ms(layers.len()) * queue;
-    Span(load as u64 + REGISTRATION_DELAY.0)
+    Span((load as u64).saturating_add(REGISTRATION_DELAY.0))
 }
 
 /// The orders in progress of one planner.
--- a/crates/core/tests/assignments.rs
+++ b/crates/core/tests/assignments.rs
@@ -7,6 +7,7 @@
 
 use jujube_core::layer::Range;
 use jujube_core::pipeline::assignment::Assignments;
+use jujube_core::pipeline::assignment::expected_duration;
 use jujube_core::pipeline::placement::Handover;
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::placement::Phase;
@@ -100,6 +101,18 @@
 }
 
 /// Guards against plans that rely on a server that still executes another order.
+/// Guards against a load time so long that its end is computed to lie before its beginning: the order
+/// counted as blocked at once.
+#[test]
+fn a_load_of_any_length_is_not_overdue_early() {
+    let mut model = model();
+    model.load_seconds = 1e300;
+
+    let expected = expected_duration(&model, Range::new(0, model.layers), 1);
+
+    assert_eq!(expected, Span(u64::MAX));
+}
+
 #[test]
 fn a_refused_order_is_blocked_until_accepted() {
     let mut orders = Assignments::default();
