Start in spite of settings that an entry can do without

What callers saw: nothing of an entry whose settings had one wrong figure. It ended with exit code 2 at each start: true, false, text, negative numbers, NaN or inf as any of the bounds or the memory, times of over a year, an empty name or zone, an internal port that is no number.

Cause: every fault of the settings was fatal, whether an entry needs the value or not.

The reader of sections now says of each finding whether something can be used in place of the value: the default, the longest time, the address for callers as a name, nothing for an address that only helps. A process that runs takes that, logs it (`event=setting-replaced`) and counts it. New settings that bring a wrong figure leave what is in force. Addresses for callers, readiness and the store are needed, and a file that is missing, cut off, or has unknown or repeated keys is refused as before.

The first interface's programs use none of these readers and stay strict: they are configured by hand, and an operator is there to read the fault.

--- a/crates/core/src/bundle/parse.rs
+++ b/crates/core/src/bundle/parse.rs
@@ -59,7 +59,7 @@
         }
         let mut reader = Reader::new(header, properties);
         read_section(header, &mut reader, &mut bundle);
-        faults.extend(reader.finish());
+        faults.extend(reader.finish().into_iter().map(|finding| finding.fault));
     }
     if !seen.contains("bundle") {
         faults.push(Fault::new("bundle", "-", "missing section"));
--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -39,6 +39,81 @@
     }
 }
 
+/// A value that cannot be used, and what is used in its place.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::section::Replacement;
+/// let replacement = Replacement::new("store", "contact_ms", "not so", 3_000);
+/// assert_eq!(replacement.to_string(), "key=store.contact_ms value=not-so used=3000");
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Replacement {
+    section: Arc<str>,
+    key: Arc<str>,
+    value: Arc<str>,
+    used: Arc<str>,
+}
+
+impl Replacement {
+    /// Returns the replacement of a value by another one.
+    pub fn new(section: &str, key: &str, value: &str, used: impl fmt::Display) -> Self {
+        Self {
+            section: section.into(),
+            key: key.into(),
+            value: word(value),
+            used: word(&used.to_string()),
+        }
+    }
+
+    /// Returns the replacement of the same value by another one.
+    #[must_use]
+    pub fn by(&self, used: &str) -> Self {
+        Self {
+            used: word(used),
+            ..self.clone()
+        }
+    }
+
+    /// Returns whether this is the value of a key.
+    #[must_use]
+    pub fn is_of(&self, section: &str, key: &str) -> bool {
+        *self.section == *section && *self.key == *key
+    }
+}
+
+impl fmt::Display for Replacement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            section,
+            key,
+            value,
+            used,
+        } = self;
+        write!(f, "key={section}.{key} value={value} used={used}")
+    }
+}
+
+/// Returns a text as one short word of a log line.
+fn word(text: &str) -> Arc<str> {
+    const NOTHING: &str = "none";
+    let text = shorten(text).replace(char::is_whitespace, "-");
+    if text.is_empty() {
+        return NOTHING.into();
+    }
+    text.into()
+}
+
+/// What is wrong in a section, and what the program can use in its place.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finding {
+    /// What is wrong.
+    pub fault: Fault,
+    /// What is used instead; `None` if the program cannot do without the value.
+    pub replacement: Option<Replacement>,
+}
+
 /// Parses INI text without processing escape sequences.
 ///
 /// # Errors
@@ -81,6 +156,9 @@
 /// The longest time that can be set: a year.
 const MAX_SPAN: Span = Span(365 * 24 * 3_600_000);
 
+/// What an address looks like.
+const EXPECTED_ADDRESS: &str = "an IP number and port, such as `127.0.0.1:7000`";
+
 /// The placeholder for an invalid address.
 const UNSPECIFIED: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
 
@@ -117,7 +195,7 @@
     section: &'a str,
     properties: &'a Properties,
     known: BTreeSet<&'static str>,
-    faults: Vec<Fault>,
+    findings: Vec<Finding>,
 }
 
 impl<'a> Reader<'a> {
@@ -127,30 +205,46 @@
             section,
             properties,
             known: BTreeSet::new(),
-            faults: Vec::new(),
+            findings: Vec::new(),
         }
     }
 
     /// Records a fault of a key.
     pub fn fault(&mut self, key: &str, what: impl fmt::Display) {
-        self.faults.push(Fault::new(self.section, key, what));
+        self.findings.push(Finding {
+            fault: Fault::new(self.section, key, what),
+            replacement: None,
+        });
     }
 
-    /// Reads a value; the key is required when there is no default. An empty one counts as missing
-    /// then: a platform that fills in settings leaves empty what it has no value for.
-    pub fn value<T: FromStr + Default>(
-        &mut self,
-        key: &'static str,
-        expected: &str,
-        default: Option<T>,
-    ) -> T {
+    /// Records a fault of a key whose value the program can do without.
+    fn replace(&mut self, key: &str, what: String, value: &str, used: impl fmt::Display) {
+        self.findings.push(Finding {
+            fault: Fault::new(self.section, key, what),
+            replacement: Some(Replacement::new(self.section, key, value, used)),
+        });
+    }
+
+    /// Returns the text of a key unless it is empty: a platform that fills in settings leaves empty what
+    /// it has no value for.
+    fn given(&mut self, key: &'static str) -> Option<&'a str> {
         self.known.insert(key);
         let texts: Vec<&str> = self.properties.get_all(key).collect();
         if texts.len() > 1 {
             self.fault(key, "duplicate key");
         }
         let text = texts.first().map(|text| text.trim());
-        match (text.filter(|text| !text.is_empty()), default) {
+        text.filter(|text| !text.is_empty())
+    }
+
+    /// Reads a value; the key is required when there is no default. An empty one counts as missing.
+    pub fn value<T: FromStr + Default>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+        default: Option<T>,
+    ) -> T {
+        match (self.given(key), default) {
             (Some(text), _) => match text.parse() {
                 Ok(value) => value,
                 Err(_) => {
@@ -171,30 +265,52 @@
         self.value(key, "a whole number", default)
     }
 
-    /// Reads a number that may be a fraction; it is finite and not negative.
+    /// Reads a number that may be a fraction; it is finite and not negative. The default replaces any
+    /// other value.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::section::Reader;
+    /// let ini = jujube_core::section::load_plain("ratio = true\n").unwrap();
+    /// let mut reader = Reader::new("retry", ini.general_section());
+    /// assert_eq!(reader.amount("ratio", "a number", 0.2), 0.2);
+    /// let findings = reader.finish();
+    /// assert!(findings[0].replacement.is_some());
+    /// ```
     pub fn amount(&mut self, key: &'static str, expected: &str, default: f64) -> f64 {
-        self.value(key, expected, Some(Amount(default))).0
+        let Some(text) = self.given(key) else {
+            return default;
+        };
+        if let Ok(Amount(number)) = text.parse() {
+            return number;
+        }
+        let what = format!("`{}`: expected {expected}", shorten(text));
+        self.replace(key, what, text, default);
+        default
     }
 
     /// Reads a time in milliseconds; a part of a millisecond is dropped.
     pub fn millis(&mut self, key: &'static str, default: Span) -> Span {
-        let millis = self.amount(key, "a time in milliseconds", default.0 as f64);
-        self.span(key, millis)
+        self.span(key, "a time in milliseconds", default, 1.0)
     }
 
     /// Reads a time in seconds; a part of a millisecond is dropped.
     pub fn seconds(&mut self, key: &'static str, default: Span) -> Span {
-        let seconds = self.amount(key, "a time in seconds", default.0 as f64 / 1_000.0);
-        self.span(key, seconds * 1_000.0)
+        self.span(key, "a time in seconds", default, 1_000.0)
     }
 
-    /// Returns a time; one that is too long for sums of times is a fault.
-    fn span(&mut self, key: &str, millis: f64) -> Span {
-        if millis > MAX_SPAN.0 as f64 {
-            self.fault(key, format!("expected at most {} ms", MAX_SPAN.0));
-            return Span::default();
+    /// Reads a time in units of some milliseconds; the longest one replaces one that is too long for
+    /// sums of times.
+    fn span(&mut self, key: &'static str, expected: &str, default: Span, unit: f64) -> Span {
+        let amount = self.amount(key, expected, default.0 as f64 / unit);
+        let most = MAX_SPAN.0 as f64 / unit;
+        if amount > most {
+            let what = format!("expected at most {} ms", MAX_SPAN.0);
+            self.replace(key, what, &amount.to_string(), most);
+            return MAX_SPAN;
         }
-        Span(millis as u64)
+        Span((amount * unit) as u64)
     }
 
     /// Reads a text.
@@ -202,9 +318,27 @@
         self.value(key, expected, default.map(str::to_string))
     }
 
+    /// Reads a name; another one replaces a name that is missing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::section::Reader;
+    /// let ini = jujube_core::section::load_plain("name =\n").unwrap();
+    /// let mut reader = Reader::new("entry", ini.general_section());
+    /// assert_eq!(reader.name("name", "a name", "10.0.0.1"), "10.0.0.1");
+    /// ```
+    pub fn name(&mut self, key: &'static str, expected: &str, instead: &str) -> String {
+        if let Some(name) = self.given(key) {
+            return name.to_string();
+        }
+        self.replace(key, format!("missing: expected {expected}"), "", instead);
+        instead.to_string()
+    }
+
     /// Reads an IP address and port.
     pub fn address(&mut self, key: &'static str) -> SocketAddr {
-        let expected = "an IP number and port, such as `127.0.0.1:7000`";
+        let expected = EXPECTED_ADDRESS;
         let text = self.text(key, expected, None);
         if text.is_empty() {
             return UNSPECIFIED;
@@ -215,7 +349,7 @@
         })
     }
 
-    /// Reads an IP address and port that the program works without; `None` if either is missing.
+    /// Reads an IP address and port that the program works without; `None` if either is missing or wrong.
     ///
     /// # Examples
     ///
@@ -226,13 +360,16 @@
     /// assert_eq!(reader.optional_address("metrics"), None);
     /// ```
     pub fn optional_address(&mut self, key: &'static str) -> Option<SocketAddr> {
-        let text = self.properties.get(key).unwrap_or_default().trim();
-        let is_part = text.is_empty() || text.starts_with(':') || text.ends_with(':');
-        if is_part {
-            self.known.insert(key);
+        let text = self.given(key)?;
+        if text.starts_with(':') || text.ends_with(':') {
             return None;
         }
-        Some(self.address(key))
+        let address = text.parse().ok();
+        if address.is_none() {
+            let what = format!("`{}`: expected {EXPECTED_ADDRESS}", shorten(text));
+            self.replace(key, what, text, "none");
+        }
+        address
     }
 
     /// Reads a comma-separated list of names.
@@ -242,11 +379,11 @@
         names.filter(|n| !n.is_empty()).map(Arc::from).collect()
     }
 
-    /// Returns all faults, including those of unknown keys.
-    pub fn finish(mut self) -> Vec<Fault> {
+    /// Returns all that is wrong, including unknown keys.
+    pub fn finish(mut self) -> Vec<Finding> {
         let known = std::mem::take(&mut self.known);
         if known.is_empty() {
-            return self.faults;
+            return self.findings;
         }
         for (key, _) in self.properties.iter() {
             if known.contains(key) {
@@ -255,7 +392,7 @@
             let hint = suggest(key, known.iter().copied());
             self.fault(key, format!("unknown key{hint}"));
         }
-        self.faults
+        self.findings
     }
 }
 
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -107,6 +107,10 @@
         settings.gossip_last_port
     );
     let state = Rc::new(State::<D>::new(settings));
+    for replaced in &state.settings.replaced {
+        state.metrics.count("settings_replaced");
+        log::warn!("event=setting-replaced {replaced}");
+    }
     if state.settings.memory.is_none() {
         let capacity = state.memory.capacity();
         log::warn!("event=memory-unknown capacity={capacity}");
--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujube_core::pipeline::budget::Policy;
 use jujube_program::logs;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -13,6 +14,8 @@
 
 /// How often the file is checked; it may change without a SIGHUP.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// What the log names in place of a value that changes nothing.
+const IN_FORCE: &str = "in-force";
 
 /// Applies changes until the process ends.
 ///
@@ -70,9 +73,26 @@
     } else {
         "taken"
     };
-    state.retries.set_policy(settings.retry);
+    state.retries.set_policy(policy(state, settings));
     if let Err(error) = logs::set_level(&settings.telemetry.level) {
         log::warn!("event=reload outcome=level-refused cause={error}");
     }
     log::info!("event=reload outcome={outcome} told={is_signalled}");
 }
+
+/// Returns the retry policy of new settings; a figure that is wrong in them stays as it is in force.
+fn policy<D>(state: &State<D>, settings: &Settings) -> Policy {
+    let (mut policy, in_force) = (settings.retry, state.retries.policy());
+    for replaced in &settings.replaced {
+        state.metrics.count("settings_replaced");
+        if replaced.is_of("retry", "ratio") {
+            policy.ratio = in_force.ratio;
+        } else if replaced.is_of("retry", "slack") {
+            policy.slack = in_force.slack;
+        } else if replaced.is_of("retry", "window_seconds") {
+            policy.window = in_force.window;
+        }
+        log::warn!("event=setting-replaced {}", replaced.by(IN_FORCE));
+    }
+    policy
+}
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -10,6 +10,7 @@
 use jujube_core::name::Zone;
 use jujube_core::pipeline::budget::Policy;
 use jujube_core::pipeline::memory::Size;
+use jujube_core::section::Replacement;
 use jujube_core::time::Span;
 use jujube_program::settings;
 use jujube_program::settings::File;
@@ -55,6 +56,8 @@
     pub file: Arc<Path>,
     /// The text of the settings file, empty if they were not read from one.
     pub text: Arc<str>,
+    /// What was wrong in the file and is replaced.
+    pub replaced: Vec<Replacement>,
 }
 
 /// How soon changes in the store must take effect.
@@ -67,17 +70,31 @@
 }
 
 impl Settings {
-    /// Reads and validates a settings file.
+    /// Reads a settings file, and replaces values that an entry can do without.
     ///
     /// # Errors
     ///
-    /// The file cannot be read, or settings are invalid; one line per invalid setting.
+    /// The file cannot be read, or what an entry cannot do without is invalid; one line per invalid
+    /// setting.
     pub fn read(path: &Path) -> Result<Self> {
         let name = path.display().to_string();
         let text = std::fs::read_to_string(path).with_context(|| name.clone())?;
-        let settings = Self::from_file(File::parse(&name, &text)?, path)?;
-        let text = text.into();
-        Ok(Self { text, ..settings })
+        let mut file = File::parse(&name, &text)?;
+        let settings = Self::of(&mut file, path);
+        Ok(Self {
+            text: text.into(),
+            replaced: file.finish_replaced()?,
+            ..settings
+        })
+    }
+
+    /// Validates a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or settings are invalid; one line per invalid setting.
+    pub fn check(path: &Path) -> Result<()> {
+        Self::from_file(File::open(path)?, path).map(drop)
     }
 
     /// Validates parsed settings.
@@ -99,7 +116,13 @@
     /// # Ok::<(), anyhow::Error>(())
     /// ```
     pub fn from_file(mut file: File, path: &Path) -> Result<Self> {
-        let telemetry = settings::telemetry(&mut file);
+        let settings = Self::of(&mut file, path);
+        file.finish()?;
+        Ok(settings)
+    }
+
+    fn of(file: &mut File, path: &Path) -> Self {
+        let telemetry = settings::telemetry(file);
         let (store, limits) = file.section("store", |section| {
             let apply = section.millis("apply_ms", Span(2_000));
             let leave = section.millis("leave_ms", Span(2_000));
@@ -114,12 +137,14 @@
             slack: section.amount("slack", "retries beyond the ratio", 100.0),
             window: section.seconds("window_seconds", Span(10_000)),
         });
-        let settings = file.section("entry", |section| {
+        file.section("entry", |section| {
             let (listen, ready) = (section.address("listen"), section.address("ready"));
+            let own_name = listen.to_string().replace(':', "-");
+            let zone = section.name("zone", "an availability zone", &own_name);
             let gossip = section.optional_address("gossip");
             Self {
-                name: section.text("name", "a name", None).into(),
-                zone: section.text("zone", "an availability zone", None).into(),
+                name: section.name("name", "a name", &own_name).into(),
+                zone: zone.into(),
                 listen,
                 ready,
                 metrics: section.optional_address("metrics").unwrap_or(ready),
@@ -133,10 +158,9 @@
                 telemetry,
                 file: path.into(),
                 text: "".into(),
+                replaced: Vec::new(),
             }
-        });
-        file.finish()?;
-        Ok(settings)
+        })
     }
 }
 
--- a/crates/program/src/arguments.rs
+++ b/crates/program/src/arguments.rs
@@ -76,8 +76,10 @@
     pub version: &'static str,
     /// A variable of the environment that may name the settings.
     pub variable: Option<&'static str>,
-    /// Reads and checks the settings.
+    /// Reads the settings to run with.
     pub read: fn(&Path) -> Result<S>,
+    /// Checks the settings; refuses also what a program that runs replaces.
+    pub check: fn(&Path) -> Result<()>,
     /// Runs until stopped.
     pub run: fn(S) -> Result<()>,
 }
@@ -108,29 +110,28 @@
                 println!("{} {}", self.name, self.version);
                 return ExitCode::SUCCESS;
             }
-            Command::Check(path) | Command::Run(path) => path,
+            Command::Check(path) => return self.check(path),
+            Command::Run(path) => path,
         };
-        let settings = match command {
-            Command::Run(_) => {
-                shutdown::outlive_signals();
-                self.read_settled(path)
-            }
-            _ => (self.read)(path),
-        };
-        let settings = match settings {
+        shutdown::outlive_signals();
+        let settings = match self.read_settled(path) {
             Ok(settings) => settings,
             Err(error) => return fail(self.name, MISUSED, &error),
         };
-        if matches!(command, Command::Check(_)) {
-            println!("{}: ok", path.display());
-            return ExitCode::SUCCESS;
-        }
         match (self.run)(settings) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => fail(self.name, FAILED, &error),
         }
     }
 
+    fn check(&self, path: &Path) -> ExitCode {
+        if let Err(error) = (self.check)(path) {
+            return fail(self.name, MISUSED, &error);
+        }
+        println!("{}: ok", path.display());
+        ExitCode::SUCCESS
+    }
+
     /// Reads the settings, for some time again and again: a file that is being replaced while the
     /// process starts may be empty, cut off or not there.
     fn read_settled(&self, path: &Path) -> Result<S> {
--- a/crates/program/src/settings.rs
+++ b/crates/program/src/settings.rs
@@ -10,7 +10,9 @@
 use ini::Properties;
 use jujube_core::section;
 use jujube_core::section::Fault;
+use jujube_core::section::Finding;
 use jujube_core::section::Reader;
+use jujube_core::section::Replacement;
 
 /// The section in which a file tells about itself.
 const ABOUT_FILE: &str = "file";
@@ -30,7 +32,7 @@
     name: String,
     ini: Ini,
     read: BTreeSet<String>,
-    faults: Vec<Fault>,
+    findings: Vec<Finding>,
 }
 
 impl File {
@@ -56,7 +58,7 @@
             name: name.to_string(),
             ini,
             read: BTreeSet::new(),
-            faults: Vec::new(),
+            findings: Vec::new(),
         };
         file.check_end()?;
         Ok(file)
@@ -84,9 +86,9 @@
         let properties = self.ini.section(Some(name)).unwrap_or(&empty);
         let mut reader = Reader::new(name, properties);
         let value = read(&mut reader);
-        let faults = reader.finish();
+        let findings = reader.finish();
         self.read.insert(name.to_string());
-        self.faults.extend(faults);
+        self.findings.extend(findings);
         value
     }
 
@@ -95,20 +97,50 @@
     /// # Errors
     ///
     /// Anything is wrong; one line for each fault, with file, section and key.
-    pub fn finish(mut self) -> Result<()> {
-        for name in self.ini.sections().flatten() {
-            if !self.read.contains(name) {
-                self.faults.push(Fault::new(name, "-", "unknown section"));
-            }
-        }
-        if self.faults.is_empty() {
+    pub fn finish(self) -> Result<()> {
+        self.refuse(|_| true)
+    }
+
+    /// Returns what was replaced, and reports what the program cannot do without.
+    ///
+    /// # Errors
+    ///
+    /// Anything else than a replaced value is wrong; lines as those of [`File::finish`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_program::settings::File;
+    /// let mut file = File::parse("test.ini", "[retry]\nratio = true\n")?;
+    /// let ratio = file.section("retry", |section| section.amount("ratio", "a number", 0.2));
+    /// let replaced = file.finish_replaced()?;
+    /// assert_eq!(ratio, 0.2);
+    /// assert_eq!(replaced[0].to_string(), "key=retry.ratio value=true used=0.2");
+    /// # Ok::<(), anyhow::Error>(())
+    /// ```
+    pub fn finish_replaced(self) -> Result<Vec<Replacement>> {
+        let findings = self.findings.iter();
+        let replaced = findings.filter_map(|finding| finding.replacement.clone());
+        let replaced = replaced.collect();
+        self.refuse(|finding| finding.replacement.is_none())?;
+        Ok(replaced)
+    }
+
+    /// Reports findings, and sections that nobody read.
+    fn refuse(&self, is_refused: impl Fn(&Finding) -> bool) -> Result<()> {
+        let findings = self.findings.iter().filter(|finding| is_refused(finding));
+        let faults = findings.map(|finding| finding.fault.clone());
+        let sections = self.ini.sections().flatten();
+        let unknown = sections.filter(|name| !self.read.contains(*name));
+        let unknown = unknown.map(|name| Fault::new(name, "-", "unknown section"));
+        let lines = faults.chain(unknown);
+        let lines: Vec<String> = lines
+            .map(|fault| format!("{}: {fault}", self.name))
+            .collect();
+        if lines.is_empty() {
             return Ok(());
         }
-        let lines = self
-            .faults
-            .iter()
-            .map(|fault| format!("{}: {fault}", self.name));
-        bail!(lines.collect::<Vec<_>>().join("\n"))
+        bail!(lines.join("\n"))
     }
 }
 
--- a/crates/programs/src/bin/jujube-sidecar.rs
+++ b/crates/programs/src/bin/jujube-sidecar.rs
@@ -34,6 +34,7 @@
         version: env!("CARGO_PKG_VERSION"),
         variable: None,
         read: Settings::read,
+        check: |path| Settings::read(path).map(drop),
         run,
     };
     daemon.main()
