Take signals over before the settings are read, SIGQUIT and the machine's too

What callers saw: requests cut by an end of the process. SIGQUIT, SIGXCPU, SIGPWR and SIGSTKFLT had their default action, and SIGTERM and SIGINT too until the settings were read and the log was there: a stop at that time was no exit 0 but an end by the signal.

`Beginning` installs all handlers at once and reads the settings under them; what asks for a stop is handed on to the program, so that none is lost in between. SIGQUIT asks for a stop like SIGTERM. Signals of the process's own faults and real-time signals keep their default action (docs/OPERATIONS.md).

What remains is the time in which the system loads the program: no code of ours runs then.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -72,8 +72,12 @@
 ///
 /// # Errors
 ///
-/// A socket can never be had, or a signal handler cannot be installed.
-pub fn run<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
+/// The system has no event queue.
+pub fn run<D: Dialect, F: Feed>(
+    settings: Settings,
+    store: F,
+    termination: Termination,
+) -> Result<()> {
     if let Err(error) = logs::to_stdout("entry", &settings.telemetry.level) {
         // It serves without a log, or with one of another level.
         logs::tell("jujube-platform", &error);
@@ -83,7 +87,7 @@
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    let served = local.block_on(&runtime, serve::<D, F>(settings, store));
+    let served = local.block_on(&runtime, serve::<D, F>(settings, store, termination));
     if let Err(error) = &served {
         let cause = format!("{error:#}").replace(char::is_whitespace, "-");
         log::error!("event=ended cause={cause}");
@@ -94,8 +98,11 @@
     served
 }
 
-async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
-    let mut termination = Termination::new()?;
+async fn serve<D: Dialect, F: Feed>(
+    settings: Settings,
+    store: F,
+    mut termination: Termination,
+) -> Result<()> {
     log::info!(
         "event=starting name={} zone={} listen={} ready={} metrics={} gossip={} gossip_last_port={}",
         settings.name,
--- a/crates/program/src/arguments.rs
+++ b/crates/program/src/arguments.rs
@@ -11,7 +11,8 @@
 use pico_args::Arguments;
 
 use crate::logs;
-use crate::shutdown;
+use crate::shutdown::Beginning;
+use crate::shutdown::Termination;
 
 /// What a daemon was asked to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -81,7 +82,7 @@
     /// Checks the settings; refuses also what a program that runs replaces.
     pub check: fn(&Path) -> Result<()>,
     /// Runs until stopped.
-    pub run: fn(S) -> Result<()>,
+    pub run: fn(S, Termination) -> Result<()>,
 }
 
 /// The exit code of a program that could not start or run.
@@ -113,12 +114,18 @@
             Command::Check(path) => return self.check(path),
             Command::Run(path) => path,
         };
-        shutdown::outlive_signals();
-        let settings = match self.read_settled(path) {
+        let beginning = match Beginning::new() {
+            Ok(beginning) => beginning,
+            Err(error) => return fail(self.name, FAILED, &error.into()),
+        };
+        let Some((settings, termination)) = beginning.run(self.read_settled(path)) else {
+            return ExitCode::SUCCESS;
+        };
+        let settings = match settings {
             Ok(settings) => settings,
             Err(error) => return fail(self.name, MISUSED, &error),
         };
-        match (self.run)(settings) {
+        match (self.run)(settings, termination) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => fail(self.name, FAILED, &error),
         }
@@ -134,11 +141,13 @@
 
     /// Reads the settings, for some time again and again: a file that is being replaced while the
     /// process starts may be empty, cut off or not there.
-    fn read_settled(&self, path: &Path) -> Result<S> {
+    async fn read_settled(&self, path: &Path) -> Result<S> {
         let started = Instant::now();
         loop {
             match (self.read)(path) {
-                Err(_) if started.elapsed() < SETTLE_TIME => std::thread::sleep(READ_INTERVAL),
+                Err(_) if started.elapsed() < SETTLE_TIME => {
+                    tokio::time::sleep(READ_INTERVAL).await;
+                }
                 outcome => return outcome,
             }
         }
--- a/crates/program/src/shutdown.rs
+++ b/crates/program/src/shutdown.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 
+use tokio::runtime::Runtime;
 use tokio::signal::unix;
 use tokio::signal::unix::SignalKind;
 use tokio::sync::watch;
@@ -44,11 +45,12 @@
     }
 }
 
-/// The signals that ask a process to stop.
+/// The signals that ask a process to stop: SIGTERM, SIGINT and SIGQUIT.
 #[derive(Debug)]
 pub struct Termination {
     terminate: unix::Signal,
     interrupt: unix::Signal,
+    quit: unix::Signal,
 }
 
 impl Termination {
@@ -61,14 +63,16 @@
         Ok(Self {
             terminate: unix::signal(SignalKind::terminate())?,
             interrupt: unix::signal(SignalKind::interrupt())?,
+            quit: unix::signal(SignalKind::quit())?,
         })
     }
 
-    /// Waits for SIGTERM or SIGINT.
+    /// Waits for one of the signals; one that came since the handlers were installed counts.
     pub async fn requested(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
+            _ = self.quit.recv() => {}
         }
     }
 }
@@ -88,24 +92,64 @@
     SignalKind::io(),
 ];
 
-/// Installs handlers for signals that do not ask a process to stop, and end one without a handler.
-///
-/// They stay for as long as the process lives. One of them is SIGHUP: settings may change before the
-/// process listens to it, and it reads them later anyway.
-pub fn outlive_signals() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_io()
-        .build();
-    if let Ok(runtime) = runtime {
-        let _runtime = runtime.enter();
-        let always = [SignalKind::hangup(), FILE_SIZE];
-        for kind in always.into_iter().chain(TIMERS).chain(TOOLS) {
+/// What a machine sends that runs short of processor time or power, or has a fault of a coprocessor.
+const MACHINE: [SignalKind; 3] = [
+    SignalKind::from_raw(24),
+    SignalKind::from_raw(30),
+    SignalKind::from_raw(16),
+];
+
+/// A process that begins to run, and whose signals end it no more.
+#[derive(Debug)]
+pub struct Beginning {
+    runtime: Runtime,
+    termination: Termination,
+}
+
+impl Beginning {
+    /// Installs the handlers of all signals that end a process without one, except those that tell of
+    /// its own faults and the real-time signals. They stay for as long as the process lives.
+    ///
+    /// One of them is SIGHUP: settings may change before the process listens to it, and it reads them
+    /// later anyway.
+    ///
+    /// # Errors
+    ///
+    /// The system has no event queue, or the handlers of the signals that ask for a stop cannot be set.
+    pub fn new() -> io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let entered = runtime.enter();
+        let _handler_stays = unix::signal(SignalKind::hangup());
+        let termination = Termination::new()?;
+        let others = TIMERS.into_iter().chain(TOOLS).chain(MACHINE);
+        for kind in others.chain([FILE_SIZE]) {
             let _handler_stays = unix::signal(kind);
         }
+        drop(entered);
+        Ok(Self {
+            runtime,
+            termination,
+        })
+    }
+
+    /// Runs a future to its end; returns what it gave and the signals that ask for a stop, or `None` if
+    /// a stop was asked for first.
+    pub fn run<T>(mut self, future: impl Future<Output = T>) -> Option<(T, Termination)> {
+        let termination = &mut self.termination;
+        let output = self.runtime.block_on(async move {
+            tokio::select! {
+                biased;
+                output = future => Some(output),
+                () = termination.requested() => None,
+            }
+        });
+        output.map(|output| (output, self.termination))
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for a signal that asks for a stop.
 ///
 /// # Errors
 ///
--- a/crates/programs/src/bin/jujube-entry.rs
+++ b/crates/programs/src/bin/jujube-entry.rs
@@ -8,7 +8,7 @@
 use jujube_entry::Settings;
 use jujube_program::arguments::Daemon;
 use jujube_program::logs;
-use jujube_program::shutdown;
+use jujube_program::shutdown::Termination;
 
 const HELP: &str = "\
 jujube-entry: the process between callers and sidecars
@@ -40,14 +40,17 @@
     daemon.main()
 }
 
-fn run(settings: Settings) -> Result<()> {
+fn run(settings: Settings, mut termination: Termination) -> Result<()> {
     logs::start("entry", &settings.telemetry.level)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.threads.max(1))
         .enable_all()
         .build()?;
     runtime.block_on(async {
-        let handle = jujube_entry::start(settings).await?;
+        let handle = tokio::select! {
+            () = termination.requested() => return Ok(()),
+            handle = jujube_entry::start(settings) => handle?,
+        };
         // The addresses are in the log too.
         let _nobody_reads = writeln!(
             io::stdout(),
@@ -55,7 +58,7 @@
             handle.address,
             handle.peer
         );
-        shutdown::terminated().await?;
+        termination.requested().await;
         handle.drain().await;
         Ok(())
     })
