Wait for sockets whatever the system's reason to refuse them

What callers saw: an entry that ended with exit code 1 at each start, because the system refused one of its two addresses for another reason than that it is taken or not there (EACCES, EINVAL).

Evidence, on the code before: `an_entry_waits_for_addresses_that_the_system_refuses` failed; `event=listen outcome=failed cause=Invalid-argument-(os-error-22)` and `event=ended` were the last lines.

A process that exits is started again and meets the same refusal, so exits gain nothing and each counts as an end by itself. It waits as for a taken port, at each 5 s with a line that names the address and the cause: as an error where no process or address can be expected to change by itself. `may_pass` decides only on this level now. The metrics and the internal sockets wait in the same way in place of being left out. Nothing in an entry can fail after its start any more, so `event=ended` is gone.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -42,9 +42,9 @@
 ///
 /// A socket can never be had, or the control thread cannot be had.
 pub async fn start(settings: Settings) -> Result<Handle> {
-    let web = wait_to_listen("callers", settings.listen).await?;
+    let web = wait_to_listen("callers", settings.listen).await;
     let address = web.local_addr()?;
-    let listener = wait_to_listen("peers", settings.peer).await?;
+    let listener = wait_to_listen("peers", settings.peer).await;
     let peer = listener.local_addr()?;
     let counters = Counters::to_or_silent("jujube.entry", &settings.telemetry.statsd);
     let state = State::new(settings, peer.to_string().into(), counters);
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -87,22 +87,14 @@
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    let served = local.block_on(&runtime, serve::<D, F>(settings, store, termination));
-    if let Err(error) = &served {
-        let cause = format!("{error:#}").replace(char::is_whitespace, "-");
-        log::error!("event=ended cause={cause}");
-    }
+    local.block_on(&runtime, serve::<D, F>(settings, store, termination));
     // Connections that the stop cuts log what was not delivered when they are dropped.
     drop(local);
     logs::flush();
-    served
+    Ok(())
 }
 
-async fn serve<D: Dialect, F: Feed>(
-    settings: Settings,
-    store: F,
-    mut termination: Termination,
-) -> Result<()> {
+async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F, mut termination: Termination) {
     log::info!(
         "event=starting name={} zone={} listen={} ready={} metrics={} gossip={} gossip_last_port={}",
         settings.name,
@@ -128,21 +120,20 @@
     spawn_local(sockets::serve_others(state.clone(), store.clone()));
     keep_controllers(&state, &store);
     let served = async {
-        tokio::try_join!(callers, readiness)?;
-        future::pending::<Result<()>>().await
+        tokio::join!(callers, readiness);
+        future::pending::<()>().await
     };
     tokio::select! {
         () = termination.requested() => {}
-        failed = served => return failed,
+        () = served => {}
     }
     log::info!("event=stopping in_flight={}", state.in_flight.get());
     if state.lifecycle.get() == Lifecycle::Starting {
-        return Ok(());
+        return;
     }
     state.enter(Lifecycle::Draining);
     drain(&state, &trigger).await;
     log::info!("event=stopped in_flight={}", state.in_flight.get());
-    Ok(())
 }
 
 /// Keeps the tasks that need no socket of their own.
--- a/crates/front/src/sockets.rs
+++ b/crates/front/src/sockets.rs
@@ -9,8 +9,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use anyhow::Context;
-use anyhow::Result;
 use jujube_program::listen;
 use jujube_program::shutdown::Signal;
 use jujube_store::kv::Feed;
@@ -35,19 +33,14 @@
 const ACCEPT_BACKLOG: u32 = 4_096;
 
 /// Waits for a listener.
-async fn listener(what: &str, address: SocketAddr) -> Result<TcpListener> {
+async fn listener(what: &str, address: SocketAddr) -> TcpListener {
     let bind = || listen::tcp(address, ACCEPT_BACKLOG);
-    let listener = listen::until_bound(what, address, bind).await;
-    listener.with_context(|| format!("listen on {address}"))
+    listen::until_bound(what, address, bind).await
 }
 
-/// Serves callers until the process ends.
-///
-/// # Errors
-///
-/// Their address can never be had.
-pub async fn serve_callers<D: Dialect>(state: Rc<State<D>>, closing: Signal) -> Result<()> {
-    let listener = Rc::new(listener("callers", state.settings.listen).await?);
+/// Serves callers until the process ends, as soon as their address can be had.
+pub async fn serve_callers<D: Dialect>(state: Rc<State<D>>, closing: Signal) {
+    let listener = Rc::new(listener("callers", state.settings.listen).await);
     pool::configure_listener(&listener);
     let settings = &state.settings;
     log::info!(
@@ -63,20 +56,14 @@
     keep(&state.metrics.clone(), "callers", move || {
         daemon::accept(state.clone(), listener.clone(), closing.clone())
     });
-    Ok(())
 }
 
-/// Answers the platform's readiness checks until the process ends.
-///
-/// # Errors
-///
-/// Their address can never be had.
-pub async fn serve_readiness<D: Dialect>(state: Rc<State<D>>) -> Result<()> {
-    let listener = Rc::new(listener("readiness", state.settings.ready).await?);
+/// Answers the platform's readiness checks until the process ends, as soon as their address can be had.
+pub async fn serve_readiness<D: Dialect>(state: Rc<State<D>>) {
+    let listener = Rc::new(listener("readiness", state.settings.ready).await);
     keep(&state.metrics.clone(), "readiness", move || {
         ready::serve(state.clone(), listener.clone())
     });
-    Ok(())
 }
 
 /// Serves the metrics as soon as their address can be had, and speaks with other entries as soon as
@@ -89,10 +76,8 @@
     }
     let ports = internal_ports(&state.settings);
     let wanted = state.settings.gossip;
-    let bound = listen::until_bound("internal", wanted, || first_free(&ports)).await;
-    if let Ok(internal) = bound {
-        serve_entries(&state, store, internal);
-    }
+    let internal = listen::until_bound("internal", wanted, || first_free(&ports)).await;
+    serve_entries(&state, store, internal);
 }
 
 async fn serve_metrics<D: Dialect>(state: Rc<State<D>>) {
@@ -105,11 +90,7 @@
         );
         return;
     }
-    // A failure is logged.
-    let Ok(listener) = listener("metrics", state.settings.metrics).await else {
-        return;
-    };
-    let listener = Rc::new(listener);
+    let listener = Rc::new(listener("metrics", state.settings.metrics).await);
     keep(&state.metrics.clone(), "metrics", move || {
         ready::serve(state.clone(), listener.clone())
     });
--- a/crates/program/src/listen.rs
+++ b/crates/program/src/listen.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use anyhow::Context;
-use anyhow::Result;
+use log::Level;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::UdpSocket;
@@ -56,8 +55,9 @@
     UdpSocket::from_std(socket)
 }
 
-/// Returns whether a socket may still be had after this error: another process may free the port,
-/// the address may be added, or descriptors may become free.
+/// Returns whether a socket is usually had soon after this error: another process may free the port,
+/// the address may be added, or descriptors may become free. Others last until somebody changes the
+/// machine or its settings.
 ///
 /// # Examples
 ///
@@ -77,17 +77,13 @@
 
 /// Waits until a socket can be had; `what` and `wanted` are for the log.
 ///
-/// A process that exits instead is started again and meets the same obstacle, and serves nothing
-/// meanwhile.
-///
-/// # Errors
-///
-/// The socket cannot be had, however long the process waits.
+/// A process that exits instead is started again and meets the same obstacle, whatever the system's
+/// reason, and serves nothing meanwhile.
 pub async fn until_bound<T>(
     what: &str,
     wanted: impl Display,
     bind: impl Fn() -> io::Result<T>,
-) -> io::Result<T> {
+) -> T {
     let started = Instant::now();
     let mut logged: Option<Instant> = None;
     loop {
@@ -99,29 +95,27 @@
                         "event=listen what={what} wanted={wanted} outcome=bound waited_ms={waited}"
                     );
                 }
-                return Ok(socket);
+                return socket;
             }
             Err(error) => error,
         };
-        let cause = error.to_string().replace(' ', "-");
-        if !may_pass(error.kind()) {
-            log::error!("event=listen what={what} wanted={wanted} outcome=failed cause={cause}");
-            return Err(error);
-        }
         if logged.is_none_or(|logged| logged.elapsed() >= LOG_INTERVAL) {
             logged = Some(Instant::now());
-            log::warn!("event=listen what={what} wanted={wanted} outcome=waiting cause={cause}");
+            let cause = error.to_string().replace(' ', "-");
+            let level = match may_pass(error.kind()) {
+                true => Level::Warn,
+                false => Level::Error,
+            };
+            log::log!(
+                level,
+                "event=listen what={what} wanted={wanted} outcome=waiting cause={cause}"
+            );
         }
         tokio::time::sleep(RETRY_INTERVAL).await;
     }
 }
 
 /// Waits for a listener on an address.
-///
-/// # Errors
-///
-/// It cannot be had, however long the process waits; the address is named.
-pub async fn wait_to_listen(what: &str, address: SocketAddr) -> Result<TcpListener> {
-    let listener = until_bound(what, address, || tcp(address, BACKLOG)).await;
-    listener.with_context(|| format!("listen on {address}"))
+pub async fn wait_to_listen(what: &str, address: SocketAddr) -> TcpListener {
+    until_bound(what, address, || tcp(address, BACKLOG)).await
 }
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -39,9 +39,9 @@
 ///
 /// A socket can never be had, or the control thread cannot be had.
 pub async fn start(settings: Settings) -> Result<Handle> {
-    let listener = wait_to_listen("peers", settings.listen).await?;
+    let listener = wait_to_listen("peers", settings.listen).await;
     let address = listener.local_addr()?;
-    let web = wait_to_listen("calls", settings.http).await?;
+    let web = wait_to_listen("calls", settings.http).await;
     let http = web.local_addr()?;
     let counters = Counters::to_or_silent("jujube.sidecar", &settings.telemetry.statsd);
     let state = State::new(settings, http, counters);
