--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -72,8 +72,12 @@
 ///
 /// # Errors
 ///
-/// A socket can never be had, or a signal handler cannot be installed.
-pub fn run<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
+/// The system has no event queue.
+pub fn run<D: Dialect, F: Feed>(
+    settings: Settings,
+    store: F,
+    termination: Termination,
+) -> Result<()> {
     if let Err(error) = logs::to_stdout("entry", &settings.telemetry.level) {
         // It serves without a log, or with one of another level.
         logs::tell("jujube-platform", &error);
@@ -83,19 +87,14 @@
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    let served = local.block_on(&runtime, serve::<D, F>(settings, store));
-    if let Err(error) = &served {
-        let cause = format!("{error:#}").replace(char::is_whitespace, "-");
-        log::error!("event=ended cause={cause}");
-    }
+    local.block_on(&runtime, serve::<D, F>(settings, store, termination));
     // Connections that the stop cuts log what was not delivered when they are dropped.
     drop(local);
     logs::flush();
-    served
+    Ok(())
 }
 
-async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F) -> Result<()> {
-    let mut termination = Termination::new()?;
+async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F, mut termination: Termination) {
     log::info!(
         "event=starting name={} zone={} listen={} ready={} metrics={} gossip={} gossip_last_port={}",
         settings.name,
@@ -107,6 +106,10 @@
         settings.gossip_last_port
     );
     let state = Rc::new(State::<D>::new(settings));
+    for replaced in &state.settings.replaced {
+        state.metrics.count("settings_replaced");
+        log::warn!("event=setting-replaced {replaced}");
+    }
     if state.settings.memory.is_none() {
         let capacity = state.memory.capacity();
         log::warn!("event=memory-unknown capacity={capacity}");
@@ -117,21 +120,20 @@
     spawn_local(sockets::serve_others(state.clone(), store.clone()));
     keep_controllers(&state, &store);
     let served = async {
-        tokio::try_join!(callers, readiness)?;
-        future::pending::<Result<()>>().await
+        tokio::join!(callers, readiness);
+        future::pending::<()>().await
     };
     tokio::select! {
         () = termination.requested() => {}
-        failed = served => return failed,
+        () = served => {}
     }
     log::info!("event=stopping in_flight={}", state.in_flight.get());
     if state.lifecycle.get() == Lifecycle::Starting {
-        return Ok(());
+        return;
     }
     state.enter(Lifecycle::Draining);
     drain(&state, &trigger).await;
     log::info!("event=stopped in_flight={}", state.in_flight.get());
-    Ok(())
 }
 
 /// Keeps the tasks that need no socket of their own.
--- a/crates/program/src/arguments.rs
+++ b/crates/program/src/arguments.rs
@@ -11,7 +11,8 @@
 use pico_args::Arguments;
 
 use crate::logs;
-use crate::shutdown;
+use crate::shutdown::Beginning;
+use crate::shutdown::Termination;
 
 /// What a daemon was asked to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -76,10 +77,12 @@
     pub version: &'static str,
     /// A variable of the environment that may name the settings.
     pub variable: Option<&'static str>,
-    /// Reads and checks the settings.
+    /// Reads the settings to run with.
     pub read: fn(&Path) -> Result<S>,
+    /// Checks the settings; refuses also what a program that runs replaces.
+    pub check: fn(&Path) -> Result<()>,
     /// Runs until stopped.
-    pub run: fn(S) -> Result<()>,
+    pub run: fn(S, Termination) -> Result<()>,
 }
 
 /// The exit code of a program that could not start or run.
@@ -108,36 +111,43 @@
                 println!("{} {}", self.name, self.version);
                 return ExitCode::SUCCESS;
             }
-            Command::Check(path) | Command::Run(path) => path,
+            Command::Check(path) => return self.check(path),
+            Command::Run(path) => path,
         };
-        let settings = match command {
-            Command::Run(_) => {
-                shutdown::outlive_signals();
-                self.read_settled(path)
-            }
-            _ => (self.read)(path),
+        let beginning = match Beginning::new() {
+            Ok(beginning) => beginning,
+            Err(error) => return fail(self.name, FAILED, &error.into()),
+        };
+        let Some((settings, termination)) = beginning.run(self.read_settled(path)) else {
+            return ExitCode::SUCCESS;
         };
         let settings = match settings {
             Ok(settings) => settings,
             Err(error) => return fail(self.name, MISUSED, &error),
         };
-        if matches!(command, Command::Check(_)) {
-            println!("{}: ok", path.display());
-            return ExitCode::SUCCESS;
-        }
-        match (self.run)(settings) {
+        match (self.run)(settings, termination) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => fail(self.name, FAILED, &error),
         }
     }
 
+    fn check(&self, path: &Path) -> ExitCode {
+        if let Err(error) = (self.check)(path) {
+            return fail(self.name, MISUSED, &error);
+        }
+        println!("{}: ok", path.display());
+        ExitCode::SUCCESS
+    }
+
     /// Reads the settings, for some time again and again: a file that is being replaced while the
     /// process starts may be empty, cut off or not there.
-    fn read_settled(&self, path: &Path) -> Result<S> {
+    async fn read_settled(&self, path: &Path) -> Result<S> {
         let started = Instant::now();
         loop {
             match (self.read)(path) {
-                Err(_) if started.elapsed() < SETTLE_TIME => std::thread::sleep(READ_INTERVAL),
+                Err(_) if started.elapsed() < SETTLE_TIME => {
+                    tokio::time::sleep(READ_INTERVAL).await;
+                }
                 outcome => return outcome,
             }
         }
