Return the pieces of services that left the configuration

What callers and operators saw: each service that ever had a request kept its pieces of the retry slack in the store, and its budget in each entry, for as long as the entry lived.

Cause: budgets had an entry added at the first request and nothing that removed it, and pieces were taken for each entry of that table, configured or not.

Fix: a service that is not in the configuration, and of which no request or retry counts any more, gets its pieces returned and is then forgotten. Until then everything is as before, so that a service that comes back meanwhile finds what it spent; after it a new budget equals the old one (core/tests/retry_budget.rs), so that leaving and returning gains no retry.

--- a/crates/core/src/pipeline/budget.rs
+++ b/crates/core/src/pipeline/budget.rs
@@ -43,6 +43,11 @@
         Span(self.window.0 + MAX_ARRIVAL_DELAY.0)
     }
 
+    /// Returns how long a request counts.
+    fn request_age(&self) -> Span {
+        Span(self.reach().0 + self.earning_span().0)
+    }
+
     /// Returns how long before the first of some extra arrivals a request still earns retries for
     /// them.
     fn earning_span(&self) -> Span {
@@ -106,8 +111,7 @@
 impl Budget {
     /// Records a request.
     pub fn request(&mut self, now: Instant, policy: &Policy) {
-        let max_age = Span(policy.reach().0 + policy.earning_span().0);
-        drop_older(&mut self.requests, now, max_age);
+        drop_older(&mut self.requests, now, policy.request_age());
         self.requests.push_back(now);
     }
 
@@ -147,6 +151,31 @@
         is_allowed
     }
 
+    /// Returns whether no request or extra arrival counts any more, so that a new budget would be the
+    /// same.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::budget::Budget;
+    /// # use jujube_core::pipeline::budget::Policy;
+    /// # use jujube_core::time::Instant;
+    /// # use jujube_core::time::Span;
+    /// let policy = Policy { ratio: 0.2, slack: 4.0, window: Span(10_000) };
+    /// let mut budget = Budget::default();
+    /// budget.request(Instant(0), &policy);
+    /// assert!(!budget.is_unused(Instant(19_000), &policy));
+    /// assert!(budget.is_unused(Instant(19_001), &policy));
+    /// ```
+    #[must_use]
+    pub fn is_unused(&self, now: Instant, policy: &Policy) -> bool {
+        let is_over = |times: &VecDeque<Instant>, max_age| {
+            let newest = times.back();
+            newest.is_none_or(|time| now.since(*time) > max_age)
+        };
+        is_over(&self.requests, policy.request_age()) && is_over(&self.extra, policy.reach())
+    }
+
     /// Records an extra arrival that [`Balance::allow`] permitted.
     pub fn book(&mut self, now: Instant) {
         self.extra.push_back(now);
--- a/crates/core/tests/retry_budget.rs
+++ b/crates/core/tests/retry_budget.rs
@@ -23,6 +23,7 @@
 use jujube_core::pipeline::reserve::Reserve;
 use jujube_core::revision::Revision;
 use jujube_core::time::Instant;
+use jujube_core::time::Span;
 use proptest::prelude::*;
 
 proptest! {
@@ -199,3 +200,16 @@
     let share = taken as f64 / 6_000.0;
     assert!((0.12..0.2).contains(&share), "{share}");
 }
+
+/// Guards against a budget that is forgotten while a retry, or a request that pays for one, still counts.
+#[test]
+fn a_budget_is_unused_once_nothing_counts() {
+    let mut budget = Budget::default();
+    assert!(budget.is_unused(Instant(0), &TERMS));
+    budget.request(Instant(0), &TERMS);
+    assert!(budget.take(Instant(15_000), &TERMS, 1.0));
+
+    let until = Instant(15_000).plus(TERMS.reach());
+    assert!(!budget.is_unused(until, &TERMS));
+    assert!(budget.is_unused(until.plus(Span(1)), &TERMS));
+}
--- a/crates/front/src/retries.rs
+++ b/crates/front/src/retries.rs
@@ -107,11 +107,26 @@
         services.iter().map(|service| reserve.held(service)).sum()
     }
 
-    /// Returns the services that have received requests.
+    /// Returns the services that have received requests and are not forgotten.
     pub fn services(&self) -> Vec<Service> {
         self.budgets.borrow().keys().cloned().collect()
     }
 
+    /// Returns whether nothing that a service did counts any more, and no request waits for a retry.
+    pub fn is_unused(&self, service: &Service) -> bool {
+        let budgets = self.budgets.borrow();
+        let budget = budgets.get(service);
+        let policy = self.policy.get();
+        budget.is_none_or(|budget| budget.is_unused(clock::now(), &policy))
+            && !self.waiting.borrow().contains_key(service)
+    }
+
+    /// Forgets a service that is unused.
+    pub fn forget(&self, service: &Service) {
+        self.budgets.borrow_mut().remove(service);
+        self.denied.borrow_mut().remove(service);
+    }
+
     /// Acquires a retry if one is available; otherwise records the need for one.
     pub fn acquire(&self, service: &Service) -> (Option<Retry>, Decision) {
         let (retry, decision) = self.try_acquire(service);
--- a/crates/front/src/slack.rs
+++ b/crates/front/src/slack.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jujube_core::name::Service;
+use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::reserve;
 use jujube_core::pipeline::reserve::LeaseId;
 use jujube_core::pipeline::reserve::Piece;
@@ -70,7 +71,9 @@
         // era.
         restore::mark_era(&state, &store, true).await;
         for service in state.retries.services() {
-            if !acquire(&state, &store, &service).await && is_idle {
+            if is_gone(&state, &service) {
+                return_all(&state, &store, &service).await;
+            } else if !acquire(&state, &store, &service).await && is_idle {
                 return_surplus(&state, &store, &service).await;
             }
         }
@@ -78,6 +81,28 @@
     }
 }
 
+/// Returns whether a service has left the configuration, and nothing that it did counts any more.
+fn is_gone<D>(state: &State<D>, service: &Service) -> bool {
+    let table = state.table();
+    let is_configured = |table: &Table| table.document.services.contains_key(service);
+    table.is_some_and(|table| !is_configured(&table)) && state.retries.is_unused(service)
+}
+
+/// Returns the pieces of a service that is gone, some in each call, and forgets it once none is left.
+async fn return_all<D, F: Feed>(state: &State<D>, store: &F, service: &Service) {
+    let pieces = give_back(state, service, 0);
+    if state.retries.reserve.borrow().held(service) == 0 {
+        state.retries.forget(service);
+    }
+    delete(state, store, service, pieces).await;
+}
+
+/// Removes pieces beyond `kept` from use, as many as one call returns.
+fn give_back<D>(state: &State<D>, service: &Service, kept: u64) -> Vec<(Piece, Revision)> {
+    let mut reserve = state.retries.reserve.borrow_mut();
+    reserve.give_back(service, kept, MAX_PIECES_PER_CALL)
+}
+
 /// Returns how many more pieces of a service are needed.
 fn shortfall<D>(state: &State<D>, service: &Service) -> usize {
     let entries = state.peers.count();
@@ -145,6 +170,16 @@
 /// again for the next retry.
 async fn return_surplus<D, F: Feed>(state: &State<D>, store: &F, service: &Service) {
     let pieces = take_surplus(state, service);
+    delete(state, store, service, pieces).await;
+}
+
+/// Removes pieces that are no longer in use from the store.
+async fn delete<D, F: Feed>(
+    state: &State<D>,
+    store: &F,
+    service: &Service,
+    pieces: Vec<(Piece, Revision)>,
+) {
     if pieces.is_empty() {
         return;
     }
@@ -166,11 +201,12 @@
 fn take_surplus<D>(state: &State<D>, service: &Service) -> Vec<(Piece, Revision)> {
     let rest = reserve::idle_pieces(state.peers.count());
     let kept = reserve::retries_per_piece(state.retries.policy().slack) * rest as f64;
-    let mut reserve = state.retries.reserve.borrow_mut();
+    let reserve = state.retries.reserve.borrow();
     let is_needed = reserve.free(service).len() < reserve::MIN_FREE_PIECES;
     let is_over = reserve.held(service) > rest;
     if !is_needed || !is_over || !state.retries.can_return(service, kept) {
         return Vec::new();
     }
-    reserve.give_back(service, rest, MAX_PIECES_PER_CALL)
+    drop(reserve);
+    give_back(state, service, rest)
 }
