Leave descriptors to the program under a crowd of callers

What callers saw: connections on which nobody asks anything took all descriptors that the system allows, up to 15 s at a time. The entry then accepted nobody, answered no check of its readiness and could not connect to the store: to whoever watches, it is a process that did not start or has ended, and it says nothing on its log. A machine of one's own often allows 1,024 descriptors where the memory allows 3,739 connections; a machine with 600 MB and more has more places than 4,200 descriptors.

Cause: the places of connections and requests are counted by memory only, and a connection at rest gives way when the places are used up, not when the descriptors are.

The limit is read from /proc; without it there is none, as before.

--- a/crates/core/src/pipeline/crowd.rs
+++ b/crates/core/src/pipeline/crowd.rs
@@ -21,6 +21,12 @@
 /// How much memory keeps one byte of a head: the buffer that it was read into grows by doubling.
 const BYTES_PER_HEAD_BYTE: u64 = 2;
 
+/// The descriptors that are left to the program itself: its log and listeners, the store, other
+/// entries, and checks of readiness.
+const RESERVED_DESCRIPTORS: u64 = 400;
+/// The part of few descriptors that is left to the program: one in this many.
+const RESERVED_DIVISOR: u64 = 4;
+
 /// What takes a place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Visitor {
@@ -72,6 +78,9 @@
     capacity: Size,
     held: Size,
     connections: u64,
+    /// How many connections and requests there may be, with a descriptor each.
+    descriptors: u64,
+    requests: u64,
 }
 
 impl Crowd {
@@ -85,6 +94,36 @@
             capacity: Size(besides_program.max(percent * MIN_PERCENT)),
             held: Size(0),
             connections: 0,
+            descriptors: u64::MAX,
+            requests: 0,
+        }
+    }
+
+    /// Limits the crowd of a process that may open this many descriptors: a connection takes one, and a
+    /// request takes another for a connection to a server.
+    ///
+    /// A process without a free descriptor accepts nobody, answers no check of its readiness and cannot
+    /// call the store.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::crowd::Crowd;
+    /// # use jujube_core::pipeline::crowd::Visitor;
+    /// # use jujube_core::pipeline::memory::Size;
+    /// let mut crowd = Crowd::new(Some(Size(260_000_000))).with_descriptors(256);
+    /// let connections = (0..256).filter(|_| crowd.admit(Visitor::Connection)).count();
+    /// assert_eq!(connections, 168);
+    /// let requests = (0..256).filter(|_| crowd.admit(Visitor::Request(Size(0)))).count();
+    /// assert_eq!(requests, 24);
+    /// ```
+    #[must_use]
+    pub fn with_descriptors(self, limit: u64) -> Self {
+        let reserved = RESERVED_DESCRIPTORS.min(limit / RESERVED_DIVISOR);
+        let descriptors = limit - reserved;
+        Self {
+            descriptors,
+            ..self
         }
     }
 
@@ -109,23 +148,30 @@
     /// Takes a place, which is to be given back by [`Crowd::leave`]; returns whether there is one.
     pub fn admit(&mut self, visitor: Visitor) -> bool {
         let held = self.held.0.saturating_add(visitor.size().0);
-        let limit = match visitor {
-            Visitor::Connection => self.capacity.0 - self.capacity.0 / REQUESTS_DIVISOR,
-            Visitor::Request(_) => self.capacity.0,
+        let descriptors = self.connections + self.requests + 1;
+        let part = |all: u64| match visitor {
+            Visitor::Connection => all - all / REQUESTS_DIVISOR,
+            Visitor::Request(_) => all,
         };
-        if held > limit {
+        if held > part(self.capacity.0) || descriptors > part(self.descriptors) {
             return false;
         }
         self.held = Size(held);
-        self.connections += u64::from(visitor == Visitor::Connection);
+        *self.count(visitor) += 1;
         true
     }
 
     /// Gives a place back.
     pub fn leave(&mut self, visitor: Visitor) {
         self.held = Size(self.held.0.saturating_sub(visitor.size().0));
-        if visitor == Visitor::Connection {
-            self.connections = self.connections.saturating_sub(1);
+        let count = self.count(visitor);
+        *count = count.saturating_sub(1);
+    }
+
+    fn count(&mut self, visitor: Visitor) -> &mut u64 {
+        match visitor {
+            Visitor::Connection => &mut self.connections,
+            Visitor::Request(_) => &mut self.requests,
         }
     }
 }
--- a/crates/core/tests/crowd.rs
+++ b/crates/core/tests/crowd.rs
@@ -74,3 +74,23 @@
     assert_eq!(capacity(None), 40_000_000);
     assert_eq!(capacity(Some(Size(20_000_000))), 2_000_000);
 }
+
+/// Guards against connections and requests that take the descriptors which the program itself needs.
+#[test]
+fn a_crowd_leaves_descriptors_to_the_program() {
+    for limit in [0, 1, 16, 64, 256, 1_024, 4_200, 20_000] {
+        let mut crowd = Crowd::new(Some(Size(1 << 30))).with_descriptors(limit);
+        let reserved = (limit / 4).min(400);
+        let visitors = [Visitor::Connection, Visitor::Request(Size(0))];
+        let taken = visitors.map(|visitor| (0..limit).filter(|_| crowd.admit(visitor)).count());
+        assert!(
+            taken.iter().sum::<usize>() as u64 <= limit - reserved,
+            "{limit}"
+        );
+
+        (0..taken[0]).for_each(|_| crowd.leave(visitors[0]));
+        (0..taken[1]).for_each(|_| crowd.leave(visitors[1]));
+        assert_eq!((crowd.held(), crowd.connections()), (Size(0), 0), "{limit}");
+        assert_eq!(crowd.admit(Visitor::Connection), limit > 0, "{limit}");
+    }
+}
--- a/crates/front/src/crowd.rs
+++ b/crates/front/src/crowd.rs
@@ -41,6 +41,12 @@
         }))
     }
 
+    /// Limits the crowd by the descriptors that the process may open; does nothing if they are unknown.
+    pub fn limit_descriptors(&self, limit: Option<u64>) {
+        let mut crowd = self.0.crowd.borrow_mut();
+        *crowd = limit.map_or(*crowd, |limit| crowd.with_descriptors(limit));
+    }
+
     /// Takes a place for a connection; `None` if there is none, or others wait for one.
     pub fn connect(&self) -> Option<Place> {
         let is_free = self.0.waiting.get() == 0;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -49,6 +49,7 @@
 use crate::retries::Retries;
 use crate::retries::Retry;
 use crate::settings::Settings;
+use crate::vitals;
 use crate::waiting::Waiting;
 use crate::watchdog;
 use crate::watchdog::Streams;
@@ -162,6 +163,7 @@
         let bounds = Bounds::new(settings.limits.contact, settings.limits.apply);
         let capacity = MemoryBudget::capacity_of(settings.memory);
         let crowd = Crowd::new(settings.memory);
+        crowd.limit_descriptors(vitals::descriptors());
         let idle_connections = share::idle_connections(settings.memory);
         Self {
             dialect: PhantomData,
--- a/crates/front/src/vitals.rs
+++ b/crates/front/src/vitals.rs
@@ -33,6 +33,15 @@
     Some(Size(kib << 10))
 }
 
+/// Returns how many descriptors the process may open; `None` if the system does not tell.
+pub fn descriptors() -> Option<u64> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let limit = limits
+        .lines()
+        .find_map(|line| line.strip_prefix("Max open files"))?;
+    limit.split_whitespace().next()?.parse().ok()
+}
+
 /// Logs the memory and what is under way until the process ends.
 pub async fn run<D: Dialect>(state: Rc<State<D>>) {
     loop {
