--- a/crates/front/src/unary/received.rs
+++ b/crates/front/src/unary/received.rs
@@ -15,11 +15,15 @@
 
 use crate::memory;
 use crate::memory::Reservation;
+use crate::pool;
 use crate::upstream::Failure;
 
 /// A server may have cut off a response of which nothing was read for longer than this.
 const MAX_UNREAD: Span = Span(1_000);
 
+/// What one read of a server's connection has at most.
+const ONE_READ: u64 = pool::READ_BYTES / 2;
+
 /// The received frames of a body; the memory of those that are left is released on drop.
 pub struct Received {
     frames: VecDeque<Bytes>,
@@ -37,42 +41,26 @@
         let is_unbounded = body.size_hint().upper().is_none();
         let limit = reservation.unbounded_limit();
         let mut size = Size(0);
+        let mut pause = Pause::default();
+        let _reading = Reading::begin(&body, &reservation, &mut pause).await;
         let mut received = Self {
             frames: VecDeque::new(),
             reservation,
         };
-        let mut paused_until = None;
         while let Some(frame) = body.frame().await {
-            let data = match frame {
-                Ok(frame) => memory::detach(&frame.into_data().unwrap_or_default()),
-                Err(error) => return Err(broken(&error, paused_until)),
-            };
+            let data = frame.map_err(|error| pause.failure(&error))?;
+            let data = data.into_data().unwrap_or_default();
             size.0 += data.len() as u64;
             if is_unbounded && size > limit {
                 return Err(Failure::Unknown("response does not end".into()));
             }
-            let arrived = clock::now();
-            if received.wait_for_room(&data).await {
-                let now = clock::now();
-                let is_long = now.since(arrived) > MAX_UNREAD;
-                paused_until = is_long.then_some(now).or(paused_until);
-            }
-            received.frames.push_back(data);
+            let kept = memory::kept_size(&data);
+            reserve(&received.reservation, kept, &mut pause).await;
+            received.frames.push_back(memory::detach(&data));
         }
         Ok(received)
     }
 
-    /// Reserves the memory for data; returns whether it had to wait.
-    async fn wait_for_room(&self, data: &Bytes) -> bool {
-        let mut has_waited = false;
-        let size = memory::kept_size(data);
-        while self.reservation.reserve(Cause::Response, size).is_err() {
-            self.reservation.room().await;
-            has_waited = true;
-        }
-        has_waited
-    }
-
     /// Returns the memory that the frames use.
     pub fn reservation(&self) -> &Rc<Reservation> {
         &self.reservation
@@ -106,10 +94,67 @@
     }
 }
 
-fn broken(error: &hyper::Error, paused_until: Option<Instant>) -> Failure {
-    let is_recent = |until| clock::now().since(until) <= MAX_UNREAD;
-    if paused_until.is_some_and(is_recent) {
-        return Failure::Unread;
+/// The memory of a connection whose response is read, until dropped.
+struct Reading {
+    reservation: Rc<Reservation>,
+    size: Size,
+}
+
+impl Reading {
+    /// Reserves what the connection holds of a response besides the frames that are kept.
+    ///
+    /// A response of one read has no more than what the place of its request is counted for.
+    async fn begin(body: &Incoming, reservation: &Rc<Reservation>, pause: &mut Pause) -> Self {
+        let is_one_read = body
+            .size_hint()
+            .upper()
+            .is_some_and(|size| size <= ONE_READ);
+        let size = Size(if is_one_read { 0 } else { pool::READ_BYTES });
+        if size > Size(0) {
+            reserve(reservation, size, pause).await;
+        }
+        Self {
+            reservation: reservation.clone(),
+            size,
+        }
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.reservation.release(Cause::Response, self.size);
+    }
+}
+
+/// Until when a response was not read on because there was no room.
+#[derive(Default)]
+struct Pause(Option<Instant>);
+
+impl Pause {
+    fn record(&mut self, from: Instant) {
+        let now = clock::now();
+        let is_long = now.since(from) > MAX_UNREAD;
+        self.0 = is_long.then_some(now).or(self.0);
+    }
+
+    fn failure(&self, error: &hyper::Error) -> Failure {
+        let is_recent = |until| clock::now().since(until) <= MAX_UNREAD;
+        if self.0.is_some_and(is_recent) {
+            return Failure::Unread;
+        }
+        Failure::Unknown(error.to_string())
+    }
+}
+
+/// Reserves memory for a response once there is room.
+async fn reserve(reservation: &Reservation, size: Size, pause: &mut Pause) {
+    let from = clock::now();
+    let mut has_waited = false;
+    while reservation.reserve(Cause::Response, size).is_err() {
+        reservation.room().await;
+        has_waited = true;
+    }
+    if has_waited {
+        pause.record(from);
     }
-    Failure::Unknown(error.to_string())
 }
