--- a/crates/core/src/pipeline/crowd.rs
+++ b/crates/core/src/pipeline/crowd.rs
@@ -70,6 +70,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Crowd {
     capacity: Size,
+    /// What may be used now, at most the capacity.
+    limit: Size,
     held: Size,
     connections: u64,
 }
@@ -81,8 +83,10 @@
     pub fn new(memory: Option<Size>) -> Self {
         let percent = known(memory).0 / 100;
         let besides_program = (percent * SHARE_PERCENT).saturating_sub(PROGRAM.0);
+        let capacity = Size(besides_program.max(percent * MIN_PERCENT));
         Self {
-            capacity: Size(besides_program.max(percent * MIN_PERCENT)),
+            capacity,
+            limit: capacity,
             held: Size(0),
             connections: 0,
         }
@@ -94,6 +98,23 @@
         self.capacity
     }
 
+    /// Sets how much connections and requests may use, at most the capacity, because others need the
+    /// rest. Those beyond it stay until they leave.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::crowd::Crowd;
+    /// # use jujube_core::pipeline::crowd::Visitor;
+    /// # use jujube_core::pipeline::memory::Size;
+    /// let mut crowd = Crowd::new(None);
+    /// crowd.set_limit(Size(100));
+    /// assert!(!crowd.admit(Visitor::Connection));
+    /// ```
+    pub fn set_limit(&mut self, limit: Size) {
+        self.limit = limit.min(self.capacity);
+    }
+
     /// Returns the memory that connections and requests use.
     #[must_use]
     pub fn held(&self) -> Size {
@@ -110,8 +131,8 @@
     pub fn admit(&mut self, visitor: Visitor) -> bool {
         let held = self.held.0.saturating_add(visitor.size().0);
         let limit = match visitor {
-            Visitor::Connection => self.capacity.0 - self.capacity.0 / REQUESTS_DIVISOR,
-            Visitor::Request(_) => self.capacity.0,
+            Visitor::Connection => self.limit.0 - self.limit.0 / REQUESTS_DIVISOR,
+            Visitor::Request(_) => self.limit.0,
         };
         if held > limit {
             return false;
--- a/crates/core/src/pipeline/idle.rs
+++ b/crates/core/src/pipeline/idle.rs
@@ -89,6 +89,27 @@
         self.count
     }
 
+    /// Sets the most connections, and closes those that have been idle the longest beyond it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::idle::Idle;
+    /// # use jujube_core::time::Instant;
+    /// let mut idle = Idle::new(2);
+    /// idle.keep(&"a".into(), 1, Instant(4_000));
+    /// idle.keep(&"a".into(), 2, Instant(4_000));
+    /// idle.set_max(1);
+    /// assert_eq!(idle.count(), 1);
+    /// assert_eq!(idle.take(Instant(0), &"a".into(), |_| true, |_| true), Some(2));
+    /// ```
+    pub fn set_max(&mut self, max: usize) {
+        self.max = max;
+        while self.count > max {
+            self.close_oldest();
+        }
+    }
+
     /// Keeps a connection, in place of the one that has been idle the longest if there are too many.
     pub fn keep(&mut self, server: &Incarnation, connection: C, expires_at: Instant) {
         let known = self.by_server.get(server).map_or(0, Vec::len);
--- a/crates/core/src/pipeline/memory.rs
+++ b/crates/core/src/pipeline/memory.rs
@@ -187,6 +187,8 @@
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
     capacity: Size,
+    /// What may be held now, at most the capacity.
+    limit: Size,
     accounts: BTreeMap<Owner, Account>,
     next: Owner,
     /// The sums over all accounts.
@@ -199,6 +201,7 @@
     pub fn new(capacity: Size) -> Self {
         Self {
             capacity,
+            limit: capacity,
             accounts: BTreeMap::new(),
             next: Owner(0),
             held: Held::default(),
@@ -228,6 +231,26 @@
         self.capacity
     }
 
+    /// Sets how much may be held, at most the capacity, because others need the rest. What is held
+    /// beyond it stays until it is released.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::memory::Cause;
+    /// # use jujube_core::pipeline::memory::MemoryBudget;
+    /// # use jujube_core::pipeline::memory::Size;
+    /// # use jujube_core::time::Instant;
+    /// let mut budget = MemoryBudget::new(Size(100));
+    /// let owner = budget.open(Instant(0));
+    /// budget.set_limit(Size(60));
+    /// let refused = budget.reserve(owner, Cause::RequestBody, Size(61));
+    /// assert!(refused.is_err_and(|refused| !refused.is_permanent()));
+    /// ```
+    pub fn set_limit(&mut self, limit: Size) {
+        self.limit = limit.min(self.capacity);
+    }
+
     /// Returns how much a response may have that does not state its size, and may never end.
     ///
     /// # Examples
@@ -291,7 +314,7 @@
     pub fn transfer(&mut self, owner: Owner, from: Cause, to: Cause, size: Size) {
         let is_read_ahead = to == Cause::ReadAhead && from != to;
         let read_ahead = self.held.of(to).saturating_add(size.0);
-        if is_read_ahead && read_ahead > self.yielding_limit() {
+        if is_read_ahead && read_ahead > yielding(self.limit) {
             return;
         }
         if let Some(mut held) = self.without(owner, from, size) {
@@ -358,7 +381,7 @@
     /// be of no use.
     #[must_use]
     pub fn evictable(&self, now: Instant, size: Size) -> Vec<Owner> {
-        let free = self.capacity.0 - self.held.sum();
+        let free = self.limit.0.saturating_sub(self.held.sum());
         let mut missing = size.0.saturating_sub(free);
         let idle = self.accounts.iter().filter_map(|(owner, account)| {
             let idle = account.idle(now).filter(|idle| *idle >= MIN_IDLE)?;
@@ -380,11 +403,11 @@
     fn has_room(&self, own: &Held, cause: Cause, size: Size) -> bool {
         let held = self.held.sum().saturating_add(size.0);
         match cause {
-            Cause::RequestBody | Cause::Response => return held <= self.capacity.0,
-            Cause::RequestHead => return held <= self.yielding_limit(),
+            Cause::RequestBody | Cause::Response => return held <= self.limit.0,
+            Cause::RequestHead => return held <= yielding(self.limit),
             Cause::ReadAhead => {}
         }
-        let free = self.yielding_limit().checked_sub(held);
+        let free = yielding(self.limit).checked_sub(held);
         let own = own.of(cause).saturating_add(size.0);
         free.is_some_and(|free| own <= free)
     }
@@ -399,16 +422,11 @@
                 own.saturating_add(size.0) > self.capacity.0
             }
             Cause::Response => size > self.capacity,
-            Cause::RequestHead => size.0 > self.yielding_limit(),
-            Cause::ReadAhead => size.0 > self.yielding_limit() / 2,
+            Cause::RequestHead => size.0 > yielding(self.capacity),
+            Cause::ReadAhead => size.0 > yielding(self.capacity) / 2,
         }
     }
 
-    /// Returns how much may be held if heads or read-ahead are to grow.
-    fn yielding_limit(&self) -> u64 {
-        self.capacity.0 - self.capacity.0.div_ceil(RESERVED_DIVISOR)
-    }
-
     /// Returns what an owner would hold without some bytes; `None` if it holds less.
     fn without(&self, owner: Owner, cause: Cause, size: Size) -> Option<Held> {
         let mut held = self.accounts.get(&owner)?.held;
@@ -425,3 +443,8 @@
         }
     }
 }
+
+/// Returns how much of a limit may be held if heads or read-ahead are to grow.
+fn yielding(limit: Size) -> u64 {
+    limit.0 - limit.0.div_ceil(RESERVED_DIVISOR)
+}
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -49,3 +49,4 @@
 pub mod strangers;
 pub mod summary;
 pub mod suspicion;
+pub mod total;
--- a/crates/core/src/pipeline/share.rs
+++ b/crates/core/src/pipeline/share.rs
@@ -2,6 +2,7 @@
 
 use crate::pipeline::memory::Size;
 use crate::pipeline::memory::known;
+use crate::pipeline::total::IDLE_CONNECTION;
 
 /// The part of a machine's memory that one answer of the store may have: one in this many bytes.
 const ANSWER_DIVISOR: u64 = 40;
@@ -15,8 +16,6 @@
 const REPORTS_DIVISOR: u64 = 10;
 /// The part of a machine's memory that idle connections to servers may have: one in this many bytes.
 const IDLE_DIVISOR: u64 = 8;
-/// What an idle connection holds: its task, and buffers for reading and writing.
-const IDLE_CONNECTION: Size = Size(20_000);
 
 /// Returns how many idle connections to servers are kept on a machine. If its memory is unknown or
 /// zero, assumes that of the smallest entry.
--- a/crates/front/src/crowd.rs
+++ b/crates/front/src/crowd.rs
@@ -9,6 +9,8 @@
 use jujube_core::pipeline::crowd;
 use jujube_core::pipeline::crowd::Visitor;
 use jujube_core::pipeline::memory::Size;
+use jujube_core::pipeline::total::Part;
+use jujube_core::pipeline::total::Total;
 use tokio::sync::Notify;
 
 /// How long a new connection waits for the place of one that is asked to close.
@@ -20,6 +22,8 @@
 
 struct Shared {
     crowd: RefCell<crowd::Crowd>,
+    /// What is held beside it.
+    total: Rc<RefCell<Total>>,
     /// The connections without a request, in the order in which they came to rest.
     resting: RefCell<BTreeMap<u64, Rc<Notify>>>,
     /// How often a connection came to rest.
@@ -34,6 +38,7 @@
     pub fn new(memory: Option<Size>) -> Self {
         Self(Rc::new(Shared {
             crowd: RefCell::new(crowd::Crowd::new(memory)),
+            total: Rc::new(RefCell::new(Total::of(memory))),
             resting: RefCell::default(),
             rests: Cell::default(),
             waiting: Cell::default(),
@@ -49,7 +54,11 @@
 
     /// Takes a place; `None` if there is none.
     pub fn admit(&self, visitor: Visitor) -> Option<Place> {
-        let is_admitted = self.0.crowd.borrow_mut().admit(visitor);
+        let mut crowd = self.0.crowd.borrow_mut();
+        let mut total = self.0.total.borrow_mut();
+        crowd.set_limit(total.limit(Part::Places));
+        let is_admitted = crowd.admit(visitor);
+        total.record(Part::Places, crowd.held());
         is_admitted.then(|| Place {
             crowd: self.clone(),
             visitor,
@@ -75,6 +84,11 @@
         place
     }
 
+    /// Returns what connections and requests hold together with others.
+    pub fn total(&self) -> &Rc<RefCell<Total>> {
+        &self.0.total
+    }
+
     /// Returns how things stand.
     pub fn view(&self) -> crowd::Crowd {
         *self.0.crowd.borrow()
@@ -102,8 +116,15 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let Shared { crowd, freed, .. } = &*self.crowd.0;
-        crowd.borrow_mut().leave(self.visitor);
+        let Shared {
+            crowd,
+            total,
+            freed,
+            ..
+        } = &*self.crowd.0;
+        let mut crowd = crowd.borrow_mut();
+        crowd.leave(self.visitor);
+        total.borrow_mut().record(Part::Places, crowd.held());
         if self.visitor == Visitor::Connection {
             freed.notify_one();
         }
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -12,6 +12,8 @@
 use jujube_core::pipeline::memory::OutOfMemory;
 use jujube_core::pipeline::memory::Owner;
 use jujube_core::pipeline::memory::Size;
+use jujube_core::pipeline::total::Part;
+use jujube_core::pipeline::total::Total;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use tokio::sync::Notify;
@@ -42,6 +44,8 @@
 /// The memory that is held for callers and servers.
 pub struct Memory {
     budget: RefCell<MemoryBudget>,
+    /// What is held beside it, if that limits it.
+    total: Option<Rc<RefCell<Total>>>,
     /// The number of releases so far.
     releases: Cell<u64>,
     released: Notify,
@@ -69,12 +73,21 @@
     pub fn new(capacity: Size) -> Self {
         Self {
             budget: RefCell::new(MemoryBudget::new(capacity)),
+            total: None,
             releases: Cell::new(0),
             released: Notify::new(),
             evictions: RefCell::default(),
         }
     }
 
+    /// Limits the budget to what others leave of a total.
+    pub fn within(self, total: Rc<RefCell<Total>>) -> Self {
+        Self {
+            total: Some(total),
+            ..self
+        }
+    }
+
     /// Opens an owner that holds nothing.
     pub fn open(memory: &Rc<Self>) -> Reservation {
         let owner = memory.budget.borrow_mut().open(clock::now());
@@ -129,9 +142,29 @@
         self.close(owner);
     }
 
+    fn reserve(&self, owner: Owner, cause: Cause, size: Size) -> Result<(), OutOfMemory> {
+        let mut budget = self.budget.borrow_mut();
+        if let Some(total) = &self.total {
+            budget.set_limit(total.borrow().limit(Part::Bytes));
+        }
+        let reserved = budget.reserve(owner, cause, size);
+        self.record(&budget);
+        reserved
+    }
+
+    /// Records what is held in the total.
+    fn record(&self, budget: &MemoryBudget) {
+        if let Some(total) = &self.total {
+            total.borrow_mut().record(Part::Bytes, budget.held());
+        }
+    }
+
     fn close(&self, owner: Owner) {
-        let held = self.budget.borrow().held_by(owner);
-        self.budget.borrow_mut().close(owner);
+        let mut budget = self.budget.borrow_mut();
+        let held = budget.held_by(owner);
+        budget.close(owner);
+        self.record(&budget);
+        drop(budget);
         self.evictions.borrow_mut().remove(&owner);
         self.notify_released(held);
     }
@@ -163,10 +196,7 @@
     ///
     /// There is no room, or this owner was evicted.
     pub fn reserve(&self, cause: Cause, size: Size) -> Result<(), OutOfMemory> {
-        let reserve = || {
-            let mut budget = self.memory.budget.borrow_mut();
-            budget.reserve(self.owner, cause, size)
-        };
+        let reserve = || self.memory.reserve(self.owner, cause, size);
         let mut reserved = reserve();
         let may_evict =
             !matches!(cause, Cause::ReadAhead | Cause::RequestHead) && !self.is_evicted();
@@ -185,6 +215,7 @@
         let held = budget.held();
         budget.release(self.owner, cause, size);
         let released = Size(held.0 - budget.held().0);
+        self.memory.record(&budget);
         drop(budget);
         self.memory.notify_released(released);
     }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -26,6 +26,7 @@
 use jujube_core::pipeline::idle;
 use jujube_core::pipeline::idle::Idle;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::total::Total;
 use jujube_core::status;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -91,6 +92,10 @@
 
 struct Shared {
     idle: RefCell<Idle<Box<Connection>>>,
+    /// The most idle connections.
+    max_idle: usize,
+    /// What is held beside them.
+    total: Rc<RefCell<Total>>,
     /// The number of connections opened.
     opened: Cell<u64>,
     closed: Closed,
@@ -113,10 +118,13 @@
 }
 
 impl Pool {
-    /// Creates a pool that keeps at most `max_idle` idle connections.
-    pub fn new(max_idle: usize) -> Self {
+    /// Creates a pool that keeps at most `max_idle` idle connections, and no more than a total has room
+    /// for.
+    pub fn new(max_idle: usize, total: Rc<RefCell<Total>>) -> Self {
         Self(Rc::new(Shared {
             idle: RefCell::new(Idle::new(max_idle)),
+            max_idle,
+            total,
             opened: Cell::default(),
             closed: Closed::default(),
         }))
@@ -229,8 +237,17 @@
         self.0.idle.borrow_mut().retain_of(server, |_| false);
     }
 
-    /// Closes idle connections that have expired or whose server is no longer registered.
+    /// Closes the idle connections that there is no room for, those idle the longest first.
+    fn limit_idle(&self) {
+        let room = self.0.total.borrow().idle_connections();
+        let max = self.0.max_idle.min(room);
+        self.0.idle.borrow_mut().set_max(max);
+    }
+
+    /// Closes idle connections that have expired, whose server is no longer registered, or that there is
+    /// no room for.
     pub fn close_expired(&self, is_registered: impl Fn(&Incarnation) -> bool) {
+        self.limit_idle();
         let mut idle = self.0.idle.borrow_mut();
         idle.expire(
             clock::now(),
@@ -270,6 +287,7 @@
             if self.connection.sender.ready().await.is_err() {
                 return;
             }
+            self.pool.limit_idle();
             let mut idle = self.pool.0.idle.borrow_mut();
             idle.keep(&self.server, self.connection, clock::now().plus(timeout));
         });
--- a/crates/front/tests/memory.rs
+++ b/crates/front/tests/memory.rs
@@ -5,6 +5,7 @@
 #[path = "../src/memory.rs"]
 mod memory;
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::Weak;
@@ -13,6 +14,8 @@
 use bytes::Bytes;
 use jujube_core::pipeline::memory::Cause;
 use jujube_core::pipeline::memory::Size;
+use jujube_core::pipeline::total::Part;
+use jujube_core::pipeline::total::Total;
 use memory::Memory;
 use memory::Reservation;
 
@@ -158,3 +161,24 @@
     assert!(buffer.upgrade().is_none(), "the buffer is still in use");
     assert!(memory::kept_size(&event) > Size(98));
 }
+
+/// Guards against a budget that is given out while the places of callers have taken the memory, and against a
+/// total that does not hear of what is released.
+#[test]
+fn a_budget_within_a_total_yields_to_what_others_hold() {
+    let total = Rc::new(RefCell::new(Total::of(None)));
+    let capacity = total.borrow().capacity();
+    let memory = Rc::new(Memory::new(capacity).within(total.clone()));
+    total.borrow_mut().record(Part::Places, Size(1_000));
+    let owner = Memory::open(&memory);
+
+    assert!(owner.reserve(Cause::Response, capacity).is_err());
+    let left = Size(capacity.0 - 1_000);
+    assert!(owner.reserve(Cause::Response, left).is_ok());
+    assert_eq!(total.borrow().limit(Part::Places), Size(1_000));
+
+    owner.release(Cause::Response, Size(500));
+    assert_eq!(total.borrow().limit(Part::Places), Size(1_500));
+    drop(owner);
+    assert_eq!(total.borrow().limit(Part::Places), capacity);
+}
