--- a/crates/front/src/unary/received.rs
+++ b/crates/front/src/unary/received.rs
@@ -42,7 +42,7 @@
         let limit = reservation.unbounded_limit();
         let mut size = Size(0);
         let mut pause = Pause::default();
-        let _reading = Reading::begin(&body, &reservation, &mut pause).await;
+        let mut reading = Reading::begin(&body, &reservation, &mut pause).await;
         let mut received = Self {
             frames: VecDeque::new(),
             reservation,
@@ -54,6 +54,7 @@
             if is_unbounded && size > limit {
                 return Err(Failure::Unknown("response does not end".into()));
             }
+            reading.shrink(&body);
             let kept = memory::kept_size(&data);
             reserve(&received.reservation, kept, &mut pause).await;
             received.frames.push_back(memory::detach(&data));
@@ -105,11 +106,8 @@
     ///
     /// A response of one read has no more than what the place of its request is counted for.
     async fn begin(body: &Incoming, reservation: &Rc<Reservation>, pause: &mut Pause) -> Self {
-        let is_one_read = body
-            .size_hint()
-            .upper()
-            .is_some_and(|size| size <= ONE_READ);
-        let size = Size(if is_one_read { 0 } else { pool::READ_BYTES });
+        let left = left(body);
+        let size = Size(if left.0 <= ONE_READ { 0 } else { left.0 });
         if size > Size(0) {
             reserve(reservation, size, pause).await;
         }
@@ -118,6 +116,23 @@
             size,
         }
     }
+
+    /// Releases what the connection cannot hold any more, so that a response of a size that fits does not
+    /// wait for room beside its own bytes.
+    fn shrink(&mut self, body: &Incoming) {
+        let size = self.size.min(left(body));
+        let surplus = Size(self.size.0 - size.0);
+        if surplus > Size(0) {
+            self.reservation.release(Cause::Response, surplus);
+        }
+        self.size = size;
+    }
+}
+
+/// Returns how much of the rest of a response its connection may hold.
+fn left(body: &Incoming) -> Size {
+    let left = body.size_hint().upper().unwrap_or(u64::MAX);
+    Size(left.min(pool::READ_BYTES))
 }
 
 impl Drop for Reading {
