--- a/crates/core/src/pipeline/crowd.rs
+++ b/crates/core/src/pipeline/crowd.rs
@@ -76,6 +76,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Crowd {
     capacity: Size,
+    /// What may be used now, at most the capacity.
+    limit: Size,
     held: Size,
     connections: u64,
     /// How many connections and requests there may be, with a descriptor each.
@@ -90,8 +92,10 @@
     pub fn new(memory: Option<Size>) -> Self {
         let percent = known(memory).0 / 100;
         let besides_program = (percent * SHARE_PERCENT).saturating_sub(PROGRAM.0);
+        let capacity = Size(besides_program.max(percent * MIN_PERCENT));
         Self {
-            capacity: Size(besides_program.max(percent * MIN_PERCENT)),
+            capacity,
+            limit: capacity,
             held: Size(0),
             connections: 0,
             descriptors: u64::MAX,
@@ -133,6 +137,23 @@
         self.capacity
     }
 
+    /// Sets how much connections and requests may use, at most the capacity, because others need the
+    /// rest. Those beyond it stay until they leave.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::crowd::Crowd;
+    /// # use jujube_core::pipeline::crowd::Visitor;
+    /// # use jujube_core::pipeline::memory::Size;
+    /// let mut crowd = Crowd::new(None);
+    /// crowd.set_limit(Size(100));
+    /// assert!(!crowd.admit(Visitor::Connection));
+    /// ```
+    pub fn set_limit(&mut self, limit: Size) {
+        self.limit = limit.min(self.capacity);
+    }
+
     /// Returns the memory that connections and requests use.
     #[must_use]
     pub fn held(&self) -> Size {
@@ -153,7 +174,7 @@
             Visitor::Connection => all - all / REQUESTS_DIVISOR,
             Visitor::Request(_) => all,
         };
-        if held > part(self.capacity.0) || descriptors > part(self.descriptors) {
+        if held > part(self.limit.0) || descriptors > part(self.descriptors) {
             return false;
         }
         self.held = Size(held);
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -51,4 +51,5 @@
 pub mod strangers;
 pub mod summary;
 pub mod suspicion;
+pub mod total;
 pub mod turn;
