--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -67,6 +67,7 @@
         || settings.limits != before.limits
         || settings.stop != before.stop
         || settings.memory != before.memory
+        || settings.descriptors != before.descriptors
         || settings.zone != before.zone;
     let outcome = if needs_restart {
         "partly-after-restart"
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -44,6 +44,8 @@
     pub stop: Duration,
     /// The memory of the machine; `None` if it is unknown.
     pub memory: Option<Size>,
+    /// How many descriptors the process may open; `None` if the platform does not tell.
+    pub descriptors: Option<u64>,
     /// The address of the store.
     pub store: SocketAddr,
     /// How soon changes in the store must take effect.
@@ -152,6 +154,7 @@
                 gossip_last_port: section.amount("gossip_last_port", "a port", 0.0) as u16,
                 stop: Duration::from_millis(section.seconds("stop_seconds", Span(8_000)).0),
                 memory: memory(section.amount("memory_mb", "a number of megabytes", 0.0)),
+                descriptors: descriptors(section.amount("descriptors", "a number", 0.0)),
                 store,
                 limits,
                 retry,
@@ -168,3 +171,8 @@
 fn memory(megabytes: f64) -> Option<Size> {
     (megabytes > 0.0).then_some(Size((megabytes * BYTES_PER_MEGABYTE) as u64))
 }
+
+/// Returns how many descriptors a process may open. The platform gives no value if it does not know it.
+fn descriptors(number: f64) -> Option<u64> {
+    (number >= 1.0).then_some(number as u64)
+}
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -166,7 +166,7 @@
         let bounds = Bounds::new(settings.limits.contact, settings.limits.apply);
         let capacity = MemoryBudget::capacity_of(settings.memory);
         let crowd = Crowd::new(settings.memory);
-        crowd.limit_descriptors(vitals::descriptors());
+        crowd.limit_descriptors(settings.descriptors.or_else(vitals::descriptors));
         let idle_connections = share::idle_connections(settings.memory);
         Self {
             dialect: PhantomData,
