--- a/crates/core/src/pipeline/stalls.rs
+++ b/crates/core/src/pipeline/stalls.rs
@@ -19,8 +19,7 @@
 /// # use jujube_core::pipeline::stalls::Stalls;
 /// # use jujube_core::time::Instant;
 /// # use jujube_core::time::Span;
-/// let mut stalls = Stalls::new(Span(25));
-/// assert_eq!(stalls.tick(Instant(1_000)), None, "the first tick has none before it");
+/// let mut stalls = Stalls::new(Instant(1_000), Span(25));
 /// assert_eq!(stalls.tick(Instant(1_065)), None, "a short one is not told");
 /// assert_eq!(stalls.tick(Instant(1_500)), Some(Span(410)));
 /// assert_eq!(stalls.tick(Instant(1_925)), None, "one was told not long before");
@@ -30,18 +29,18 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Stalls {
     interval: Span,
-    last: Option<Instant>,
+    last: Instant,
     longest: Span,
     told: Option<Instant>,
 }
 
 impl Stalls {
-    /// Returns the stalls of a loop that ticks at an interval.
+    /// Returns the stalls of a loop that begins now and ticks at an interval.
     #[must_use]
-    pub fn new(interval: Span) -> Self {
+    pub fn new(now: Instant, interval: Span) -> Self {
         Self {
             interval,
-            last: None,
+            last: now,
             longest: Span(0),
             told: None,
         }
@@ -49,8 +48,8 @@
 
     /// Records a tick. Returns how late it came if that is to be told.
     pub fn tick(&mut self, now: Instant) -> Option<Span> {
-        let gap = self.last.map_or(self.interval, |last| now.since(last));
-        self.last = Some(now);
+        let gap = now.since(self.last);
+        self.last = now;
         let stall = Span(gap.0.saturating_sub(self.interval.0));
         self.longest = self.longest.max(stall);
         let was_told = self
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -189,7 +189,7 @@
             load: RefCell::new(Load::new(Limits::started(clock::now(), rand::random()))),
             suspicion: RefCell::default(),
             local_health: RefCell::new(LocalHealth::new(watchdog::TICK)),
-            stalls: RefCell::new(Stalls::new(watchdog::TICK)),
+            stalls: RefCell::new(Stalls::new(clock::now(), watchdog::TICK)),
             outliers: RefCell::default(),
             framings: RefCell::default(),
             quarantine: RefCell::default(),
