End the search for culprits where a suspect has survived

Callers: an entry that stops for good, alive: its only thread searches without an end. Nothing is logged.

Cause: since a request that survived is not quarantined. One that ran to an end that nothing proves (no length), and was lost on three servers that ended, all settled at once, was a survivor and a suspect: evaluate found it, insert refused it, again and again.

Now the ends are recorded before the request is cleared, and a survivor that is judged all the same is no suspect any more.

Test: request_that_survives_beside_its_ends_is_judged_in_the_end (did not end within 20 s before).

--- a/crates/core/src/pipeline/quarantine/mod.rs
+++ b/crates/core/src/pipeline/quarantine/mod.rs
@@ -125,12 +125,14 @@
                 complete.push(lost.run);
             }
         }
+        let ended = ended.into_iter();
+        let ended = ended.map(|run| self.record_own_end(now, run)).collect();
+        // After the ends, which clear nothing: what survives is no suspect.
         for run in complete {
             self.survived(run.features.request);
             self.lived(now, run.sent, run.features.parts());
         }
-        let ended = ended.into_iter();
-        ended.map(|run| self.record_own_end(now, run)).collect()
+        ended
     }
 
     fn record_own_end(&mut self, now: Instant, run: Run) -> (Features, End) {
@@ -242,10 +244,11 @@
             if culprits.is_empty() {
                 return added;
             }
-            for digest in &culprits {
-                self.insert(now, *digest, Source::Own, now);
+            for digest in culprits {
+                if self.insert(now, digest, Source::Own, now) {
+                    added.push(digest);
+                }
             }
-            added.extend(culprits);
         }
     }
 
@@ -267,6 +270,8 @@
         store_at: Instant,
     ) -> bool {
         if self.survivors.contains(digest) {
+            // Nor is it judged again, or the search for culprits would not end.
+            self.suspects.remove(digest);
             if source == Source::Store {
                 self.records.remove_from_store(digest);
             }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -423,3 +423,18 @@
     assert_eq!(attempts.permission(2, ended), Permission::Denied);
     assert_eq!(attempts.permission(3, ended), Permission::Allowed);
 }
+
+/// Guards against a loop without an end: a request that survived on one server while it was lost on three
+/// that ended, all settled at once.
+#[test]
+fn request_that_survives_beside_its_ends_is_judged_in_the_end() {
+    let mut quarantine = Quarantine::default();
+    let perhaps = run(INNOCENT, "d", 0).perhaps_complete();
+    quarantine.lost(Instant(0), perhaps);
+    for server in ["a", "b", "c"] {
+        quarantine.lost(Instant(900), run(INNOCENT, server, 0));
+    }
+    quarantine.settle(Instant(1_100), |server| *server != "d".into());
+
+    assert!(evaluate(&mut quarantine, 1_100).is_empty());
+}
