Release a request from quarantine only for a good answer

A failure shows that the server lives, which keeps a request from being judged as before, but no longer takes one out that was judged.

--- a/crates/core/src/pipeline/quarantine/mod.rs
+++ b/crates/core/src/pipeline/quarantine/mod.rs
@@ -86,6 +86,8 @@
     lost: Vec<Lost>,
     suspects: Suspects,
     survivors: Survivors,
+    /// The survivors that were answered well.
+    answered: Survivors,
     lives: Lives,
     /// The recent runs of other entries.
     others: Tally,
@@ -174,13 +176,19 @@
         is_quarantined
     }
 
-    /// Records that a request ran to its end, or survived its beginning on a server. Returns whether it
-    /// was in quarantine, which it leaves: the servers that ended under it ended for another reason.
-    pub fn survived(&mut self, request: Digest) -> bool {
+    /// Records that a request did not end the server that ran it, however it was answered.
+    pub fn survived(&mut self, request: Digest) {
         self.survivors.insert(request);
         self.suspects.remove(request);
         self.lost
             .retain(|lost| lost.run.features.request != request);
+    }
+
+    /// Records that a request was answered well, or survived its beginning on a server. Returns whether it
+    /// was in quarantine, which it leaves: the servers that ended under it ended for another reason.
+    pub fn answered(&mut self, request: Digest) -> bool {
+        self.survived(request);
+        self.answered.insert(request);
         let was_quarantined = self.records.remove(request);
         if was_quarantined {
             self.records.remove_from_store(request);
@@ -260,7 +268,7 @@
     /// Quarantines a request or a part; returns whether it was not in quarantine before. Unless
     /// another entry does so first, it is written to the store at `store_at`.
     ///
-    /// A request that survived here is not quarantined, and is removed from the store if another entry
+    /// A request that was answered well here is not quarantined, and is removed from the store if another entry
     /// wrote it there.
     pub fn insert(
         &mut self,
@@ -269,7 +277,7 @@
         source: Source,
         store_at: Instant,
     ) -> bool {
-        if self.survivors.contains(digest) {
+        if self.answered.contains(digest) {
             // Nor is it judged again, or the search for culprits would not end.
             self.suspects.remove(digest);
             if source == Source::Store {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -220,7 +220,9 @@
     assert_eq!(evaluate(&mut quarantine, 0), [INNOCENT]);
     quarantine.stored(INNOCENT);
 
-    assert!(quarantine.survived(INNOCENT));
+    quarantine.survived(INNOCENT);
+    assert!(quarantine.contains(INNOCENT), "a failure acquits nobody");
+    assert!(quarantine.answered(INNOCENT));
 
     assert!(!quarantine.contains(INNOCENT));
     assert_eq!(quarantine.take_evicted(), [INNOCENT]);
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -72,9 +72,14 @@
     state.quarantine.borrow_mut().lost(clock::now(), run);
 }
 
-/// Records that a request ran to its end, or survived its beginning on a server.
+/// Records that a request failed at a server that lives.
+pub fn failed<D>(state: &State<D>, digest: Digest) {
+    state.quarantine.borrow_mut().survived(digest);
+}
+
+/// Records that a request was answered well, or survived its beginning on a server.
 pub fn survived<D>(state: &State<D>, digest: Digest) {
-    let is_released = state.quarantine.borrow_mut().survived(digest);
+    let is_released = state.quarantine.borrow_mut().answered(digest);
     if is_released {
         log::warn!("event=quarantine-released digest={digest} cause=survived");
         state.quarantine_added.notify_one();
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -283,7 +283,11 @@
             quarantine::lost(self.state, run.perhaps_complete());
             return;
         }
-        quarantine::survived(self.state, self.request.features.request);
+        let request = self.request.features.request;
+        match reply.parts.status.is_server_error() {
+            true => quarantine::failed(self.state, request),
+            false => quarantine::survived(self.state, request),
+        }
         if reply.parts.status.is_success() {
             quarantine::lived(self.state, sent, &self.request.features);
         }
