Leave room for requests between connections at rest and bytes

Bytes now leave a sixteenth of the total beyond the places that are taken. Test: bytes_leave_room_for_requests_beside_connections_at_rest.

--- a/crates/core/src/pipeline/total.rs
+++ b/crates/core/src/pipeline/total.rs
@@ -10,6 +10,8 @@
 /// The part of a machine's memory for all parts at least, in percent: the budget's and the least of the
 /// places.
 const MIN_PERCENT: u64 = 50;
+/// The part of the capacity that bytes leave to places beyond those that are taken: one in this many.
+const REQUESTS_DIVISOR: u64 = 16;
 /// What an idle connection to a server holds: its task, and buffers for reading and writing.
 pub(super) const IDLE_CONNECTION: Size = Size(20_000);
 /// How many idle connections are kept at least, however little is left.
@@ -37,13 +39,13 @@
 /// # use jujube_core::pipeline::total::Part;
 /// # use jujube_core::pipeline::total::Total;
 /// let mut total = Total::of(Some(Size(200_000_000)));
-/// assert_eq!(total.limit(Part::Bytes), Size(102_000_000));
+/// assert_eq!(total.limit(Part::Bytes), Size(95_625_000));
 /// assert_eq!(total.idle_connections(), 5_100);
 /// total.record(Part::Places, Size(50_000_000));
-/// assert_eq!(total.limit(Part::Bytes), Size(52_000_000));
-/// total.record(Part::Bytes, Size(52_000_000));
-/// assert_eq!(total.limit(Part::Places), Size(50_000_000));
-/// assert_eq!(total.idle_connections(), 64);
+/// assert_eq!(total.limit(Part::Bytes), Size(45_625_000));
+/// total.record(Part::Bytes, Size(45_625_000));
+/// assert_eq!(total.limit(Part::Places), Size(56_375_000));
+/// assert_eq!(total.idle_connections(), 318);
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Total {
@@ -80,14 +82,14 @@
         }
     }
 
-    /// Returns how much a part may hold.
+    /// Returns how much a part may hold. Bytes leave some room for the places of new requests.
     #[must_use]
     pub fn limit(&self, part: Part) -> Size {
         let others = match part {
-            Part::Places => self.bytes,
-            Part::Bytes => self.places,
+            Part::Places => self.bytes.0,
+            Part::Bytes => self.places.0 + self.capacity.0 / REQUESTS_DIVISOR,
         };
-        Size(self.capacity.0.saturating_sub(others.0))
+        Size(self.capacity.0.saturating_sub(others))
     }
 
     /// Returns how many idle connections to servers may be kept beside what is held.
--- a/crates/core/tests/total.rs
+++ b/crates/core/tests/total.rs
@@ -121,6 +121,18 @@
     }
 }
 
+/// Guards against connections at rest and bytes that leave no room for a request between them.
+#[test]
+fn bytes_leave_room_for_requests_beside_connections_at_rest() {
+    for memory in MEMORIES {
+        let mut parts = Parts::new(memory);
+        while parts.admit(Visitor::Connection) {}
+        while parts.hold(10_000) {}
+
+        assert!(parts.admit(Visitor::Request(Size(1_000))), "{memory}");
+    }
+}
+
 /// Guards against a usual day, of some hundred connections and requests, that has less than before.
 #[test]
 fn a_usual_day_takes_nothing_from_the_parts() {
