Replace times that are too long by their default

A year in place of a longer window of the retry budget has each request kept for two years, and in place of a contact time a watch waits for as long: the default is what an entry can do without the value.

--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -300,15 +300,15 @@
         self.span(key, "a time in seconds", default, 1_000.0)
     }
 
-    /// Reads a time in units of some milliseconds; the longest one replaces one that is too long for
-    /// sums of times.
+    /// Reads a time in units of some milliseconds; the default replaces one that is too long for sums of
+    /// times.
     fn span(&mut self, key: &'static str, expected: &str, default: Span, unit: f64) -> Span {
-        let amount = self.amount(key, expected, default.0 as f64 / unit);
-        let most = MAX_SPAN.0 as f64 / unit;
-        if amount > most {
+        let usual = default.0 as f64 / unit;
+        let amount = self.amount(key, expected, usual);
+        if amount * unit > MAX_SPAN.0 as f64 {
             let what = format!("expected at most {} ms", MAX_SPAN.0);
-            self.replace(key, what, &amount.to_string(), most);
-            return MAX_SPAN;
+            self.replace(key, what, &amount.to_string(), usual);
+            return default;
         }
         Span((amount * unit) as u64)
     }
