Share out the descriptors among all that opens any

The descriptors left to the program did not cover what it may open, and idle connections were in no account.

A quarter, 800 at most, is the program's, of which checks and metrics have a sixteenth each; an eighth is for idle connections.

--- a/crates/core/src/pipeline/crowd.rs
+++ b/crates/core/src/pipeline/crowd.rs
@@ -21,12 +21,6 @@
 /// How much memory keeps one byte of a head: the buffer that it was read into grows by doubling.
 const BYTES_PER_HEAD_BYTE: u64 = 2;
 
-/// The descriptors that are left to the program itself: its log and listeners, the store, other
-/// entries, and checks of readiness.
-const RESERVED_DESCRIPTORS: u64 = 400;
-/// The part of few descriptors that is left to the program: one in this many.
-const RESERVED_DIVISOR: u64 = 4;
-
 /// What takes a place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Visitor {
@@ -103,11 +97,8 @@
         }
     }
 
-    /// Limits the crowd of a process that may open this many descriptors: a connection takes one, and a
-    /// request takes another for a connection to a server.
-    ///
-    /// A process without a free descriptor accepts nobody, answers no check of its readiness and cannot
-    /// call the store.
+    /// Limits the crowd to this many descriptors: a connection takes one, and a request takes another for
+    /// a connection to a server.
     ///
     /// # Examples
     ///
@@ -115,16 +106,14 @@
     /// # use jujube_core::pipeline::crowd::Crowd;
     /// # use jujube_core::pipeline::crowd::Visitor;
     /// # use jujube_core::pipeline::memory::Size;
-    /// let mut crowd = Crowd::new(Some(Size(260_000_000))).with_descriptors(256);
+    /// let mut crowd = Crowd::new(Some(Size(260_000_000))).with_descriptors(192);
     /// let connections = (0..256).filter(|_| crowd.admit(Visitor::Connection)).count();
     /// assert_eq!(connections, 168);
     /// let requests = (0..256).filter(|_| crowd.admit(Visitor::Request(Size(0)))).count();
     /// assert_eq!(requests, 24);
     /// ```
     #[must_use]
-    pub fn with_descriptors(self, limit: u64) -> Self {
-        let reserved = RESERVED_DESCRIPTORS.min(limit / RESERVED_DIVISOR);
-        let descriptors = limit - reserved;
+    pub fn with_descriptors(self, descriptors: u64) -> Self {
         Self {
             descriptors,
             ..self
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -17,6 +17,7 @@
 pub mod crowd;
 pub mod departure;
 pub mod deputy;
+pub mod descriptors;
 pub mod digest;
 pub mod document;
 pub mod era;
--- a/crates/core/tests/crowd.rs
+++ b/crates/core/tests/crowd.rs
@@ -2,6 +2,7 @@
 
 use jujube_core::pipeline::crowd::Crowd;
 use jujube_core::pipeline::crowd::Visitor;
+use jujube_core::pipeline::descriptors::Descriptors;
 use jujube_core::pipeline::memory::Size;
 use proptest::prelude::*;
 
@@ -79,8 +80,10 @@
 #[test]
 fn a_crowd_leaves_descriptors_to_the_program() {
     for limit in [0, 1, 16, 64, 256, 1_024, 4_200, 20_000] {
-        let mut crowd = Crowd::new(Some(Size(1 << 30))).with_descriptors(limit);
-        let reserved = (limit / 4).min(400);
+        let descriptors = Descriptors::new(Some(limit));
+        let mut crowd = Crowd::new(Some(Size(1 << 30))).with_descriptors(descriptors.callers());
+        // Checks, the metrics and what speaks with the store and other entries.
+        let reserved = (limit / 4).min(800) + descriptors.idle_connections() as u64;
         let visitors = [Visitor::Connection, Visitor::Request(Size(0))];
         let taken = visitors.map(|visitor| (0..limit).filter(|_| crowd.admit(visitor)).count());
         assert!(
--- a/crates/front/src/crowd.rs
+++ b/crates/front/src/crowd.rs
@@ -46,10 +46,10 @@
         }))
     }
 
-    /// Limits the crowd by the descriptors that the process may open; does nothing if they are unknown.
-    pub fn limit_descriptors(&self, limit: Option<u64>) {
+    /// Limits the crowd by the descriptors that it may have.
+    pub fn limit_descriptors(&self, descriptors: u64) {
         let mut crowd = self.0.crowd.borrow_mut();
-        *crowd = limit.map_or(*crowd, |limit| crowd.with_descriptors(limit));
+        *crowd = crowd.with_descriptors(descriptors);
     }
 
     /// Takes a place for a connection; `None` if there is none, or others wait for one.
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -29,11 +29,9 @@
 const MAX_BUFFER_BYTES: usize = 8_192;
 /// How long a connection may take for a head, or stay idle. Checks come every second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// The most open connections. A new one replaces the oldest, so that those of callers who stay silent
-/// keep no check away.
-const MAX_CONNECTIONS: usize = 256;
 
-/// Serves one listener until the process ends.
+/// Serves one listener until the process ends. If there are too many connections, a new one replaces the
+/// oldest, so that those of callers who stay silent keep no check away.
 pub async fn serve<D: Dialect>(state: Rc<State<D>>, listener: Rc<TcpListener>) {
     let mut open = VecDeque::new();
     loop {
@@ -43,7 +41,7 @@
             continue;
         };
         open.retain(|task: &AbortHandle| !task.is_finished());
-        if open.len() >= MAX_CONNECTIONS
+        if open.len() >= state.descriptors.checks()
             && let Some(oldest) = open.pop_front()
         {
             oldest.abort();
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -11,6 +11,7 @@
 use jujube_core::name::Service;
 use jujube_core::pipeline::cell::Location;
 use jujube_core::pipeline::chooser::Fleet;
+use jujube_core::pipeline::descriptors::Descriptors;
 use jujube_core::pipeline::digest::Digest;
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::era::Settling;
@@ -136,6 +137,8 @@
     pub memory: Rc<Memory>,
     /// The connections and requests of callers.
     pub crowd: Crowd,
+    /// How the descriptors are shared out.
+    pub descriptors: Descriptors,
     /// The requests waiting for capacity.
     pub waiting: Waiting,
     /// The streams in flight.
@@ -166,8 +169,11 @@
         let bounds = Bounds::new(settings.limits.contact, settings.limits.apply);
         let capacity = MemoryBudget::capacity_of(settings.memory);
         let crowd = Crowd::new(settings.memory);
-        crowd.limit_descriptors(settings.descriptors.or_else(vitals::descriptors));
+        let descriptors = settings.descriptors.or_else(vitals::descriptors);
+        let descriptors = Descriptors::new(descriptors);
+        crowd.limit_descriptors(descriptors.callers());
         let idle_connections = share::idle_connections(settings.memory);
+        let idle_connections = idle_connections.min(descriptors.idle_connections());
         Self {
             dialect: PhantomData,
             started: clock::now(),
@@ -206,6 +212,7 @@
             held: Held::default(),
             memory: Rc::new(Memory::new(capacity).within(crowd.total().clone())),
             crowd,
+            descriptors,
             waiting: Waiting::default(),
             streams: Streams::default(),
             metrics: Rc::default(),
