Compute a share of the memory less the program's in one place

The places and the total each had the same computation and their own figure of what the program uses; share has both now, and what an idle connection holds again. No figure changes.

--- a/crates/core/src/pipeline/crowd.rs
+++ b/crates/core/src/pipeline/crowd.rs
@@ -2,12 +2,10 @@
 //! of them uses besides its bytes.
 
 use crate::pipeline::memory::Size;
-use crate::pipeline::memory::known;
+use crate::pipeline::share::besides_program;
 
 /// The part of a machine's memory for the program itself, connections and requests, in percent.
 const SHARE_PERCENT: u64 = 30;
-/// What the program uses without any connection.
-const PROGRAM: Size = Size(8_000_000);
 /// The part of a machine's memory for connections and requests at least, in percent.
 const MIN_PERCENT: u64 = 10;
 /// The part of the capacity that connections leave to requests: one in this many bytes. Callers that
@@ -84,9 +82,7 @@
     /// that of the smallest entry.
     #[must_use]
     pub fn new(memory: Option<Size>) -> Self {
-        let percent = known(memory).0 / 100;
-        let besides_program = (percent * SHARE_PERCENT).saturating_sub(PROGRAM.0);
-        let capacity = Size(besides_program.max(percent * MIN_PERCENT));
+        let capacity = besides_program(memory, SHARE_PERCENT, MIN_PERCENT);
         Self {
             capacity,
             limit: capacity,
--- a/crates/core/src/pipeline/share.rs
+++ b/crates/core/src/pipeline/share.rs
@@ -2,7 +2,6 @@
 
 use crate::pipeline::memory::Size;
 use crate::pipeline::memory::known;
-use crate::pipeline::total::IDLE_CONNECTION;
 
 /// The part of a machine's memory that one answer of the store may have: one in this many bytes.
 const ANSWER_DIVISOR: u64 = 40;
@@ -16,6 +15,18 @@
 const REPORTS_DIVISOR: u64 = 10;
 /// The part of a machine's memory that idle connections to servers may have: one in this many bytes.
 const IDLE_DIVISOR: u64 = 8;
+/// What an idle connection holds: its task, and buffers for reading and writing.
+pub(super) const IDLE_CONNECTION: Size = Size(20_000);
+/// What the program uses without any connection.
+const PROGRAM: Size = Size(8_000_000);
+
+/// Returns a share of a machine's memory less what the program uses, or a smaller share if that is more,
+/// both in percent. If the memory is unknown or zero, assumes that of the smallest entry.
+pub(super) fn besides_program(memory: Option<Size>, share: u64, least: u64) -> Size {
+    let percent = known(memory).0 / 100;
+    let besides_program = (percent * share).saturating_sub(PROGRAM.0);
+    Size(besides_program.max(percent * least))
+}
 
 /// Returns how many idle connections to servers are kept on a machine. If its memory is unknown or
 /// zero, assumes that of the smallest entry.
--- a/crates/core/src/pipeline/total.rs
+++ b/crates/core/src/pipeline/total.rs
@@ -1,19 +1,16 @@
 //! One bound for all that callers and servers take of an entry's memory.
 
 use crate::pipeline::memory::Size;
-use crate::pipeline::memory::known;
+use crate::pipeline::share::IDLE_CONNECTION;
+use crate::pipeline::share::besides_program;
 
 /// The part of a machine's memory for the program itself and all parts, in percent.
 const SHARE_PERCENT: u64 = 55;
-/// What the program uses without any caller.
-const PROGRAM: Size = Size(8_000_000);
 /// The part of a machine's memory for all parts at least, in percent: the budget's and the least of the
 /// places.
 const MIN_PERCENT: u64 = 50;
 /// The part of the capacity that bytes leave to places beyond those that are taken: one in this many.
 const REQUESTS_DIVISOR: u64 = 16;
-/// What an idle connection to a server holds: its task, and buffers for reading and writing.
-pub(super) const IDLE_CONNECTION: Size = Size(20_000);
 /// How many idle connections are kept at least, however little is left.
 const MIN_IDLE: u64 = 64;
 
@@ -59,10 +56,8 @@
     /// unknown or zero, assumes that of the smallest entry.
     #[must_use]
     pub fn of(memory: Option<Size>) -> Self {
-        let percent = known(memory).0 / 100;
-        let besides_program = (percent * SHARE_PERCENT).saturating_sub(PROGRAM.0);
         Self {
-            capacity: Size(besides_program.max(percent * MIN_PERCENT)),
+            capacity: besides_program(memory, SHARE_PERCENT, MIN_PERCENT),
             places: Size(0),
             bytes: Size(0),
         }
