Keep the bodies of requests in pieces of one size

Callers: nothing to see until the platform ends the entry for its memory, with all its connections.

Cause: a body of more than one frame was collected in one block that doubled. Blocks of 0.5 and 1 MB do not fit into what connections and answers leave in the heap (4 to 32 KB each), so the heap grew beside its own free memory: 115 MiB resident with 50 MiB allocated. Class: what an account holds is not what the process occupies; the size of a block decides who can use it after it is freed.

Change: front::pieces. A body is kept, digested and sent in pieces of 16 KiB, the size of a connection's buffers; a body of one frame is kept as it came, as before. The digest of a request is the same (a doc test compares). While a body arrives it reserves whole pieces in place of up to twice its size, and a copy is gone at each doubling.

Ruled out: second attempts without a place (the total counts 42 of 50 MiB).

--- a/crates/core/src/pipeline/digest.rs
+++ b/crates/core/src/pipeline/digest.rs
@@ -53,6 +53,28 @@
         Self(hash(fields) & !PART_BIT)
     }
 
+    /// Returns the digest of a request with some fields and a body that is kept in pieces: that of
+    /// [`Digest::of`] with the whole body as the last field.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::digest::Digest;
+    /// let digest = Digest::of_request([b"POST".as_slice()], [b"bo".as_slice(), b"dy"].into_iter());
+    /// assert_eq!(digest, Digest::of([b"POST".as_slice(), b"body"]));
+    /// ```
+    pub fn of_request<'a>(
+        fields: impl IntoIterator<Item = &'a [u8]>,
+        body: impl Iterator<Item = &'a [u8]> + Clone,
+    ) -> Self {
+        let mut hasher = Sha256::new();
+        fields.into_iter().for_each(|field| add(&mut hasher, field));
+        let size: u64 = body.clone().map(|piece| piece.len() as u64).sum();
+        hasher.update(size.to_be_bytes());
+        body.for_each(|piece| hasher.update(piece));
+        Self(prefix(hasher) & !PART_BIT)
+    }
+
     /// Returns the digest of a part of prompts, by its identifier.
     ///
     /// # Examples
@@ -81,10 +103,17 @@
 /// Returns the first 64 bits of a hash of some fields and their lengths.
 fn hash<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> u64 {
     let mut hasher = Sha256::new();
-    for field in fields {
-        hasher.update((field.len() as u64).to_be_bytes());
-        hasher.update(field);
-    }
+    fields.into_iter().for_each(|field| add(&mut hasher, field));
+    prefix(hasher)
+}
+
+fn add(hasher: &mut Sha256, field: &[u8]) {
+    hasher.update((field.len() as u64).to_be_bytes());
+    hasher.update(field);
+}
+
+/// Returns the first 64 bits.
+fn prefix(hasher: Sha256) -> u64 {
     let mut prefix = [0; 8];
     prefix.copy_from_slice(&hasher.finalize()[..8]);
     u64::from_be_bytes(prefix)
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -29,6 +29,7 @@
 mod memory;
 mod metrics;
 mod notices;
+mod pieces;
 mod planner;
 mod pool;
 mod probe;
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -11,7 +11,6 @@
 use futures::future::Either;
 use futures::future::join_all;
 use futures::future::select;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
 use jujube_core::pipeline::carried::Exchange;
@@ -24,6 +23,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::Report;
 use crate::notices;
+use crate::pieces::Pieces;
 use crate::pool;
 use crate::pool::Lease;
 use crate::state::State;
@@ -164,7 +164,7 @@
     let sent = clock::now();
     let request = Request::get(D::REPORT)
         .header(HOST, address.to_string())
-        .body(Full::default())?;
+        .body(Pieces::default())?;
     let response = pool::call::<D>(lease, request).await?;
     notices::observe_check(state, server, sent, &response);
     let status = response.status();
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -35,6 +35,7 @@
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::head;
+use crate::pieces::Pieces;
 use crate::quarantine;
 use crate::response;
 use crate::response::Reason;
@@ -270,7 +271,7 @@
     let upload = upload::read(body, limits, &state.memory, overtaken).await?;
     let customer = account.as_ref().map(|account| account.customer.clone());
     let customer = customer.unwrap_or_else(|| "".into());
-    let digest = digest(&parts, &customer, &upload.bytes);
+    let digest = digest(&parts, &customer, &upload.body);
     let features = Features::new(digest, D::shared_parts(&parts.headers));
     let mut headers = parts.headers;
     head::strip(&mut headers);
@@ -291,7 +292,7 @@
             method: parts.method,
             uri: parts.uri,
             headers,
-            body: upload.bytes,
+            body: upload.body,
             reservation: Rc::new(upload.reservation),
         },
         arrived,
@@ -312,12 +313,13 @@
     Ok(Some(account.clone()))
 }
 
-fn digest(parts: &Parts, customer: &Customer, body: &[u8]) -> Digest {
+fn digest(parts: &Parts, customer: &Customer, body: &Pieces) -> Digest {
     let host = parts
         .headers
         .get(HOST)
         .map_or(&[][..], HeaderValue::as_bytes);
     let path = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
     let method = parts.method.as_str().as_bytes();
-    Digest::of([method, host, path.as_bytes(), customer.0.as_bytes(), body])
+    let head = [method, host, path.as_bytes(), customer.0.as_bytes()];
+    Digest::of_request(head, body.iter())
 }
--- a/crates/front/src/strangers.rs
+++ b/crates/front/src/strangers.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::header::HOST;
@@ -16,6 +15,7 @@
 
 use crate::dialect::Dialect;
 use crate::head;
+use crate::pieces::Pieces;
 use crate::pool;
 use crate::state::State;
 use crate::store_watch;
@@ -146,7 +146,7 @@
     let request = Request::get(path)
         .header(HOST, address.to_string())
         .header(D::NAMES.expected_server, name)
-        .body(Full::default())?;
+        .body(Pieces::default())?;
     // On a new connection no response to an earlier exchange can arrive.
     let lease = state.pool.connect(server, address, Exchange::Check).await?;
     let response = pool::exchange(lease, request, |_| true).await?;
--- a/crates/front/src/upload.rs
+++ b/crates/front/src/upload.rs
@@ -15,6 +15,9 @@
 
 use crate::memory::Memory;
 use crate::memory::Reservation;
+use crate::pieces::Growing;
+use crate::pieces::PIECE;
+use crate::pieces::Pieces;
 
 /// Maximum pause between two frames of a body.
 const MAX_PAUSE: Span = Span(3_000);
@@ -55,7 +58,7 @@
 /// A body that has arrived.
 pub struct Upload {
     /// The bytes.
-    pub bytes: Bytes,
+    pub body: Pieces,
     /// The memory that they use.
     pub reservation: Reservation,
 }
@@ -151,10 +154,11 @@
 struct Received {
     /// The only frame so far. Most bodies arrive in one and need no copy.
     first: Option<Bytes>,
-    buffer: Vec<u8>,
+    /// All of them, if there are more.
+    pieces: Growing,
     /// The most that the body may have.
     limit: Size,
-    /// What is reserved: as much as the buffer has room for.
+    /// What is reserved: as much as the pieces have room for.
     reservation: Reservation,
 }
 
@@ -162,7 +166,7 @@
     fn new(reservation: Reservation, limit: Size) -> Self {
         Self {
             first: None,
-            buffer: Vec::new(),
+            pieces: Growing::default(),
             limit,
             reservation,
         }
@@ -170,7 +174,7 @@
 
     fn size(&self) -> Size {
         let first = self.first.as_ref().map_or(0, Bytes::len);
-        Size((first + self.buffer.len()) as u64)
+        Size(first as u64 + self.pieces.size())
     }
 
     fn push(&mut self, data: Bytes) -> Result<(), Refusal> {
@@ -183,27 +187,15 @@
             self.first = Some(data);
             return Ok(());
         }
-        self.grow(size)?;
-        if let Some(first) = self.first.take() {
-            self.buffer.extend_from_slice(&first);
+        let whole = Size(size.0.next_multiple_of(PIECE as u64));
+        let is_spare = self.reserve(whole).is_ok();
+        if !is_spare {
+            self.reserve(size)?;
         }
-        self.buffer.extend_from_slice(&data);
-        Ok(())
-    }
-
-    /// Makes room for so many bytes: for twice as many as there were, if there is memory for that.
-    fn grow(&mut self, size: Size) -> Result<(), Refusal> {
-        let room = self.buffer.capacity() as u64;
-        if size.0 <= room {
-            return Ok(());
+        if let Some(first) = self.first.take() {
+            self.pieces.extend(&first, is_spare);
         }
-        let doubled = Size((2 * room).max(size.0).min(self.limit.0));
-        let room = match self.reserve(doubled) {
-            Ok(()) => doubled,
-            Err(_) => self.reserve(size).map(|()| size)?,
-        };
-        let more = room.0 as usize - self.buffer.len();
-        self.buffer.reserve_exact(more);
+        self.pieces.extend(&data, is_spare);
         Ok(())
     }
 
@@ -211,18 +203,20 @@
     fn reserve(&self, size: Size) -> Result<(), Refusal> {
         let held = self.reservation.held();
         let missing = Size(size.0.saturating_sub(held.0));
+        if missing == Size(0) {
+            // The limit may be lower by now than what is held.
+            return Ok(());
+        }
         let reserved = self.reservation.reserve(Cause::RequestBody, missing);
         reserved.map_err(|_| Refusal::OutOfMemory)
     }
 
     fn finish(mut self) -> Upload {
-        self.buffer.shrink_to_fit();
-        let surplus = self.reservation.held().0 - self.size().0;
-        let released = Size(surplus);
-        self.reservation.release(Cause::RequestBody, released);
-        let bytes = self.first.unwrap_or_else(|| self.buffer.into());
+        let surplus = Size(self.reservation.held().0 - self.size().0);
+        self.reservation.release(Cause::RequestBody, surplus);
+        let only = self.first.take().map(Pieces::from);
         Upload {
-            bytes,
+            body: only.unwrap_or_else(|| self.pieces.finish()),
             reservation: self.reservation,
         }
     }
--- a/crates/front/src/upstream/announcements.rs
+++ b/crates/front/src/upstream/announcements.rs
@@ -4,11 +4,11 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use tokio::sync::Notify;
 
+use crate::pieces::Pieces;
+
 /// How many heads may announce a response (status 100 to 199) before it counts as none. Servers send
 /// one or two.
 const MAX_ANNOUNCEMENTS: u32 = 32;
@@ -25,7 +25,7 @@
 
 impl Announcements {
     /// Counts those of the response to a request.
-    pub(super) fn watch(request: &mut Request<Full<Bytes>>) -> Self {
+    pub(super) fn watch(request: &mut Request<Pieces>) -> Self {
         let announcements = Self::default();
         let counted = announcements.0.clone();
         hyper::ext::on_informational(request, move |_| {
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -8,10 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::future::Either;
 use futures::future::select;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -37,6 +35,7 @@
 use crate::memory::Reservation;
 use crate::metrics::Metrics;
 use crate::notices;
+use crate::pieces::Pieces;
 use crate::pool::Lease;
 use crate::state::State;
 
@@ -52,7 +51,7 @@
     /// The headers.
     pub headers: HeaderMap,
     /// The whole body.
-    pub body: Bytes,
+    pub body: Pieces,
     /// The memory of the request and its connection, the body included.
     pub reservation: Rc<Reservation>,
 }
@@ -60,7 +59,7 @@
 impl Outgoing {
     /// Releases the memory of the body, which no server needs any more.
     pub fn release_body(&self) {
-        let size = Size(self.body.len() as u64);
+        let size = Size(self.body.size());
         self.reservation.release(Cause::RequestBody, size);
     }
 }
@@ -208,8 +207,8 @@
     lease.map_err(|error| Failure::NotSent(error.to_string()))
 }
 
-fn build_request<D: Dialect>(server: &Incarnation, outgoing: &Outgoing) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
+fn build_request<D: Dialect>(server: &Incarnation, outgoing: &Outgoing) -> Request<Pieces> {
+    let mut request = Request::new(outgoing.body.clone());
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     *request.headers_mut() = outgoing.headers.clone();
--- a/crates/front/tests/upload.rs
+++ b/crates/front/tests/upload.rs
@@ -5,9 +5,12 @@
 #[allow(dead_code, reason = "uploads use a part of it")]
 #[path = "../src/memory.rs"]
 mod memory;
+#[path = "../src/pieces.rs"]
+mod pieces;
 #[path = "../src/upload.rs"]
 mod upload;
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::pending;
 use std::pin::Pin;
@@ -31,6 +34,8 @@
 use hyper_util::rt::TokioIo;
 use jujube_core::pipeline::memory::Cause;
 use jujube_core::pipeline::memory::Size;
+use jujube_core::pipeline::total::Part;
+use jujube_core::pipeline::total::Total;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
@@ -107,6 +112,10 @@
         .await
 }
 
+fn whole(upload: &Upload) -> Vec<u8> {
+    upload.body.iter().collect::<Vec<_>>().concat()
+}
+
 /// Guards against bytes that are lost or counted twice between frames, and against a reservation
 /// that ends before the body is dropped, or does not end.
 #[tokio::test]
@@ -122,12 +131,60 @@
 
     let upload = read(body, limits(), &memory).await.ok().unwrap();
 
-    assert_eq!(&upload.bytes[..], b"hello there");
+    assert_eq!(whole(&upload), b"hello there");
     assert_eq!((upload.reservation.held(), held(&memory)), (Size(11), 11));
     drop(upload);
     assert_eq!(held(&memory), 0);
 }
 
+/// Guards against bodies that are collected in ever larger blocks: what one frees is of no use to what
+/// else the entry keeps, and it exceeds its memory while it holds half of it.
+#[tokio::test]
+async fn a_long_body_is_kept_in_pieces_of_one_size() {
+    const SIZE: usize = 1_000_000;
+    let data: Vec<u8> = (0..SIZE).map(|index| (index % 251) as u8).collect();
+    for capacity in [MAX_SIZE, SIZE as u64] {
+        let memory = memory(capacity);
+        let (sender, body) = body(SIZE as u64);
+        for frame in data.chunks(8_191) {
+            let frame = Frame::data(Bytes::copy_from_slice(frame));
+            sender.unbounded_send(Ok(frame)).unwrap();
+        }
+        drop(sender);
+
+        let upload = read(body, limits(), &memory).await.ok().unwrap();
+
+        let largest = upload.body.iter().map(<[u8]>::len).max();
+        assert_eq!(largest, Some(pieces::PIECE));
+        assert_eq!(upload.body.iter().count(), SIZE.div_ceil(pieces::PIECE));
+        assert!(whole(&upload) == data);
+        assert_eq!(held(&memory), SIZE as u64);
+    }
+}
+
+/// Guards against a body that is refused because others need the rest of the memory, although what it
+/// has reserved already has room for it.
+#[tokio::test]
+async fn a_body_goes_on_within_what_is_reserved_for_it() {
+    let total = Rc::new(RefCell::new(Total::of(None)));
+    let memory = Rc::new(Memory::new(Size(MAX_SIZE)).within(total.clone()));
+    let (sender, body) = body(0);
+    send(&sender, 10);
+    send(&sender, 10);
+    let reading = read(body, limits(), &memory);
+    tokio::pin!(reading);
+    let pending = tokio::time::timeout(Duration::from_millis(50), reading.as_mut()).await;
+    assert!(pending.is_err());
+    assert_eq!(held(&memory), pieces::PIECE as u64);
+
+    let all = total.borrow().capacity();
+    total.borrow_mut().record(Part::Places, all);
+    send(&sender, pieces::PIECE - 20);
+    drop(sender);
+
+    assert!(reading.await.is_ok());
+}
+
 /// Guards against a body that is copied although it arrived at once, and against one without bytes
 /// that is refused where nothing is free.
 #[tokio::test]
@@ -139,8 +196,8 @@
     let empty = Full::new(Bytes::new());
     let empty = read(empty, limits(), &memory(0)).await.ok().unwrap();
 
-    assert_eq!(whole.bytes.as_ptr(), data.as_ptr());
-    assert!(empty.bytes.is_empty());
+    assert_eq!(whole.body.iter().next().unwrap().as_ptr(), data.as_ptr());
+    assert_eq!(empty.body.iter().count(), 0);
 }
 
 /// Guards against memory that is reserved for what a caller announces and never sends, and against
