Count the events of streams that are larger than a read

Callers: nothing to see until the platform ends the entry for its memory, with all its connections.

Cause: a stream reserved what it holds only while its caller was behind (read-ahead). An incomplete event, 256 KiB at most, and one that was passed on and not written, were in no account before that, nor in the bound of all holders. Class: a bound for each and none for the sum, in a mode that a list of holders did not name (docs/design/backpressure.md told it as a remainder: 122 to 141 MiB).

Change: Holding::adjust_event. Once a stream holds more than one read (16 KiB, which its place counts), it reserves all that the event may take, at once: of several that have a part each, none might ever be whole. If there is no room the server is not read on (stream paused for its caller, event=event-waits, events_waiting_total); expiry and interrupts are handled meanwhile. A caller that takes nothing can be evicted for it as one that is behind. While the caller is behind the same bytes count once.

Tests of jujube-front pass, and streams, slow_callers, paused_callers, pipelined, early_cuts, stopping, crowd, leaving.

--- a/crates/core/src/pipeline/relay.rs
+++ b/crates/core/src/pipeline/relay.rs
@@ -128,6 +128,20 @@
         Size(self.partial.capacity() as u64)
     }
 
+    /// Returns how much memory an incomplete event may use, but for the last chunk of one that is too large.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::memory::Size;
+    /// # use jujube_core::pipeline::relay::Relay;
+    /// assert_eq!(Relay::default().limited_to(Size(8)).most(), Size(8 + 16_384));
+    /// ```
+    #[must_use]
+    pub fn most(&self) -> Size {
+        Size(self.max_event() + MAX_SPARE_BYTES as u64)
+    }
+
     /// Starts another run, which continues after the last event passed on.
     pub fn restart(&mut self) {
         self.partial = Vec::new();
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -68,8 +68,8 @@
 type Next = Option<io::Result<Bytes>>;
 
 impl<D: Dialect> EventBody<D> {
-    /// Polls for the next complete event.
-    pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<Next> {
+    /// Polls for the next complete event. Unless `may_read`, takes nothing more from the server.
+    pub fn poll(&mut self, context: &mut Context<'_>, may_read: bool) -> Poll<Next> {
         let stream = self.registration.stream.clone();
         stream.body_waker.register(context.waker());
         loop {
@@ -98,6 +98,7 @@
             let polled = match &mut self.upstream {
                 Upstream::Done => return Poll::Ready(None),
                 Upstream::Lost => return Poll::Pending,
+                Upstream::Reading(_) if !may_read => return Poll::Pending,
                 Upstream::Reading(download) => Pin::new(&mut download.body).poll_frame(context),
             };
             let end = match polled {
--- a/crates/front/src/stream/holding.rs
+++ b/crates/front/src/stream/holding.rs
@@ -9,6 +9,10 @@
 use crate::memory;
 use crate::memory::Reservation;
 
+/// What a stream holds of its events without a reservation: a read, which the place of its request is
+/// counted for.
+const UNRESERVED: Size = Size(16 << 10);
+
 /// The memory that a stream holds for its caller.
 ///
 /// What the caller's connection was given counts until the connection has taken every byte: the HTTP
@@ -21,8 +25,10 @@
     passed: Cell<u64>,
     /// How often the connection had taken every byte when data was last passed to it.
     flushes: Cell<u64>,
-    /// What is reserved.
+    /// What is reserved while the caller is behind.
     reserved: Cell<u64>,
+    /// What is reserved for an event that is larger than one read.
+    event: Cell<u64>,
 }
 
 impl Holding {
@@ -55,7 +61,8 @@
     /// Reserves what is held and not reserved yet, or releases what is no longer held; `reading` is held
     /// for the server's response. Returns whether there was room.
     pub(super) fn adjust(&self, reservation: &Reservation, reading: Size) -> bool {
-        let missing = self.held(reading).saturating_sub(self.reserved.get());
+        let reserved = self.reserved.get() + self.event.get();
+        let missing = self.held(reading).saturating_sub(reserved);
         if missing == 0 {
             self.shrink(reservation, reading);
             return true;
@@ -70,6 +77,8 @@
     /// Releases what is reserved and no longer held.
     pub(super) fn shrink(&self, reservation: &Reservation, reading: Size) {
         let held = self.held(reading);
+        self.shrink_event(reservation, held);
+        let held = held.saturating_sub(self.event.get());
         let surplus = self.reserved.get().saturating_sub(held);
         if surplus > 0 {
             reservation.release(Cause::ReadAhead, Size(surplus));
@@ -77,7 +86,47 @@
         }
     }
 
-    /// Releases all that is reserved.
+    /// Adjusts what is reserved for events while the caller is not behind: `partial` has arrived of one
+    /// that may take `most`. Returns whether there was room.
+    ///
+    /// All that the event may take is reserved at once: of several that have a part each, none might ever
+    /// be whole.
+    pub(super) fn adjust_event(
+        &self,
+        reservation: &Reservation,
+        partial: Size,
+        most: Size,
+        reading: Size,
+    ) -> bool {
+        let needed = match self.passed.get() + partial.0 {
+            open if open <= UNRESERVED.0 => 0,
+            _ if partial.0 > 0 => self.passed.get() + most.0 + reading.0,
+            passed => passed + reading.0,
+        };
+        self.shrink_event(reservation, needed);
+        let missing = needed - self.event.get();
+        let has_room = missing == 0 || reservation.reserve(Cause::Response, Size(missing)).is_ok();
+        if has_room {
+            self.event.set(needed);
+        }
+        has_room
+    }
+
+    /// Releases what is reserved for events beyond a size.
+    pub(super) fn shrink_event(&self, reservation: &Reservation, size: u64) {
+        let surplus = self.event.get().saturating_sub(size);
+        if surplus > 0 {
+            reservation.release(Cause::Response, Size(surplus));
+            self.event.set(size);
+        }
+    }
+
+    /// Returns whether memory is reserved for an event.
+    pub(super) fn has_event(&self) -> bool {
+        self.event.get() > 0
+    }
+
+    /// Releases all that is reserved because the caller was behind.
     pub(super) fn release(&self, reservation: &Reservation) {
         let reserved = self.reserved.take();
         reservation.release(Cause::ReadAhead, Size(reserved));
--- a/crates/front/src/stream/read_ahead.rs
+++ b/crates/front/src/stream/read_ahead.rs
@@ -3,14 +3,17 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::future::Future;
 use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
 use std::rc::Weak;
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::Either;
@@ -20,6 +23,7 @@
 use jujube_core::time::Span;
 use jujube_program::clock;
 use tokio::task::AbortHandle;
+use tokio::time::Sleep;
 
 use crate::delivery::Completion;
 use crate::delivery::Outbound;
@@ -36,6 +40,9 @@
 /// How long a caller's connection may be blocked before its stream is read ahead.
 const MAX_BLOCKED: Span = Span(50);
 
+/// How often a stream that waits for room for an event looks for it.
+const ROOM_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What is left of a stream once its server is no longer read.
 enum End {
     Complete(Completion),
@@ -57,6 +64,10 @@
     state: Rc<State<D>>,
     queue: RefCell<VecDeque<Bytes>>,
     holding: Holding,
+    /// The memory of the request.
+    reservation: Rc<Reservation>,
+    /// Until when a stream waits for room for an event; `None` if it does not.
+    room: RefCell<Option<Pin<Box<Sleep>>>>,
     /// The memory for what is held, and the task that fills the queue.
     ahead: RefCell<Option<Ahead>>,
     /// Whether it was logged that the caller is behind, which may happen many times.
@@ -83,6 +94,7 @@
         let stream = events.registration.stream.clone();
         let state = events.registration.state.clone();
         let number = events.registration.number;
+        let reservation = stream.outgoing.reservation.clone();
         let reader = Rc::new(Self {
             events: RefCell::new(Some(events)),
             end: RefCell::default(),
@@ -92,6 +104,8 @@
             state,
             queue: RefCell::default(),
             holding: Holding::default(),
+            reservation,
+            room: RefCell::default(),
             ahead: RefCell::default(),
             is_logged: Cell::default(),
         });
@@ -115,7 +129,8 @@
             self.stop_ahead();
         }
         if self.events.borrow().is_some() {
-            if let Some(bytes) = std::task::ready!(self.poll_events(context)) {
+            let may_read = self.may_read(context);
+            if let Some(bytes) = std::task::ready!(self.poll_events(context, may_read)) {
                 self.holding.record_passed(&bytes);
                 return Poll::Ready(Some(Ok(bytes)));
             }
@@ -123,14 +138,70 @@
         Poll::Ready(self.take_end())
     }
 
+    /// Returns whether there is room for what the caller's connection reads from the server; looks again
+    /// later if not.
+    fn may_read(&self, context: &mut Context<'_>) -> bool {
+        let (partial, most) = match self.events.borrow().as_ref() {
+            Some(body) => (body.relay.held(), body.relay.most()),
+            None => return true,
+        };
+        let had_event = self.holding.has_event();
+        let reading = Size(pool::READ_BYTES);
+        let has_room = self
+            .holding
+            .adjust_event(&self.reservation, partial, most, reading);
+        if self.holding.has_event() != had_event {
+            self.set_holder();
+        }
+        if has_room {
+            self.end_wait();
+        } else {
+            self.wait_for_room(context);
+        }
+        has_room
+    }
+
+    fn wait_for_room(&self, context: &mut Context<'_>) {
+        if let Some(stream) = self.stream.borrow().as_ref() {
+            stream.pause_reading(clock::now());
+        }
+        let mut room = self.room.borrow_mut();
+        if room.is_none() {
+            self.state.metrics.count("events_waiting");
+            let held = self.reservation.held();
+            log::info!("event=event-waits request={} held={held}", self.id);
+        }
+        let wait = room.get_or_insert_with(|| Box::pin(tokio::time::sleep(ROOM_INTERVAL)));
+        while wait.as_mut().poll(context).is_ready() {
+            wait.as_mut()
+                .reset(tokio::time::Instant::now() + ROOM_INTERVAL);
+        }
+    }
+
+    fn end_wait(&self) {
+        if self.room.take().is_none() {
+            return;
+        }
+        if let Some(stream) = self.stream.borrow().as_ref() {
+            stream.continue_reading(clock::now());
+        }
+    }
+
+    /// Has what is reserved for the caller freed if the caller takes nothing for long.
+    fn set_holder(&self) {
+        let holds = self.holding.has_event() || self.ahead.borrow().is_some();
+        let holder = holds.then(|| self.reservation.clone());
+        self.outbound.borrow().delivery().set_holder(holder);
+    }
+
     /// Polls for the next data from the server; `None` at the end, when the server and all that the
     /// request holds there are released.
-    fn poll_events(&self, context: &mut Context<'_>) -> Poll<Option<Bytes>> {
+    fn poll_events(&self, context: &mut Context<'_>, may_read: bool) -> Poll<Option<Bytes>> {
         let mut events = self.events.borrow_mut();
         let Some(body) = events.as_mut() else {
             return Poll::Ready(None);
         };
-        let end = match std::task::ready!(body.poll(context)) {
+        let end = match std::task::ready!(body.poll(context, may_read)) {
             Some(Ok(bytes)) => return Poll::Ready(Some(bytes)),
             Some(Err(error)) => End::Aborted(error),
             None => End::Complete(body.completion()),
@@ -181,7 +252,7 @@
     ///
     /// Is also ready if more memory is needed for the part of an event that has arrived.
     fn poll_ahead(&self, context: &mut Context<'_>, reservation: &Reservation) -> Poll<Option<()>> {
-        match self.poll_events(context) {
+        match self.poll_events(context, true) {
             Poll::Ready(Some(bytes)) => {
                 self.queue(&bytes);
                 Poll::Ready(Some(()))
@@ -214,10 +285,10 @@
     }
 
     fn stop_ahead(&self) {
-        self.outbound.borrow().delivery().set_holder(None);
         if let Some(ahead) = self.ahead.take() {
             self.holding.release(&ahead.reservation);
         }
+        self.set_holder();
         if let Some(stream) = self.stream.borrow().as_ref() {
             stream.continue_reading(clock::now());
         }
@@ -235,7 +306,7 @@
         }
         let blocked = self.outbound.borrow().delivery().blocked_since();
         let Some(since) = blocked else {
-            return false;
+            return stream.is_paused();
         };
         if now.since(since) >= MAX_BLOCKED {
             stream.pause_reading(since);
@@ -255,8 +326,8 @@
             task: task.abort_handle(),
             has_paused: Cell::new(false),
         }));
-        let outbound = self.outbound.borrow();
-        outbound.delivery().set_holder(Some(reservation));
+        self.set_holder();
+        self.end_wait();
         self.state.metrics.count("read_ahead_started");
         if self.is_logged.replace(true) {
             return;
@@ -264,7 +335,7 @@
         log::info!(
             "event=read-ahead request={} bytes={}",
             self.id,
-            outbound.written()
+            self.outbound.borrow().written()
         );
     }
 
@@ -340,5 +411,9 @@
         if self.0.ahead.borrow().is_some() {
             self.0.stop_ahead();
         }
+        if self.0.holding.has_event() {
+            self.0.holding.shrink_event(&self.0.reservation, 0);
+            self.0.set_holder();
+        }
     }
 }
--- a/crates/front/tests/holding.rs
+++ b/crates/front/tests/holding.rs
@@ -73,3 +73,63 @@
     assert!(holding.adjust(&owner, Size(0)));
     assert_eq!(owner.held(), Size(event_size()));
 }
+
+/// What an event may take, of which a part has arrived.
+const MOST: Size = Size(270_000);
+const PARTIAL: Size = Size(20_000);
+
+/// Guards against events that get a part of the memory each, so that none is ever whole, and against what
+/// stays reserved for one that was taken.
+#[test]
+fn an_event_larger_than_a_read_has_all_its_memory_or_waits() {
+    let memory = Rc::new(Memory::new(Size(2 * MOST.0)));
+    let (owner, other) = (Memory::open(&memory), Memory::open(&memory));
+    let (holding, waiting) = (Holding::default(), Holding::default());
+
+    assert!(holding.adjust_event(&owner, PARTIAL, MOST, READING));
+    assert!(!waiting.adjust_event(&other, PARTIAL, MOST, READING));
+    assert_eq!(owner.held(), Size(MOST.0 + READING.0));
+    assert_eq!(other.held(), Size(0));
+
+    let large = Bytes::from(vec![b'a'; 250_000]);
+    holding.record_passed(&large);
+    assert!(holding.adjust_event(&owner, Size(0), MOST, READING));
+    let passed = memory::kept_size(&large).0;
+    assert_eq!(owner.held(), Size(passed + READING.0));
+    assert!(waiting.adjust_event(&other, PARTIAL, MOST, READING));
+
+    holding.record_flushes(1);
+    assert!(holding.adjust_event(&owner, Size(0), MOST, READING));
+    assert_eq!(owner.held(), Size(0));
+}
+
+/// Guards against a reservation for every small event, which is in the place of its request.
+#[test]
+fn events_of_one_read_need_no_reservation() {
+    let memory = Rc::new(Memory::new(Size(0)));
+    let (owner, holding) = (Memory::open(&memory), Holding::default());
+
+    holding.record_passed(&event());
+
+    assert!(holding.adjust_event(&owner, Size(1_000), MOST, READING));
+    assert!(!holding.has_event());
+}
+
+/// Guards against an event that is counted twice, or not released, once its caller is behind.
+#[test]
+fn an_event_counts_once_while_its_caller_is_behind() {
+    let memory = Rc::new(Memory::new(Size(1_000_000)));
+    let (owner, holding) = (Memory::open(&memory), Holding::default());
+    assert!(holding.adjust_event(&owner, PARTIAL, MOST, READING));
+
+    let arrived = Size(PARTIAL.0 + READING.0);
+    assert!(holding.adjust(&owner, arrived));
+    assert_eq!(owner.held(), arrived);
+    let grown = Size(2 * PARTIAL.0 + READING.0);
+    assert!(holding.adjust(&owner, grown));
+    assert_eq!(owner.held(), grown);
+
+    holding.release(&owner);
+    holding.shrink_event(&owner, 0);
+    assert_eq!(owner.held(), Size(0));
+}
