--- a/crates/core/src/pipeline/digest.rs
+++ b/crates/core/src/pipeline/digest.rs
@@ -53,7 +53,7 @@
         Self(hash(fields) & !PART_BIT)
     }
 
-    /// Returns the digest of a request with some fields and a body that is kept in pieces: that of
+    /// Returns the digest of a request with some fields and a body that is kept in blocks: that of
     /// [`Digest::of`] with the whole body as the last field.
     ///
     /// # Examples
@@ -69,9 +69,9 @@
     ) -> Self {
         let mut hasher = Sha256::new();
         fields.into_iter().for_each(|field| add(&mut hasher, field));
-        let size: u64 = body.clone().map(|piece| piece.len() as u64).sum();
+        let size: u64 = body.clone().map(|block| block.len() as u64).sum();
         hasher.update(size.to_be_bytes());
-        body.for_each(|piece| hasher.update(piece));
+        body.for_each(|block| hasher.update(block));
         Self(prefix(hasher) & !PART_BIT)
     }
 
--- a/crates/front/src/pieces.rs
+++ b/crates/front/src/blocks.rs
@@ -1,4 +1,4 @@
-//! Bytes that are kept in pieces of one size.
+//! Bytes that are kept in blocks of one size.
 
 use std::convert::Infallible;
 use std::mem;
@@ -12,37 +12,37 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
-/// The size of a piece. A connection's buffers have it too, so that what one of them frees is of use to the
+/// The size of a block. A connection's buffers have it too, so that what one of them frees is of use to the
 /// next; a gap of another size may be of use to nobody.
-pub const PIECE: usize = 16 << 10;
+pub const BLOCK: usize = 16 << 10;
 
-/// Bytes in pieces. A clone shares them.
+/// Bytes in blocks. A clone shares them.
 #[derive(Clone, Debug, Default)]
-pub struct Pieces {
+pub struct Blocks {
     all: Rc<[Bytes]>,
     /// The first that was not taken by the reader of this body.
     next: usize,
 }
 
-impl Pieces {
+impl Blocks {
     /// Returns those that are left.
     fn left(&self) -> &[Bytes] {
         self.all.get(self.next..).unwrap_or_default()
     }
 
-    /// Returns the pieces.
+    /// Returns the blocks.
     pub fn iter(&self) -> impl Iterator<Item = &[u8]> + Clone {
-        self.left().iter().map(|piece| &piece[..])
+        self.left().iter().map(|block| &block[..])
     }
 
     /// Returns the number of bytes.
     pub fn size(&self) -> u64 {
-        self.iter().map(|piece| piece.len() as u64).sum()
+        self.iter().map(|block| block.len() as u64).sum()
     }
 }
 
-/// One piece, of any size.
-impl From<Bytes> for Pieces {
+/// One block, of any size.
+impl From<Bytes> for Blocks {
     fn from(bytes: Bytes) -> Self {
         let all = (!bytes.is_empty()).then_some(bytes);
         Self {
@@ -52,7 +52,7 @@
     }
 }
 
-impl Body for Pieces {
+impl Body for Blocks {
     type Data = Bytes;
     type Error = Infallible;
 
@@ -60,9 +60,9 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let piece = self.left().first().cloned();
-        self.next += usize::from(piece.is_some());
-        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
+        let block = self.left().first().cloned();
+        self.next += usize::from(block.is_some());
+        Poll::Ready(block.map(|block| Ok(Frame::data(block))))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -74,7 +74,7 @@
     }
 }
 
-/// Pieces to which bytes are added.
+/// Blocks to which bytes are added.
 #[derive(Default)]
 pub struct Growing {
     full: Vec<Bytes>,
@@ -84,16 +84,16 @@
 impl Growing {
     /// Returns the number of bytes.
     pub fn size(&self) -> u64 {
-        (self.full.len() * PIECE + self.last.len()) as u64
+        (self.full.len() * BLOCK + self.last.len()) as u64
     }
 
-    /// Adds bytes. If `is_spare`, there is memory for whole pieces, otherwise for these bytes only.
+    /// Adds bytes. If `is_spare`, there is memory for whole blocks, otherwise for these bytes only.
     pub fn extend(&mut self, mut data: &[u8], is_spare: bool) {
         while !data.is_empty() {
-            if self.last.len() == PIECE {
+            if self.last.len() == BLOCK {
                 self.full.push(mem::take(&mut self.last).into());
             }
-            let free = PIECE - self.last.len();
+            let free = BLOCK - self.last.len();
             let (now, later) = data.split_at(free.min(data.len()));
             let room = if is_spare { free } else { now.len() };
             self.last.reserve_exact(room);
@@ -102,12 +102,12 @@
         }
     }
 
-    /// Returns the pieces, without room for more.
-    pub fn finish(mut self) -> Pieces {
+    /// Returns the blocks, without room for more.
+    pub fn finish(mut self) -> Blocks {
         if !self.last.is_empty() {
             self.full.push(self.last.into());
         }
-        Pieces {
+        Blocks {
             all: self.full.into(),
             next: 0,
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 //! servers. A [`dialect::Dialect`] maps the platform's wire format; neither wire formats nor
 //! decision logic belong in this crate.
 
+mod blocks;
 mod body;
 mod crowd;
 mod daemon;
@@ -29,7 +30,6 @@
 mod memory;
 mod metrics;
 mod notices;
-mod pieces;
 mod planner;
 mod pool;
 mod probe;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -36,12 +36,12 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::blocks::Blocks;
 use crate::delivery;
 use crate::dialect::Dialect;
-use crate::pieces::Pieces;
 
 /// The sending half of a connection.
-pub type Sender = SendRequest<Pieces>;
+pub type Sender = SendRequest<Blocks>;
 
 /// Connect timeout. A lost SYN is retransmitted only after a second; trying another server is
 /// faster.
@@ -302,7 +302,7 @@
 /// request.
 pub async fn call<D: Dialect>(
     lease: Lease,
-    request: Request<Pieces>,
+    request: Request<Blocks>,
 ) -> anyhow::Result<Response<Bytes>> {
     let is_own = |headers: &HeaderMap| !headers.contains_key(&D::NAMES.request);
     exchange(lease, request, is_own).await
@@ -316,7 +316,7 @@
 /// There is no complete response, or it belongs to another exchange.
 pub async fn exchange(
     mut lease: Lease,
-    request: Request<Pieces>,
+    request: Request<Blocks>,
     is_own: impl Fn(&HeaderMap) -> bool,
 ) -> anyhow::Result<Response<Bytes>> {
     let method = request.method().clone();
@@ -354,7 +354,7 @@
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .header(D::NAMES.expected_server, &*server.server.0)
-        .body(Pieces::from(body))?;
+        .body(Blocks::from(body))?;
     let response = call::<D>(lease, request).await?;
     Ok((response.status(), response.into_body()))
 }
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -20,10 +20,10 @@
 use jujube_program::clock;
 use tokio::time::error::Elapsed;
 
+use crate::blocks::Blocks;
 use crate::dialect::Dialect;
 use crate::dialect::Report;
 use crate::notices;
-use crate::pieces::Pieces;
 use crate::pool;
 use crate::pool::Lease;
 use crate::state::State;
@@ -164,7 +164,7 @@
     let sent = clock::now();
     let request = Request::get(D::REPORT)
         .header(HOST, address.to_string())
-        .body(Pieces::default())?;
+        .body(Blocks::default())?;
     let response = pool::call::<D>(lease, request).await?;
     notices::observe_check(state, server, sent, &response);
     let status = response.status();
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -26,6 +26,7 @@
 use jujube_core::time::Span;
 use jujube_program::clock;
 
+use crate::blocks::Blocks;
 use crate::body::Body;
 use crate::crowd::Place;
 use crate::delivery::Delivery;
@@ -35,7 +36,6 @@
 use crate::delivery::Outbound;
 use crate::dialect::Dialect;
 use crate::head;
-use crate::pieces::Pieces;
 use crate::quarantine;
 use crate::response;
 use crate::response::Reason;
@@ -313,7 +313,7 @@
     Ok(Some(account.clone()))
 }
 
-fn digest(parts: &Parts, customer: &Customer, body: &Pieces) -> Digest {
+fn digest(parts: &Parts, customer: &Customer, body: &Blocks) -> Digest {
     let host = parts
         .headers
         .get(HOST)
--- a/crates/front/src/strangers.rs
+++ b/crates/front/src/strangers.rs
@@ -13,9 +13,9 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
 
+use crate::blocks::Blocks;
 use crate::dialect::Dialect;
 use crate::head;
-use crate::pieces::Pieces;
 use crate::pool;
 use crate::state::State;
 use crate::store_watch;
@@ -146,7 +146,7 @@
     let request = Request::get(path)
         .header(HOST, address.to_string())
         .header(D::NAMES.expected_server, name)
-        .body(Pieces::default())?;
+        .body(Blocks::default())?;
     // On a new connection no response to an earlier exchange can arrive.
     let lease = state.pool.connect(server, address, Exchange::Check).await?;
     let response = pool::exchange(lease, request, |_| true).await?;
--- a/crates/front/src/upload.rs
+++ b/crates/front/src/upload.rs
@@ -13,11 +13,11 @@
 use jujube_core::time::Span;
 use jujube_program::clock;
 
+use crate::blocks::BLOCK;
+use crate::blocks::Blocks;
+use crate::blocks::Growing;
 use crate::memory::Memory;
 use crate::memory::Reservation;
-use crate::pieces::Growing;
-use crate::pieces::PIECE;
-use crate::pieces::Pieces;
 
 /// Maximum pause between two frames of a body.
 const MAX_PAUSE: Span = Span(3_000);
@@ -58,7 +58,7 @@
 /// A body that has arrived.
 pub struct Upload {
     /// The bytes.
-    pub body: Pieces,
+    pub body: Blocks,
     /// The memory that they use.
     pub reservation: Reservation,
 }
@@ -155,10 +155,10 @@
     /// The only frame so far. Most bodies arrive in one and need no copy.
     first: Option<Bytes>,
     /// All of them, if there are more.
-    pieces: Growing,
+    blocks: Growing,
     /// The most that the body may have.
     limit: Size,
-    /// What is reserved: as much as the pieces have room for.
+    /// What is reserved: as much as the blocks have room for.
     reservation: Reservation,
 }
 
@@ -166,7 +166,7 @@
     fn new(reservation: Reservation, limit: Size) -> Self {
         Self {
             first: None,
-            pieces: Growing::default(),
+            blocks: Growing::default(),
             limit,
             reservation,
         }
@@ -174,7 +174,7 @@
 
     fn size(&self) -> Size {
         let first = self.first.as_ref().map_or(0, Bytes::len);
-        Size(first as u64 + self.pieces.size())
+        Size(first as u64 + self.blocks.size())
     }
 
     fn push(&mut self, data: Bytes) -> Result<(), Refusal> {
@@ -187,15 +187,15 @@
             self.first = Some(data);
             return Ok(());
         }
-        let whole = Size(size.0.next_multiple_of(PIECE as u64));
+        let whole = Size(size.0.next_multiple_of(BLOCK as u64));
         let is_spare = self.reserve(whole).is_ok();
         if !is_spare {
             self.reserve(size)?;
         }
         if let Some(first) = self.first.take() {
-            self.pieces.extend(&first, is_spare);
+            self.blocks.extend(&first, is_spare);
         }
-        self.pieces.extend(&data, is_spare);
+        self.blocks.extend(&data, is_spare);
         Ok(())
     }
 
@@ -214,9 +214,9 @@
     fn finish(mut self) -> Upload {
         let surplus = Size(self.reservation.held().0 - self.size().0);
         self.reservation.release(Cause::RequestBody, surplus);
-        let only = self.first.take().map(Pieces::from);
+        let only = self.first.take().map(Blocks::from);
         Upload {
-            body: only.unwrap_or_else(|| self.pieces.finish()),
+            body: only.unwrap_or_else(|| self.blocks.finish()),
             reservation: self.reservation,
         }
     }
--- a/crates/front/src/upstream/announcements.rs
+++ b/crates/front/src/upstream/announcements.rs
@@ -7,7 +7,7 @@
 use hyper::Request;
 use tokio::sync::Notify;
 
-use crate::pieces::Pieces;
+use crate::blocks::Blocks;
 
 /// How many heads may announce a response (status 100 to 199) before it counts as none. Servers send
 /// one or two.
@@ -25,7 +25,7 @@
 
 impl Announcements {
     /// Counts those of the response to a request.
-    pub(super) fn watch(request: &mut Request<Pieces>) -> Self {
+    pub(super) fn watch(request: &mut Request<Blocks>) -> Self {
         let announcements = Self::default();
         let counted = announcements.0.clone();
         hyper::ext::on_informational(request, move |_| {
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -29,13 +29,13 @@
 use jujube_program::clock;
 use jujube_program::http;
 
+use crate::blocks::Blocks;
 use crate::dialect::Dialect;
 use crate::gate;
 use crate::head;
 use crate::memory::Reservation;
 use crate::metrics::Metrics;
 use crate::notices;
-use crate::pieces::Pieces;
 use crate::pool::Lease;
 use crate::state::State;
 
@@ -51,7 +51,7 @@
     /// The headers.
     pub headers: HeaderMap,
     /// The whole body.
-    pub body: Pieces,
+    pub body: Blocks,
     /// The memory of the request and its connection, the body included.
     pub reservation: Rc<Reservation>,
 }
@@ -207,7 +207,7 @@
     lease.map_err(|error| Failure::NotSent(error.to_string()))
 }
 
-fn build_request<D: Dialect>(server: &Incarnation, outgoing: &Outgoing) -> Request<Pieces> {
+fn build_request<D: Dialect>(server: &Incarnation, outgoing: &Outgoing) -> Request<Blocks> {
     let mut request = Request::new(outgoing.body.clone());
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
--- a/crates/front/tests/upload.rs
+++ b/crates/front/tests/upload.rs
@@ -2,11 +2,11 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails must panic")]
 
+#[path = "../src/blocks.rs"]
+mod blocks;
 #[allow(dead_code, reason = "uploads use a part of it")]
 #[path = "../src/memory.rs"]
 mod memory;
-#[path = "../src/pieces.rs"]
-mod pieces;
 #[path = "../src/upload.rs"]
 mod upload;
 
@@ -140,7 +140,7 @@
 /// Guards against bodies that are collected in ever larger blocks: what one frees is of no use to what
 /// else the entry keeps, and it exceeds its memory while it holds half of it.
 #[tokio::test]
-async fn a_long_body_is_kept_in_pieces_of_one_size() {
+async fn a_long_body_is_kept_in_blocks_of_one_size() {
     const SIZE: usize = 1_000_000;
     let data: Vec<u8> = (0..SIZE).map(|index| (index % 251) as u8).collect();
     for capacity in [MAX_SIZE, SIZE as u64] {
@@ -155,8 +155,8 @@
         let upload = read(body, limits(), &memory).await.ok().unwrap();
 
         let largest = upload.body.iter().map(<[u8]>::len).max();
-        assert_eq!(largest, Some(pieces::PIECE));
-        assert_eq!(upload.body.iter().count(), SIZE.div_ceil(pieces::PIECE));
+        assert_eq!(largest, Some(blocks::BLOCK));
+        assert_eq!(upload.body.iter().count(), SIZE.div_ceil(blocks::BLOCK));
         assert!(whole(&upload) == data);
         assert_eq!(held(&memory), SIZE as u64);
     }
@@ -175,11 +175,11 @@
     tokio::pin!(reading);
     let pending = tokio::time::timeout(Duration::from_millis(50), reading.as_mut()).await;
     assert!(pending.is_err());
-    assert_eq!(held(&memory), pieces::PIECE as u64);
+    assert_eq!(held(&memory), blocks::BLOCK as u64);
 
     let all = total.borrow().capacity();
     total.borrow_mut().record(Part::Places, all);
-    send(&sender, pieces::PIECE - 20);
+    send(&sender, blocks::BLOCK - 20);
     drop(sender);
 
     assert!(reading.await.is_ok());
