Reserve twice what has arrived of an event, with one whole event free beside

Change: twice what has arrived is reserved, if the whole of one event is free beside it (nobody is evicted for that), else the whole. So some event can always become whole.

--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -209,6 +209,15 @@
         reserved
     }
 
+    /// Reserves memory that is free, and evicts nobody for it.
+    ///
+    /// # Errors
+    ///
+    /// There is no room, or this owner was evicted.
+    pub fn reserve_free(&self, cause: Cause, size: Size) -> Result<(), OutOfMemory> {
+        self.memory.reserve(self.owner, cause, size)
+    }
+
     /// Releases memory that is held for a cause. Does nothing if less is held.
     pub fn release(&self, cause: Cause, size: Size) {
         let mut budget = self.memory.budget.borrow_mut();
--- a/crates/front/src/stream/holding.rs
+++ b/crates/front/src/stream/holding.rs
@@ -89,8 +89,8 @@
     /// Adjusts what is reserved for events while the caller is not behind: `partial` has arrived of one
     /// that may take `most`. Returns whether there was room.
     ///
-    /// All that the event may take is reserved at once: of several that have a part each, none might ever
-    /// be whole.
+    /// An event gets twice what has arrived of it, as long as the whole of one event stays free beside it:
+    /// of several that have a part each, one can always become whole. It gets all it may take otherwise.
     pub(super) fn adjust_event(
         &self,
         reservation: &Reservation,
@@ -98,18 +98,31 @@
         most: Size,
         reading: Size,
     ) -> bool {
-        let needed = match self.passed.get() + partial.0 {
-            open if open <= UNRESERVED.0 => 0,
-            _ if partial.0 > 0 => self.passed.get() + most.0 + reading.0,
-            passed => passed + reading.0,
+        let passed = self.passed.get();
+        let (small, full) = match passed + partial.0 {
+            open if open <= UNRESERVED.0 => (0, 0),
+            _ if partial.0 > 0 => {
+                let base = passed + reading.0;
+                (base + most.0.min(2 * partial.0), base + most.0)
+            }
+            _ => (passed + reading.0, passed + reading.0),
         };
-        self.shrink_event(reservation, needed);
-        let missing = needed - self.event.get();
-        let has_room = missing == 0 || reservation.reserve(Cause::Response, Size(missing)).is_ok();
-        if has_room {
-            self.event.set(needed);
+        self.shrink_event(reservation, full);
+        let event = self.event.get();
+        if small <= event {
+            return true;
+        }
+        let beside = Size(small - event + most.0);
+        if reservation.reserve_free(Cause::Response, beside).is_ok() {
+            reservation.release(Cause::Response, most);
+            self.event.set(small);
+            return true;
+        }
+        let whole = reservation.reserve(Cause::Response, Size(full - event));
+        if whole.is_ok() {
+            self.event.set(full);
         }
-        has_room
+        whole.is_ok()
     }
 
     /// Releases what is reserved for events beyond a size.
