Cut the last block of a body to its size

Cause: a block keeps its room of 16 KiB when it becomes bytes; what was reserved was cut to the body's size. Found by the reviewer: a body of 200 bytes in two frames kept 16,384. Test: a_body_keeps_no_more_than_is_reserved_for_it (16,384 of 200 before).

--- a/crates/front/src/blocks.rs
+++ b/crates/front/src/blocks.rs
@@ -105,6 +105,7 @@
     /// Returns the blocks, without room for more.
     pub fn finish(mut self) -> Blocks {
         if !self.last.is_empty() {
+            self.last.shrink_to_fit();
             self.full.push(self.last.into());
         }
         Blocks {
--- a/crates/front/tests/upload.rs
+++ b/crates/front/tests/upload.rs
@@ -23,6 +23,7 @@
 use futures::channel::mpsc;
 use futures::channel::mpsc::UnboundedReceiver;
 use futures::channel::mpsc::UnboundedSender;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::Response;
@@ -162,6 +163,32 @@
     }
 }
 
+/// Guards against a body whose last block keeps room that is no longer reserved.
+#[tokio::test]
+async fn a_body_keeps_no_more_than_is_reserved_for_it() {
+    for size in [200, blocks::BLOCK + 6] {
+        let (sender, body) = body(0);
+        send(&sender, 1);
+        send(&sender, size - 1);
+        drop(sender);
+
+        let upload = read(body, limits(), &memory(MAX_SIZE)).await.ok().unwrap();
+
+        let Upload { body, reservation } = upload;
+        let mut body = body;
+        let mut frames = Vec::new();
+        while let Some(frame) = body.frame().await {
+            frames.push(frame.unwrap().into_data().unwrap());
+        }
+        drop(body);
+        let kept = frames
+            .into_iter()
+            .map(|data| data.try_into_mut().unwrap().capacity());
+        assert_eq!(kept.sum::<usize>(), size);
+        assert_eq!(reservation.held(), Size(size as u64));
+    }
+}
+
 /// Guards against a body that is refused because others need the rest of the memory, although what it
 /// has reserved already has room for it.
 #[tokio::test]
