--- a/crates/front/src/upload.rs
+++ b/crates/front/src/upload.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use jujube_core::pipeline::memory::Cause;
+use jujube_core::pipeline::memory::OutOfMemory;
 use jujube_core::pipeline::memory::Size;
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
@@ -183,14 +184,14 @@
             return Err(Refusal::TooLarge);
         }
         if self.size() == Size(0) {
-            self.reserve(size)?;
+            self.reserve(size, Reservation::reserve)?;
             self.first = Some(data);
             return Ok(());
         }
         let whole = Size(size.0.next_multiple_of(BLOCK as u64));
-        let is_spare = self.reserve(whole).is_ok();
+        let is_spare = self.reserve(whole, Reservation::reserve_free).is_ok();
         if !is_spare {
-            self.reserve(size)?;
+            self.reserve(size, Reservation::reserve)?;
         }
         if let Some(first) = self.first.take() {
             self.blocks.extend(&first, is_spare);
@@ -199,15 +200,19 @@
         Ok(())
     }
 
-    /// Reserves so much in all.
-    fn reserve(&self, size: Size) -> Result<(), Refusal> {
+    /// Reserves so much in all, in the way of `reserve`.
+    fn reserve(
+        &self,
+        size: Size,
+        reserve: impl Fn(&Reservation, Cause, Size) -> Result<(), OutOfMemory>,
+    ) -> Result<(), Refusal> {
         let held = self.reservation.held();
         let missing = Size(size.0.saturating_sub(held.0));
         if missing == Size(0) {
             // The limit may be lower by now than what is held.
             return Ok(());
         }
-        let reserved = self.reservation.reserve(Cause::RequestBody, missing);
+        let reserved = reserve(&self.reservation, Cause::RequestBody, missing);
         reserved.map_err(|_| Refusal::OutOfMemory)
     }
 
--- a/crates/front/tests/upload.rs
+++ b/crates/front/tests/upload.rs
@@ -52,6 +52,8 @@
 
 const MAX_SIZE: u64 = 4 << 20;
 const FAR: Instant = Instant(1_000_000);
+/// Longer than a caller must have taken nothing before it may be evicted.
+const IDLE: Duration = Duration::from_millis(8_050);
 
 type Item = Result<Frame<Bytes>, &'static str>;
 
@@ -387,3 +389,22 @@
 
     assert_eq!(&status, b"HTTP/1.1 413");
 }
+
+/// Guards against a caller that is evicted for room that no byte needs yet.
+#[tokio::test]
+async fn room_for_a_whole_block_evicts_nobody() {
+    let memory = memory(20_000);
+    let slow = Memory::open(&memory);
+    slow.reserve(Cause::Response, Size(10_000)).unwrap();
+    slow.set_waiting(true);
+    tokio::time::sleep(IDLE).await;
+    let (sender, body) = body(0);
+    send(&sender, 100);
+    send(&sender, 100);
+    drop(sender);
+
+    let upload = read(body, limits(), &memory).await;
+
+    assert!(upload.is_ok());
+    assert_eq!(slow.held(), Size(10_000));
+}
