Keep the account of a stream whose caller has caught up

Change: what is held moves from one account to the other, which needs no room. Holding::release has the size that is held as an argument; its test passes zero.

--- a/crates/front/src/stream/holding.rs
+++ b/crates/front/src/stream/holding.rs
@@ -139,10 +139,15 @@
         self.event.get() > 0
     }
 
-    /// Releases all that is reserved because the caller was behind.
-    pub(super) fn release(&self, reservation: &Reservation) {
+    /// Ends what was reserved because the caller was behind. What is still held is kept as an event's,
+    /// since there may be no room to reserve it anew.
+    pub(super) fn release(&self, reservation: &Reservation, reading: Size) {
         let reserved = self.reserved.take();
-        reservation.release(Cause::ReadAhead, Size(reserved));
+        let beyond_event = self.held(reading).saturating_sub(self.event.get());
+        let kept = beyond_event.min(reserved);
+        reservation.transfer(Cause::ReadAhead, Cause::Response, Size(kept));
+        self.event.set(self.event.get() + kept);
+        reservation.release(Cause::ReadAhead, Size(reserved - kept));
     }
 
     fn held(&self, reading: Size) -> u64 {
--- a/crates/front/src/stream/read_ahead.rs
+++ b/crates/front/src/stream/read_ahead.rs
@@ -286,7 +286,7 @@
 
     fn stop_ahead(&self) {
         if let Some(ahead) = self.ahead.take() {
-            self.holding.release(&ahead.reservation);
+            self.holding.release(&ahead.reservation, self.reading());
         }
         self.set_holder();
         if let Some(stream) = self.stream.borrow().as_ref() {
--- a/crates/front/tests/holding.rs
+++ b/crates/front/tests/holding.rs
@@ -49,7 +49,7 @@
     holding.shrink(&owner, READING);
     assert_eq!(owner.held(), READING);
 
-    holding.release(&owner);
+    holding.release(&owner, Size(0));
     assert_eq!(owner.held(), Size(0));
 }
 
@@ -161,7 +161,29 @@
     assert!(holding.adjust(&owner, grown));
     assert_eq!(owner.held(), grown);
 
-    holding.release(&owner);
+    holding.release(&owner, Size(0));
     holding.shrink_event(&owner, 0);
     assert_eq!(owner.held(), Size(0));
 }
+
+/// Guards against a part of an event that is kept and in no account once its caller is not behind any more,
+/// where others have taken the rest of the memory.
+#[test]
+fn what_is_held_stays_reserved_once_the_caller_has_caught_up() {
+    let memory = Rc::new(Memory::new(Size(200_000)));
+    let (owner, other) = (Memory::open(&memory), Memory::open(&memory));
+    let holding = Holding::default();
+    let reading = Size(PARTIAL.0 + READING.0);
+    assert!(holding.adjust(&owner, reading));
+    let left = Size(200_000 - owner.held().0);
+    other.reserve(Cause::Response, left).unwrap();
+
+    holding.release(&owner, reading);
+
+    assert_eq!(owner.held(), reading);
+    assert!(!holding.adjust_event(&owner, PARTIAL, MOST, READING));
+    assert_eq!(owner.held(), reading);
+    drop(other);
+    assert!(holding.adjust_event(&owner, Size(0), MOST, READING));
+    assert_eq!(owner.held(), Size(0));
+}
