End a stream whose caller is evicted as it catches up

Cause (read by the reviewer, not shown by a run): an owner that is evicted just as its connection takes the last byte holds nothing, each reservation is refused, and no write tells the connection: the stream would wait for its deadline. Change: the body ends with an error, so that the connection does. No test: the two have to meet within one turn of the loop.

--- a/crates/front/src/stream/read_ahead.rs
+++ b/crates/front/src/stream/read_ahead.rs
@@ -130,6 +130,11 @@
         }
         if self.events.borrow().is_some() {
             let may_read = self.may_read(context);
+            if !may_read && self.reservation.eviction().is_some() {
+                // Nothing is written any more that would tell the connection.
+                self.outbound.borrow_mut().abort();
+                return Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
+            }
             if let Some(bytes) = std::task::ready!(self.poll_events(context, may_read)) {
                 self.holding.record_passed(&bytes);
                 return Poll::Ready(Some(Ok(bytes)));
