--- a/crates/front/tests/memory.rs
+++ b/crates/front/tests/memory.rs
@@ -185,3 +185,19 @@
     drop(owner);
     assert_eq!(total.borrow().limit(Part::Places), capacity);
 }
+
+/// Guards against an owner that is evicted for room that could be done without.
+#[tokio::test]
+async fn a_reservation_of_free_memory_evicts_nobody() {
+    let memory = Rc::new(Memory::new(Size(100)));
+    let slow = full(&memory, Cause::Response, 60);
+    slow.set_waiting(true);
+    tokio::time::sleep(IDLE).await;
+    let other = Memory::open(&memory);
+
+    assert!(other.reserve_free(Cause::Response, Size(50)).is_err());
+    assert_eq!(slow.held(), Size(60));
+    assert!(other.reserve_free(Cause::Response, Size(40)).is_ok());
+    assert!(other.reserve(Cause::Response, Size(50)).is_ok());
+    assert_eq!(slow.held(), Size(0));
+}
