--- a/crates/core/src/pipeline/digest.rs
+++ b/crates/core/src/pipeline/digest.rs
@@ -68,10 +68,8 @@
         body: impl Iterator<Item = &'a [u8]> + Clone,
     ) -> Self {
         let mut hasher = Sha256::new();
-        fields.into_iter().for_each(|field| add(&mut hasher, field));
-        let size: u64 = body.clone().map(|block| block.len() as u64).sum();
-        hasher.update(size.to_be_bytes());
-        body.for_each(|block| hasher.update(block));
+        add_all(&mut hasher, fields);
+        add(&mut hasher, body);
         Self(prefix(hasher) & !PART_BIT)
     }
 
@@ -103,13 +101,21 @@
 /// Returns the first 64 bits of a hash of some fields and their lengths.
 fn hash<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> u64 {
     let mut hasher = Sha256::new();
-    fields.into_iter().for_each(|field| add(&mut hasher, field));
+    add_all(&mut hasher, fields);
     prefix(hasher)
 }
 
-fn add(hasher: &mut Sha256, field: &[u8]) {
-    hasher.update((field.len() as u64).to_be_bytes());
-    hasher.update(field);
+fn add_all<'a>(hasher: &mut Sha256, fields: impl IntoIterator<Item = &'a [u8]>) {
+    for field in fields {
+        add(hasher, std::iter::once(field));
+    }
+}
+
+/// Adds a field in blocks, with its length.
+fn add<'a>(hasher: &mut Sha256, blocks: impl Iterator<Item = &'a [u8]> + Clone) {
+    let size: u64 = blocks.clone().map(|block| block.len() as u64).sum();
+    hasher.update(size.to_be_bytes());
+    blocks.for_each(|block| hasher.update(block));
 }
 
 /// Returns the first 64 bits.
