--- a/crates/front/src/upload.rs
+++ b/crates/front/src/upload.rs
@@ -13,6 +13,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::http;
 
 use crate::blocks::BLOCK;
 use crate::blocks::Blocks;
@@ -143,12 +144,7 @@
 
 /// Has the rest of a body that nobody needs read for a short time and dropped.
 pub fn drop_rest<B: Body + Unpin + 'static>(body: B) {
-    tokio::task::spawn_local(discard(body));
-}
-
-async fn discard<B: Body + Unpin>(mut body: B) {
-    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-    let _is_whole = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+    tokio::task::spawn_local(tokio::time::timeout(DISCARD_TIMEOUT, http::discard(body)));
 }
 
 /// The part of a body that has arrived.
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -261,19 +261,9 @@
 
 /// Reads the body of a rejection, so that its connection can be reused.
 async fn discard_body(lease: Lease, response: Response<Incoming>) {
-    use http_body_util::BodyExt;
-
     let (parts, body) = response.into_parts();
-    let mut body = Limited::new(body, MAX_REJECTION_BYTES);
-    let whole = async {
-        // Kept by nobody: each request in flight may be rejected at the same time.
-        while let Some(frame) = body.frame().await {
-            if frame.is_err() {
-                return false;
-            }
-        }
-        true
-    };
+    // Kept by nobody: each request in flight may be rejected at the same time.
+    let whole = http::discard(Limited::new(body, MAX_REJECTION_BYTES));
     let read = tokio::time::timeout(REJECTION_READ_TIMEOUT, whole).await;
     if matches!(read, Ok(true)) {
         lease.release(&parts.headers);
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -49,6 +49,25 @@
         .boxed_unsync()
 }
 
+/// Reads a body and keeps nothing of it; returns whether it came to its end.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_program::http;
+/// let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+/// assert!(runtime.block_on(http::discard(http::whole("rest"))));
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub async fn discard(mut body: impl hyper::body::Body + Unpin) -> bool {
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
 /// Returns a body that keeps a guard until it has been sent or its receiver is gone.
 pub fn held<B, G>(body: B, guard: G) -> Body
 where
