Keep a stream's reservation once

A Reader holds it since events are counted; the record of read-ahead held it again, and four functions got it as an argument. begin_wait is the pair of end_wait, and no longer has the name of the function that the reading-ahead task waits in.

--- a/crates/front/src/stream/read_ahead.rs
+++ b/crates/front/src/stream/read_ahead.rs
@@ -68,14 +68,13 @@
     reservation: Rc<Reservation>,
     /// Until when a stream waits for room for an event; `None` if it does not.
     room: RefCell<Option<Pin<Box<Sleep>>>>,
-    /// The memory for what is held, and the task that fills the queue.
+    /// The task that fills the queue.
     ahead: RefCell<Option<Ahead>>,
     /// Whether it was logged that the caller is behind, which may happen many times.
     is_logged: Cell<bool>,
 }
 
 struct Ahead {
-    reservation: Rc<Reservation>,
     task: AbortHandle,
     has_paused: Cell<bool>,
 }
@@ -161,12 +160,12 @@
         if has_room {
             self.end_wait();
         } else {
-            self.wait_for_room(context);
+            self.begin_wait(context);
         }
         has_room
     }
 
-    fn wait_for_room(&self, context: &mut Context<'_>) {
+    fn begin_wait(&self, context: &mut Context<'_>) {
         if let Some(stream) = self.stream.borrow().as_ref() {
             stream.pause_reading(clock::now());
         }
@@ -247,8 +246,8 @@
     fn pop(&self) -> Option<Bytes> {
         let bytes = self.queue.borrow_mut().pop_front()?;
         self.holding.record_popped(&bytes);
-        if let Some(ahead) = self.ahead.borrow().as_ref() {
-            self.holding.shrink(&ahead.reservation, self.reading());
+        if self.ahead.borrow().is_some() {
+            self.holding.shrink(&self.reservation, self.reading());
         }
         Some(bytes)
     }
@@ -256,17 +255,17 @@
     /// Polls for the next data from the server, for the queue; `None` at the end.
     ///
     /// Is also ready if more memory is needed for the part of an event that has arrived.
-    fn poll_ahead(&self, context: &mut Context<'_>, reservation: &Reservation) -> Poll<Option<()>> {
+    fn poll_ahead(&self, context: &mut Context<'_>) -> Poll<Option<()>> {
         match self.poll_events(context, true) {
             Poll::Ready(Some(bytes)) => {
                 self.queue(&bytes);
                 Poll::Ready(Some(()))
             }
             Poll::Ready(None) => {
-                self.holding.shrink(reservation, self.reading());
+                self.holding.shrink(&self.reservation, self.reading());
                 Poll::Ready(None)
             }
-            Poll::Pending if self.has_room(reservation) => Poll::Pending,
+            Poll::Pending if self.has_room() => Poll::Pending,
             Poll::Pending => Poll::Ready(Some(())),
         }
     }
@@ -278,8 +277,8 @@
     }
 
     /// Adjusts the reserved memory to what is held; returns whether there was room.
-    fn has_room(&self, reservation: &Reservation) -> bool {
-        self.holding.adjust(reservation, self.reading())
+    fn has_room(&self) -> bool {
+        self.holding.adjust(&self.reservation, self.reading())
     }
 
     /// Returns how much memory the reading of the response from its server uses.
@@ -290,8 +289,8 @@
     }
 
     fn stop_ahead(&self) {
-        if let Some(ahead) = self.ahead.take() {
-            self.holding.release(&ahead.reservation, self.reading());
+        if self.ahead.take().is_some() {
+            self.holding.release(&self.reservation, self.reading());
         }
         self.set_holder();
         if let Some(stream) = self.stream.borrow().as_ref() {
@@ -323,11 +322,10 @@
     }
 
     fn start_ahead(self: &Rc<Self>, stream: &Rc<Stream>) {
-        let reservation = stream.outgoing.reservation.clone();
-        let reading = read_ahead(Rc::downgrade(self), stream.clone(), reservation.clone());
+        let reservation = self.reservation.clone();
+        let reading = read_ahead(Rc::downgrade(self), stream.clone(), reservation);
         let task = tokio::task::spawn_local(reading);
         self.ahead.replace(Some(Ahead {
-            reservation: reservation.clone(),
             task: task.abort_handle(),
             has_paused: Cell::new(false),
         }));
@@ -344,12 +342,12 @@
         );
     }
 
-    fn record_paused(&self, reservation: &Reservation) {
+    fn record_paused(&self) {
         let ahead = self.ahead.borrow();
         let is_first = |ahead: &Ahead| !ahead.has_paused.replace(true);
         if ahead.as_ref().is_some_and(is_first) {
             self.state.metrics.count("read_ahead_paused");
-            let held = reservation.held();
+            let held = self.reservation.held();
             log::info!("event=read-ahead-paused request={} held={held}", self.id);
         }
     }
@@ -366,7 +364,7 @@
         wait_for_room(&reader, &stream, &reservation).await;
         stream.continue_reading(clock::now());
         let next = poll_fn(|context| match reader.upgrade() {
-            Some(reader) => reader.poll_ahead(context, &reservation),
+            Some(reader) => reader.poll_ahead(context),
             None => Poll::Ready(None),
         });
         if next.await.is_none() {
@@ -382,11 +380,11 @@
     reservation: &Reservation,
 ) {
     while let Some(reader) = reader.upgrade() {
-        if reader.has_room(reservation) {
+        if reader.has_room() {
             return;
         }
         stream.pause_reading(clock::now());
-        reader.record_paused(reservation);
+        reader.record_paused();
         drop(reader);
         let (room, expired) = (pin!(reservation.room()), pin!(stream.expired()));
         if let Either::Right(_) = select(room, expired).await {
