--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -1,13 +1,13 @@
 //! Startup, connection handling and graceful shutdown of an entry.
 
 use std::convert::Infallible;
-use std::future;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::Result;
+use futures::future::join;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
@@ -119,13 +119,9 @@
     let readiness = sockets::serve_readiness(state.clone());
     spawn_local(sockets::serve_others(state.clone(), store.clone()));
     keep_controllers(&state, &store);
-    let served = async {
-        tokio::join!(callers, readiness);
-        future::pending::<()>().await
-    };
     tokio::select! {
         () = termination.requested() => {}
-        () = served => {}
+        ((), ()) = join(callers, readiness) => termination.requested().await,
     }
     log::info!("event=stopping in_flight={}", state.in_flight.get());
     if state.lifecycle.get() == Lifecycle::Starting {
