--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -94,13 +94,22 @@
     server: &Incarnation,
     address: SocketAddr,
 ) -> anyhow::Result<Report> {
-    let started = clock::now();
     let request = request_report::<D>(state, server, address);
-    let body = tokio::time::timeout(PROBE_TIMEOUT, request).await??;
-    state.local_health.borrow_mut().record_answer(started);
+    let body = prompt(state, request).await?;
     read_report(state, server, &body)
 }
 
+/// Waits for a report that comes in time.
+async fn prompt<D>(
+    state: &State<D>,
+    request: impl Future<Output = anyhow::Result<Bytes>>,
+) -> anyhow::Result<Bytes> {
+    let sent = clock::now();
+    let body = tokio::time::timeout(PROBE_TIMEOUT, request).await??;
+    state.local_health.borrow_mut().record_answer(sent);
+    Ok(body)
+}
+
 fn read_report<D: Dialect>(
     state: &State<D>,
     server: &Incarnation,
@@ -360,14 +369,9 @@
 ) -> anyhow::Result<Report> {
     let sent = clock::now();
     let mut request = std::pin::pin!(request_report::<D>(state, server, address));
-    let prompt = tokio::time::timeout(PROBE_TIMEOUT, request.as_mut()).await;
-    let failed = match prompt {
-        Ok(Ok(body)) => {
-            state.local_health.borrow_mut().record_answer(sent);
-            return read_report(state, server, &body);
-        }
-        Ok(Err(error)) => error,
-        Err(elapsed) => elapsed.into(),
+    let failed = match prompt(state, request.as_mut()).await {
+        Ok(body) => return read_report(state, server, &body),
+        Err(failed) => failed,
     };
     if !is_inconclusive(state, sent, &failed) {
         record_failed_check(state, server, &failed);
