--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -107,8 +107,7 @@
     );
     let state = Rc::new(State::<D>::new(settings));
     for replaced in &state.settings.replaced {
-        state.metrics.count("settings_replaced");
-        log::warn!("event=setting-replaced {replaced}");
+        reload::record_replaced(&state, replaced);
     }
     if state.settings.memory.is_none() {
         let capacity = state.memory.capacity();
--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jujube_core::pipeline::budget::Policy;
+use jujube_core::section::Replacement;
 use jujube_program::logs;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -81,11 +82,16 @@
     log::info!("event=reload outcome={outcome} told={is_signalled}");
 }
 
+/// Records a value that is replaced.
+pub fn record_replaced<D>(state: &State<D>, replaced: &Replacement) {
+    state.metrics.count("settings_replaced");
+    log::warn!("event=setting-replaced {replaced}");
+}
+
 /// Returns the retry policy of new settings; a figure that is wrong in them stays as it is in force.
 fn policy<D>(state: &State<D>, settings: &Settings) -> Policy {
     let (mut policy, in_force) = (settings.retry, state.retries.policy());
     for replaced in &settings.replaced {
-        state.metrics.count("settings_replaced");
         if replaced.is_of("retry", "ratio") {
             policy.ratio = in_force.ratio;
         } else if replaced.is_of("retry", "slack") {
@@ -93,7 +99,7 @@
         } else if replaced.is_of("retry", "window_seconds") {
             policy.window = in_force.window;
         }
-        log::warn!("event=setting-replaced {}", replaced.by(IN_FORCE));
+        record_replaced(state, &replaced.by(IN_FORCE));
     }
     policy
 }
