--- a/crates/front/src/vitals.rs
+++ b/crates/front/src/vitals.rs
@@ -26,14 +26,17 @@
 
 /// Returns the memory that the process occupies; `None` if the system does not tell.
 pub fn resident() -> Option<Size> {
-    let status = std::fs::read_to_string("/proc/self/status").ok()?;
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))?;
-    let kib: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+    let kib = told("/proc/self/status", "VmRSS:")?;
     Some(Size(kib << 10))
 }
 
+/// Returns the first number behind a name in what the system tells of this process.
+fn told(path: &str, name: &str) -> Option<u64> {
+    let text = std::fs::read_to_string(path).ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 /// Records a tick of the event loop, and logs how late it came.
 pub fn tick<D>(state: &State<D>, now: Instant) {
     let told = state.stalls.borrow_mut().tick(now);
@@ -45,11 +48,7 @@
 
 /// Returns how many descriptors the process may open; `None` if the system does not tell.
 pub fn descriptors() -> Option<u64> {
-    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
-    let limit = limits
-        .lines()
-        .find_map(|line| line.strip_prefix("Max open files"))?;
-    limit.split_whitespace().next()?.parse().ok()
+    told("/proc/self/limits", "Max open files")
 }
 
 /// Logs the memory and what is under way until the process ends.
