--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -38,6 +38,7 @@
 use super::path::Registration;
 use super::path::release_path;
 use super::record::Loss;
+use super::record::Stream;
 use super::retry::ensure_retry;
 use super::runs::earlier_servers;
 use super::runs::permission;
@@ -162,10 +163,7 @@
         let (status, framing) = (download.status, download.framing);
         let first = self.current_first();
         let Registration { state, stream, .. } = &self.registration;
-        let sender = Sender {
-            service: &stream.service,
-            server: first.as_ref().map(|first| &first.server),
-        };
+        let sender = sender(stream, first.as_ref());
         framing::received(state, sender, status, framing);
     }
 
@@ -223,10 +221,7 @@
         };
         let Registration { state, stream, .. } = &self.registration;
         let first = self.current_first();
-        let sender = Sender {
-            service: &stream.service,
-            server: first.as_ref().map(|first| &first.server),
-        };
+        let sender = sender(stream, first.as_ref());
         framing::check(state, &stream.id, sender, download.ended())
     }
 
@@ -442,3 +437,11 @@
         )))
     }
 }
+
+/// Returns who sends the response of a run whose path begins with a part.
+fn sender<'a>(stream: &'a Stream, first: Option<&'a Part>) -> Sender<'a> {
+    Sender {
+        service: &stream.service,
+        server: first.map(|first| &first.server),
+    }
+}
