Take a misdirection for "not run" only where another process may have answered

Callers: a server ran an order, failed, and said 421 without stating that it had not run it.

Status 421 was believed by itself.

Change: core::status::Rejection. A 421 is believed if it states that the request has not run, names another server than the expected one, or names a part of the path. Otherwise the server may have run the request: a failure, 502 for what may run once only, another server for what may be repeated. A health check that is misdirected by a server that names itself finds the server there. A run that failed before its stream began counts as a run.

Tests, red before: status_of_a_run_is_no_promise with 421 (503 in each of its tries), misdirection_by_the_server_itself_is_no_promise. Green before and after: misdirected_request_is_served_elsewhere.

--- a/crates/core/src/status.rs
+++ b/crates/core/src/status.rs
@@ -24,6 +24,46 @@
     FINAL.contains(&status)
 }
 
+/// The status of a response by a server that a request is not meant for.
+const MISDIRECTED: u16 = 421;
+
+/// What the head of a server's response states about a request that was sent to it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Rejection {
+    /// The status.
+    pub status: u16,
+    /// It states outright that the request has not run.
+    pub is_stated: bool,
+    /// It names another server than the request is meant for.
+    pub is_other_server: bool,
+    /// It names a part of the path that the request was sent along.
+    pub names_part: bool,
+}
+
+impl Rejection {
+    /// Returns whether the request has not run.
+    ///
+    /// A misdirected request has reached another process, or a part that does not hold its layers. A
+    /// response that shows neither comes from the server that the request is meant for, which may have
+    /// run it before it failed.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::status::Rejection;
+    /// let bare = Rejection { status: 421, ..Rejection::default() };
+    /// assert!(!bare.has_not_run());
+    /// assert!(Rejection { is_other_server: true, ..bare }.has_not_run());
+    /// assert!(!Rejection { status: 503, names_part: true, ..bare }.has_not_run());
+    /// assert!(Rejection { status: 503, is_stated: true, ..bare }.has_not_run());
+    /// ```
+    #[must_use]
+    pub fn has_not_run(&self) -> bool {
+        let is_misdirected = self.status == MISDIRECTED;
+        self.is_stated || (is_misdirected && (self.is_other_server || self.names_part))
+    }
+}
+
 /// The statuses that tell a caller that its request has not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -12,6 +12,7 @@
 use hyper::header::UPGRADE;
 use hyper::http::request;
 use hyper::http::response;
+use jujube_core::name::Server;
 use jujube_core::pipeline::memory::Size;
 use jujube_program::http::named_by_connection;
 
@@ -94,6 +95,11 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Returns whether a response names another server than the one that its request was meant for.
+pub fn names_other(headers: &HeaderMap, name: &HeaderName, expected: &Server) -> bool {
+    text(headers, name).is_some_and(|server| server.trim() != &*expected.0)
+}
+
 /// Returns a header's value if it is an unsigned integer.
 pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     text(headers, name)?.trim().parse().ok()
--- a/crates/front/src/strangers.rs
+++ b/crates/front/src/strangers.rs
@@ -46,6 +46,11 @@
     if !may_hold_layers(state, server) {
         record(state, server, "turned-away");
     }
+    doubted(state, server);
+}
+
+/// Asks who is at the address of a server whose responses leave that open.
+pub fn doubted<D: Dialect>(state: &Rc<State<D>>, server: &Incarnation) {
     if let Some(address) = state.address(server) {
         tokio::task::spawn_local(ask_all(state.clone(), address));
     }
@@ -150,13 +155,14 @@
     // On a new connection no response to an earlier exchange can arrive.
     let lease = state.pool.connect(server, address, Exchange::Check).await?;
     let response = pool::exchange(lease, request, |_| true).await?;
-    let status = response.status();
-    if status == StatusCode::MISDIRECTED_REQUEST {
+    let (status, headers) = (response.status(), response.headers());
+    if head::names_other(headers, &D::NAMES.server, &server.server) {
         return Ok(Identity::Other);
     }
-    Ok(match head::text(response.headers(), &D::NAMES.server) {
-        Some(other) if other.trim() != name => Identity::Other,
-        None if !status.is_success() => Identity::Unknown,
-        _ => Identity::Own,
+    Ok(match headers.contains_key(&D::NAMES.server) {
+        true => Identity::Own,
+        false if status == StatusCode::MISDIRECTED_REQUEST => Identity::Other,
+        false if status.is_success() => Identity::Own,
+        false => Identity::Unknown,
     })
 }
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -203,8 +203,11 @@
                     avoid = initial_exclusions(stream, progress);
                 }
             }
-            Failure::Failed(_) => {
+            Failure::Failed(status) => {
                 if let Some(first) = first {
+                    if status == StatusCode::MISDIRECTED_REQUEST {
+                        strangers::doubted(state, &first.server);
+                    }
                     state.failed(&first.server, stream.features.request);
                     stream.attempts.borrow_mut().left(&first.server);
                     avoid.push(first.server);
--- a/crates/front/src/stream/send.rs
+++ b/crates/front/src/stream/send.rs
@@ -139,7 +139,10 @@
             Either::Right(_) => stream.pending_interrupt.set(None),
         }
     };
-    if !matches!(result, Ok(_) | Err(Failure::Unknown(_))) {
+    if matches!(
+        result,
+        Err(Failure::NotSent(_) | Failure::Unwanted | Failure::NotRun { .. })
+    ) {
         stream.attempts.borrow_mut().take_back();
     }
     if !matches!(result, Err(Failure::NotSent(_) | Failure::Unwanted)) {
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -259,9 +259,12 @@
                 let (metrics, request) = (&self.state.metrics, &self.request.id);
                 upstream::record_cut_unread(metrics, request, &server.incarnation, 0);
             }
-            Failure::Failed(_) => {
+            Failure::Failed(status) => {
                 self.may_have_run = true;
                 self.record_outcome(server, false);
+                if status == StatusCode::MISDIRECTED_REQUEST {
+                    strangers::doubted(self.state, &server.incarnation);
+                }
             }
         }
         None
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -25,6 +25,7 @@
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::status;
+use jujube_core::status::Rejection;
 use jujube_core::time::Span;
 use jujube_program::clock;
 use jujube_program::http;
@@ -90,7 +91,7 @@
         /// The rest that is asked for.
         rest: Option<Span>,
     },
-    /// The backend server ran the request and returned an error.
+    /// The backend server ran the request, or may have, and returned an error.
     Failed(StatusCode),
     /// The backend server may have run the request.
     Unknown(String),
@@ -193,7 +194,9 @@
         let id = id.unwrap_or("-");
         let rest = notices::observe(state, server, id, sent_at, &response);
         let framing = http::framing(&outgoing.method, response.status(), response.headers());
-        let (response, lease) = check_response::<D>(lease, response, id, rest).await?;
+        let rejection = rejection::<D>(&response, server, &outgoing.headers);
+        let (response, lease) =
+            check_response::<D>(lease, response, id, rejection, rest).await?;
         return Ok(Incomplete {
             response,
             lease,
@@ -228,19 +231,41 @@
     response.headers().get(&D::NAMES.request) == sent.get(&D::NAMES.request)
 }
 
+/// Reads what a response states about the request with the headers `sent` to a server.
+fn rejection<D: Dialect>(
+    response: &Response<Incoming>,
+    server: &Incarnation,
+    sent: &HeaderMap,
+) -> Rejection {
+    let (names, headers) = (D::NAMES, response.headers());
+    let is_along_path = sent.contains_key(&names.path);
+    Rejection {
+        status: response.status().as_u16(),
+        is_stated: headers.contains_key(&names.not_run),
+        is_other_server: head::names_other(headers, &names.server, &server.server),
+        names_part: is_along_path && at_fault::<D>(headers).is_some(),
+    }
+}
+
+/// Returns the address of the part of a path that a response names as the cause of a rejection.
+fn at_fault<D: Dialect>(headers: &HeaderMap) -> Option<SocketAddr> {
+    let text = head::text(headers, &D::NAMES.server_at_fault)?;
+    text.trim().parse().ok()
+}
+
 /// Checks that the response to request `id` is usable; `rest` is what it asks for.
 async fn check_response<D: Dialect>(
     mut lease: Lease,
     response: Response<Incoming>,
     id: &str,
+    rejection: Rejection,
     rest: Option<Span>,
 ) -> Result<(Response<Incoming>, Lease), Failure> {
     let names = D::NAMES;
     let headers = response.headers();
     let status = response.status();
-    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
-        let at_fault = head::text(headers, &names.server_at_fault);
-        let at_fault = at_fault.and_then(|text| text.trim().parse().ok());
+    if rejection.has_not_run() {
+        let at_fault = at_fault::<D>(headers);
         let (connection, is_reused) = (lease.number(), lease.is_reused);
         log::info!("event=turned-away request={id} connection={connection} reused={is_reused}");
         lease.turned_away();
@@ -251,6 +276,11 @@
             rest,
         });
     }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        // Nobody else answered, so the server may have run it.
+        discard_body(lease, response).await;
+        return Err(Failure::Failed(status));
+    }
     if status.is_success() && !headers.contains_key(&names.signature) {
         return Err(Failure::Unknown(
             "successful response has no signature".into(),
