Give an engine up for a misdirected order only if another one answered

An engine that answered one order with 421 although the order named it counted as displaced from its address, until its registration changed, which it does not while nothing happens there.

Cause: the same as for requests, status 421 believed by itself.

Change: another engine counts as there only if the response names it. Otherwise the order is sent again after the pause, and the process is asked who it is.

Test, red before (no order in 20 s after the first 421): engine_that_misdirects_an_order_is_ordered_again.

--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::Response;
 use hyper::StatusCode;
 use jujube_core::layer::Range;
 use jujube_core::pipeline::placement;
@@ -14,9 +16,11 @@
 use jujube_store::kv::Feed;
 
 use crate::dialect::Dialect;
+use crate::head;
 use crate::pool;
 use crate::probe;
 use crate::store_watch;
+use crate::strangers;
 
 use super::term::Term;
 
@@ -126,7 +130,7 @@
         let sent = self.send(order, handover, address, taken);
         let answer = tokio::time::timeout(ORDER_TIMEOUT, sent).await;
         let outcome = match &answer {
-            Ok(Ok(status)) => status.as_u16().to_string(),
+            Ok(Ok(response)) => response.status().as_u16().to_string(),
             Ok(Err(error)) => format!("{error:#}").replace(' ', "-"),
             Err(_) => "timeout".into(),
         };
@@ -141,8 +145,11 @@
             self.state.load.borrow().requests(server),
             self.lease.get().token
         );
-        match answer {
-            Ok(Ok(status @ (StatusCode::ACCEPTED | StatusCode::OK))) => {
+        let Ok(Ok(response)) = answer else {
+            return Answer::Inconclusive;
+        };
+        match response.status() {
+            status @ (StatusCode::ACCEPTED | StatusCode::OK) => {
                 self.accepted
                     .borrow_mut()
                     .insert(server.clone(), taken.saturating_add(1));
@@ -153,18 +160,22 @@
                 }
                 Answer::Settled
             }
-            Ok(Ok(StatusCode::PRECONDITION_FAILED)) => {
+            StatusCode::PRECONDITION_FAILED => {
                 // A later planner has given orders, so this term is over.
                 self.is_over.set(true);
                 self.state.leadership.refused(self.lease.get().token);
                 Answer::Settled
             }
-            Ok(Ok(StatusCode::MISDIRECTED_REQUEST)) => {
-                // Another server has its address.
-                store_watch::displace(&self.state, server);
-                Answer::Settled
+            StatusCode::MISDIRECTED_REQUEST => {
+                let names = D::NAMES;
+                if head::names_other(response.headers(), &names.server, &server.server) {
+                    store_watch::displace(&self.state, server);
+                    return Answer::Settled;
+                }
+                strangers::doubted(&self.state, server);
+                Answer::Inconclusive
             }
-            Ok(Ok(StatusCode::CONFLICT)) => Answer::Conflict,
+            StatusCode::CONFLICT => Answer::Conflict,
             _ => Answer::Inconclusive,
         }
     }
@@ -265,7 +276,7 @@
         handover: Handover,
         address: SocketAddr,
         accepted: u64,
-    ) -> anyhow::Result<StatusCode> {
+    ) -> anyhow::Result<Response<Bytes>> {
         self.state.metrics.count("orders");
         let body = D::place(
             order.layers,
@@ -274,7 +285,6 @@
             Some(accepted),
         );
         let pool = &self.state.pool;
-        let (status, _) = pool::send_order::<D>(pool, &order.server, address, body).await?;
-        Ok(status)
+        pool::send_order::<D>(pool, &order.server, address, body).await
     }
 }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -13,7 +13,6 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::CONTENT_TYPE;
@@ -348,15 +347,14 @@
     server: &Incarnation,
     address: SocketAddr,
     body: Bytes,
-) -> anyhow::Result<(StatusCode, Bytes)> {
+) -> anyhow::Result<Response<Bytes>> {
     let lease = pool.lease(server, address, Exchange::Unnamed).await?;
     let request = Request::post(D::ORDER)
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .header(D::NAMES.expected_server, &*server.server.0)
         .body(Blocks::from(body))?;
-    let response = call::<D>(lease, request).await?;
-    Ok((response.status(), response.into_body()))
+    call::<D>(lease, request).await
 }
 
 /// Connects to a server.
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -195,8 +195,7 @@
         let rest = notices::observe(state, server, id, sent_at, &response);
         let framing = http::framing(&outgoing.method, response.status(), response.headers());
         let rejection = rejection::<D>(&response, server, &outgoing.headers);
-        let (response, lease) =
-            check_response::<D>(lease, response, id, rejection, rest).await?;
+        let (response, lease) = check_response::<D>(lease, response, id, rejection, rest).await?;
         return Ok(Incomplete {
             response,
             lease,
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -386,7 +386,7 @@
     let response = pool::send_order::<D>(&state.pool, &first.server, first.address, body);
     let result = tokio::time::timeout(REPAIR_TIMEOUT, response).await;
     let (status, body) = match result {
-        Ok(Ok(response)) => response,
+        Ok(Ok(response)) => (response.status(), response.into_body()),
         Ok(Err(error)) => {
             log::info!("event=repair-failed request={} cause={error}", stream.id);
             return Repair::Failed;
