End suspicions by what a server does, and try suspects when nobody else is left

Callers: model servers whose reports take 1.3 s or more turned slow once, one after the other.

A report in time was the only evidence that ended a suspicion, so any bound leaves servers that are suspected for good, and the path search took no suspect even if it had no other path.

Change: - An event of a stream, or a response, ends the suspicions of the servers that it passed, unless it may be older than they are or the server refuses. - A check may be answered as late as the server has been suspected, from 1 to 10 s. - Where no path is complete without suspects, a request is sent along one: past the longest pause of a sound server, one in half a second at an entry, one in 5 s for each server, and one attempt of each request. Others are still refused at once. - event=trusted names the evidence; event=suspect-tried, suspects_tried.

--- a/crates/core/src/pipeline/chooser/mod.rs
+++ b/crates/core/src/pipeline/chooser/mod.rs
@@ -85,6 +85,9 @@
 pub(super) const CLOSED_MS: f64 = 5e8;
 /// Cost of a suspected server: it is used only if no other path is complete.
 pub(super) const SUSPECT_MS: f64 = 1e9;
+/// Cost of a server that may not be sent a request, whatever else there is: more than that of a path of
+/// suspected servers that may.
+const BARRED_MS: f64 = 1e12;
 /// Predicted pause up to which a repair is preferred over reopening the request, which uses an
 /// attempt and a retry. A pause under 200 ms is on time.
 const ACCEPTABLE_PAUSE_MS: f64 = 60.0;
@@ -131,8 +134,14 @@
 
     /// Returns the cost of a server's suspicions, refusals and failures, in milliseconds.
     fn penalty_ms(&self, server: &Incarnation) -> f64 {
-        if self.suspicion.is_suspected(server) || self.avoid.contains(server) {
-            return SUSPECT_MS;
+        if self.avoid.contains(server) {
+            return BARRED_MS;
+        }
+        if self.suspicion.is_suspected(server) {
+            return match self.suspicion.may_try(self.now, server) {
+                true => SUSPECT_MS,
+                false => BARRED_MS,
+            };
         }
         if self.outliers.contains(server) || self.suspicion.is_widely_suspected(server) {
             return OUTLIER_MS;
@@ -179,6 +188,13 @@
         self.cost_ms >= CLOSED_MS
     }
 
+    /// Returns whether the path uses a suspected server that may not be sent a request, or one that
+    /// refused this one.
+    #[must_use]
+    pub fn is_barred(&self) -> bool {
+        self.cost_ms >= BARRED_MS
+    }
+
     /// Returns whether the path uses a suspected server.
     #[must_use]
     pub fn is_last_resort(&self) -> bool {
--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion.rs
@@ -1,6 +1,7 @@
 //! Tracks backend servers that failed and have not answered since.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 
 use crate::pipeline::liveness::Evidence;
 use crate::pipeline::local_health::LocalHealth;
@@ -26,6 +27,14 @@
 const ENDED_AFTER: Span = Span(500);
 /// The longest silence of a sound server, which may be suspended for a second or so and go on.
 const MAX_PAUSE: Span = Span(1_500);
+/// How long a response from a suspected server may have been on its way when the suspicion began.
+const MAX_RESPONSE_AGE: Span = Span(200);
+/// The shortest and the longest time that a suspected server gets to answer a check.
+const PATIENCE: RangeInclusive<Span> = Span(1_000)..=Span(10_000);
+/// The shortest time between two requests that are sent to any suspected server.
+const TRIAL_INTERVAL: Span = Span(500);
+/// The shortest time between two requests that are sent to the same suspected server.
+const SERVER_TRIAL_INTERVAL: Span = Span(5_000);
 /// The maximum age of a check at the time its server becomes suspected: the timeout of a response
 /// is 0.1 s, that of a connection less than 0.5 s.
 const MAX_CHECK_AGE: Span = Span(500);
@@ -46,6 +55,8 @@
     is_refusing: bool,
     /// When it last left a check unanswered.
     last_failed: Instant,
+    /// When a request was last sent to it although it is suspected.
+    tried: Option<Instant>,
 }
 
 impl Suspect {
@@ -59,6 +70,12 @@
         self.since.plus(MAX_PAUSE)
     }
 
+    /// Returns whether a request may be sent to it although it is suspected.
+    fn may_be_tried(&self, now: Instant) -> bool {
+        let is_due = is_past(now, self.tried, SERVER_TRIAL_INTERVAL);
+        is_due && !self.is_refusing && now >= self.decisive_at()
+    }
+
     /// Returns whether it left such a check unanswered.
     fn is_beyond_pause(&self) -> bool {
         self.last_failed >= self.decisive_at()
@@ -90,6 +107,13 @@
     peer_reports: BTreeMap<Incarnation, u64>,
     /// When a response from a server last broke off.
     broken: BTreeMap<Incarnation, Instant>,
+    /// When a request was last sent to a suspected server.
+    last_trial: Option<Instant>,
+}
+
+/// Returns whether a span has passed since an event, if there was one.
+fn is_past(now: Instant, event: Option<Instant>, span: Span) -> bool {
+    event.is_none_or(|at| now.since(at) >= span)
 }
 
 impl Suspicion {
@@ -104,6 +128,7 @@
             delay: FIRST_DELAY,
             is_refusing: false,
             last_failed: now,
+            tried: None,
         };
         self.suspects.insert(server.clone(), suspect);
         true
@@ -115,6 +140,77 @@
         self.suspects.contains_key(server)
     }
 
+    /// Returns how long a suspected server may take to answer a check: as long as it has been suspected.
+    ///
+    /// A sound server may always be slow to answer one, and no check that ends sooner shows that it is
+    /// sound.
+    #[must_use]
+    pub fn patience(&self, now: Instant, server: &Incarnation) -> Span {
+        let suspect = self.suspects.get(server);
+        let elapsed = suspect.map_or(Span(0), |suspect| now.since(suspect.since));
+        elapsed.clamp(*PATIENCE.start(), *PATIENCE.end())
+    }
+
+    /// Returns whether a request may be sent to a suspected server that cannot be served without it.
+    ///
+    /// Its answer is evidence that no check gives. Requests to servers that have ended are served late
+    /// or not at all, so few are sent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::suspicion::Suspicion;
+    /// # use jujube_core::time::Instant;
+    /// let mut suspicion = Suspicion::default();
+    /// suspicion.suspect(Instant(0), &"a".into());
+    /// assert!(!suspicion.may_try(Instant(1_000), &"a".into()), "it may be silent for a moment");
+    /// assert!(suspicion.may_try(Instant(1_500), &"a".into()));
+    /// suspicion.tried(Instant(1_500), [&"a".into()]);
+    /// assert!(!suspicion.may_try(Instant(6_000), &"a".into()));
+    /// assert!(suspicion.may_try(Instant(6_500), &"a".into()));
+    /// ```
+    #[must_use]
+    pub fn may_try(&self, now: Instant, server: &Incarnation) -> bool {
+        let suspect = self.suspects.get(server);
+        is_past(now, self.last_trial, TRIAL_INTERVAL)
+            && suspect.is_some_and(|suspect| suspect.may_be_tried(now))
+    }
+
+    /// Records that a request is sent to servers, some of which are suspected.
+    pub fn tried<'a>(&mut self, now: Instant, servers: impl IntoIterator<Item = &'a Incarnation>) {
+        self.last_trial = Some(now);
+        for server in servers {
+            if let Some(suspect) = self.suspects.get_mut(server) {
+                suspect.tried = Some(now);
+            }
+        }
+    }
+
+    /// Records that a response from a server arrived, or a part of one, which ends a suspicion unless the
+    /// response may be older; returns since when the server was suspected.
+    ///
+    /// A server that refuses connections serves its requests to their end, and takes no others.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::suspicion::Suspicion;
+    /// # use jujube_core::time::Instant;
+    /// let mut suspicion = Suspicion::default();
+    /// suspicion.suspect(Instant(0), &"a".into());
+    /// assert_eq!(suspicion.responded(Instant(100), &"a".into()), None);
+    /// assert_eq!(suspicion.responded(Instant(200), &"a".into()), Some(Instant(0)));
+    /// assert!(!suspicion.is_suspected(&"a".into()));
+    /// ```
+    pub fn responded(&mut self, now: Instant, server: &Incarnation) -> Option<Instant> {
+        let suspect = self.suspects.get(server)?;
+        let is_fresh = now.since(suspect.since) >= MAX_RESPONSE_AGE;
+        if !is_fresh || suspect.is_refusing {
+            return None;
+        }
+        self.clear(server)
+    }
+
     /// Returns the suspected servers.
     pub fn suspects(&self) -> impl Iterator<Item = &Incarnation> {
         self.suspects.keys()
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -31,9 +31,6 @@
 
 /// Probe timeout; a report needs no slot, and a round trip takes two milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// How long a suspected server may take to answer a probe that counts as failed meanwhile: its reports
-/// may always be slow.
-const SUSPECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// When a second probe is sent, on a new connection: before a lost packet would be retransmitted,
 /// and in case the pooled connection is dead.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(40);
@@ -379,7 +376,9 @@
     if !failed.is::<Elapsed>() {
         return Err(failed);
     }
-    let left = SUSPECT_TIMEOUT.saturating_sub(PROBE_TIMEOUT);
+    // Its reports may always be slow.
+    let patience = state.suspicion.borrow().patience(sent, server);
+    let left = Duration::from_millis(patience.0).saturating_sub(PROBE_TIMEOUT);
     let body = tokio::time::timeout(left, request).await??;
     read_report(state, server, &body)
 }
@@ -393,8 +392,21 @@
     let since = state.suspicion.borrow_mut().clear(&server);
     state.probes.results.borrow_mut().remove(&server);
     if let Some(since) = since {
-        let span = clock::now().since(since);
-        state.metrics.observe("server_silence", span);
-        log::info!("event=trusted server={server} suspected_ms={span}");
+        record_trusted(&state, &server, since, "report");
     }
 }
+
+/// Records that a response to a request arrived from a server, or a part of one.
+pub fn responded<D>(state: &State<D>, server: &Incarnation, evidence: &str) {
+    let since = state.suspicion.borrow_mut().responded(clock::now(), server);
+    if let Some(since) = since {
+        state.probes.results.borrow_mut().remove(server);
+        record_trusted(state, server, since, evidence);
+    }
+}
+
+fn record_trusted<D>(state: &State<D>, server: &Incarnation, since: Instant, evidence: &str) {
+    let span = clock::now().since(since);
+    state.metrics.observe("server_silence", span);
+    log::info!("event=trusted server={server} suspected_ms={span} evidence={evidence}");
+}
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -137,6 +137,7 @@
                     .observe("first_event", elapsed);
             }
             stream.record_event(now);
+            self.registration.record_responded();
             self.record_survival(now);
             let interrupt = self.opening.as_ref().and_then(|opening| opening.interrupt);
             if interrupt.is_some_and(Interrupt::may_go_on) {
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -132,6 +132,7 @@
         needs_check: Cell::new(false),
         repairs: Cell::new(0),
         slow_moves: Cell::new(0),
+        has_tried_suspect: Cell::new(false),
         next_drain_move: Cell::new(now),
         next_check: Cell::new(now),
         deadline: request.deadline,
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -4,6 +4,7 @@
 
 use hyper::StatusCode;
 use jujube_core::pipeline::attempts::Permission;
+use jujube_core::pipeline::chooser::Choice;
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::server::Incarnation;
@@ -331,7 +332,8 @@
             (fleet.choose(demand, context), fleet.clone(), demand)
         },
     )?;
-    let choice = choice.filter(|choice| !choice.is_closed())?;
+    let choice =
+        choice.filter(|choice| !choice.is_closed() || try_suspects(state, stream, choice))?;
     let is_under_way = stream.events.get() > 0;
     if is_under_way
         && choice.lacks_capacity()
@@ -345,6 +347,28 @@
     Some(path)
 }
 
+/// Returns whether a request is sent to suspected servers, because no path is complete without them.
+///
+/// What their checks show may be wrong for good, while nothing but a request would show it.
+fn try_suspects<D>(state: &State<D>, stream: &Stream, choice: &Choice) -> bool {
+    let is_first_open = choice
+        .path
+        .first()
+        .is_some_and(|first| gate::is_open(state, &first.server));
+    if choice.is_barred() || !is_first_open || stream.has_tried_suspect.replace(true) {
+        return false;
+    }
+    let servers = choice.path.parts().iter().map(|part| &part.server);
+    state.suspicion.borrow_mut().tried(clock::now(), servers);
+    state.metrics.count("suspects_tried");
+    log::info!(
+        "event=suspect-tried request={} path={}",
+        stream.id,
+        choice.path
+    );
+    true
+}
+
 /// Returns the part of the path that rejected the request: the one named in the rejection, or the
 /// first.
 fn part_at_fault(stream: &Stream, failure: &Failure) -> Option<Part> {
--- a/crates/front/src/stream/path.rs
+++ b/crates/front/src/stream/path.rs
@@ -11,6 +11,7 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
 
+use crate::probe;
 use crate::state::State;
 
 use super::interrupt::Cause;
@@ -35,6 +36,14 @@
 }
 
 impl<D> Registration<D> {
+    /// Records that an event arrived, which shows that every part of the path lives.
+    pub(super) fn record_responded(&self) {
+        let path = self.stream.path.borrow();
+        for part in path.iter().flat_map(Path::parts) {
+            probe::responded(&self.state, &part.server, "event");
+        }
+    }
+
     /// Records that every part of the path accepted the request.
     pub(super) fn record_accepted(&self) {
         if let Some(first) = self.stream.first_part() {
--- a/crates/front/src/stream/record.rs
+++ b/crates/front/src/stream/record.rs
@@ -150,6 +150,8 @@
     pub repairs: Cell<u64>,
     /// How often it was moved off slow servers.
     pub slow_moves: Cell<u64>,
+    /// Whether the request was sent to suspected servers.
+    pub has_tried_suspect: Cell<bool>,
     /// When it may next be moved off draining servers.
     pub next_drain_move: Cell<Instant>,
     /// When it may next be checked.
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -281,6 +281,7 @@
 
     /// Records that a server answered and lives, unless it may have crashed under the request.
     fn record_answer(&self, server: &Server, sent: Instant, reply: &Reply) {
+        probe::responded(self.state, &server.incarnation, "response");
         if !reply.framing.is_stated() {
             let run = self.run_on(server, sent);
             quarantine::lost(self.state, run.perhaps_complete());
