Believe a claim to an address only while a request or a check may refute it

Callers: another writer registered servers of a configured service at the addresses of two live ones, as draining.

A registration displaces who is registered at its address, until a request that it draws is turned away. One that drains, or whose service gets no requests, draws none, so nothing contradicted it. What had been displaced came back only if its own registration changed. A known stranger that was written again displaced others again.

Change, in roster::claims: - Only a ready registration displaces others, and none whose server was found elsewhere, until it is found at its address or names another one. - A claim whose displaced servers are still listed after 4 s, when a dead one would have expired, is checked: the process is asked who it is. If it does not say, or the claimant is removed, moves or is displaced itself, they are back. Starts at the addresses of dead servers cost no check. - event=displaced by=..., event=claim-checked.

--- a/crates/core/src/pipeline/roster/mod.rs
+++ b/crates/core/src/pipeline/roster/mod.rs
@@ -1,5 +1,6 @@
 //! Tracks the registered backend servers through outages of the registry.
 
+mod claims;
 mod displaced;
 mod lookup;
 mod registration;
@@ -76,26 +77,15 @@
 impl Roster {
     /// Applies a registration that was written.
     ///
-    /// The server that writes it has its address. Another one that is still registered there has
-    /// ended, although whatever is sent to it is answered.
+    /// If the server is there, another one that is still registered at its address has ended, although
+    /// whatever is sent to it is answered.
     pub fn registered(&mut self, now: Instant, server: Server) -> Effect {
-        let address = server.address;
-        let name = server.incarnation.server.clone();
-        self.displaced.forget(&name);
+        self.displaced.forget(&server.incarnation.server);
         if !self.may_be_outdated(now) {
             self.departed.retain(|departed, departure| {
                 !departure.is_displaced || *departed != server.incarnation
             });
-            let is_other =
-                |other: &Server| other.address == address && other.incarnation.server != name;
-            let registered = self.registrations.values().map(|other| &other.server);
-            let displaced = registered.filter(|other| is_other(other));
-            let displaced: Vec<Server> = displaced.cloned().collect();
-            for other in &displaced {
-                self.displaced(now, &other.incarnation);
-            }
-            self.displaced.insert(&server.incarnation, displaced);
-            self.missing.retain(|missing| !is_other(missing));
+            self.claim(now, &server);
         }
         self.apply(now, server)
     }
@@ -138,36 +128,6 @@
         leavers.filter(|incarnation| self.get(incarnation).is_some())
     }
 
-    /// Records that another process answers at the address of a server; returns `false` if that is
-    /// known. The servers that its registration displaced may be there, and are back.
-    pub fn stranger(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
-        if !self.strangers.turned_away(now, incarnation) {
-            return false;
-        }
-        for server in self.displaced.take(incarnation) {
-            self.departed.remove(&server.incarnation);
-            if !self.registrations.contains_key(&server.incarnation.server) {
-                self.insert(now, server);
-            }
-        }
-        true
-    }
-
-    /// Records that another server has the address of this one, which has ended.
-    pub fn displaced(&mut self, now: Instant, incarnation: &Incarnation) {
-        if self.get(incarnation).is_none() {
-            return;
-        }
-        self.registrations.remove(&incarnation.server);
-        self.replaced.push(incarnation.clone());
-        let departure = Departure {
-            at: now,
-            end: Some(Evidence::Unregistered),
-            is_displaced: true,
-        };
-        self.departed.insert(incarnation.clone(), departure);
-    }
-
     /// Applies a registration as it is listed.
     fn apply(&mut self, now: Instant, mut server: Server) -> Effect {
         let name = server.incarnation.server.clone();
@@ -181,6 +141,10 @@
             return Effect::Joined;
         };
         let known = &before.server.incarnation;
+        if server.address != before.server.address {
+            self.strangers.moved(known);
+            self.withdraw_claim(now, known);
+        }
         if server.incarnation.started_at.is_none() {
             // A registration without a start time is assumed to be of the known incarnation.
             server.incarnation = known.clone();
@@ -203,7 +167,7 @@
         if before == registration {
             return Effect::None;
         }
-        self.strangers.found(&before.server.incarnation);
+        self.strangers.changed(&before.server.incarnation);
         if draining && before.server.state == State::Ready {
             return Effect::Draining;
         }
@@ -213,6 +177,7 @@
     /// Registers a later start of a server.
     fn replace_start(&mut self, now: Instant, earlier: Incarnation, server: Server) {
         self.leavers.replaced(now, &earlier, &server.incarnation);
+        self.displaced.inherit(&earlier, &server.incarnation);
         self.replaced.push(earlier);
         self.insert(now, server);
     }
@@ -224,7 +189,7 @@
         }
         let name = registration.server.incarnation.server.clone();
         self.missing.registered(now, &name);
-        self.strangers.found(&registration.server.incarnation);
+        self.strangers.changed(&registration.server.incarnation);
         self.registrations.insert(name, registration);
     }
 
@@ -308,7 +273,8 @@
             is_displaced: false,
         };
         let incarnation = registration.server.incarnation.clone();
-        self.departed.insert(incarnation, departure);
+        self.departed.insert(incarnation.clone(), departure);
+        self.withdraw_claim(now, &incarnation);
         if let Some(registration) = self.registrations.remove(name) {
             self.missing.lapsed(now, registration.server);
         }
@@ -378,8 +344,11 @@
         self.departed
             .retain(|_, departure| now.since(departure.at) < DEPARTED_TTL);
         self.missing.expire(now);
-        self.displaced
-            .retain_by(|incarnation| find(&self.registrations, incarnation).is_some());
+        let is_registered =
+            |incarnation: &Incarnation| find(&self.registrations, incarnation).is_some();
+        for claimant in self.displaced.unheld(is_registered) {
+            self.withdraw_claim(now, &claimant);
+        }
         self.strangers
             .retain(|incarnation| find(&self.registrations, incarnation).is_some());
         self.leavers.retain(
--- a/crates/core/src/pipeline/strangers.rs
+++ b/crates/core/src/pipeline/strangers.rs
@@ -1,6 +1,7 @@
 //! Registrations whose addresses belong to other processes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::pipeline::server::Incarnation;
 use crate::time::Instant;
@@ -42,6 +43,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Strangers {
     known: BTreeMap<Incarnation, Question>,
+    /// Servers at whose addresses another process answered, whatever their registrations have said
+    /// since.
+    refuted: BTreeSet<Incarnation>,
     /// Servers that turned a request away, and when they were asked who they are.
     asked: BTreeMap<Incarnation, Instant>,
 }
@@ -53,6 +57,7 @@
         if self.contains(server) {
             return false;
         }
+        self.refuted.insert(server.clone());
         let question = Question {
             at: now.plus(FIRST_PAUSE),
             pause: FIRST_PAUSE,
@@ -92,14 +97,33 @@
         due.collect()
     }
 
-    /// Records that a server is at its address, or has another registration. Returns whether it was
-    /// taken for a stranger.
+    /// Returns whether another process has answered at the address of a server, which has not been found
+    /// there since.
+    #[must_use]
+    pub fn is_refuted(&self, server: &Incarnation) -> bool {
+        self.refuted.contains(server)
+    }
+
+    /// Records that a server is at its address. Returns whether it was taken for a stranger.
     pub fn found(&mut self, server: &Incarnation) -> bool {
+        self.refuted.remove(server);
+        self.changed(server)
+    }
+
+    /// Records that the registration of a server has changed. Returns whether it was taken for a
+    /// stranger.
+    pub fn changed(&mut self, server: &Incarnation) -> bool {
         self.known.remove(server).is_some()
     }
 
+    /// Records that a server is registered at another address.
+    pub fn moved(&mut self, server: &Incarnation) {
+        self.found(server);
+    }
+
     /// Keeps only the servers that are still registered.
     pub fn retain(&mut self, is_registered: impl Fn(&Incarnation) -> bool) {
         self.known.retain(|server, _| is_registered(server));
+        self.refuted.retain(is_registered);
     }
 }
--- a/crates/core/tests/strangers.rs
+++ b/crates/core/tests/strangers.rs
@@ -134,3 +134,81 @@
     assert!(!is_used(&roster, &dead));
     assert!(is_used(&roster, &"successor".into()));
 }
+
+/// Guards against a sound server that is out of use for good, because another writer registered a server
+/// at its address that is never sent anything.
+#[test]
+fn a_server_that_drains_displaces_nobody() {
+    let mut roster = Roster::default();
+    let sound: Incarnation = "sound".into();
+    roster.registered(Instant(0), server("sound", 8));
+    let mut leaving = server("odd", 8);
+    leaving.state = State::Draining;
+
+    roster.registered(Instant(10), leaving);
+
+    assert!(is_used(&roster, &sound));
+}
+
+/// Guards against a sound server that is out of use each time that another writer registers a server
+/// anew that was found elsewhere.
+#[test]
+fn a_refuted_claim_displaces_nobody_again() {
+    let mut roster = Roster::default();
+    let (sound, odd): (Incarnation, Incarnation) = ("sound".into(), "odd".into());
+    roster.registered(Instant(0), server("sound", 8));
+    roster.registered(Instant(10), server("odd", 8));
+    roster.stranger(Instant(20), &odd);
+
+    roster.registered(Instant(30), server("odd", 8));
+    roster.registered(Instant(40), server("odd", 9));
+    assert!(is_used(&roster, &sound));
+
+    roster.strangers.found(&odd);
+    roster.registered(Instant(50), server("odd", 8));
+    assert!(!is_used(&roster, &sound), "it is there now");
+}
+
+/// Guards against a sound server that stays out of use after the registration that displaced it is gone
+/// or names another address.
+#[test]
+fn a_claim_that_ends_brings_the_displaced_back() {
+    let sound: Incarnation = "sound".into();
+    let claimed = || {
+        let mut roster = Roster::default();
+        roster.registered(Instant(0), server("sound", 8));
+        roster.registered(Instant(10), server("odd", 8));
+        roster
+    };
+
+    let mut removed = claimed();
+    removed.removed(Instant(20), &"odd".into());
+    assert!(is_used(&removed, &sound));
+
+    let mut moved = claimed();
+    let mut elsewhere = server("odd", 8);
+    elsewhere.address = ([10, 0, 0, 2], 80).into();
+    moved.registered(Instant(20), elsewhere);
+    assert!(is_used(&moved, &sound));
+}
+
+/// Guards against a claim that nobody checks because its server is sent nothing, and against health checks
+/// of each server that starts at the address of one that died.
+#[test]
+fn a_claim_is_checked_once_a_dead_server_would_have_expired() {
+    let (sound, odd): (Incarnation, Incarnation) = ("sound".into(), "odd".into());
+    let mut roster = Roster::default();
+    roster.registered(Instant(0), server("sound", 8));
+    roster.registered(Instant(10), server("odd", 8));
+    assert!(roster.due_claims(Instant(4_009)).is_empty());
+    assert_eq!(roster.due_claims(Instant(4_010)), ["odd".into()]);
+
+    assert!(roster.withdraw_claim(Instant(4_020), &odd));
+    assert!(is_used(&roster, &sound), "nobody answers for the other");
+
+    let mut expired = Roster::default();
+    expired.registered(Instant(0), server("sound", 8));
+    expired.registered(Instant(10), server("odd", 8));
+    expired.removed(Instant(3_600), &"sound".into());
+    assert!(expired.due_claims(Instant(4_010)).is_empty());
+}
--- a/crates/front/src/store_watch/apply.rs
+++ b/crates/front/src/store_watch/apply.rs
@@ -14,6 +14,7 @@
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::pipeline::server::Incarnation;
+use jujube_core::pipeline::server::Server;
 use jujube_program::clock;
 use jujube_store::kv::Change;
 use jujube_store::kv::Revision;
@@ -102,7 +103,7 @@
             let is_configured =
                 table.is_some_and(|table| table.document.services.contains_key(&server.service));
             let effect = match is_configured {
-                true => roster.registered(now, server),
+                true => register(&mut roster, server),
                 false => roster.registered_for_unknown_service(now, server),
             };
             (name, effect)
@@ -128,6 +129,17 @@
     effect
 }
 
+/// Applies a registration of a configured service, and logs how many servers it displaces.
+fn register(roster: &mut Roster, server: Server) -> Effect {
+    let incarnation = server.incarnation.clone();
+    let effect = roster.registered(clock::now(), server);
+    let displaced = roster.displaced_by(&incarnation).count();
+    if displaced > 0 && effect != Effect::None {
+        log::info!("event=displaced by={incarnation} servers={displaced}");
+    }
+    effect
+}
+
 /// Logs the effect of a registration at a revision, and how long ago the store came back if it was
 /// away: until some time after that, a removed registration may have expired in the outage.
 pub(super) fn log_registration(roster: &Roster, name: &Name, effect: Effect, revision: Revision) {
@@ -211,7 +223,10 @@
 /// Removes a server at whose address another one has answered.
 pub fn displace<D>(state: &State<D>, server: &Incarnation) {
     log::info!("event=displaced server={server}");
-    state.roster.borrow_mut().displaced(clock::now(), server);
+    let mut roster = state.roster.borrow_mut();
+    roster.displaced(clock::now(), server);
+    roster.withdraw_claim(clock::now(), server);
+    drop(roster);
     rebuild(state);
 }
 
--- a/crates/front/src/strangers.rs
+++ b/crates/front/src/strangers.rs
@@ -97,11 +97,15 @@
     store_watch::rebuild(state);
 }
 
-/// Asks at the addresses of strangers, more and more rarely, until the servers are there. Never
-/// returns.
+/// Asks at the addresses of strangers, more and more rarely, until the servers are there, and at those
+/// from which a registration displaced others. Never returns.
 pub async fn run<D: Dialect>(state: Rc<State<D>>) {
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
+        let claims = state.roster.borrow_mut().due_claims(clock::now());
+        for servers in claims.chunks(MAX_QUESTIONS) {
+            join_all(servers.iter().map(|server| check_claim(&state, server))).await;
+        }
         let due = state.roster.borrow_mut().strangers.due(clock::now());
         for servers in due.chunks(MAX_QUESTIONS) {
             join_all(servers.iter().map(|server| ask_again(&state, server))).await;
@@ -109,6 +113,30 @@
     }
 }
 
+/// Asks a server that displaced others whether it is at their address.
+async fn check_claim<D: Dialect>(state: &State<D>, claimant: &Incarnation) {
+    let identity = ask(state, claimant).await;
+    let mut roster = state.roster.borrow_mut();
+    let displaced = roster.displaced_by(claimant).count();
+    let is_withdrawn = match identity {
+        Identity::Own => {
+            roster.confirm_claim(claimant);
+            false
+        }
+        Identity::Unknown => roster.withdraw_claim(clock::now(), claimant),
+        Identity::Other => {
+            drop(roster);
+            record(state, claimant, "claim");
+            return;
+        }
+    };
+    drop(roster);
+    log::info!("event=claim-checked server={claimant} identity={identity:?} displaced={displaced}");
+    if is_withdrawn {
+        store_watch::rebuild(state);
+    }
+}
+
 async fn ask_again<D: Dialect>(state: &State<D>, server: &Incarnation) {
     if ask(state, server).await != Identity::Own {
         return;
