Have read-ahead leave room for an event of each caller

Cause: since each stream reserves the event that it has passed on, which is right, before it is known whether its caller reads. Read-ahead had taken three quarters of the budget for the first 38 callers by then, over 1 MB each. The events of the others took the last quarter: connections of new callers were turned away (what bytes leave to places), sound streams waited for room, and who had been idle for 8 s was evicted for them.

Change: read-ahead leaves 32 MB free, up to half of the budget, or a quarter if that is more (as before from 320 MB of memory on). The first callers are paused sooner; what they are owed stays with the servers and is delivered late.

Test, red before (above, peak 93 MiB): callers_are_served_beside_others_that_read_nothing_of_large_events.

--- a/crates/core/src/pipeline/memory.rs
+++ b/crates/core/src/pipeline/memory.rs
@@ -189,6 +189,8 @@
     capacity: Size,
     /// What may be held now, at most the capacity.
     limit: Size,
+    /// What read-ahead leaves free at least, up to half of what may be held.
+    spare: Size,
     accounts: BTreeMap<Owner, Account>,
     next: Owner,
     /// The sums over all accounts.
@@ -202,12 +204,32 @@
         Self {
             capacity,
             limit: capacity,
+            spare: Size(0),
             accounts: BTreeMap::new(),
             next: Owner(0),
             held: Held::default(),
         }
     }
 
+    /// Sets how much read-ahead leaves free at least, up to half of what may be held.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use jujube_core::pipeline::memory::Cause;
+    /// # use jujube_core::pipeline::memory::MemoryBudget;
+    /// # use jujube_core::pipeline::memory::Size;
+    /// # use jujube_core::time::Instant;
+    /// let mut budget = MemoryBudget::new(Size(800)).with_spare(Size(300));
+    /// let slow = budget.open(Instant(0));
+    /// assert!(budget.reserve(slow, Cause::ReadAhead, Size(251)).is_err());
+    /// assert!(budget.reserve(slow, Cause::ReadAhead, Size(250)).is_ok());
+    /// ```
+    #[must_use]
+    pub fn with_spare(self, spare: Size) -> Self {
+        Self { spare, ..self }
+    }
+
     /// Returns the part of a machine's memory that may be held for callers and servers. If the
     /// memory is unknown or zero, assumes that of the smallest entry.
     ///
@@ -314,7 +336,7 @@
     pub fn transfer(&mut self, owner: Owner, from: Cause, to: Cause, size: Size) {
         let is_read_ahead = to == Cause::ReadAhead && from != to;
         let read_ahead = self.held.of(to).saturating_add(size.0);
-        if is_read_ahead && read_ahead > yielding(self.limit) {
+        if is_read_ahead && read_ahead > self.read_ahead(self.limit) {
             return;
         }
         if let Some(mut held) = self.without(owner, from, size) {
@@ -407,11 +429,17 @@
             Cause::RequestHead => return held <= yielding(self.limit),
             Cause::ReadAhead => {}
         }
-        let free = yielding(self.limit).checked_sub(held);
+        let free = self.read_ahead(self.limit).checked_sub(held);
         let own = own.of(cause).saturating_add(size.0);
         free.is_some_and(|free| own <= free)
     }
 
+    /// Returns how much of a limit may be held if read-ahead is to grow.
+    fn read_ahead(&self, limit: Size) -> u64 {
+        let spare = self.spare.0.min(limit.0 / 2);
+        yielding(limit).min(limit.0 - spare)
+    }
+
     /// Returns whether a reservation would be refused even if nobody else held anything.
     fn never_fits(&self, owner: Owner, cause: Cause, size: Size) -> bool {
         match cause {
@@ -423,7 +451,7 @@
             }
             Cause::Response => size > self.capacity,
             Cause::RequestHead => size.0 > yielding(self.capacity),
-            Cause::ReadAhead => size.0 > yielding(self.capacity) / 2,
+            Cause::ReadAhead => size.0 > self.read_ahead(self.capacity) / 2,
         }
     }
 
--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -25,6 +25,10 @@
 /// release that would end the wait.
 const MAX_ROOM_WAIT: Duration = Duration::from_millis(500);
 
+/// What read-ahead leaves free for one event of each of some hundred callers, which are not known to take
+/// nothing before they have it.
+const EVENTS: Size = Size(32_000_000);
+
 /// What kept data needs besides its bytes.
 const OVERHEAD: u64 = 64;
 
@@ -80,9 +84,11 @@
         }
     }
 
-    /// Limits the budget to what others leave of a total.
+    /// Limits the budget to what others leave of a total, and has read-ahead leave room for events.
     pub fn within(self, total: Rc<RefCell<Total>>) -> Self {
+        let budget = self.budget.into_inner().with_spare(EVENTS);
         Self {
+            budget: RefCell::new(budget),
             total: Some(total),
             ..self
         }
