--- a/crates/core/src/pipeline/suspicion.rs
+++ b/crates/core/src/pipeline/suspicion/mod.rs
@@ -1,7 +1,8 @@
 //! Tracks backend servers that failed and have not answered since.
 
+mod suspect;
+
 use std::collections::BTreeMap;
-use std::ops::RangeInclusive;
 
 use crate::pipeline::liveness::Evidence;
 use crate::pipeline::local_health::LocalHealth;
@@ -9,11 +10,9 @@
 use crate::time::Instant;
 use crate::time::Span;
 
-/// The first delay before a suspect is checked again.
-///
-/// Short, so that a server that reset a single connection stays in use; a crashed server registers
-/// under another name.
-const FIRST_DELAY: Span = Span(200);
+use suspect::Suspect;
+use suspect::is_past;
+
 /// The longest delay for an entry that checks alone. A suspect that left is removed with its
 /// registration.
 const MAX_DELAY: Span = Span(1_600);
@@ -25,20 +24,10 @@
 /// How long a server that refuses connections must be suspected to count as ended; it is checked
 /// again in that time.
 const ENDED_AFTER: Span = Span(500);
-/// The longest silence of a sound server, which may be suspended for a second or so and go on.
-const MAX_PAUSE: Span = Span(1_500);
 /// How long a response from a suspected server may have been on its way when the suspicion began.
 const MAX_RESPONSE_AGE: Span = Span(200);
-/// The shortest and the longest time that a suspected server gets to answer a check.
-const PATIENCE: RangeInclusive<Span> = Span(1_000)..=Span(10_000);
 /// The shortest time between two requests that are sent to any suspected server.
 const TRIAL_INTERVAL: Span = Span(500);
-/// The shortest time between two requests that are sent to the same suspected server.
-const SERVER_TRIAL_INTERVAL: Span = Span(5_000);
-/// The maximum age of a check at the time its server becomes suspected: the timeout of a response
-/// is 0.1 s, that of a connection less than 0.5 s.
-const MAX_CHECK_AGE: Span = Span(500);
-
 /// How long a server must be suspected before its layers are replaced; it is checked twice in that
 /// time.
 pub const REPLACE_AFTER: Span = Span(800);
@@ -46,42 +35,6 @@
 /// it is checked four times in that time.
 pub const REPLACE_AFTER_ALONE: Span = Span(2_000);
 
-#[derive(Clone, Copy, Debug)]
-struct Suspect {
-    since: Instant,
-    check_at: Instant,
-    delay: Span,
-    /// Its address refuses connections.
-    is_refusing: bool,
-    /// When it last left a check unanswered.
-    last_failed: Instant,
-    /// When a request was last sent to it although it is suspected.
-    tried: Option<Instant>,
-}
-
-impl Suspect {
-    /// Returns the earliest time at which the check may have been sent that made it a suspect.
-    fn checked_at(&self) -> Instant {
-        Instant(self.since.0.saturating_sub(MAX_CHECK_AGE.0))
-    }
-
-    /// Returns the earliest time of a check that no sound server leaves unanswered.
-    fn decisive_at(&self) -> Instant {
-        self.since.plus(MAX_PAUSE)
-    }
-
-    /// Returns whether a request may be sent to it although it is suspected.
-    fn may_be_tried(&self, now: Instant) -> bool {
-        let is_due = is_past(now, self.tried, SERVER_TRIAL_INTERVAL);
-        is_due && !self.is_refusing && now >= self.decisive_at()
-    }
-
-    /// Returns whether it left such a check unanswered.
-    fn is_beyond_pause(&self) -> bool {
-        self.last_failed >= self.decisive_at()
-    }
-}
-
 /// The suspected servers.
 ///
 /// Registrations lag by seconds: a crashed server stays listed for three heartbeats. A request that
@@ -111,26 +64,13 @@
     last_trial: Option<Instant>,
 }
 
-/// Returns whether a span has passed since an event, if there was one.
-fn is_past(now: Instant, event: Option<Instant>, span: Span) -> bool {
-    event.is_none_or(|at| now.since(at) >= span)
-}
-
 impl Suspicion {
     /// Records a failure; returns `true` if the server was not suspected before.
     pub fn suspect(&mut self, now: Instant, server: &Incarnation) -> bool {
         if self.suspects.contains_key(server) {
             return false;
         }
-        let suspect = Suspect {
-            since: now,
-            check_at: now.plus(FIRST_DELAY),
-            delay: FIRST_DELAY,
-            is_refusing: false,
-            last_failed: now,
-            tried: None,
-        };
-        self.suspects.insert(server.clone(), suspect);
+        self.suspects.insert(server.clone(), Suspect::new(now));
         true
     }
 
@@ -146,9 +86,8 @@
     /// sound.
     #[must_use]
     pub fn patience(&self, now: Instant, server: &Incarnation) -> Span {
-        let suspect = self.suspects.get(server);
-        let elapsed = suspect.map_or(Span(0), |suspect| now.since(suspect.since));
-        elapsed.clamp(*PATIENCE.start(), *PATIENCE.end())
+        let suspect = self.suspects.get(server).copied();
+        suspect.unwrap_or(Suspect::new(now)).patience(now)
     }
 
     /// Returns whether a request may be sent to a suspected server that cannot be served without it.
