Tell a first read that does not end

After 2 s, and every 5 s, it tells the time, the pages, the reads that run, the last key and the last failure (event=first-read-unfinished), and at the end what it took (event=first-read).

Others' text goes into these lines through word::Word, one word of at most 300 characters.

--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -4,8 +4,6 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -16,6 +14,7 @@
 use jujube_core::pipeline::feed::bounds::Bounds;
 use jujube_core::pipeline::feed::contact::Contact;
 use jujube_core::pipeline::feed::first_read::FirstRead;
+use jujube_core::pipeline::feed::first_read::Notice;
 use jujube_core::pipeline::feed::follower::AT_ONCE;
 use jujube_core::pipeline::feed::follower::Follower;
 use jujube_core::pipeline::feed::follower::Reason;
@@ -27,9 +26,11 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::word::Word;
 use jujube_store::kv;
 use jujube_store::kv::Change;
 use jujube_store::kv::News;
+use jujube_store::kv::Progress;
 
 use crate::metrics::Metrics;
 
@@ -77,6 +78,31 @@
     }
 }
 
+/// Records that the first read has not ended, with the last failure if there was one.
+fn record_unfinished(
+    began: Instant,
+    progress: &Progress,
+    running: usize,
+    failure: Option<&kv::Error>,
+) {
+    let took = clock::now().since(began);
+    let cause = failure.map_or_else(String::new, ToString::to_string);
+    log::warn!(
+        "event=first-read-unfinished took_ms={took} pages={} running={running} last_key={} cause={}",
+        progress.pages(),
+        Word(progress.last_key()),
+        Word(cause)
+    );
+}
+
+fn record_first_read(began: Instant, progress: &Progress, keys: usize, revision: Revision) {
+    let took = clock::now().since(began);
+    log::info!(
+        "event=first-read took_ms={took} pages={} keys={keys} revision={revision}",
+        progress.pages()
+    );
+}
+
 /// Follows the store: reads it, or asks the entries that do.
 pub struct Source<F> {
     feed: Rc<Feed>,
@@ -149,14 +175,19 @@
     /// even after the store has recovered, so further calls are made at intervals unless pages still
     /// come, while the earlier ones may still be answered by a slow store.
     pub async fn read_first(&self) -> (Vec<Change>, Revision) {
-        let pages = AtomicU64::new(0);
+        let began = clock::now();
+        let progress = Progress::default();
         let mut first_read = FirstRead::default();
+        let mut notice = Notice::new(began);
         let mut calls = FuturesUnordered::new();
-        let mut is_lost = false;
+        let mut failure = None;
         loop {
-            if first_read.is_due(calls.len(), pages.load(Ordering::Relaxed)) {
+            if first_read.is_due(calls.len(), progress.pages()) {
                 self.metrics.count("store_calls_start");
-                calls.push(self.store.snapshot_stale(ALL_KEYS, &pages));
+                calls.push(self.store.snapshot_stale(ALL_KEYS, &progress));
+            }
+            if notice.is_due(clock::now()) {
+                record_unfinished(began, &progress, calls.len(), failure.as_ref());
             }
             let pause = rand::random_range(FIRST_CALL_PAUSE_MS);
             let mut pause = pin!(tokio::time::sleep(Duration::from_millis(pause)).fuse());
@@ -167,20 +198,20 @@
                 };
                 match answer {
                     Ok((changes, revision)) => {
-                        if is_lost {
+                        if failure.is_some() {
                             log::info!("event=store-regained");
                         }
+                        record_first_read(began, &progress, changes.len(), revision);
                         self.feed.restore(self.store.era());
                         self.replace(changes, revision);
                         return self.feed.all();
                     }
-                    Err(error) if !is_lost => {
-                        is_lost = true;
-                        let cause = error.to_string().replace(' ', "-");
-                        log::warn!("event=store-lost cause={cause}");
+                    Err(error) => {
+                        if failure.is_none() {
+                            log::warn!("event=store-lost cause={}", Word(&error));
+                        }
+                        failure = Some(error);
                     }
-                    // The loss is logged already, and the next call follows soon.
-                    Err(_) => {}
                 }
             }
         }
@@ -318,8 +349,11 @@
 
     fn report(&self, name: &Arc<str>, error: &exchange::Error) {
         self.metrics.count("feed_sources_failed");
-        let cause = error.to_string().replace(' ', "-");
-        log::info!("event=feed-source-failed source={name} cause={cause}");
+        log::info!(
+            "event=feed-source-failed source={} cause={}",
+            Word(name),
+            Word(error)
+        );
     }
 
     /// Asks one source.
--- a/crates/front/src/malformed.rs
+++ b/crates/front/src/malformed.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
+use jujube_program::word::Word;
 use jujube_store::kv::Change;
 use jujube_store::kv::Revision;
 
@@ -16,8 +17,6 @@
 /// The maximum number of remembered keys, so that a writer of ever new keys cannot exhaust the
 /// memory.
 const MAX_MALFORMED_KEYS: usize = 1_000;
-/// The most characters of a key or a cause that are logged.
-const MAX_LOGGED_CHARS: usize = 300;
 
 impl Malformed {
     /// Logs a value that cannot be decoded, once for each revision.
@@ -30,19 +29,11 @@
             logged.clear();
         }
         logged.insert(change.key.clone(), change.revision);
-        let (key, cause) = (legible(&change.key), legible(&format!("{error:#}")));
         log::error!(
-            "event=malformed key={key} revision={} cause={cause}",
-            change.revision
+            "event=malformed key={} revision={} cause={}",
+            Word(&change.key),
+            change.revision,
+            Word(format_args!("{error:#}"))
         );
     }
 }
-
-/// Returns a text of another writer as one word of a bounded length.
-fn legible(text: &str) -> String {
-    let is_odd = |char: char| char.is_whitespace() || char.is_control();
-    let shown = text.chars().take(MAX_LOGGED_CHARS);
-    shown
-        .map(|char| if is_odd(char) { '-' } else { char })
-        .collect()
-}
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod logs;
 pub mod settings;
 pub mod shutdown;
+pub mod word;
--- a/crates/store/src/kv/feed.rs
+++ b/crates/store/src/kv/feed.rs
@@ -1,7 +1,10 @@
 //! A key-value service that can be followed as a whole.
 
 use std::future::Future;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use jujube_core::pipeline::era::Era;
 use jujube_core::pipeline::feed::room::Kind;
@@ -66,6 +69,44 @@
     Forgotten,
 }
 
+/// How far reads of all keys have come.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_store::kv::Progress;
+/// let progress = Progress::default();
+/// progress.received("jujube/entries/a");
+/// assert_eq!((progress.pages(), progress.last_key()), (1, "jujube/entries/a".into()));
+/// ```
+#[derive(Debug, Default)]
+pub struct Progress {
+    pages: AtomicU64,
+    last_key: Mutex<String>,
+}
+
+impl Progress {
+    /// Records a page and its last key.
+    pub fn received(&self, last_key: &str) {
+        self.pages.fetch_add(1, Ordering::Relaxed);
+        let mut last = self.last_key.lock().unwrap_or_else(PoisonError::into_inner);
+        last.replace_range(.., last_key);
+    }
+
+    /// Returns the number of pages that were received.
+    #[must_use]
+    pub fn pages(&self) -> u64 {
+        self.pages.load(Ordering::Relaxed)
+    }
+
+    /// Returns the last key of the last page, empty if it had none.
+    #[must_use]
+    pub fn last_key(&self) -> String {
+        let last = self.last_key.lock().unwrap_or_else(PoisonError::into_inner);
+        last.clone()
+    }
+}
+
 /// A store whose changes can be followed by prefix.
 pub trait Feed: Store {
     /// Reads all keys with a prefix, each as its last change, and the revision from which to follow them.
@@ -75,11 +116,11 @@
     ) -> impl Future<Output = Result<(Vec<Change>, Revision), Error>> + Send;
 
     /// Reads all keys with a prefix as [`Feed::snapshot`] does, at a fraction of its price; the store
-    /// may answer with what it held some seconds ago. Each part that is received is added to `pages`.
+    /// may answer with what it held some seconds ago. Each page that is received is recorded.
     fn snapshot_stale(
         &self,
         prefix: &str,
-        pages: &AtomicU64,
+        progress: &Progress,
     ) -> impl Future<Output = Result<(Vec<Change>, Revision), Error>> + Send;
 
     /// Returns the kinds of keys of which the last snapshot left out some, because there was no room.
--- a/crates/store/src/kv/mod.rs
+++ b/crates/store/src/kv/mod.rs
@@ -11,6 +11,7 @@
 pub use feed::Change;
 pub use feed::Feed;
 pub use feed::News;
+pub use feed::Progress;
 pub use feed::Value;
 pub use json::Compare;
 pub use json::Event;
