Read only the keys that entries need, and only in pages that go on

A page without keys that said MorePages was taken for the end: an entry could be ready without the configuration or servers.

feed::cursor decides where a read goes on: at the next key that entries need (the configuration, registrations, the entries' own), and only after the page before.

--- a/crates/core/src/pipeline/feed/mod.rs
+++ b/crates/core/src/pipeline/feed/mod.rs
@@ -7,6 +7,7 @@
 pub mod belief;
 pub mod bounds;
 pub mod contact;
+pub mod cursor;
 pub mod difference;
 pub mod earlier;
 pub mod first_read;
--- a/crates/front/src/feed/kind.rs
+++ b/crates/front/src/feed/kind.rs
@@ -1,5 +1,6 @@
 //! What the keys of the store are about.
 
+use jujube_core::pipeline::feed::cursor::Part;
 use jujube_core::pipeline::feed::room::Kind;
 
 use crate::dialect::Dialect;
@@ -13,6 +14,15 @@
 /// counted by their number.
 const MAX_KEY_BYTES: usize = 512;
 
+/// Returns the keys that entries read.
+pub fn parts<D: Dialect>() -> [Part<'static>; 3] {
+    [
+        Part::Key(D::CONFIGURATION),
+        Part::Prefix(D::SERVERS),
+        Part::Prefix(ENTRY_KEYS),
+    ]
+}
+
 /// Returns what a key is about; `None` if no entry reads it.
 pub fn of<D: Dialect>(key: &str) -> Option<Kind> {
     if key.len() > MAX_KEY_BYTES {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -58,4 +58,5 @@
 
 pub use daemon::run;
 pub use feed::kind::of as kind_of;
+pub use feed::kind::parts;
 pub use settings::Settings;
