--- a/crates/front/src/store_watch/mod.rs
+++ b/crates/front/src/store_watch/mod.rs
@@ -74,8 +74,9 @@
         };
         let step = tokio::select! {
             step = step => step,
-            // Others may tell what the store does not tell this entry.
-            () = state.store_call_failed.notified(), if !is_told => {
+            // Others may tell what the store does not tell this entry. A read of all keys is not cut: it
+            // would begin anew at each such call, and each of its own calls has a time limit.
+            () = state.store_call_failed.notified(), if is_read && !is_told => {
                 Err(Error::Unknown("lease-not-renewed".into()))
             }
             () = store.risen(era) => Ok(false),
