Read all keys again where an answer to a watch cannot be used

Callers got 404 on new routes from all entries, for good, with nobody killed: the changes since the last answer held five values of 1 MB, more than an entry takes in one answer. It gave the answer up, counted the store as lost, and asked for the same answer again. Our bound came from the page of a listing, which the platform limits to about 1 MB; of a watch's answer the pages state no size.

--- a/crates/entry/src/api/dispatch.rs
+++ b/crates/entry/src/api/dispatch.rs
@@ -66,7 +66,7 @@
     match client.send(request).await {
         Ok(response) => judge(response),
         Err(http::Error::NotSent(_)) => Sent::Refused(Verdict::NotRun),
-        Err(http::Error::Cut(_) | http::Error::Unknown(_)) => {
+        Err(http::Error::Cut(_) | http::Error::Unknown(_) | http::Error::Unusable(_)) => {
             state.counters.add("dispatches_unclear", 1);
             Sent::Unclear
         }
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -9,6 +9,7 @@
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use jujube_core::pipeline::cadence::Cadence;
 use jujube_core::pipeline::cell::Directory;
 use jujube_core::pipeline::cell::Role;
 use jujube_core::pipeline::feed::bounds::Bounds;
@@ -55,6 +56,9 @@
 /// store answers within it.
 const FIRST_CALL_PAUSE_MS: std::ops::Range<u64> = 300..400;
 
+/// The shortest time between two reads of all keys because an answer to a watch could not be used. A store
+/// whose answers stay so is followed by such reads alone, within the time limit of a configuration.
+const UNUSABLE_INTERVAL: Span = Span(1_000);
 /// The shortest time between two reads of all keys because some were left out.
 const READ_AGAIN_INTERVAL: Span = Span(5_000);
 
@@ -121,6 +125,8 @@
     wants_texts: bool,
     /// When all keys were last read.
     read_at: Instant,
+    /// How soon all keys are read again because an answer could not be used.
+    unusable: Cadence,
 }
 
 impl<F: kv::Feed> Source<F> {
@@ -139,6 +145,7 @@
             is_forgotten: false,
             wants_texts: false,
             read_at: clock::now(),
+            unusable: Cadence::of(UNUSABLE_INTERVAL),
         }
     }
 
@@ -315,7 +322,10 @@
         let after = self.feed.replica.borrow().through();
         let asked_at = clock::now();
         self.metrics.count(counter);
-        let mut news = self.store.follow(ALL_KEYS, after, wait).await?;
+        let mut news = match self.store.follow(ALL_KEYS, after, wait).await {
+            Err(kv::Error::Unusable(cause)) => self.pass_over(after, &cause).await,
+            answer => answer?,
+        };
         self.was_told = false;
         self.follower.set_behind(matches!(news, News::Part(..)));
         match &mut news {
@@ -336,6 +346,21 @@
         Ok(self.or_forgotten(news))
     }
 
+    /// Gives up the changes after a revision, as their answer cannot be used.
+    ///
+    /// The next answer would be the same, for as long as the store has this history; the pages of a read
+    /// of all keys are smaller.
+    async fn pass_over(&mut self, after: Revision, cause: &str) -> News {
+        self.metrics.count("store_answers_unusable");
+        log::warn!(
+            "event=store-answer-unusable revision={after} cause={}",
+            Word(cause)
+        );
+        let pause = self.unusable.wait(clock::now());
+        tokio::time::sleep(Duration::from_millis(pause.0)).await;
+        News::Forgotten
+    }
+
     /// Returns the changes, or that all keys are to be read again.
     fn or_forgotten(&mut self, news: News) -> News {
         let is_due = clock::now().since(self.read_at) >= READ_AGAIN_INTERVAL;
--- a/crates/front/src/store_watch/mod.rs
+++ b/crates/front/src/store_watch/mod.rs
@@ -135,7 +135,7 @@
     match error {
         Error::Cut(_) => Failure::Cut,
         Error::Busy(_) => Failure::Busy,
-        Error::Down(_) | Error::Unknown(_) => Failure::Silent,
+        Error::Down(_) | Error::Unknown(_) | Error::Unusable(_) => Failure::Silent,
     }
 }
 
--- a/crates/program/src/http.rs
+++ b/crates/program/src/http.rs
@@ -209,6 +209,8 @@
     Cut(String),
     /// The request may have been sent.
     Unknown(String),
+    /// The request was answered, with more than is taken.
+    Unusable(String),
 }
 
 impl std::fmt::Display for Error {
@@ -217,6 +219,7 @@
             Self::NotSent(why) => write!(f, "not sent: {why}"),
             Self::Cut(why) => write!(f, "connection ended: {why}"),
             Self::Unknown(why) => write!(f, "no answer: {why}"),
+            Self::Unusable(why) => write!(f, "unusable answer: {why}"),
         }
     }
 }
@@ -404,7 +407,7 @@
             let frame = frame.map_err(|error| failed(&error))?;
             if let Ok(data) = frame.into_data() {
                 if !share.grow(data.len()) {
-                    return Err(Error::Unknown("answer too large".into()));
+                    return Err(Error::Unusable("answer too large".into()));
                 }
                 bytes.extend_from_slice(&data);
             }
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -134,7 +134,7 @@
                 .advance(clock::now(), call, at_most_once::State::Closed);
             refusal(Verdict::NotRun, &why)
         }
-        Err(http::Error::Cut(why) | http::Error::Unknown(why)) => {
+        Err(http::Error::Cut(why) | http::Error::Unknown(why) | http::Error::Unusable(why)) => {
             refusal(Verdict::MayHaveRun, &why)
         }
     }
--- a/crates/store/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -243,7 +243,9 @@
                 tokio::spawn(write_alone(store.clone(), lease, job));
             }
         }
-        Err(Error::Unknown(_) | Error::Cut(_)) => answer_all(jobs, &Outcome::Unknown),
+        Err(Error::Unknown(_) | Error::Cut(_) | Error::Unusable(_)) => {
+            answer_all(jobs, &Outcome::Unknown)
+        }
         Err(Error::Down(_) | Error::Busy(_)) => answer_all(jobs, &Outcome::Down),
     }
 }
@@ -256,7 +258,7 @@
             Ok(found) => outcome(found.as_ref()),
             Err(_) => Outcome::Unknown,
         },
-        Err(Error::Unknown(_) | Error::Cut(_)) => Outcome::Unknown,
+        Err(Error::Unknown(_) | Error::Cut(_) | Error::Unusable(_)) => Outcome::Unknown,
         Err(Error::Down(_) | Error::Busy(_)) => Outcome::Down,
     };
     answer_all(vec![job], &outcome);
--- a/crates/store/src/head.rs
+++ b/crates/store/src/head.rs
@@ -116,7 +116,9 @@
     ];
     match store.swap(&[condition], &writes).await {
         Ok(true) => Ok(Swapped::Won),
-        Ok(false) | Err(Error::Unknown(_) | Error::Cut(_)) => read_back(store, head).await,
+        Ok(false) | Err(Error::Unknown(_) | Error::Cut(_) | Error::Unusable(_)) => {
+            read_back(store, head).await
+        }
         Err(down) => Err(down),
     }
 }
--- a/crates/store/src/kv/etcd.rs
+++ b/crates/store/src/kv/etcd.rs
@@ -74,6 +74,7 @@
             http::Error::NotSent(why) => Error::Down(why),
             http::Error::Cut(why) => Error::Cut(why),
             http::Error::Unknown(why) => Error::Unknown(why),
+            http::Error::Unusable(why) => Error::Unusable(why),
         })
     }
 
--- a/crates/store/src/kv/store.rs
+++ b/crates/store/src/kv/store.rs
@@ -60,6 +60,8 @@
     Cut(String),
     /// It was sent, and the answer is lost: a write may have taken effect.
     Unknown(String),
+    /// It was answered, and the answer cannot be read or held: a write may have taken effect.
+    Unusable(String),
 }
 
 impl fmt::Display for Error {
@@ -69,6 +71,7 @@
             Self::Busy(why) => write!(f, "key-value service takes no more calls: {why}"),
             Self::Cut(why) => write!(f, "key-value service ended the connection: {why}"),
             Self::Unknown(why) => write!(f, "key-value service gave no answer: {why}"),
+            Self::Unusable(why) => write!(f, "key-value service gave an unusable answer: {why}"),
         }
     }
 }
