--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod exchange;
+mod first;
 pub(crate) mod kind;
 mod serve;
 mod source;
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -1,21 +1,15 @@
 //! Follows the store: reads it, or asks the entries that do.
 
 use std::cell::RefCell;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::FutureExt;
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use jujube_core::pipeline::cadence::Cadence;
 use jujube_core::pipeline::cell::Directory;
 use jujube_core::pipeline::cell::Role;
 use jujube_core::pipeline::feed::bounds::Bounds;
 use jujube_core::pipeline::feed::contact::Contact;
-use jujube_core::pipeline::feed::first_read::FirstRead;
-use jujube_core::pipeline::feed::first_read::Notice;
 use jujube_core::pipeline::feed::follower::AT_ONCE;
 use jujube_core::pipeline::feed::follower::Follower;
 use jujube_core::pipeline::feed::follower::Reason;
@@ -31,7 +25,6 @@
 use jujube_store::kv;
 use jujube_store::kv::Change;
 use jujube_store::kv::News;
-use jujube_store::kv::Progress;
 
 use crate::metrics::Metrics;
 
@@ -45,6 +38,7 @@
 use super::exchange::Answer;
 use super::exchange::Row;
 use super::exchange::Value;
+use super::first;
 use super::item;
 
 /// The empty prefix: one watch covers the configuration, the registrations and the planner's lease.
@@ -52,10 +46,6 @@
 /// The pause before the sources are asked again if all failed at once, such as by refusing
 /// connections.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
-/// The range of the random pause before another call for the first snapshot, in milliseconds; a slow
-/// store answers within it.
-const FIRST_CALL_PAUSE_MS: std::ops::Range<u64> = 300..400;
-
 /// The shortest time between two reads of all keys because an answer to a watch could not be used. A store
 /// whose answers stay so is followed by such reads alone, within the time limit of a configuration.
 const UNUSABLE_INTERVAL: Span = Span(1_000);
@@ -82,31 +72,6 @@
     }
 }
 
-/// Records that the first read has not ended, with the last failure if there was one.
-fn record_unfinished(
-    began: Instant,
-    progress: &Progress,
-    running: usize,
-    failure: Option<&kv::Error>,
-) {
-    let took = clock::now().since(began);
-    let cause = failure.map_or_else(String::new, ToString::to_string);
-    log::warn!(
-        "event=first-read-unfinished took_ms={took} pages={} running={running} last_key={} cause={}",
-        progress.pages(),
-        Word(progress.last_key()),
-        Word(cause)
-    );
-}
-
-fn record_first_read(began: Instant, progress: &Progress, keys: usize, revision: Revision) {
-    let took = clock::now().since(began);
-    log::info!(
-        "event=first-read took_ms={took} pages={} keys={keys} revision={revision}",
-        progress.pages()
-    );
-}
-
 /// Follows the store: reads it, or asks the entries that do.
 pub struct Source<F> {
     feed: Rc<Feed>,
@@ -176,52 +141,12 @@
     }
 
     /// Reads all keys for the first time, however long the store takes; they may be some seconds
-    /// old.
-    ///
-    /// Until then every caller is refused. A call made while the store was silent may stay unanswered
-    /// even after the store has recovered, so further calls are made at intervals unless pages still
-    /// come, while the earlier ones may still be answered by a slow store.
+    /// old. Until then every caller is refused.
     pub async fn read_first(&self) -> (Vec<Change>, Revision) {
-        let began = clock::now();
-        let progress = Progress::default();
-        let mut first_read = FirstRead::default();
-        let mut notice = Notice::new(began);
-        let mut calls = FuturesUnordered::new();
-        let mut failure = None;
-        loop {
-            if first_read.is_due(calls.len(), progress.pages()) {
-                self.metrics.count("store_calls_start");
-                calls.push(self.store.snapshot_stale(ALL_KEYS, &progress));
-            }
-            if notice.is_due(clock::now()) {
-                record_unfinished(began, &progress, calls.len(), failure.as_ref());
-            }
-            let pause = rand::random_range(FIRST_CALL_PAUSE_MS);
-            let mut pause = pin!(tokio::time::sleep(Duration::from_millis(pause)).fuse());
-            loop {
-                let answer = futures::select! {
-                    answer = calls.select_next_some() => answer,
-                    () = pause => break,
-                };
-                match answer {
-                    Ok((changes, revision)) => {
-                        if failure.is_some() {
-                            log::info!("event=store-regained");
-                        }
-                        record_first_read(began, &progress, changes.len(), revision);
-                        self.feed.restore(self.store.era());
-                        self.replace(changes, revision);
-                        return self.feed.all();
-                    }
-                    Err(error) => {
-                        if failure.is_none() {
-                            log::warn!("event=store-lost cause={}", Word(&error));
-                        }
-                        failure = Some(error);
-                    }
-                }
-            }
-        }
+        let (changes, revision) = first::read(&self.store, ALL_KEYS, &self.metrics).await;
+        self.feed.restore(self.store.era());
+        self.replace(changes, revision);
+        self.feed.all()
     }
 
     /// Returns all keys as they are now, and the revision to follow from.
