Tell a listing that comes again by its ends, not by their order

The reviewer showed that a read never ends of a store that orders keys otherwise than by bytes, such as by the units of UTF-16: servers/<emoji> comes before servers/<fullwidth tilde> there, and the cursor took the second page for one that goes back. The pages name no order. A cursor now refuses an end that it has met, with one remembered end that is taken ever more rarely: any sequence that repeats itself meets it, and nothing grows with the pages.

--- a/crates/core/src/pipeline/feed/cursor.rs
+++ b/crates/core/src/pipeline/feed/cursor.rs
@@ -27,20 +27,15 @@
 pub enum Error {
     /// The page has no keys, and others are to follow.
     Empty,
-    /// The page ends at or before the key after which it was to begin.
-    Back {
-        /// The key after which it was to begin.
-        after: String,
-        /// Its last key.
-        last: String,
-    },
+    /// The page ends at a key at which an earlier page ended.
+    Again(String),
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Empty => write!(f, "a page without keys, and more to follow"),
-            Self::Back { after, last } => write!(f, "a page after {after} that ends at {last}"),
+            Self::Again(last) => write!(f, "a second page that ends at {last}"),
         }
     }
 }
@@ -49,8 +44,10 @@
 
 /// Where a read of a part of the store's keys goes on.
 ///
-/// The store tells the keys of a prefix in order, page by page. Each page must end after the one before: a
-/// store that misunderstands where the next page is to begin would be read for ever otherwise.
+/// The store tells the keys of a prefix in an order of its own, page by page. No two pages may end at the
+/// same key: a store that misunderstands where the next page is to begin would be read for ever otherwise.
+/// What is remembered does not grow with the pages: one earlier end, taken ever more rarely, is met again
+/// by any sequence that repeats itself.
 ///
 /// # Examples
 ///
@@ -67,13 +64,21 @@
 pub struct Cursor<'a> {
     part: Part<'a>,
     after: Option<String>,
+    /// An end of an earlier page.
+    remembered: Option<String>,
+    pages: u64,
 }
 
 impl<'a> Cursor<'a> {
     /// Returns the beginning of a read.
     #[must_use]
     pub fn new(part: Part<'a>) -> Self {
-        Self { part, after: None }
+        Self {
+            part,
+            after: None,
+            remembered: None,
+            pages: 0,
+        }
     }
 
     /// Returns the prefix of the keys to ask for.
@@ -101,11 +106,16 @@
             return Ok(false);
         }
         let last = last.ok_or(Error::Empty)?;
-        if let Some(after) = self.after.as_ref().filter(|after| last <= after.as_str()) {
-            return Err(Error::Back {
-                after: after.clone(),
-                last: last.into(),
-            });
+        if [&self.after, &self.remembered]
+            .into_iter()
+            .flatten()
+            .any(|earlier| earlier == last)
+        {
+            return Err(Error::Again(last.into()));
+        }
+        self.pages += 1;
+        if self.pages.is_power_of_two() {
+            self.remembered = Some(last.into());
         }
         self.after = Some(last.into());
         // A key is the first of those that begin with it.
