Give metrics names that each scraper can read

From its first refusal on, an entry served counters such as `jujube_no-route_total` and `jujube_no-server_total`. The text format allows no hyphen in a name, and a scraper drops the whole page for one, just when something goes wrong. The page had no `# TYPE` and `# HELP` lines and no content type either.

A name of a metric was any text. It is a type now (`metrics::name::Name`): each character that the format doesn't allow is replaced as the name is made, and counters, gauges and histograms take nothing else. A reason becomes a name in one place; on the log it stays `reason=no-route`. One writer (`metrics::page`) puts the families with their type and text, and escapes label values. The counters of all reasons are there from the start, at zero, so that a scraper sees the first refusal as a rise. Names that were valid stay.

Tests, with the parser of the crate prometheus-parse: platform's `metrics_page` brings about eleven refusals at a process and reads the page at both addresses. The tests of front's `metrics` go over all reasons and any names; two of three fail if a name keeps its characters.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -35,6 +35,7 @@
 mod probe;
 mod quarantine;
 mod ready;
+mod reason;
 mod reload;
 mod request;
 mod response;
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -8,6 +8,8 @@
 
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -21,6 +23,7 @@
 
 use crate::body::Body;
 use crate::dialect::Dialect;
+use crate::metrics::page;
 use crate::state::State;
 use crate::vitals;
 
@@ -96,7 +99,10 @@
                 vitals::resident().map_or(0.0, |size| size.0 as f64),
             ),
         ];
-        return Response::new(Body::text(state.metrics.text(&gauges)));
+        let mut response = Response::new(Body::text(state.metrics.text(&gauges)));
+        let format = HeaderValue::from_static(page::CONTENT_TYPE);
+        response.headers_mut().insert(CONTENT_TYPE, format);
+        return response;
     }
     let mut response = Response::new(Body::text(""));
     *response.status_mut() = match (path == D::READY, state.is_ready()) {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -37,8 +37,8 @@
 use crate::dialect::Dialect;
 use crate::head;
 use crate::quarantine;
+use crate::reason::Reason;
 use crate::response;
-use crate::response::Reason;
 use crate::state::Lifecycle;
 use crate::state::State;
 use crate::stream;
@@ -214,7 +214,7 @@
     cause: &str,
 ) {
     state.metrics.count("requests_refused");
-    state.metrics.count(reason.name());
+    state.metrics.count(reason);
     if reason == Reason::OutOfMemory {
         state.metrics.count("requests_out_of_memory");
     }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -48,6 +48,7 @@
 use crate::planner::Leadership;
 use crate::pool::Pool;
 use crate::probe::Probes;
+use crate::reason::Reason;
 use crate::retries::Retries;
 use crate::retries::Retry;
 use crate::settings::Settings;
@@ -215,7 +216,7 @@
             descriptors,
             waiting: Waiting::default(),
             streams: Streams::default(),
-            metrics: Rc::default(),
+            metrics: Rc::new(Metrics::with_counters(Reason::ALL)),
             lifecycle: Cell::default(),
             exit: Exit::default(),
             store_call_failed: tokio::sync::Notify::new(),
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -24,7 +24,7 @@
 use crate::dialect::Dialect;
 use crate::framing;
 use crate::quarantine;
-use crate::response::Reason;
+use crate::reason::Reason;
 use crate::upstream::Incomplete;
 use crate::waiting::Permit;
 
--- a/crates/front/src/stream/mod.rs
+++ b/crates/front/src/stream/mod.rs
@@ -34,11 +34,11 @@
 use crate::dialect::Dialect;
 use crate::gate::Opening;
 use crate::head;
+use crate::reason::Reason;
 use crate::request;
 use crate::request::Admitted;
 use crate::request::RETRY_AFTER_STOPPING;
 use crate::response;
-use crate::response::Reason;
 use crate::state::State;
 use crate::waiting;
 
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -17,7 +17,7 @@
 use crate::gate::Opening;
 use crate::probe;
 use crate::quarantine;
-use crate::response::Reason;
+use crate::reason::Reason;
 use crate::state::State;
 use crate::strangers;
 use crate::upstream::Failure;
--- a/crates/front/src/unary/choice.rs
+++ b/crates/front/src/unary/choice.rs
@@ -8,7 +8,7 @@
 
 use crate::gate::Opening;
 use crate::loans;
-use crate::response::Reason;
+use crate::reason::Reason;
 use crate::state::State;
 
 use super::Refusal;
--- a/crates/front/tests/tasks.rs
+++ b/crates/front/tests/tasks.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a fixture that fails must panic")]
 
-#[path = "../src/metrics.rs"]
+#[path = "../src/metrics/mod.rs"]
 #[allow(dead_code, reason = "the entry uses the rest of it")]
 mod metrics;
 #[path = "../src/tasks.rs"]
