Build and read the keys of entries by one type, and bound others' names in them

What was seen: an entry with a name of over 185 bytes was never announced, and took a new lease each 0.7 s for it; a service with a name of over 184 bytes had no slack, and a call for it was refused again and again (the store takes keys of 200 bytes; from the code and the length of the keys written, the stand-in takes all). From 251 bytes on the reports of an entry began with the mark of another kind of message and were dropped as malformed by all others (6 in a second). Keys of another writer such as jujube/slack/desk/03 and desk/+3 were taken for piece 3: no piece of the slack was free.

Key is the one place that writes and reads these keys. Only the very text that a key is written as is read as that key. The reserve counts pieces by segment. The name and zone of an entry are segments from the settings on, and a replaced one is logged (event=setting-replaced), so that each message between entries has a short one.

--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -25,6 +25,7 @@
 pub mod framing;
 pub mod hold;
 pub mod idle;
+pub mod key;
 pub mod leavers;
 pub mod limits;
 pub mod liveness;
--- a/crates/core/src/pipeline/reserve.rs
+++ b/crates/core/src/pipeline/reserve.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::name::Service;
 use crate::number::numbers;
 use crate::revision::Revision;
 use crate::time::Instant;
 use crate::time::Span;
 
+use super::key::Segment;
+
 /// The number of pieces that the slack of each service is divided into, and so the number of
 /// entries that can hold a part at a time. With more pieces, each is worth less than one or two
 /// retries where the slack is small, and each take is sent to all entries.
@@ -43,7 +44,8 @@
     pub revision: Revision,
 }
 
-type Key = (Service, Piece);
+/// The service is named as in keys of the store, which tell of pieces of others.
+type Key = (Segment, Piece);
 
 /// Tracks which pieces of the slack this entry holds, and which are free.
 ///
@@ -188,7 +190,7 @@
     pub fn took(
         &mut self,
         lease: LeaseId,
-        service: &Service,
+        service: &Segment,
         pieces: impl IntoIterator<Item = Piece>,
     ) {
         if self.lease_id() != Some(lease) {
@@ -202,7 +204,7 @@
     /// Applies a piece that the store reports.
     ///
     /// It may be a new piece of this entry, if the response to its write was lost.
-    pub fn written(&mut self, service: &Service, piece: Piece, record: Record) {
+    pub fn written(&mut self, service: &Segment, piece: Piece, record: Record) {
         let key = (service.clone(), piece);
         if self.lease_id() != Some(record.lease_id) {
             self.held.remove(&key);
@@ -219,7 +221,7 @@
     }
 
     /// Applies the removal of a piece from the store.
-    pub fn removed(&mut self, service: &Service, piece: Piece, revision: Revision) {
+    pub fn removed(&mut self, service: &Segment, piece: Piece, revision: Revision) {
         let key = (service.clone(), piece);
         self.taken.remove(&key);
         let is_older = |written: &Option<Revision>| written.is_some_and(|w| w < revision);
@@ -231,7 +233,7 @@
     /// Applies all pieces that the store held at a revision.
     ///
     /// Ignores reads older than the known revision; later changes are received separately.
-    pub fn replaced(&mut self, records: &BTreeMap<(Service, Piece), Record>, revision: Revision) {
+    pub fn replaced(&mut self, records: &BTreeMap<(Segment, Piece), Record>, revision: Revision) {
         if revision < self.known_revision {
             return;
         }
@@ -252,7 +254,7 @@
 
     /// Returns the pieces of a service without a known holder.
     #[must_use]
-    pub fn free(&self, service: &Service) -> Vec<Piece> {
+    pub fn free(&self, service: &Segment) -> Vec<Piece> {
         let is_free = |piece: &Piece| {
             let key = (service.clone(), *piece);
             !self.held.contains_key(&key) && !self.taken.contains_key(&key)
@@ -263,14 +265,14 @@
 
     /// Returns how many pieces of a service this entry holds.
     #[must_use]
-    pub fn held(&self, service: &Service) -> u64 {
+    pub fn held(&self, service: &Segment) -> u64 {
         let own = self.held.keys().filter(|(of, _)| of == service);
         own.count() as u64
     }
 
     /// Returns this entry's share of a service's slack.
     #[must_use]
-    pub fn share(&self, now: Instant, service: &Service, slack: f64) -> f64 {
+    pub fn share(&self, now: Instant, service: &Segment, slack: f64) -> f64 {
         if !self.is_trusted(now) {
             return 0.0;
         }
@@ -283,7 +285,7 @@
     /// Call this only when requests have earned all retries that still count.
     pub fn give_back(
         &mut self,
-        service: &Service,
+        service: &Segment,
         keep: u64,
         max: usize,
     ) -> Vec<(Piece, Revision)> {
--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -14,6 +14,7 @@
 use ini::ParseOption;
 use ini::Properties;
 
+use crate::pipeline::key::Segment;
 use crate::time::Span;
 
 /// An error in an INI text.
@@ -318,7 +319,8 @@
         self.value(key, expected, default.map(str::to_string))
     }
 
-    /// Reads a name; another one replaces a name that is missing.
+    /// Reads a name; another one replaces a name that is missing, or that does not stand for itself in keys
+    /// of the store.
     ///
     /// # Examples
     ///
@@ -329,11 +331,19 @@
     /// assert_eq!(reader.name("name", "a name", "10.0.0.1"), "10.0.0.1");
     /// ```
     pub fn name(&mut self, key: &'static str, expected: &str, instead: &str) -> String {
-        if let Some(name) = self.given(key) {
-            return name.to_string();
+        let Some(name) = self.given(key) else {
+            self.replace(key, format!("missing: expected {expected}"), "", instead);
+            return instead.to_string();
+        };
+        let used = Segment::from(name).to_string();
+        if used != name {
+            let what = format!(
+                "`{}`: expected {expected} that fits into a key",
+                shorten(name)
+            );
+            self.replace(key, what, name, &used);
         }
-        self.replace(key, format!("missing: expected {expected}"), "", instead);
-        instead.to_string()
+        used
     }
 
     /// Reads an IP address and port.
--- a/crates/core/tests/support/entries.rs
+++ b/crates/core/tests/support/entries.rs
@@ -6,13 +6,13 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
-use jujube_core::name::Service;
 use jujube_core::pipeline::budget::Budget;
 use jujube_core::pipeline::budget::Policy;
 use jujube_core::pipeline::era::Era;
 use jujube_core::pipeline::era::Freshness;
 use jujube_core::pipeline::era::Settling;
 use jujube_core::pipeline::era::Tracker;
+use jujube_core::pipeline::key::Segment;
 use jujube_core::pipeline::reserve;
 use jujube_core::pipeline::reserve::LeaseId;
 use jujube_core::pipeline::reserve::Piece;
@@ -86,7 +86,7 @@
 pub type Event = (u64, usize, u64, usize);
 
 /// The failing service.
-pub fn service() -> Service {
+pub fn service() -> Segment {
     "failing".into()
 }
 
@@ -179,7 +179,7 @@
     }
 
     /// Returns the pieces that were held at a revision.
-    fn at(&self, revision: Revision) -> BTreeMap<(Service, Piece), Record> {
+    fn at(&self, revision: Revision) -> BTreeMap<(Segment, Piece), Record> {
         let mut held = BTreeMap::new();
         for (changed, piece, record) in &self.data.history {
             let key = (service(), *piece);
--- a/crates/front/src/feed/kind.rs
+++ b/crates/front/src/feed/kind.rs
@@ -2,14 +2,12 @@
 
 use jujube_core::pipeline::feed::cursor::Part;
 use jujube_core::pipeline::feed::room::Kind;
+use jujube_core::pipeline::key;
 
 use crate::dialect::Dialect;
-use crate::gossip;
-use crate::quarantine;
-use crate::slack;
 
 /// The prefix of the keys that entries write.
-pub(crate) const ENTRY_KEYS: &str = "jujube/";
+pub(crate) const ENTRY_KEYS: &str = key::ALL;
 /// The longest key that is kept, far beyond any name of a server. Removed keys are kept for a while, and
 /// counted by their number.
 const MAX_KEY_BYTES: usize = 512;
@@ -34,13 +32,13 @@
     if key.starts_with(D::SERVERS) {
         return Some(Kind::Registration);
     }
-    if gossip::announced(key).is_some() {
+    if key.starts_with(key::ANNOUNCEMENTS) {
         return Some(Kind::Announcement);
     }
-    if key.starts_with(slack::KEY_PREFIX) {
+    if key.starts_with(key::PIECES) {
         return Some(Kind::Piece);
     }
-    if key.starts_with(quarantine::KEY_PREFIX) {
+    if key.starts_with(key::QUARANTINE) {
         return Some(Kind::Quarantine);
     }
     key.starts_with(ENTRY_KEYS).then_some(Kind::Other)
--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -284,7 +284,7 @@
     /// Returns what an entry announced in the store.
     fn announcement(&self, entry: &str) -> Option<Announcement> {
         let replica = self.replica.borrow();
-        let Content::Text(text) = replica.get(&gossip::announcement_key(entry))? else {
+        let Content::Text(text) = replica.get(&gossip::announcement_key(entry)?)? else {
             return None;
         };
         Announcement::parse(text)
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -55,10 +55,10 @@
     state: &State<D>,
     store: &F,
 ) -> Result<Option<Lease>, Error> {
-    let Some(address) = state.internal.get() else {
+    let key = announcement_key(&state.settings.name);
+    let Some((address, key)) = state.internal.get().zip(key) else {
         return Ok(None);
     };
-    let key = announcement_key(&state.settings.name);
     let started_at = clock::now();
     let lease = store.grant(state.retries.lease).await?;
     let lease_id = LeaseId(lease.0.unsigned_abs());
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -16,6 +16,8 @@
 use jujube_core::layer::Range;
 use jujube_core::pipeline::cell;
 use jujube_core::pipeline::cell::Location;
+use jujube_core::pipeline::key;
+use jujube_core::pipeline::key::Key;
 use jujube_core::pipeline::reports::Scope;
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::pipeline::server::Incarnation;
@@ -43,17 +45,15 @@
 pub use peers::Announcement;
 pub use peers::Peers;
 
-/// The prefix of the keys under which entries announce their addresses.
-const ENTRIES: &str = "jujube/entries/";
-
 /// Returns the name of the entry whose announcement a key holds.
 pub fn announced(key: &str) -> Option<&str> {
-    key.strip_prefix(ENTRIES)
+    key.strip_prefix(key::ANNOUNCEMENTS)
 }
 
-/// Returns the key of an entry's announcement.
-pub fn announcement_key(entry: &str) -> String {
-    format!("{ENTRIES}{entry}")
+/// Returns the key of the announcement of an entry, named as in its key; `None` if no key has that name.
+pub fn announcement_key(entry: &str) -> Option<String> {
+    let entry = entry.parse().ok()?;
+    Some(Key::Announcement(entry).to_string())
 }
 
 /// The shortest interval between a report and an urgent one. The streams of a crashed server
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jujube_core::pipeline::digest::Digest;
+use jujube_core::pipeline::key::Key;
 use jujube_core::pipeline::quarantine::Source;
 use jujube_core::pipeline::quarantine::features::Features;
 use jujube_core::pipeline::quarantine::run::End;
@@ -23,8 +24,6 @@
 
 use crate::state::State;
 
-/// The prefix of the keys of requests in quarantine; the digest follows.
-pub(crate) const KEY_PREFIX: &str = "jujube/quarantine/";
 /// How long an entry leaves the write to the one that quarantined a request. By then every entry
 /// that reaches the store has received the change.
 const OTHERS_DELAY: Span = Span(6_000);
@@ -36,7 +35,7 @@
 const STORE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 fn key(digest: Digest) -> String {
-    format!("{KEY_PREFIX}{digest}")
+    Key::Quarantine(digest).to_string()
 }
 
 /// Returns the cause of a refusal, for logs.
@@ -45,7 +44,10 @@
 }
 
 fn parse_key(key: &str) -> Option<Digest> {
-    key.strip_prefix(KEY_PREFIX)?.parse().ok()
+    match key.parse() {
+        Ok(Key::Quarantine(digest)) => Some(digest),
+        _ => None,
+    }
 }
 
 fn jitter() -> Span {
--- a/crates/front/src/restore.rs
+++ b/crates/front/src/restore.rs
@@ -1,6 +1,7 @@
 //! Recovery after the store was restored from an older backup.
 
 use jujube_core::pipeline::era::Era;
+use jujube_core::pipeline::key::Key;
 use jujube_core::revision::Revision;
 use jujube_program::clock;
 use jujube_store::kv::Change;
@@ -8,19 +9,8 @@
 use jujube_store::kv::Feed;
 use jujube_store::kv::Write;
 
-use crate::slack;
 use crate::state::State;
 
-/// The prefix of the keys that mark eras; the era's number follows.
-const ERA_PREFIX: &str = "jujube/era/";
-/// The suffix of the key that accompanies a mark while pieces held in an earlier era may still be
-/// in use.
-const SETTLING_SUFFIX: &str = "/settling";
-
-fn mark_key(era: Era) -> String {
-    format!("{ERA_PREFIX}{era}")
-}
-
 /// Handles a restore of the store, which starts a later era.
 ///
 /// The configuration in force stays, since an older version is never applied. Registrations are
@@ -42,21 +32,12 @@
 
 /// Records whether an era is marked and settling, if a change says so.
 pub fn apply_mark<D>(state: &State<D>, change: &Change) {
-    let Some(rest) = change.key.strip_prefix(ERA_PREFIX) else {
-        return;
-    };
-    let (number, is_settling) = match rest.strip_suffix(SETTLING_SUFFIX) {
-        Some(number) => (number, true),
-        None => (rest, false),
-    };
-    let Ok(era) = number.parse() else {
-        return;
-    };
     let mut settling = state.settling.get();
     let exists = change.value.is_some();
-    match is_settling {
-        true => settling.set_held(era, exists),
-        false => settling.set_marked(era, exists),
+    match change.key.parse() {
+        Ok(Key::Settling(era)) => settling.set_held(era, exists),
+        Ok(Key::Mark(era)) => settling.set_marked(era, exists),
+        _ => return,
     }
     state.settling.set(settling);
 }
@@ -86,7 +67,8 @@
 /// Returns whether a snapshot contains a mark of an era or a held piece.
 pub fn shows_earlier_era(changes: &[Change]) -> bool {
     let is_earlier = |change: &Change| {
-        change.key.starts_with(ERA_PREFIX) || slack::parse_key(&change.key).is_some()
+        let key = change.key.parse();
+        matches!(key, Ok(Key::Mark(_) | Key::Settling(_) | Key::Piece(..)))
     };
     changes.iter().any(is_earlier)
 }
@@ -99,7 +81,7 @@
     let Some(era) = store.era().filter(|_| state.settling.get().lacks_mark()) else {
         return;
     };
-    let key = mark_key(era);
+    let key = Key::Mark(era).to_string();
     let conditions = [Condition {
         key: key.clone(),
         revision: Revision::default(),
@@ -115,7 +97,7 @@
             Err(error) => return log_failure(era, &error.to_string()),
         };
         writes.push(Write::Put {
-            key: format!("{key}{SETTLING_SUFFIX}"),
+            key: Key::Settling(era).to_string(),
             value: state.settings.name.to_string(),
             lease: Some(lease),
         });
--- a/crates/front/src/retries.rs
+++ b/crates/front/src/retries.rs
@@ -104,7 +104,8 @@
     pub fn pieces(&self) -> u64 {
         let reserve = self.reserve.borrow();
         let services = self.services();
-        services.iter().map(|service| reserve.held(service)).sum()
+        let held = |service: &Service| reserve.held(&service.into());
+        services.iter().map(held).sum()
     }
 
     /// Returns the services that have received requests and are not forgotten.
@@ -141,7 +142,7 @@
         let now = clock::now();
         let policy = self.policy.get();
         let reserve = self.reserve.borrow();
-        let share = reserve.share(now, service, policy.slack);
+        let share = reserve.share(now, &service.into(), policy.slack);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
         let balance = budget.balance(now, &policy, share);
@@ -156,7 +157,7 @@
         });
         let decision = Decision {
             balance,
-            pieces: reserve.held(service),
+            pieces: reserve.held(&service.into()),
             is_trusted: reserve.is_trusted(now),
         };
         (retry, decision)
--- a/crates/front/src/slack.rs
+++ b/crates/front/src/slack.rs
@@ -5,6 +5,8 @@
 
 use jujube_core::name::Service;
 use jujube_core::pipeline::document::Table;
+use jujube_core::pipeline::key::Key;
+use jujube_core::pipeline::key::Segment;
 use jujube_core::pipeline::reserve;
 use jujube_core::pipeline::reserve::LeaseId;
 use jujube_core::pipeline::reserve::Piece;
@@ -20,8 +22,6 @@
 use crate::restore;
 use crate::state::State;
 
-/// The prefix of the keys of pieces; the service and the piece's number follow.
-pub(crate) const KEY_PREFIX: &str = "jujube/slack/";
 /// The most pieces per transaction, which takes 32 rows: each piece needs a condition and a write.
 const MAX_PIECES_PER_CALL: usize = 12;
 /// How often pieces are checked when nothing asks for any.
@@ -34,13 +34,15 @@
 const ACQUIRE_PAUSE: Duration = Duration::from_millis(40);
 
 /// Returns the service and the piece that a key belongs to.
-pub fn parse_key(key: &str) -> Option<(Service, Piece)> {
-    let (service, piece) = key.strip_prefix(KEY_PREFIX)?.rsplit_once('/')?;
-    Some((service.into(), piece.parse().ok()?))
+pub fn parse_key(key: &str) -> Option<(Segment, Piece)> {
+    match key.parse() {
+        Ok(Key::Piece(service, piece)) => Some((service, piece)),
+        _ => None,
+    }
 }
 
 fn key(service: &Service, piece: Piece) -> String {
-    format!("{KEY_PREFIX}{service}/{piece}")
+    Key::Piece(service.into(), piece).to_string()
 }
 
 /// Returns the holder of a piece. A value that cannot be parsed counts as held by another writer,
@@ -91,7 +93,7 @@
 /// Returns the pieces of a service that is gone, some in each call, and forgets it once none is left.
 async fn return_all<D, F: Feed>(state: &State<D>, store: &F, service: &Service) {
     let pieces = give_back(state, service, 0);
-    if state.retries.reserve.borrow().held(service) == 0 {
+    if state.retries.reserve.borrow().held(&service.into()) == 0 {
         state.retries.forget(service);
     }
     delete(state, store, service, pieces).await;
@@ -100,13 +102,13 @@
 /// Removes pieces beyond `kept` from use, as many as one call returns.
 fn give_back<D>(state: &State<D>, service: &Service, kept: u64) -> Vec<(Piece, Revision)> {
     let mut reserve = state.retries.reserve.borrow_mut();
-    reserve.give_back(service, kept, MAX_PIECES_PER_CALL)
+    reserve.give_back(&service.into(), kept, MAX_PIECES_PER_CALL)
 }
 
 /// Returns how many more pieces of a service are needed.
 fn shortfall<D>(state: &State<D>, service: &Service) -> usize {
     let entries = state.peers.count();
-    let held = state.retries.reserve.borrow().held(service);
+    let held = state.retries.reserve.borrow().held(&service.into());
     let needed = state.retries.take_demand(service) as f64;
     let retries_per_piece = reserve::retries_per_piece(state.retries.policy().slack);
     let needed = if retries_per_piece > 0.0 {
@@ -129,7 +131,7 @@
     else {
         return false;
     };
-    let mut free = state.retries.reserve.borrow().free(service);
+    let mut free = state.retries.reserve.borrow().free(&service.into());
     let count = shortfall.min(free.len());
     if count == 0 {
         return false;
@@ -151,13 +153,13 @@
     let outcome = match store.swap(&conditions, &writes).await {
         Ok(true) => {
             let mut reserve = state.retries.reserve.borrow_mut();
-            reserve.took(lease_id, service, pieces);
+            reserve.took(lease_id, &service.into(), pieces);
             "taken".into()
         }
         Ok(false) => "met".into(),
         Err(error) => error.to_string().replace(' ', "-"),
     };
-    let held = state.retries.reserve.borrow().held(service);
+    let held = state.retries.reserve.borrow().held(&service.into());
     log::info!("event=slack service={service} asked={count} held={held} outcome={outcome}");
     state.retries.changed.notify_one();
     true
@@ -202,8 +204,8 @@
     let rest = reserve::idle_pieces(state.peers.count());
     let kept = reserve::retries_per_piece(state.retries.policy().slack) * rest as f64;
     let reserve = state.retries.reserve.borrow();
-    let is_needed = reserve.free(service).len() < reserve::MIN_FREE_PIECES;
-    let is_over = reserve.held(service) > rest;
+    let is_needed = reserve.free(&service.into()).len() < reserve::MIN_FREE_PIECES;
+    let is_over = reserve.held(&service.into()) > rest;
     if !is_needed || !is_over || !state.retries.can_return(service, kept) {
         return Vec::new();
     }
