Send health checks to paths as they can be sent

Where two registrations name one address, the servers of a service with a HealthPath such as '/health check', 'healthz' or '/a"b<c>' were never asked who they are: the path is no URI, so the check was not even sent, and the server that was displaced stayed without requests.

HealthPath is made once, from the configuration: what cannot stand in a target is escaped, a slash is put in front where there is none; escapes of the operator's stay.

--- a/crates/core/src/pipeline/document.rs
+++ b/crates/core/src/pipeline/document.rs
@@ -2,8 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 
+use percent_encoding::AsciiSet;
+use percent_encoding::CONTROLS;
+use percent_encoding::utf8_percent_encode;
+
 use crate::name::Customer;
 use crate::name::Service;
 use crate::number::numbers;
@@ -104,13 +109,61 @@
     }
 }
 
+/// What cannot stand in the target of a request. An escape of the configured path stays as it is.
+const ESCAPED: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'#')
+    .add(b'<')
+    .add(b'>')
+    .add(b'\\')
+    .add(b'^')
+    .add(b'`')
+    .add(b'{')
+    .add(b'|')
+    .add(b'}');
+
+/// The path and query of health checks, as they can be sent.
+///
+/// # Examples
+///
+/// ```
+/// # use jujube_core::pipeline::document::HealthPath;
+/// assert_eq!(HealthPath::from("/healthz?a=%20").to_string(), "/healthz?a=%20");
+/// assert_eq!(HealthPath::from("health check").to_string(), "/health%20check");
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HealthPath(Arc<str>);
+
+impl HealthPath {
+    /// Returns the path and query.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for HealthPath {
+    fn from(text: &str) -> Self {
+        let start = if text.starts_with('/') { "" } else { "/" };
+        let rest = utf8_percent_encode(text, ESCAPED);
+        Self(format!("{start}{rest}").into())
+    }
+}
+
+impl fmt::Display for HealthPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// The configuration of a service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Backend {
     /// The maximum number of connections that a backend server accepts from all callers.
     pub connections: u64,
-    /// The path of its backend servers' health checks; empty if unknown.
-    pub health_path: Arc<str>,
+    /// The path of its backend servers' health checks, if known.
+    pub health_path: Option<HealthPath>,
     /// The model, if the service runs one that is split by layers.
     pub model: Option<Arc<Model>>,
 }
--- a/crates/front/src/strangers.rs
+++ b/crates/front/src/strangers.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -10,6 +9,7 @@
 use hyper::StatusCode;
 use hyper::header::HOST;
 use jujube_core::pipeline::carried::Exchange;
+use jujube_core::pipeline::document::HealthPath;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
 
@@ -162,21 +162,21 @@
 }
 
 /// Returns the address of a server and the path of its health checks.
-fn place<D>(state: &State<D>, server: &Incarnation) -> Option<(SocketAddr, Arc<str>)> {
+fn place<D>(state: &State<D>, server: &Incarnation) -> Option<(SocketAddr, HealthPath)> {
     let (table, roster) = (state.table()?, state.roster.borrow());
     let server = roster.get(server)?;
     let backend = table.document.services.get(&server.service)?;
-    Some((server.address, backend.health_path.clone()))
+    Some((server.address, backend.health_path.clone()?))
 }
 
 async fn request_identity<D: Dialect>(
     state: &State<D>,
     server: &Incarnation,
     address: SocketAddr,
-    path: &str,
+    path: &HealthPath,
 ) -> anyhow::Result<Identity> {
     let name = &*server.server.0;
-    let request = Request::get(path)
+    let request = Request::get(path.as_str())
         .header(HOST, address.to_string())
         .header(D::NAMES.expected_server, name)
         .body(Blocks::default())?;
