Serve no request whose customer cannot be told to its server

A request of a customer whose name has a line end or another control character was run without the header that names the customer; one with a blank at an end was run as that of the name without it, which may be another customer's ('crew ' as 'crew'): a header that could not be written was left out without a word.

head::value returns a text as a header's value only if its reader takes it for the same text; nothing sets a header from text in another way. Such a customer's requests get 503 (reason unsendable-customer) and are sent to nobody; a server or path that could not be written counts as not sent.

--- a/crates/front/src/head.rs
+++ b/crates/front/src/head.rs
@@ -83,11 +83,23 @@
     }
 }
 
-/// Sets a header; a value that is not valid in a header is left out.
-pub fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
-    if let Ok(value) = HeaderValue::from_str(text) {
-        headers.insert(name, value);
+/// A text that no header can have as its value.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("a text that no header can have as its value")]
+pub struct Unsendable;
+
+/// Returns a text as the value of a header, which its reader takes for the same text.
+///
+/// # Errors
+///
+/// The text has a line end or another control character, or a blank at one of its ends, which readers
+/// drop.
+pub fn value(text: &str) -> Result<HeaderValue, Unsendable> {
+    const BLANKS: [char; 2] = [' ', '\t'];
+    if text.starts_with(BLANKS) || text.ends_with(BLANKS) {
+        return Err(Unsendable);
     }
+    HeaderValue::from_str(text).map_err(|_| Unsendable)
 }
 
 /// Returns a header's value if it is text.
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -247,6 +247,10 @@
     let route = table.route(host, request.uri().path()).cloned();
     let route = route.ok_or(Reason::NoRoute)?;
     let account = authenticate::<D>(&table, &request, &route)?;
+    let named = account
+        .as_ref()
+        .map(|account| head::value(&account.customer.0));
+    let named = named.transpose().map_err(|_| Reason::UnsendableCustomer)?;
     let service = route
         .pick_target(rand::random())
         .ok_or(Reason::NoServer)?
@@ -276,8 +280,8 @@
     let mut headers = parts.headers;
     head::strip(&mut headers);
     head::remove_reserved::<D>(&mut headers);
-    if let Some(account) = &account {
-        head::set(&mut headers, D::NAMES.customer, &account.customer.0);
+    if let Some(named) = named {
+        headers.insert(D::NAMES.customer, named);
     }
     let priority = account.as_ref().and_then(|account| account.priority);
     Ok(Admitted {
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -25,6 +25,8 @@
     NoRoute,
     /// The key is unknown, or there is none.
     NoKey,
+    /// The name of the customer cannot be told to a backend server.
+    UnsendableCustomer,
     /// The request body exceeds the limit.
     TooLarge,
     /// Reading the request body timed out.
@@ -74,6 +76,7 @@
             Self::BrokenBody | Self::Malformed => StatusCode::BAD_REQUEST,
             Self::Starting
             | Self::Stopping
+            | Self::UnsendableCustomer
             | Self::OutOfMemory
             | Self::NoServer
             | Self::Refused
@@ -93,6 +96,7 @@
             Self::Interrupted => "interrupted",
             Self::NoRoute => "no-route",
             Self::NoKey => "no-key",
+            Self::UnsendableCustomer => "unsendable-customer",
             Self::TooLarge => "too-large",
             Self::SlowBody => "slow-body",
             Self::BrokenBody => "broken-body",
--- a/crates/front/src/stream/send.rs
+++ b/crates/front/src/stream/send.rs
@@ -93,6 +93,10 @@
     let Some(first) = path.first().cloned() else {
         return Sent::Ended(Err(Failure::NotSent("path is empty".into())));
     };
+    let written = match head::value(&D::path(&path)) {
+        Ok(written) => written,
+        Err(error) => return Sent::Ended(Err(Failure::NotSent(error.to_string()))),
+    };
     let now = clock::now();
     stream.last_activity.set(now);
     stream.run_sent.set(now);
@@ -100,10 +104,10 @@
     let mut outgoing = stream.outgoing.clone();
     let left = stream.deadline.since(now);
     let headers = &mut outgoing.headers;
-    head::set(headers, D::NAMES.deadline, &left.to_string());
-    head::set(headers, D::NAMES.path, &D::path(&path));
+    headers.insert(D::NAMES.deadline, left.0.into());
+    headers.insert(D::NAMES.path, written);
     if let Some(last) = last {
-        head::set(headers, LAST_EVENT, &last.to_string());
+        headers.insert(LAST_EVENT, last.into());
     }
     let version = state.table().map_or(0, |table| table.document.version.0);
     log::info!(
--- a/crates/front/src/unary/attempt.rs
+++ b/crates/front/src/unary/attempt.rs
@@ -14,7 +14,6 @@
 use crate::dialect::Dialect;
 use crate::framing;
 use crate::gate;
-use crate::head;
 use crate::request::Admitted;
 use crate::state::State;
 use crate::upstream;
@@ -47,7 +46,8 @@
     let mut outgoing = request.outgoing.clone();
     let sent_at = clock::now();
     let left = request.deadline.since(sent_at);
-    head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
+    let headers = &mut outgoing.headers;
+    headers.insert(D::NAMES.deadline, left.0.into());
     log::info!(
         "event=sent request={} {} server={} in_flight={} {} left_ms={left}",
         request.id,
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -18,6 +18,7 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use jujube_core::pipeline::carried::Exchange;
 use jujube_core::pipeline::framing::Framing;
 use jujube_core::pipeline::memory::Cause;
@@ -147,13 +148,15 @@
     let pool = &state.pool;
     let id = head::text(&outgoing.headers, &D::NAMES.request);
     let exchange = || id.map_or(Exchange::Unnamed, |id| Exchange::Request(id.into()));
+    let expected = head::value(&server.server.0);
+    let expected = expected.map_err(|error| Failure::NotSent(error.to_string()))?;
     let mut lease = leased(pool.lease(server, address, exchange()).await)?;
     loop {
         if gate::is_unwanted(state, server, features) {
             lease.release(&HeaderMap::new());
             return Err(Failure::Unwanted);
         }
-        let mut request = build_request::<D>(server, outgoing);
+        let mut request = build_request::<D>(&expected, outgoing);
         let announced = Announcements::watch(&mut request);
         let is_reused = lease.is_reused;
         let sent_at = clock::now();
@@ -209,16 +212,13 @@
     lease.map_err(|error| Failure::NotSent(error.to_string()))
 }
 
-fn build_request<D: Dialect>(server: &Incarnation, outgoing: &Outgoing) -> Request<Blocks> {
+fn build_request<D: Dialect>(expected: &HeaderValue, outgoing: &Outgoing) -> Request<Blocks> {
     let mut request = Request::new(outgoing.body.clone());
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     *request.headers_mut() = outgoing.headers.clone();
-    head::set(
-        request.headers_mut(),
-        D::NAMES.expected_server,
-        &server.server.0,
-    );
+    let headers = request.headers_mut();
+    headers.insert(D::NAMES.expected_server, expected.clone());
     request
 }
 
