--- a/crates/front/src/reason.rs
+++ b/crates/front/src/reason.rs
@@ -17,6 +17,8 @@
     NoRoute,
     /// The key is unknown, or there is none.
     NoKey,
+    /// The name of the customer cannot be told to a backend server.
+    UnsendableCustomer,
     /// The request body exceeds the limit.
     TooLarge,
     /// Reading the request body timed out.
@@ -50,12 +52,13 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Starting,
         Self::Stopping,
         Self::Interrupted,
         Self::NoRoute,
         Self::NoKey,
+        Self::UnsendableCustomer,
         Self::TooLarge,
         Self::SlowBody,
         Self::BrokenBody,
@@ -81,6 +84,7 @@
             Self::BrokenBody | Self::Malformed => StatusCode::BAD_REQUEST,
             Self::Starting
             | Self::Stopping
+            | Self::UnsendableCustomer
             | Self::OutOfMemory
             | Self::NoServer
             | Self::Refused
@@ -100,6 +104,7 @@
             Self::Interrupted => "interrupted",
             Self::NoRoute => "no-route",
             Self::NoKey => "no-key",
+            Self::UnsendableCustomer => "unsendable-customer",
             Self::TooLarge => "too-large",
             Self::SlowBody => "slow-body",
             Self::BrokenBody => "broken-body",
