--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,3 +34,4 @@
 pub mod subset;
 pub mod time;
 pub mod verdict;
+pub mod word;
--- a/crates/core/src/pipeline/quarantine/features.rs
+++ b/crates/core/src/pipeline/quarantine/features.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::pipeline::digest::Digest;
+use crate::word::Fields;
 
 /// The most parts of a prompt that are looked at, the first ones; callers send some two to four.
 pub const MAX_PARTS: usize = 64;
@@ -61,6 +62,8 @@
     }
 }
 
+impl Fields for Features {}
+
 /// The digests for logs, that of the request first.
 impl fmt::Display for Features {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -15,6 +15,8 @@
 use ini::Properties;
 
 use crate::time::Span;
+use crate::word::Fields;
+use crate::word::Word;
 
 /// An error in an INI text.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -95,14 +97,16 @@
     }
 }
 
+impl Fields for Replacement {}
+
 /// Returns a text as one short word of a log line.
 fn word(text: &str) -> Arc<str> {
     const NOTHING: &str = "none";
-    let text = shorten(text).replace(char::is_whitespace, "-");
+    let text = shorten(text);
     if text.is_empty() {
         return NOTHING.into();
     }
-    text.into()
+    Word(text).to_string().into()
 }
 
 /// What is wrong in a section, and what the program can use in its place.
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -19,6 +19,7 @@
 use jujube_core::path::Table;
 use jujube_core::time::Instant;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_program::shutdown::Signal;
 use jujube_wire::connection::Error;
 use jujube_wire::connection::Peer;
@@ -110,12 +111,12 @@
         let generation = config.head.generation;
         match self.board.apply(config) {
             Ok(()) => {
-                log::info!("event=config generation={generation}");
+                event!(Info, "config", generation);
                 self.state.counters.add("configs_applied", 1);
                 self.changed = true;
                 self.forget_unnamed();
             }
-            Err(error) => log::debug!("event=config-refused error=\"{error}\""),
+            Err(error) => event!(Debug, "config-refused", error),
         }
     }
 
@@ -144,7 +145,7 @@
                 let generation = answer.generation;
                 let beat = Heartbeat::from(answer);
                 if self.board.membership.record_heartbeat(now, &server, beat) {
-                    log::info!("event=sidecar-restarted server={server}");
+                    event!(Info, "sidecar-restarted", server);
                     self.state.tell_all_down(&server);
                     self.changed = true;
                 }
@@ -241,7 +242,7 @@
                 continue;
             }
             self.changed = true;
-            log::info!("event=member server={server} state={is:?}");
+            event!(Info, "member", server, state = format_args!("{is:?}"));
             if is == membership::State::Down && was.is_some() {
                 self.state.counters.add("members_down", 1);
                 self.state.tell_all_down(&server);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use anyhow::Result;
 use jujube_program::counters::Counters;
+use jujube_program::event;
 use jujube_program::http;
 use jujube_program::listen::wait_to_listen;
 use jujube_program::shutdown;
@@ -67,7 +68,7 @@
     tokio::spawn(http::serve(web, stop.clone(), on_request));
 
     shutdown::on_control_thread(control::run(state.clone(), stop))?;
-    log::info!("event=started address={address} peer={peer}");
+    event!(Info, "started", address, peer);
     Ok(Handle {
         address,
         peer,
@@ -79,7 +80,7 @@
 impl Handle {
     /// Turns new requests away, waits for those in flight, and stops.
     pub async fn drain(&self) {
-        log::info!("event=draining address={}", self.address);
+        event!(Info, "draining", address = self.address);
         self.state.draining.store(true, Ordering::Relaxed);
         tokio::time::sleep(self.state.settings.notice).await;
         let idle = async {
@@ -91,11 +92,11 @@
             .await
             .is_err()
         {
-            log::warn!("event=drain-cut address={}", self.address);
+            event!(Warn, "drain-cut", address = self.address);
         }
         tokio::time::sleep(LINGER).await;
         self.stop();
-        log::info!("event=stopped address={}", self.address);
+        event!(Info, "stopped", address = self.address);
     }
 
     /// Stops at once, as a crash would.
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -17,6 +17,7 @@
 use jujube_core::pipeline::departure::Departure;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_program::logs;
 use jujube_program::shutdown;
 use jujube_program::shutdown::Signal;
@@ -95,15 +96,16 @@
 }
 
 async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F, mut termination: Termination) {
-    log::info!(
-        "event=starting name={} zone={} listen={} ready={} metrics={} gossip={} gossip_last_port={}",
-        settings.name,
-        settings.zone,
-        settings.listen,
-        settings.ready,
-        settings.metrics,
-        settings.gossip,
-        settings.gossip_last_port
+    event!(
+        Info,
+        "starting",
+        name = settings.name,
+        zone = settings.zone,
+        listen = settings.listen,
+        ready = settings.ready,
+        metrics = settings.metrics,
+        gossip = settings.gossip,
+        gossip_last_port = settings.gossip_last_port
     );
     let state = Rc::new(State::<D>::new(settings));
     for replaced in &state.settings.replaced {
@@ -111,7 +113,7 @@
     }
     if state.settings.memory.is_none() {
         let capacity = state.memory.capacity();
-        log::warn!("event=memory-unknown capacity={capacity}");
+        event!(Warn, "memory-unknown", capacity);
     }
     let (trigger, closing) = shutdown::pair();
     let callers = sockets::serve_callers(state.clone(), closing);
@@ -122,13 +124,13 @@
         () = termination.requested() => {}
         ((), ()) = join(callers, readiness) => termination.requested().await,
     }
-    log::info!("event=stopping in_flight={}", state.in_flight.get());
+    event!(Info, "stopping", in_flight = state.in_flight.get());
     if state.lifecycle.get() == Lifecycle::Starting {
         return;
     }
     state.enter(Lifecycle::Draining);
     drain(&state, &trigger).await;
-    log::info!("event=stopped in_flight={}", state.in_flight.get());
+    event!(Info, "stopped", in_flight = state.in_flight.get());
 }
 
 /// Keeps the tasks that need no socket of their own.
@@ -196,7 +198,7 @@
         }
     };
     tokio::select! {
-        () = timeout => log::warn!("event=stop-cut in_flight={}", state.in_flight.get()),
+        () = timeout => event!(Warn, "stop-cut", in_flight = state.in_flight.get()),
         () = drained => {}
     }
 }
@@ -225,7 +227,7 @@
         return turn_away::run(stream, state.metrics.clone()).await;
     };
     state.metrics.count("callers_displaced");
-    log::info!("event=displaced what=connection-at-rest");
+    event!(Info, "displaced", what = "connection-at-rest");
     connection(state, stream, place, closing).await;
 }
 
--- a/crates/front/src/delivery/mod.rs
+++ b/crates/front/src/delivery/mod.rs
@@ -15,6 +15,7 @@
 
 use jujube_core::time::Instant;
 use jujube_program::clock;
+use jujube_program::event;
 use tokio::task::AbortHandle;
 
 use crate::memory::Evicted;
@@ -159,7 +160,13 @@
         self.metrics.count("callers_evicted");
         let request = self.request.borrow();
         let Evicted { idle, held } = evicted;
-        log::info!("event=caller-evicted request={request} idle_ms={idle} bytes={held}");
+        event!(
+            Info,
+            "caller-evicted",
+            request,
+            idle_ms = idle,
+            bytes = held
+        );
         if let Some(blocked) = self.blocked.take() {
             blocked.wake();
         }
@@ -223,7 +230,7 @@
         self.metrics.count("callers_disconnected");
         let request = self.request.borrow();
         let bytes = self.written.get();
-        log::info!("event=caller-disconnected request={request} idle_ms={idle} bytes={bytes}");
+        event!(Info, "caller-disconnected", request, idle_ms = idle, bytes);
     }
 }
 
--- a/crates/front/src/delivery/outbound.rs
+++ b/crates/front/src/delivery/outbound.rs
@@ -6,6 +6,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::metrics::Metrics;
 use crate::request::Guard;
@@ -54,16 +55,22 @@
             }) => {
                 metrics.count("streams_completed");
                 metrics.observe("stream", elapsed);
-                log::info!(
-                    "event=streamed request={request} events={events} took_ms={elapsed} \
-                     first_ms={first_event_after} longest_pause_ms={longest_gap} runs={runs} \
-                     repairs={repairs}"
+                event!(
+                    Info,
+                    "streamed",
+                    request,
+                    events,
+                    took_ms = elapsed,
+                    first_ms = first_event_after,
+                    longest_pause_ms = longest_gap,
+                    runs,
+                    repairs
                 );
             }
             Some(Completion::Answered { status }) => {
                 metrics.count("requests_answered");
                 metrics.observe("answer", elapsed);
-                log::info!("event=answered request={request} status={status} took_ms={elapsed}");
+                event!(Info, "answered", request, status, took_ms = elapsed);
             }
             None => {}
         }
@@ -71,12 +78,13 @@
 
     pub(super) fn record_undelivered(self, delivery: &Delivery) {
         delivery.metrics.count("responses_undelivered");
-        log::info!(
-            "event=undelivered request={} bytes={} cause={} is_complete={}",
-            self.request,
-            delivery.written.get() - self.written_before,
-            delivery.end.get(),
-            self.completion.is_some()
+        event!(
+            Info,
+            "undelivered",
+            request = self.request,
+            bytes = delivery.written.get() - self.written_before,
+            cause = delivery.end.get(),
+            is_complete = self.completion.is_some()
         );
     }
 }
--- a/crates/front/src/feed/mod.rs
+++ b/crates/front/src/feed/mod.rs
@@ -24,6 +24,8 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::word::Fields;
+use jujube_program::word::Word;
 use jujube_store::kv::Change;
 use jujube_store::kv::Revision;
 use jujube_store::kv::Value;
@@ -101,11 +103,14 @@
     pub source: Arc<str>,
 }
 
+impl Fields for View {}
+
 impl fmt::Display for View {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
             revision, source, ..
         } = self;
+        let source = Word(source);
         match self.age {
             Some(age) => write!(f, "known={revision} known_age_ms={age} known_from={source}"),
             None => write!(f, "known={revision} known_age_ms=- known_from={source}"),
--- a/crates/front/src/feed/serve.rs
+++ b/crates/front/src/feed/serve.rs
@@ -8,6 +8,7 @@
 use jujube_core::pipeline::feed::replica::Missing;
 use jujube_core::revision::Revision;
 use jujube_program::clock;
+use jujube_program::event;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -52,8 +53,7 @@
                 && !matches!(error, Error::Io(_))
             {
                 metrics.count("feed_questions_refused");
-                let cause = error.to_string().replace(' ', "-");
-                log::info!("event=feed-question-refused address={address} cause={cause}");
+                event!(Info, "feed-question-refused", address, cause = error);
             }
             drop(place);
         });
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -11,6 +11,7 @@
 use jujube_core::pipeline::document::Table;
 use jujube_core::pipeline::roster::Roster;
 use jujube_core::time::Instant;
+use jujube_program::event;
 
 use crate::metrics::Metrics;
 
@@ -66,7 +67,7 @@
             let since = previous.map_or(now, |gap| gap.since);
             let duration = now.since(since);
             if layers.is_empty() {
-                log::info!("event=layers-whole service={service} after_ms={duration}");
+                event!(Info, "layers-whole", service, after_ms = duration);
                 gaps.remove(service);
                 continue;
             }
@@ -74,10 +75,13 @@
                 metrics.count("layer_gaps");
             }
             let missing: Vec<String> = layers.iter().map(Range::to_string).collect();
-            log::warn!(
-                "event=layers-missing service={service} layers={} servers={} since_ms={duration}",
-                missing.join(","),
-                fleet.candidates.len()
+            event!(
+                Warn,
+                "layers-missing",
+                service,
+                layers = [missing.join(",")],
+                servers = fleet.candidates.len(),
+                since_ms = duration
             );
             gaps.insert(service.clone(), Gap { layers, since });
         }
--- a/crates/front/src/framing.rs
+++ b/crates/front/src/framing.rs
@@ -5,6 +5,7 @@
 use jujube_core::pipeline::framing::Framing;
 use jujube_core::pipeline::framing::Sender;
 use jujube_core::pipeline::framing::Unproven;
+use jujube_program::event;
 
 use crate::state::State;
 
@@ -31,9 +32,7 @@
         let Sender { service, server } = sender;
         let server = server.map_or("-".into(), ToString::to_string);
         state.metrics.count("responses_unproven");
-        log::warn!(
-            "event=unproven request={request} server={server} service={service} cause={cause}"
-        );
+        event!(Warn, "unproven", request, server, service, cause);
     }
     checked
 }
--- a/crates/front/src/gate.rs
+++ b/crates/front/src/gate.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::limits;
 use crate::state::State;
@@ -53,7 +54,14 @@
         .borrow_mut()
         .rests
         .asked(clock::now(), server, rest);
-    log::info!("event=rest-asked server={server} request={request} for_ms={rest} source=path");
+    event!(
+        Info,
+        "rest-asked",
+        server,
+        request,
+        for_ms = rest,
+        source = "path"
+    );
 }
 
 /// Records a request that is being sent to a server.
--- a/crates/front/src/gossip/announce.rs
+++ b/crates/front/src/gossip/announce.rs
@@ -11,6 +11,7 @@
 use jujube_core::revision::Revision;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Condition;
 use jujube_store::kv::Error;
 use jujube_store::kv::Feed;
@@ -39,7 +40,7 @@
     loop {
         match write_announcement(&state, &store).await {
             Ok(Some(lease)) => renew(&state, &store, lease).await,
-            Ok(None) => log::info!("event=not-announced cause=written-by-another"),
+            Ok(None) => event!(Info, "not-announced", cause = "written-by-another"),
             Err(error) => cancel_watch(&state, "not-announced", &error),
         }
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -99,7 +100,7 @@
         .reserve
         .borrow_mut()
         .begun(lease_id, started_at);
-    log::info!("event=announced lease={lease_id} revision={written}");
+    event!(Info, "announced", lease = lease_id, revision = written);
     Ok(Some(lease))
 }
 
@@ -152,7 +153,7 @@
     reserve.expire(clock::now());
     let is_held = reserve.lease_id() == Some(LeaseId(lease.0.unsigned_abs()));
     if !is_held {
-        log::info!("event=announcement-lost");
+        event!(Info, "announcement-lost");
     }
     is_held
 }
@@ -173,6 +174,5 @@
     if !matches!(error, Error::Busy(_)) {
         state.store_call_failed.notify_waiters();
     }
-    let cause = error.to_string().replace(' ', "-");
-    log::info!("event={event} cause={cause}");
+    event!(Info, event, cause = error);
 }
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -23,6 +23,7 @@
 use jujube_core::pipeline::turn::Turn;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use tokio::net::UdpSocket;
 
 use crate::dialect::Dialect;
@@ -80,7 +81,7 @@
         sent_at = clock::now();
         aggregate(&state);
         for server in state.outliers.borrow_mut().evaluate(sent_at) {
-            log::info!("event=outlier server={server}");
+            event!(Info, "outlier", server);
         }
         let neighbours = state.peers.directory.borrow().neighbours();
         send(
--- a/crates/front/src/limits.rs
+++ b/crates/front/src/limits.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::summary::Summary;
 use jujube_core::time::Instant;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::dialect::Dialect;
 use crate::head;
@@ -97,9 +98,9 @@
     match load.limits.get(server) {
         Some((rate, _)) => {
             state.metrics.count("limits_named");
-            log::info!("event=limit server={server} per_second={rate} source={source}");
+            event!(Info, "limit", server, per_second = rate, source);
         }
-        None => log::info!("event=limit-ended server={server} source={source}"),
+        None => event!(Info, "limit-ended", server, source),
     }
 }
 
@@ -111,7 +112,12 @@
     };
     let share = load.limits.share(clock::now(), server);
     state.metrics.count("requests_within_limits");
-    log::info!(
-        "event=sent-within-limit request={request} server={server} per_second={rate} share={share:.2}"
+    event!(
+        Info,
+        "sent-within-limit",
+        request,
+        server,
+        per_second = rate,
+        share = format_args!("{share:.2}")
     );
 }
--- a/crates/front/src/malformed.rs
+++ b/crates/front/src/malformed.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use jujube_program::word::Word;
+use jujube_program::event;
 use jujube_store::kv::Change;
 use jujube_store::kv::Revision;
 
@@ -29,11 +29,12 @@
             logged.clear();
         }
         logged.insert(change.key.clone(), change.revision);
-        log::error!(
-            "event=malformed key={} revision={} cause={}",
-            Word(&change.key),
-            change.revision,
-            Word(format_args!("{error:#}"))
+        event!(
+            Error,
+            "malformed",
+            key = change.key,
+            revision = change.revision,
+            cause = format_args!("{error:#}")
         );
     }
 }
--- a/crates/front/src/notices.rs
+++ b/crates/front/src/notices.rs
@@ -8,6 +8,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::dialect::Dialect;
 use crate::head;
@@ -32,13 +33,13 @@
     let mut load = state.load.borrow_mut();
     let Some(rest) = rest(state, response.status(), response.headers()) else {
         if load.rests.answered(sent, server) {
-            log::info!("event=rest-over server={server} request={request}");
+            event!(Info, "rest-over", server, request);
         }
         return None;
     };
     load.rests.asked(clock::now(), server, rest);
     state.metrics.count("rests_asked");
-    log::info!("event=rest-asked server={server} request={request} for_ms={rest}");
+    event!(Info, "rest-asked", server, request, for_ms = rest);
     Some(rest)
 }
 
--- a/crates/front/src/planner/checks.rs
+++ b/crates/front/src/planner/checks.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Feed;
 
 use crate::dialect::Dialect;
@@ -59,12 +60,15 @@
             };
             let held = report.held.unwrap_or_default();
             if report.busy || report.kv_used > 0.0 {
-                log::info!(
-                    "event=found server={server} held={held} busy={} taken={} tokens={:.0} requests={}",
-                    report.busy,
-                    report.orders,
-                    report.kv_used / f64::from(held.len().max(1)),
-                    self.state.load.borrow().requests(&server)
+                event!(
+                    Info,
+                    "found",
+                    server,
+                    held,
+                    busy = report.busy,
+                    taken = report.orders,
+                    tokens = format_args!("{:.0}", report.kv_used / f64::from(held.len().max(1))),
+                    requests = self.state.load.borrow().requests(&server)
                 );
             }
         }
@@ -102,7 +106,7 @@
             .missing
             .checked(&server.incarnation, held.unwrap_or_default())
         {
-            log::info!("event=missing-gone server={}", server.incarnation);
+            event!(Info, "missing-gone", server = server.incarnation);
             self.state.roster_changed.notify_waiters();
         }
     }
--- a/crates/front/src/planner/mod.rs
+++ b/crates/front/src/planner/mod.rs
@@ -16,6 +16,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Feed;
 use jujube_store::orders;
 
@@ -75,7 +76,7 @@
         let previous = election.planner(now);
         election.observe(now, entry, token);
         if token.is_some() && previous != Some(entry) {
-            log::info!("event=planner-heard entry={entry}");
+            event!(Info, "planner-heard", entry);
         }
         self.election.set(election);
     }
@@ -121,7 +122,7 @@
         Some(held) => (held, Authority::Deputy),
         None => acquire_lease(state, store).await?,
     };
-    log::info!("event=planner-won token={} tenure={authority}", held.token);
+    event!(Info, "planner-won", token = held.token, tenure = authority);
     state.metrics.count("planner_terms");
     state.leadership.own.set(Some(held.token));
     Some(Rc::new(Term::new(state, store, held, authority)))
@@ -157,8 +158,7 @@
     match acquired {
         Ok(acquired) => acquired.map(|(held, lease)| (held, Authority::Lease(lease))),
         Err(error) => {
-            let cause = error.to_string().replace(' ', "-");
-            log::info!("event=planner-not-won cause={cause}");
+            event!(Info, "planner-not-won", cause = error);
             None
         }
     }
--- a/crates/front/src/planner/order.rs
+++ b/crates/front/src/planner/order.rs
@@ -13,6 +13,7 @@
 use jujube_core::pipeline::placement::Order;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Feed;
 
 use crate::dialect::Dialect;
@@ -131,19 +132,25 @@
         let answer = tokio::time::timeout(ORDER_TIMEOUT, sent).await;
         let outcome = match &answer {
             Ok(Ok(response)) => response.status().as_u16().to_string(),
-            Ok(Err(error)) => format!("{error:#}").replace(' ', "-"),
+            Ok(Err(error)) => format!("{error:#}"),
             Err(_) => "timeout".into(),
         };
-        log::info!(
-            "event=order server={server} layers={} handover={handover:?} held={} requests={} token={} taken={taken} outcome={outcome}",
-            order.layers,
-            self.state
+        event!(
+            Info,
+            "order",
+            server,
+            layers = order.layers,
+            handover = format_args!("{handover:?}"),
+            held = self
+                .state
                 .roster
                 .borrow()
                 .held(&server.server)
                 .unwrap_or_default(),
-            self.state.load.borrow().requests(server),
-            self.lease.get().token
+            requests = self.state.load.borrow().requests(server),
+            token = self.lease.get().token,
+            taken,
+            outcome
         );
         let Ok(Ok(response)) = answer else {
             return Answer::Inconclusive;
--- a/crates/front/src/planner/plan.rs
+++ b/crates/front/src/planner/plan.rs
@@ -16,6 +16,7 @@
 use jujube_core::pipeline::settling::SETTLE_TIME;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Feed;
 
 use crate::dialect::Dialect;
@@ -86,7 +87,7 @@
             return;
         }
         if !model.is_placeable() {
-            log::warn!("event=not-placed service={service} layers={}", model.layers);
+            event!(Warn, "not-placed", service, layers = model.layers);
         }
         let orders = placement::plan(model, &input.holders);
         let wanted = orders.len();
@@ -120,15 +121,19 @@
         self.state.served_tokens.set(served);
         let loading = holders.iter().filter(|holder| holder.is_loading());
         let loads: Vec<u32> = loading.map(Holder::layers_to_load).collect();
-        log::info!(
-            "event=planned service={service} orders={orders} servers={} missing={} \
-             served_tokens={served:.0} under_way={} loads={} layers_loading={} wanted={wanted} \
-             concurrent={concurrent}",
-            holders.len(),
-            self.state.roster.borrow().missing.servers().count(),
-            self.orders.borrow().len(),
-            loads.len(),
-            loads.iter().copied().map(u64::from).sum::<u64>()
+        event!(
+            Info,
+            "planned",
+            service,
+            orders,
+            servers = holders.len(),
+            missing = self.state.roster.borrow().missing.servers().count(),
+            served_tokens = format_args!("{served:.0}"),
+            under_way = self.orders.borrow().len(),
+            loads = loads.len(),
+            layers_loading = loads.iter().copied().map(u64::from).sum::<u64>(),
+            wanted,
+            concurrent
         );
     }
 
@@ -169,8 +174,13 @@
                 took,
                 load,
             } = completed;
-            log::info!(
-                "event=order-shown server={server} layers={layers} took_ms={took} under_way={under_way}"
+            event!(
+                Info,
+                "order-shown",
+                server,
+                layers,
+                took_ms = took,
+                under_way
             );
             if let Some(load) = load {
                 self.record_load(&server, load, under_way);
--- a/crates/front/src/planner/term.rs
+++ b/crates/front/src/planner/term.rs
@@ -20,6 +20,7 @@
 use jujube_core::pipeline::settling::Settling;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Feed;
 use jujube_store::kv::Lease;
 use tokio::sync::Semaphore;
@@ -135,7 +136,7 @@
                 self.plan();
             }
         }
-        log::info!("event=planner-lost token={}", self.lease.get().token);
+        event!(Info, "planner-lost", token = self.lease.get().token);
     }
 
     /// Begins one of the term's tasks; the term ends if it panics.
@@ -199,10 +200,9 @@
             return;
         };
         match self.store.revoke(lease).await {
-            Ok(()) => log::info!("event=planner-resigned token={}", self.lease.get().token),
+            Ok(()) => event!(Info, "planner-resigned", token = self.lease.get().token),
             Err(error) => {
-                let cause = error.to_string().replace(' ', "-");
-                log::info!("event=planner-not-resigned cause={cause}");
+                event!(Info, "planner-not-resigned", cause = error);
             }
         }
     }
@@ -221,8 +221,7 @@
                 // The store is unavailable. Orders stop once the lease may have expired; after the
                 // recovery, any entry that finds it free begins a new term.
                 Err(error) => {
-                    let cause = error.to_string().replace(' ', "-");
-                    log::info!("event=lease-not-renewed cause={cause}");
+                    event!(Info, "lease-not-renewed", cause = error);
                     let held = self.lease.get();
                     let has_lapsed = clock::now().since(held.renewed) > held.ttl;
                     if has_lapsed && !self.state.is_store_unavailable_to_all() {
--- a/crates/front/src/probe.rs
+++ b/crates/front/src/probe.rs
@@ -18,6 +18,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use tokio::time::error::Elapsed;
 
 use crate::blocks::Blocks;
@@ -222,7 +223,7 @@
             load.record_direct_slowness(at, server, report.slowness);
         }
         Err(error) => {
-            state.suspect(server, &format!("{error:#}").replace(' ', "-"));
+            state.suspect(server, &format!("{error:#}"));
             record_failed_check(state, server, &error);
         }
     }
@@ -386,7 +387,12 @@
 async fn probe_suspect<D: Dialect>(state: Rc<State<D>>, server: Incarnation, address: SocketAddr) {
     state.metrics.count("probes");
     if let Err(error) = report_of_suspect(&state, &server, address).await {
-        log::debug!("event=still-suspected server={server} cause={error:#}");
+        event!(
+            Debug,
+            "still-suspected",
+            server,
+            cause = format_args!("{error:#}")
+        );
         return;
     }
     let since = state.suspicion.borrow_mut().clear(&server);
@@ -408,5 +414,5 @@
 fn record_trusted<D>(state: &State<D>, server: &Incarnation, since: Instant, evidence: &str) {
     let span = clock::now().since(since);
     state.metrics.observe("server_silence", span);
-    log::info!("event=trusted server={server} suspected_ms={span} evidence={evidence}");
+    event!(Info, "trusted", server, suspected_ms = span, evidence);
 }
--- a/crates/front/src/quarantine.rs
+++ b/crates/front/src/quarantine.rs
@@ -16,6 +16,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Change;
 use jujube_store::kv::Condition;
 use jujube_store::kv::Feed;
@@ -81,7 +82,7 @@
 pub fn survived<D>(state: &State<D>, digest: Digest) {
     let is_released = state.quarantine.borrow_mut().answered(digest);
     if is_released {
-        log::warn!("event=quarantine-released digest={digest} cause=survived");
+        event!(Warn, "quarantine-released", digest, cause = "survived");
         state.quarantine_added.notify_one();
     }
 }
@@ -100,7 +101,7 @@
     drop(quarantine);
     for (features, end) in &ended {
         state.metrics.count("servers_ended_under_requests");
-        log::info!("event=ended-under {features} server={end}");
+        event!(Info, "ended-under", _ = features, server = end);
     }
     if !ended.is_empty() {
         state.urgent_report.notify_waiters();
@@ -131,7 +132,14 @@
     state.metrics.count("requests_quarantined");
     let servers = ends(state, digest);
     let kind = digest.kind();
-    log::warn!("event=quarantined digest={digest} kind={kind} source={source} servers={servers}");
+    event!(
+        Warn,
+        "quarantined",
+        digest,
+        kind,
+        source,
+        servers = [servers]
+    );
 }
 
 /// Applies what other entries reported.
@@ -175,7 +183,7 @@
     if change.value.is_some() {
         insert(state, digest, Source::Store);
     } else if state.quarantine.borrow_mut().release(digest) {
-        log::warn!("event=quarantine-released digest={digest} cause=store");
+        event!(Warn, "quarantine-released", digest, cause = "store");
     }
 }
 
@@ -228,9 +236,9 @@
     let outcome = match store.swap(&[condition], &[write]).await {
         Ok(true) => "written".into(),
         Ok(false) => "present".into(),
-        Err(error) => error.to_string().replace(' ', "-"),
+        Err(error) => error.to_string(),
     };
-    log::info!("event=quarantine-stored digest={digest} outcome={outcome}");
+    event!(Info, "quarantine-stored", digest, outcome);
     let is_stored = outcome == "written" || outcome == "present";
     if is_stored {
         state.quarantine.borrow_mut().stored(digest);
@@ -242,7 +250,6 @@
 async fn remove<F: Feed>(store: &F, digest: Digest) {
     let write = Write::Delete { key: key(digest) };
     if let Err(error) = store.swap(&[], &[write]).await {
-        let cause = error.to_string().replace(' ', "-");
-        log::info!("event=quarantine-not-removed digest={digest} cause={cause}");
+        event!(Info, "quarantine-not-removed", digest, cause = error);
     }
 }
--- a/crates/front/src/reload.rs
+++ b/crates/front/src/reload.rs
@@ -5,6 +5,7 @@
 
 use jujube_core::pipeline::budget::Policy;
 use jujube_core::section::Replacement;
+use jujube_program::event;
 use jujube_program::logs;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -25,7 +26,7 @@
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(error) => {
-            log::error!("event=no-reload-signal cause={error}");
+            event!(Error, "no-reload-signal", cause = error);
             return;
         }
     };
@@ -39,7 +40,7 @@
         let text = match std::fs::read(&path) {
             Ok(text) => text,
             Err(error) => {
-                log::warn!("event=reload outcome=unreadable cause={error}");
+                event!(Warn, "reload", outcome = "unreadable", cause = error);
                 continue;
             }
         };
@@ -50,8 +51,13 @@
         match Settings::read(&path) {
             Ok(settings) => apply(&state, &settings, is_signalled),
             Err(error) => {
-                let cause = format!("{error:#}").replace(['\n', ' '], "-");
-                log::warn!("event=reload outcome=refused told={is_signalled} cause={cause}");
+                event!(
+                    Warn,
+                    "reload",
+                    outcome = "refused",
+                    told = is_signalled,
+                    cause = [format_args!("{error:#}")]
+                );
             }
         }
     }
@@ -77,15 +83,15 @@
     };
     state.retries.set_policy(policy(state, settings));
     if let Err(error) = logs::set_level(&settings.telemetry.level) {
-        log::warn!("event=reload outcome=level-refused cause={error}");
+        event!(Warn, "reload", outcome = "level-refused", cause = error);
     }
-    log::info!("event=reload outcome={outcome} told={is_signalled}");
+    event!(Info, "reload", outcome, told = is_signalled);
 }
 
 /// Records a value that is replaced.
 pub fn record_replaced<D>(state: &State<D>, replaced: &Replacement) {
     state.metrics.count("settings_replaced");
-    log::warn!("event=setting-replaced {replaced}");
+    event!(Warn, "setting-replaced", _ = replaced);
 }
 
 /// Returns the retry policy of new settings; a figure that is wrong in them stays as it is in force.
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -25,6 +25,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::blocks::Blocks;
 use crate::body::Body;
@@ -182,7 +183,7 @@
     }
     state.metrics.count("requests_held");
     let waited = clock::now().since(arrived);
-    log::info!("event=held request={id} for=start waited_ms={waited} is_over={is_over}");
+    event!(Info, "held", request = id, for = "start", waited_ms = waited, is_over);
 }
 
 fn refuse<D: Dialect>(
@@ -221,11 +222,17 @@
     let elapsed = clock::now().since(arrived);
     let version = state.table().map_or(0, |table| table.document.version.0);
     let status = reason.status().as_u16();
-    log::warn!(
-        "event=refused request={id} route={route} reason={} status={status} took_ms={elapsed} \
-         version={version} {} cause={cause}",
-        reason.name(),
-        state.feed.view()
+    event!(
+        Warn,
+        "refused",
+        request = id,
+        route,
+        reason = reason.name(),
+        status,
+        took_ms = elapsed,
+        version,
+        _ = state.feed.view(),
+        cause
     );
 }
 
--- a/crates/front/src/restore.rs
+++ b/crates/front/src/restore.rs
@@ -3,6 +3,7 @@
 use jujube_core::pipeline::era::Era;
 use jujube_core::revision::Revision;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Change;
 use jujube_store::kv::Condition;
 use jujube_store::kv::Feed;
@@ -33,10 +34,13 @@
     state.retries.announced.set(Revision::default());
     state.leadership.restored();
     state.metrics.count("store_restores");
-    log::warn!(
-        "event=store-restored era={era} version={} servers={} pieces_dropped={pieces}",
-        state.table().map_or(0, |table| table.document.version.0),
-        state.roster.borrow().usable().count()
+    event!(
+        Warn,
+        "store-restored",
+        era,
+        version = state.table().map_or(0, |table| table.document.version.0),
+        servers = state.roster.borrow().usable().count(),
+        pieces_dropped = pieces
     );
 }
 
@@ -121,13 +125,12 @@
         });
     }
     match store.swap(&conditions, &writes).await {
-        Ok(is_own) => log::info!("event=era-marked era={era} is_mine={is_own}"),
+        Ok(is_own) => event!(Info, "era-marked", era, is_mine = is_own),
         Err(error) => log_failure(era, &error.to_string()),
     }
 }
 
 /// Logs the failure. The slack task marks the era later; until then no pieces are used.
 fn log_failure(era: Era, cause: &str) {
-    let cause = cause.replace(' ', "-");
-    log::info!("event=era-not-marked era={era} cause={cause}");
+    event!(Info, "era-not-marked", era, cause);
 }
--- a/crates/front/src/slack.rs
+++ b/crates/front/src/slack.rs
@@ -10,6 +10,7 @@
 use jujube_core::pipeline::reserve::Piece;
 use jujube_core::pipeline::reserve::Record;
 use jujube_core::revision::Revision;
+use jujube_program::event;
 use jujube_store::kv::Change;
 use jujube_store::kv::Condition;
 use jujube_store::kv::Feed;
@@ -155,10 +156,10 @@
             "taken".into()
         }
         Ok(false) => "met".into(),
-        Err(error) => error.to_string().replace(' ', "-"),
+        Err(error) => error.to_string(),
     };
     let held = state.retries.reserve.borrow().held(service);
-    log::info!("event=slack service={service} asked={count} held={held} outcome={outcome}");
+    event!(Info, "slack", service, asked = count, held, outcome);
     state.retries.changed.notify_one();
     true
 }
@@ -194,7 +195,13 @@
     state.metrics.count("slack_calls");
     let outcome = store.swap(&conditions, &writes).await;
     let count = pieces.len();
-    log::info!("event=slack service={service} returned={count} outcome={outcome:?}");
+    event!(
+        Info,
+        "slack",
+        service,
+        returned = count,
+        outcome = format_args!("{outcome:?}")
+    );
 }
 
 /// Removes the pieces to return from use.
--- a/crates/front/src/sockets.rs
+++ b/crates/front/src/sockets.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use jujube_program::event;
 use jujube_program::listen;
 use jujube_program::shutdown::Signal;
 use jujube_store::kv::Feed;
@@ -43,12 +44,13 @@
     let listener = Rc::new(listener("callers", state.settings.listen).await);
     pool::configure_listener(&listener);
     let settings = &state.settings;
-    log::info!(
-        "event=started name={} zone={} listen={} store={}",
-        settings.name,
-        settings.zone,
-        settings.listen,
-        settings.store
+    event!(
+        Info,
+        "started",
+        name = settings.name,
+        zone = settings.zone,
+        listen = settings.listen,
+        store = settings.store
     );
     if state.lifecycle.get() == Lifecycle::Starting {
         state.enter(Lifecycle::Serving);
@@ -71,7 +73,7 @@
 pub async fn serve_others<D: Dialect, F: Feed>(state: Rc<State<D>>, store: F) {
     tokio::task::spawn_local(serve_metrics(state.clone()));
     if state.settings.gossip.port() == 0 {
-        log::warn!("event=listen what=internal outcome=left-out");
+        event!(Warn, "listen", what = "internal", outcome = "left-out");
         return;
     }
     let ports = internal_ports(&state.settings);
@@ -84,9 +86,12 @@
     let settings = &state.settings;
     if [settings.listen, settings.ready].contains(&settings.metrics) {
         // It must not take the port that callers come to; the readiness address has the metrics too.
-        log::warn!(
-            "event=listen what=metrics wanted={} outcome=left-out",
-            settings.metrics
+        event!(
+            Warn,
+            "listen",
+            what = "metrics",
+            wanted = settings.metrics,
+            outcome = "left-out"
         );
         return;
     }
@@ -106,7 +111,7 @@
 fn serve_entries<D: Dialect, F: Feed>(state: &Rc<State<D>>, store: F, internal: Internal) {
     let address = internal.address;
     state.internal.set(Some(address));
-    log::info!("event=internal address={address}");
+    event!(Info, "internal", address);
     let (gossip, feed_listener) = (Rc::new(internal.gossip), Rc::new(internal.feed));
     let metrics = &state.metrics;
     keep(metrics, "feed", {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -33,6 +33,7 @@
 use jujube_core::pipeline::suspicion::Suspicion;
 use jujube_core::time::Instant;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::crowd::Crowd;
 use crate::departure::Exit;
@@ -257,15 +258,18 @@
         };
         self.metrics.count(counter);
         let balance = decision.balance;
-        log::info!(
-            "event=retry request={request} service={service} outcome={outcome} spent={} paid={:.1} \
-             share={:.1} pieces={} trusted={} age_ms={}",
-            balance.spent,
-            balance.paid,
-            balance.share,
-            decision.pieces,
-            decision.is_trusted,
-            clock::now().since(self.started)
+        event!(
+            Info,
+            "retry",
+            request,
+            service,
+            outcome,
+            spent = balance.spent,
+            paid = format_args!("{:.1}", balance.paid),
+            share = format_args!("{:.1}", balance.share),
+            pieces = decision.pieces,
+            trusted = decision.is_trusted,
+            age_ms = clock::now().since(self.started)
         );
         retry
     }
@@ -338,7 +342,7 @@
             self.urgent_report.notify_waiters();
             self.streams.request_check(server);
             self.metrics.count("servers_suspected");
-            log::info!("event=suspected server={server} cause={cause}");
+            event!(Info, "suspected", server, cause);
         }
     }
 }
--- a/crates/front/src/store_watch/apply.rs
+++ b/crates/front/src/store_watch/apply.rs
@@ -16,6 +16,7 @@
 use jujube_core::pipeline::server::Incarnation;
 use jujube_core::pipeline::server::Server;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Change;
 use jujube_store::kv::Revision;
 
@@ -69,7 +70,7 @@
         let by = lease_id.map_or("None".into(), |lease_id| {
             format!("Some(Tenure({lease_id}))")
         });
-        log::info!("event=announcement-overtaken by={by}");
+        event!(Info, "announcement-overtaken", by);
         reserve.lost();
     }
 }
@@ -135,7 +136,7 @@
     let effect = roster.registered(clock::now(), server);
     let displaced = roster.displaced_by(&incarnation).count();
     if displaced > 0 && effect != Effect::None {
-        log::info!("event=displaced by={incarnation} servers={displaced}");
+        event!(Info, "displaced", by = incarnation, servers = displaced);
     }
     effect
 }
@@ -146,8 +147,14 @@
     let held = roster.held(name).unwrap_or_default();
     let returned = roster.returned().map(|at| clock::now().since(at));
     let returned = returned.map_or("-".into(), |span| span.to_string());
-    log::info!(
-        "event=registration server={name} effect={effect:?} held={held} revision={revision} returned_ms={returned}"
+    event!(
+        Info,
+        "registration",
+        server = name,
+        effect = format_args!("{effect:?}"),
+        held,
+        revision,
+        returned_ms = returned
     );
 }
 
@@ -161,11 +168,13 @@
     if current.is_some_and(|current| current >= version) {
         return;
     }
-    log::info!(
-        "event=configuration version={version} routes={} services={} customers={}",
-        document.routes.len(),
-        document.services.len(),
-        document.accounts.as_ref().map_or(0, Vec::len)
+    event!(
+        Info,
+        "configuration",
+        version,
+        routes = document.routes.len(),
+        services = document.services.len(),
+        customers = document.accounts.as_ref().map_or(0, Vec::len)
     );
     state.metrics.count("configurations");
     *state.table.borrow_mut() = Some(Rc::new(Table::new(document)));
@@ -181,7 +190,13 @@
     if effect == Effect::None {
         return;
     }
-    log::info!("event=reported server={server} effect={effect:?} held={held}");
+    event!(
+        Info,
+        "reported",
+        server,
+        effect = format_args!("{effect:?}"),
+        held
+    );
     state
         .reported_layers
         .borrow_mut()
@@ -201,7 +216,7 @@
         if roster.announced_leaving(clock::now(), server) != Effect::None {
             is_changed = true;
             state.metrics.count("servers_leaving");
-            log::info!("event=leaving server={server} source={source}");
+            event!(Info, "leaving", server, source);
         }
     }
     if is_changed {
@@ -215,14 +230,14 @@
     let may_get_requests = roster.leavers.checked(clock::now(), server, is_answered);
     drop(roster);
     if may_get_requests {
-        log::info!("event=not-leaving server={server} is_answered={is_answered}");
+        event!(Info, "not-leaving", server, is_answered);
         rebuild(state);
     }
 }
 
 /// Removes a server at whose address another one has answered.
 pub fn displace<D>(state: &State<D>, server: &Incarnation) {
-    log::info!("event=displaced server={server}");
+    event!(Info, "displaced", server);
     let mut roster = state.roster.borrow_mut();
     roster.displaced(clock::now(), server);
     roster.withdraw_claim(clock::now(), server);
@@ -281,7 +296,7 @@
         tokio::time::sleep(EXPIRE_INTERVAL).await;
         let expired = state.roster.borrow_mut().expire(clock::now());
         for server in &expired {
-            log::info!("event=registration server={server} effect=GraceOver");
+            event!(Info, "registration", server, effect = "GraceOver");
         }
         if !expired.is_empty() {
             rebuild(&state);
--- a/crates/front/src/strangers.rs
+++ b/crates/front/src/strangers.rs
@@ -12,6 +12,7 @@
 use jujube_core::pipeline::carried::Exchange;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::blocks::Blocks;
 use crate::dialect::Dialect;
@@ -93,7 +94,7 @@
     }
     drop(roster);
     state.metrics.count("strangers");
-    log::warn!("event=stranger server={server} address={address} cause={cause}");
+    event!(Warn, "stranger", server, address, cause);
     store_watch::rebuild(state);
 }
 
@@ -131,7 +132,13 @@
         }
     };
     drop(roster);
-    log::info!("event=claim-checked server={claimant} identity={identity:?} displaced={displaced}");
+    event!(
+        Info,
+        "claim-checked",
+        server = claimant,
+        identity = format_args!("{identity:?}"),
+        displaced
+    );
     if is_withdrawn {
         store_watch::rebuild(state);
     }
@@ -143,7 +150,7 @@
     }
     let is_found = state.roster.borrow_mut().strangers.found(server);
     if is_found {
-        log::info!("event=stranger-found server={server}");
+        event!(Info, "stranger-found", server);
         store_watch::rebuild(state);
     }
 }
--- a/crates/front/src/stream/body.rs
+++ b/crates/front/src/stream/body.rs
@@ -18,6 +18,7 @@
 use jujube_core::pipeline::relay::Relay;
 use jujube_core::time::Instant;
 use jujube_program::clock;
+use jujube_program::event;
 use tokio::sync::oneshot;
 
 use crate::delivery::Completion;
@@ -306,7 +307,6 @@
     fn resume(&mut self, cause: &str, loss: Loss) -> Option<Next> {
         let state = &self.registration.state;
         let stream = &self.registration.stream;
-        let cause = cause.replace(' ', "-");
         if let Some(first) = self.current_first() {
             record_loss(state, stream, &first, loss, stream.run_began.get());
         }
@@ -317,10 +317,10 @@
             return None;
         }
         if !self.can_resume() {
-            return Some(self.abort(&cause));
+            return Some(self.abort(cause));
         }
         release_path(state, stream);
-        self.start_open(None, &cause);
+        self.start_open(None, cause);
         None
     }
 
@@ -329,11 +329,13 @@
         let state = &self.registration.state;
         let stream = &self.registration.stream;
         let last = self.relay.last();
-        log::info!(
-            "event=resuming request={} after={} path={} cause={cause}",
-            stream.id,
-            last.unwrap_or(0),
-            stream.path_text()
+        event!(
+            Info,
+            "resuming",
+            request = stream.id,
+            after = last.unwrap_or(0),
+            path = [stream.path_text()],
+            cause
         );
         state.metrics.count("streams_resumed");
         stream.has_gone_on.set(false);
@@ -400,11 +402,14 @@
             return Some(self.abort(cause));
         }
         self.registration.state.metrics.count("streams_kept");
-        log::info!(
-            "event=run-kept request={} events={} path={} urge={interrupt} cause={cause}",
-            stream.id,
-            stream.events.get(),
-            stream.path_text()
+        event!(
+            Info,
+            "run-kept",
+            request = stream.id,
+            events = stream.events.get(),
+            path = [stream.path_text()],
+            urge = interrupt,
+            cause
         );
         None
     }
@@ -423,14 +428,16 @@
         let state = &self.registration.state;
         state.metrics.count("streams_cut");
         let now = clock::now();
-        log::warn!(
-            "event=cut request={} events={} took_ms={} silent_ms={} earlier={} path={} cause={cause}",
-            stream.id,
-            self.relay.events(),
-            now.since(stream.arrived),
-            now.since(stream.last_read()),
-            earlier_servers(state, stream),
-            stream.path_text()
+        event!(
+            Warn,
+            "cut",
+            request = stream.id,
+            events = self.relay.events(),
+            took_ms = now.since(stream.arrived),
+            silent_ms = now.since(stream.last_read()),
+            earlier = [earlier_servers(state, stream)],
+            path = [stream.path_text()],
+            cause
         );
         self.upstream = Upstream::Done;
         Some(Err(io::Error::other(
--- a/crates/front/src/stream/open.rs
+++ b/crates/front/src/stream/open.rs
@@ -11,6 +11,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::dialect::Dialect;
 use crate::gate;
@@ -151,11 +152,13 @@
                 Failure::Unknown("silent".into())
             }
         };
-        cause = failure.to_string().replace(' ', "-");
-        log::info!(
-            "event=path-failed request={} path={} cause={cause}",
-            stream.id,
-            stream.path_text()
+        cause = failure.to_string();
+        event!(
+            Info,
+            "path-failed",
+            request = stream.id,
+            path = [stream.path_text()],
+            cause
         );
         let first = stream.first_part();
         if let Some(first) = first.as_ref().filter(|_| stream.has_gone_on.get()) {
@@ -361,10 +364,11 @@
     let servers = choice.path.parts().iter().map(|part| &part.server);
     state.suspicion.borrow_mut().tried(clock::now(), servers);
     state.metrics.count("suspects_tried");
-    log::info!(
-        "event=suspect-tried request={} path={}",
-        stream.id,
-        choice.path
+    event!(
+        Info,
+        "suspect-tried",
+        request = stream.id,
+        path = [choice.path]
     );
     true
 }
--- a/crates/front/src/stream/path.rs
+++ b/crates/front/src/stream/path.rs
@@ -10,6 +10,7 @@
 use jujube_core::pipeline::path::Path;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::probe;
 use crate::state::State;
@@ -182,9 +183,15 @@
         Continuation::Reopen(choice) => ("reopen", choice.first_event_ms),
         Continuation::Repair(choice) => ("repair", choice.first_event_ms),
     };
-    log::info!(
-        "event=moving request={} cause={cause} way={method} ready_ms={first_event_ms:.0} crowd={herd_size:.0} from={old}",
-        stream.id,
+    event!(
+        Info,
+        "moving",
+        request = stream.id,
+        cause,
+        way = method,
+        ready_ms = format_args!("{first_event_ms:.0}"),
+        crowd = format_args!("{herd_size:.0}"),
+        from = [old]
     );
     let mut load = state.load.borrow_mut();
     match &chosen {
--- a/crates/front/src/stream/read_ahead.rs
+++ b/crates/front/src/stream/read_ahead.rs
@@ -22,6 +22,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use tokio::task::AbortHandle;
 use tokio::time::Sleep;
 
@@ -173,7 +174,7 @@
         if room.is_none() {
             self.state.metrics.count("events_waiting");
             let held = self.reservation.held();
-            log::info!("event=event-waits request={} held={held}", self.id);
+            event!(Info, "event-waits", request = self.id, held);
         }
         let wait = room.get_or_insert_with(|| Box::pin(tokio::time::sleep(ROOM_INTERVAL)));
         while wait.as_mut().poll(context).is_ready() {
@@ -335,10 +336,11 @@
         if self.is_logged.replace(true) {
             return;
         }
-        log::info!(
-            "event=read-ahead request={} bytes={}",
-            self.id,
-            self.outbound.borrow().written()
+        event!(
+            Info,
+            "read-ahead",
+            request = self.id,
+            bytes = self.outbound.borrow().written()
         );
     }
 
@@ -348,7 +350,7 @@
         if ahead.as_ref().is_some_and(is_first) {
             self.state.metrics.count("read_ahead_paused");
             let held = self.reservation.held();
-            log::info!("event=read-ahead-paused request={} held={held}", self.id);
+            event!(Info, "read-ahead-paused", request = self.id, held);
         }
     }
 }
--- a/crates/front/src/stream/retry.rs
+++ b/crates/front/src/stream/retry.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::attempts::Permission;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::retries::Retry;
 use crate::state::State;
@@ -56,9 +57,12 @@
     };
     let outcome = if retry.is_some() { "taken" } else { "given-up" };
     let waited = clock::now().since(started);
-    log::info!(
-        "event=retry-awaited request={} outcome={outcome} waited_ms={waited}",
-        stream.id
+    event!(
+        Info,
+        "retry-awaited",
+        request = stream.id,
+        outcome,
+        waited_ms = waited
     );
     let is_granted = retry.is_some();
     stream.retry.replace(retry);
--- a/crates/front/src/stream/runs.rs
+++ b/crates/front/src/stream/runs.rs
@@ -9,6 +9,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::dialect::Dialect;
 use crate::probe;
@@ -77,12 +78,14 @@
         return;
     }
     let now = clock::now();
-    log::info!(
-        "event=run-lost request={} {} server={} loss={loss} began_ms={}",
-        stream.id,
-        stream.features,
-        first.server,
-        began.map_or("-".into(), |began| now.since(began).to_string())
+    event!(
+        Info,
+        "run-lost",
+        request = stream.id,
+        _ = stream.features,
+        server = first.server,
+        loss,
+        began_ms = began.map_or("-".into(), |began| now.since(began).to_string())
     );
     state.failed(&first.server, stream.features.request);
     if loss == Loss::Broken {
--- a/crates/front/src/stream/send.rs
+++ b/crates/front/src/stream/send.rs
@@ -9,6 +9,7 @@
 use jujube_core::pipeline::path::Part;
 use jujube_core::pipeline::path::Path;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::dialect::Dialect;
 use crate::gate;
@@ -55,9 +56,12 @@
 
     /// Returns the response if a server goes on; `None` if the run has ended or is no longer wanted.
     pub(super) async fn finish(self, stream: &Stream) -> Option<Incomplete> {
-        log::info!(
-            "event=run-kept request={} urge=FirstSilent cause=no-other",
-            stream.id
+        event!(
+            Info,
+            "run-kept",
+            request = stream.id,
+            urge = "FirstSilent",
+            cause = "no-other"
         );
         self.path.restore();
         let mut exchange = self.exchange;
@@ -106,16 +110,19 @@
         head::set(headers, LAST_EVENT, &last.to_string());
     }
     let version = state.table().map_or(0, |table| table.document.version.0);
-    log::info!(
-        "event=path-chosen request={} {} run={} peers={} version={version} {} left_ms={left} after={} earlier={} path={}",
-        stream.id,
-        stream.features,
-        stream.runs() + 1,
-        state.load.borrow().peers(),
-        state.feed.view(),
-        last.unwrap_or(0),
-        earlier_servers(state, stream),
-        path
+    event!(
+        Info,
+        "path-chosen",
+        request = stream.id,
+        _ = stream.features,
+        run = stream.runs() + 1,
+        peers = state.load.borrow().peers(),
+        version,
+        _ = state.feed.view(),
+        left_ms = left,
+        after = last.unwrap_or(0),
+        earlier = [earlier_servers(state, stream)],
+        path = [path]
     );
     gate::record_sent_along(state, &stream.id, &path);
     set_path(state, stream, Some(path));
--- a/crates/front/src/tasks.rs
+++ b/crates/front/src/tasks.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujube_program::event;
 use tokio::task::spawn_local;
 
 use crate::metrics::Metrics;
@@ -30,7 +31,7 @@
                 return;
             }
             metrics.count("tasks_restarted");
-            log::error!("event=task-restarted task={name}");
+            event!(Error, "task-restarted", task = name);
             tokio::time::sleep(RESTART_PAUSE).await;
         }
     });
--- a/crates/front/src/turn_away.rs
+++ b/crates/front/src/turn_away.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujube_program::event;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -40,5 +41,11 @@
 
 /// Logs that a caller was turned away, and what there is no room for.
 pub fn log(what: &str) {
-    log::warn!("event=turned-away what={what} reason=out-of-memory status=503");
+    event!(
+        Warn,
+        "turned-away",
+        what,
+        reason = "out-of-memory",
+        status = 503
+    );
 }
--- a/crates/front/src/unary/attempt.rs
+++ b/crates/front/src/unary/attempt.rs
@@ -10,6 +10,7 @@
 use jujube_core::pipeline::server::Server;
 use jujube_core::time::Instant;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::dialect::Dialect;
 use crate::framing;
@@ -48,13 +49,15 @@
     let sent_at = clock::now();
     let left = request.deadline.since(sent_at);
     head::set(&mut outgoing.headers, D::NAMES.deadline, &left.to_string());
-    log::info!(
-        "event=sent request={} {} server={} in_flight={} {} left_ms={left}",
-        request.id,
-        request.features,
-        server.incarnation,
-        state.load.borrow().requests(&server.incarnation),
-        state.feed.view()
+    event!(
+        Info,
+        "sent",
+        request = request.id,
+        _ = request.features,
+        server = server.incarnation,
+        in_flight = state.load.borrow().requests(&server.incarnation),
+        _ = state.feed.view(),
+        left_ms = left
     );
     let sent = upstream::send::<D>(
         state,
--- a/crates/front/src/unary/mod.rs
+++ b/crates/front/src/unary/mod.rs
@@ -19,6 +19,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::body::Answer;
 use crate::body::Body;
@@ -225,12 +226,13 @@
             Err(failure) => failure,
         };
         self.excluded.push(server.incarnation.clone());
-        self.cause = failure.to_string().replace(' ', "-");
-        log::info!(
-            "event=try-failed request={} server={} cause={}",
-            self.request.id,
-            server.incarnation,
-            self.cause
+        self.cause = failure.to_string();
+        event!(
+            Info,
+            "try-failed",
+            request = self.request.id,
+            server = server.incarnation,
+            cause = self.cause
         );
         match failure {
             Failure::NotSent(_) => {
--- a/crates/front/src/upstream/mod.rs
+++ b/crates/front/src/upstream/mod.rs
@@ -28,6 +28,7 @@
 use jujube_core::status::Rejection;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_program::http;
 
 use crate::blocks::Blocks;
@@ -124,7 +125,7 @@
 /// Records that a server cut off a response after some events, because it was unread.
 pub fn record_cut_unread(metrics: &Metrics, request: &str, server: &Incarnation, after: u64) {
     metrics.count("responses_cut_unread");
-    log::info!("event=cut-unread request={request} server={server} after={after}");
+    event!(Info, "cut-unread", request, server, after);
 }
 
 /// How long to read the body of a rejection before closing its connection instead.
@@ -266,7 +267,13 @@
     if rejection.has_not_run() {
         let at_fault = at_fault::<D>(headers);
         let (connection, is_reused) = (lease.number(), lease.is_reused);
-        log::info!("event=turned-away request={id} connection={connection} reused={is_reused}");
+        event!(
+            Info,
+            "turned-away",
+            request = id,
+            connection,
+            reused = is_reused
+        );
         lease.turned_away();
         discard_body(lease, response).await;
         return Err(Failure::NotRun {
--- a/crates/front/src/vitals.rs
+++ b/crates/front/src/vitals.rs
@@ -7,6 +7,7 @@
 use jujube_core::pipeline::memory::Cause;
 use jujube_core::pipeline::memory::Size;
 use jujube_core::time::Instant;
+use jujube_program::event;
 
 use crate::dialect::Dialect;
 use crate::state::State;
@@ -18,8 +19,7 @@
 pub fn log_panics() {
     let previous = panic::take_hook();
     panic::set_hook(Box::new(move |panic| {
-        let cause = panic.to_string().replace(char::is_whitespace, "-");
-        log::error!("event=panic cause={cause}");
+        event!(Error, "panic", cause = [panic]);
         previous(panic);
     }));
 }
@@ -42,7 +42,7 @@
     let told = state.stalls.borrow_mut().tick(now);
     if let Some(stall) = told {
         state.metrics.count("loop_stalls");
-        log::warn!("event=loop-stalled ms={stall}");
+        event!(Warn, "loop-stalled", ms = stall);
     }
 }
 
@@ -62,15 +62,18 @@
         let crowd = state.crowd.view();
         let longest_stall = state.stalls.borrow_mut().take_longest();
         state.metrics.observe("longest_stall", longest_stall);
-        log::info!(
-            "event=vitals resident={resident} held={held} capacity={} connections={} crowd={} \
-             crowd_capacity={} in_flight={} streams={} longest_stall_ms={longest_stall}",
-            state.memory.capacity().0,
-            crowd.connections(),
-            crowd.held(),
-            crowd.capacity(),
-            state.in_flight.get(),
-            state.streams.len()
+        event!(
+            Info,
+            "vitals",
+            resident,
+            held,
+            capacity = state.memory.capacity().0,
+            connections = crowd.connections(),
+            crowd = crowd.held(),
+            crowd_capacity = crowd.capacity(),
+            in_flight = state.in_flight.get(),
+            streams = state.streams.len(),
+            longest_stall_ms = longest_stall
         );
         tokio::time::sleep(LOG_INTERVAL).await;
     }
--- a/crates/front/src/waiting.rs
+++ b/crates/front/src/waiting.rs
@@ -17,6 +17,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use tokio::sync::oneshot;
 
 use crate::gate::Opening;
@@ -182,7 +183,7 @@
         std::mem::forget(cancel);
         let waited = clock::now().since(arrived);
         state.metrics.observe("queue", waited);
-        log::info!("event=admitted request={} waited_ms={waited}", request.id);
+        event!(Info, "admitted", request = request.id, waited_ms = waited);
         return Ok(permit(state, &request));
     }
     let opening = Opening::of_model(state, request.service);
@@ -233,10 +234,12 @@
             };
             service_queue.waiters.insert(ticket, waiter);
             state.metrics.count("requests_queued");
-            log::info!(
-                "event=queued request={} waiting={} running={running}",
-                request.id,
-                service_queue.waiters.len()
+            event!(
+                Info,
+                "queued",
+                request = request.id,
+                waiting = service_queue.waiters.len(),
+                running
             );
             Ok(Some(receiver))
         }
--- a/crates/front/src/watchdog.rs
+++ b/crates/front/src/watchdog.rs
@@ -16,6 +16,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 
 use crate::dialect::Dialect;
 use crate::pool;
@@ -327,10 +328,13 @@
     if silent < limit || !stream::may_reopen(state, stream) {
         return;
     }
-    log::info!(
-        "event=stalled request={} silent_ms={silent} events={} path={path}",
-        stream.id,
-        stream.events.get()
+    event!(
+        Info,
+        "stalled",
+        request = stream.id,
+        silent_ms = silent,
+        events = stream.events.get(),
+        path = [path]
     );
     state.metrics.count("streams_stalled");
     state.failed(&first.server, stream.features.request);
@@ -388,17 +392,19 @@
     let (status, body) = match result {
         Ok(Ok(response)) => (response.status(), response.into_body()),
         Ok(Err(error)) => {
-            log::info!("event=repair-failed request={} cause={error}", stream.id);
+            event!(Info, "repair-failed", request = stream.id, cause = error);
             return Repair::Failed;
         }
         Err(_) => return Repair::Failed,
     };
-    log::info!(
-        "event=repaired request={} status={} events={} from={old} to={}",
-        stream.id,
-        status.as_u16(),
-        stream.events.get(),
-        choice.path
+    event!(
+        Info,
+        "repaired",
+        request = stream.id,
+        status = status.as_u16(),
+        events = stream.events.get(),
+        from = [old],
+        to = [choice.path]
     );
     if status.is_success() {
         state.metrics.count("streams_repaired");
--- a/crates/program/src/counters.rs
+++ b/crates/program/src/counters.rs
@@ -14,6 +14,8 @@
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
 
+use crate::event;
+
 /// A process's counters.
 ///
 /// # Examples
@@ -63,8 +65,8 @@
     #[must_use]
     pub fn to_or_silent(prefix: &str, statsd: &str) -> Self {
         Self::to(prefix, statsd).unwrap_or_else(|error| {
-            let cause = format!("{error:#}").replace(char::is_whitespace, "-");
-            log::warn!("event=no-statsd address={statsd} cause={cause}");
+            let cause = format_args!("{error:#}");
+            event!(Warn, "no-statsd", address = statsd, cause);
             Self::silent(prefix)
         })
     }
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod arguments;
 pub mod clock;
 pub mod counters;
+pub mod event;
 pub mod http;
 pub mod listen;
 pub mod logs;
--- a/crates/program/src/listen.rs
+++ b/crates/program/src/listen.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use log::Level;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::UdpSocket;
 
+use crate::event;
+
 /// How many connections may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// The pause between two attempts.
@@ -91,8 +92,13 @@
             Ok(socket) => {
                 if logged.is_some() {
                     let waited = started.elapsed().as_millis();
-                    log::info!(
-                        "event=listen what={what} wanted={wanted} outcome=bound waited_ms={waited}"
+                    event!(
+                        Info,
+                        "listen",
+                        what,
+                        wanted,
+                        outcome = "bound",
+                        waited_ms = waited
                     );
                 }
                 return socket;
@@ -101,20 +107,21 @@
         };
         if logged.is_none_or(|logged| logged.elapsed() >= LOG_INTERVAL) {
             logged = Some(Instant::now());
-            let cause = error.to_string().replace(' ', "-");
-            let level = match may_pass(error.kind()) {
-                true => Level::Warn,
-                false => Level::Error,
-            };
-            log::log!(
-                level,
-                "event=listen what={what} wanted={wanted} outcome=waiting cause={cause}"
-            );
+            log_waiting(what, &wanted, &error);
         }
         tokio::time::sleep(RETRY_INTERVAL).await;
     }
 }
 
+fn log_waiting(what: &str, wanted: &impl Display, cause: &io::Error) {
+    let outcome = "waiting";
+    if may_pass(cause.kind()) {
+        event!(Warn, "listen", what, wanted, outcome, cause);
+    } else {
+        event!(Error, "listen", what, wanted, outcome, cause);
+    }
+}
+
 /// Waits for a listener on an address.
 pub async fn wait_to_listen(what: &str, address: SocketAddr) -> TcpListener {
     until_bound(what, address, || tcp(address, BACKLOG)).await
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_program::shutdown::Signal;
 use jujube_store::kv::Etcd;
 use jujube_store::orders;
@@ -35,7 +36,7 @@
     let healthy = state.engine.healthy().await;
     let was = state.healthy.swap(healthy, Ordering::Relaxed);
     if was != healthy {
-        log::info!("event=backend healthy={healthy}");
+        event!(Info, "backend", healthy);
     }
 }
 
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Result;
 use jujube_program::counters::Counters;
+use jujube_program::event;
 use jujube_program::http;
 use jujube_program::listen::wait_to_listen;
 use jujube_program::shutdown;
@@ -58,10 +59,7 @@
 
     let traffic = tokio::runtime::Handle::current();
     shutdown::on_control_thread(control::run(state.clone(), traffic, stop))?;
-    log::info!(
-        "event=started server={} address={address}",
-        state.settings.server
-    );
+    event!(Info, "started", server = state.settings.server, address);
     Ok(Handle {
         address,
         http,
@@ -73,7 +71,7 @@
 impl Handle {
     /// Takes no new work, waits for what is in flight, and stops.
     pub async fn drain(&self) {
-        log::info!("event=draining server={}", self.state.settings.server);
+        event!(Info, "draining", server = self.state.settings.server);
         self.state.drain();
         let idle = async {
             while !self.state.is_idle() {
@@ -82,11 +80,11 @@
         };
         let patience = self.state.settings.drain;
         if tokio::time::timeout(patience, idle).await.is_err() {
-            log::warn!("event=drain-cut server={}", self.state.settings.server);
+            event!(Warn, "drain-cut", server = self.state.settings.server);
         }
         tokio::time::sleep(LINGER).await;
         self.stop();
-        log::info!("event=stopped server={}", self.state.settings.server);
+        event!(Info, "stopped", server = self.state.settings.server);
     }
 
     /// Stops at once, as a crash would.
--- a/crates/sidecar/src/handler.rs
+++ b/crates/sidecar/src/handler.rs
@@ -7,6 +7,7 @@
 use jujube_core::ledger;
 use jujube_core::verdict::Verdict;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_wire::config::Config;
 use jujube_wire::config::Delta;
 use jujube_wire::heartbeat::Answer;
@@ -109,7 +110,7 @@
     async fn offer(self, _: Context, config: Config) -> u64 {
         match config.try_into() {
             Ok(config) => self.0.apply(config),
-            Err(error) => log::warn!("event=config-malformed error=\"{error}\""),
+            Err(error) => event!(Warn, "config-malformed", error),
         }
         self.0.generation().0
     }
@@ -121,7 +122,7 @@
     async fn offer_delta(self, _: Context, delta: Delta) -> u64 {
         match delta.try_into() {
             Ok(delta) => self.0.apply_delta(&delta),
-            Err(error) => log::warn!("event=config-malformed error=\"{error}\""),
+            Err(error) => event!(Warn, "config-malformed", error),
         }
         self.0.generation().0
     }
--- a/crates/sidecar/src/proof.rs
+++ b/crates/sidecar/src/proof.rs
@@ -14,6 +14,7 @@
 use hyper::body::SizeHint;
 use jujube_core::pipeline::framing::Ended;
 use jujube_core::request::Request as Call;
+use jujube_program::event;
 
 use crate::state::State;
 
@@ -50,7 +51,7 @@
         let is_unusual = self.state.shows_ends.load(Ordering::Relaxed);
         self.received.check(is_unusual).map_err(|cause| {
             self.state.counters.add("responses_unproven", 1);
-            log::warn!("event=unproven call={} cause={cause}", self.call);
+            event!(Warn, "unproven", call = self.call, cause);
             io::Error::other(cause.to_string())
         })
     }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -20,6 +20,7 @@
 use jujube_core::request::BootId;
 use jujube_program::clock;
 use jujube_program::counters::Counters;
+use jujube_program::event;
 use jujube_wire::connection::Patience;
 use jujube_wire::outbox::Outboxes;
 
@@ -130,7 +131,7 @@
         let bundle = match accepted {
             Ok(bundle) => bundle,
             Err(error) => {
-                log::debug!("event=config-refused error=\"{error}\"");
+                event!(Debug, "config-refused", error);
                 return;
             }
         };
@@ -138,7 +139,7 @@
             self.ledger().set_slots(member.slots as usize);
             self.deduplicator().set_slots(member.slots as usize);
         }
-        log::info!("event=config generation={}", config.head.generation);
+        event!(Info, "config", generation = config.head.generation);
         history.push(Arc::new(config));
     }
 
