Merge the log lines: each value a word, by type

The last files that wrote lines themselves (source.rs, first.rs, store_watch, the client) use the macro too, so that the check over the sources has no exceptions. event=feed-too-old tells its view as fields like all others (it wrote known=known=...).

--- a/crates/front/src/feed/first.rs
+++ b/crates/front/src/feed/first.rs
@@ -11,7 +11,7 @@
 use jujube_core::revision::Revision;
 use jujube_core::time::Instant;
 use jujube_program::clock;
-use jujube_program::word::Word;
+use jujube_program::event;
 use jujube_store::kv;
 use jujube_store::kv::Change;
 use jujube_store::kv::Progress;
@@ -56,14 +56,14 @@
             match answer {
                 Ok((changes, revision)) => {
                     if failure.is_some() {
-                        log::info!("event=store-regained");
+                        event!(Info, "store-regained");
                     }
                     record_finished(began, &progress, changes.len(), revision);
                     return (changes, revision);
                 }
                 Err(error) => {
                     if failure.is_none() {
-                        log::warn!("event=store-lost cause={}", Word(&error));
+                        event!(Warn, "store-lost", cause = error);
                     }
                     failure = Some(error);
                 }
@@ -81,18 +81,25 @@
 ) {
     let took = clock::now().since(began);
     let cause = failure.map_or_else(String::new, ToString::to_string);
-    log::warn!(
-        "event=first-read-unfinished took_ms={took} pages={} running={running} last_key={} cause={}",
-        progress.pages(),
-        Word(progress.last_key()),
-        Word(cause)
+    event!(
+        Warn,
+        "first-read-unfinished",
+        took_ms = took,
+        pages = progress.pages(),
+        running,
+        last_key = progress.last_key(),
+        cause
     );
 }
 
 fn record_finished(began: Instant, progress: &Progress, keys: usize, revision: Revision) {
     let took = clock::now().since(began);
-    log::info!(
-        "event=first-read took_ms={took} pages={} keys={keys} revision={revision}",
-        progress.pages()
+    event!(
+        Info,
+        "first-read",
+        took_ms = took,
+        pages = progress.pages(),
+        keys,
+        revision
     );
 }
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -21,7 +21,7 @@
 use jujube_core::time::Instant;
 use jujube_core::time::Span;
 use jujube_program::clock;
-use jujube_program::word::Word;
+use jujube_program::event;
 use jujube_store::kv;
 use jujube_store::kv::Change;
 use jujube_store::kv::News;
@@ -203,7 +203,11 @@
     fn replace(&self, changes: Vec<Change>, revision: Revision) {
         let left_out = self.store.left_out();
         if !left_out.is_empty() {
-            log::warn!("event=store-keys-left-out kinds={left_out:?}");
+            event!(
+                Warn,
+                "store-keys-left-out",
+                kinds = format_args!("{left_out:?}")
+            );
         }
         let items = changes.into_iter().map(item).collect();
         self.feed.replace(items, revision, &left_out);
@@ -217,7 +221,7 @@
             match self.follower.step(clock::now(), role.as_ref(), &belief) {
                 Step::Read { wait, reason } => {
                     if reason == Reason::TooOld {
-                        log::info!("event=feed-too-old known={}", self.feed.view());
+                        event!(Info, "feed-too-old", _ = self.feed.view());
                     }
                     return self.read_changes(wait, counter(reason)).await;
                 }
@@ -258,7 +262,7 @@
                 self.feed.apply_part(changes, *through, &self.feed.own);
             }
             News::Forgotten => {
-                log::info!("event=history-lost revision={after}");
+                event!(Info, "history-lost", revision = after);
                 self.is_forgotten = true;
             }
             News::Changes(changes, through) => {
@@ -277,10 +281,7 @@
     /// of all keys are smaller.
     async fn pass_over(&mut self, after: Revision, cause: &str) -> News {
         self.metrics.count("store_answers_unusable");
-        log::warn!(
-            "event=store-answer-unusable revision={after} cause={}",
-            Word(cause)
-        );
+        event!(Warn, "store-answer-unusable", revision = after, cause);
         let pause = self.unusable.wait(clock::now());
         tokio::time::sleep(Duration::from_millis(pause.0)).await;
         News::Forgotten
@@ -292,18 +293,14 @@
         if !matches!(news, News::Changes(..)) || !is_due || !self.feed.has_room_again() {
             return news;
         }
-        log::info!("event=store-keys-read-again");
+        event!(Info, "store-keys-read-again");
         self.is_forgotten = true;
         News::Forgotten
     }
 
     fn report(&self, name: &Arc<str>, error: &exchange::Error) {
         self.metrics.count("feed_sources_failed");
-        log::info!(
-            "event=feed-source-failed source={} cause={}",
-            Word(name),
-            Word(error)
-        );
+        event!(Info, "feed-source-failed", source = name, cause = error);
     }
 
     /// Asks one source.
--- a/crates/front/src/store_watch/mod.rs
+++ b/crates/front/src/store_watch/mod.rs
@@ -14,6 +14,7 @@
 use jujube_core::pipeline::roster::Effect;
 use jujube_core::time::Span;
 use jujube_program::clock;
+use jujube_program::event;
 use jujube_store::kv::Change;
 use jujube_store::kv::Error;
 use jujube_store::kv::Feed;
@@ -97,7 +98,7 @@
                 if observer.answered() {
                     state.roster.borrow_mut().store_returned(clock::now());
                     state.reported_layers.borrow_mut().clear();
-                    log::info!("event=store-regained");
+                    event!(Info, "store-regained");
                 }
                 source.set_contact(observer.contact());
             }
@@ -117,15 +118,14 @@
 
 /// Records what follows from a failed call.
 fn record_failure<D>(state: &State<D>, step: Step, error: &Error) {
-    let cause = error.to_string().replace(' ', "-");
     match step {
         Step::AskAtOnce | Step::AskLater => {
             state.metrics.count("store_doubts");
-            log::info!("event=store-doubted cause={cause} {}", state.feed.view());
+            event!(Info, "store-doubted", cause = error, _ = state.feed.view());
         }
         Step::Lose => {
             state.roster.borrow_mut().store_lost();
-            log::warn!("event=store-lost cause={cause} {}", state.feed.view());
+            event!(Warn, "store-lost", cause = error, _ = state.feed.view());
         }
         Step::StayLost => {}
     }
