Keep each record of the log in one line of bounded length

A record of any crate whose message holds a line end made two lines, the second without time, level and role; a long one made a line of any length. What is wrong with settings was told on standard error as it came, so that a key could clear an operator's terminal or turn what it shows.

Cause: the one place where lines are made wrote messages as they came.

`logs` now makes a `Line` of each record, on standard output and standard error: `-` for line ends, control characters and signs of direction, and at most 8,000 bytes. `logs::tell` does the same for each line of an error, and begins each with the program's name, where it was on the first only.

--- a/crates/program/src/logs.rs
+++ b/crates/program/src/logs.rs
@@ -15,6 +15,7 @@
 use log::LevelFilter;
 
 use crate::clock;
+use crate::word::Line;
 
 /// Returns a dispatch that writes `time=... level=... role=... message`; other crates' lines below
 /// `warn` are left out.
@@ -24,7 +25,10 @@
             let time = clock::unix_millis();
             let level = record.level();
             out.finish(format_args!(
-                "time={time} level={level} role={role} {message}"
+                "{}",
+                Line(format_args!(
+                    "time={time} level={level} role={role} {message}"
+                ))
             ));
         })
         .level(LevelFilter::Warn)
@@ -161,10 +165,12 @@
     parsed.map(|_| ())
 }
 
-/// Tells on standard error what is wrong.
+/// Tells on standard error what is wrong. Each of its lines begins with the name of the program.
 pub fn tell(name: &str, error: &anyhow::Error) {
-    // With standard error closed, nobody is left to tell.
-    let _best_effort = writeln!(io::stderr(), "{name}: {error:#}");
+    for line in format!("{error:#}").lines() {
+        // With standard error closed, nobody is left to tell.
+        let _best_effort = writeln!(io::stderr(), "{}", Line(format_args!("{name}: {line}")));
+    }
 }
 
 fn write_lines(receiver: &mpsc::Receiver<Message>) {
