Take hosts for the same however callers write them

A caller that named the host of a route in capitals, with a port or with a dot at its end got 404: hosts were compared as texts.

Host is the name in small letters without the last dot, and the port if it is not 80; the configuration's hosts and the callers' are read by it. A route whose host has no port is for all ports, one with a port for that one. Usual hosts are as before.

--- a/crates/core/src/pipeline/document.rs
+++ b/crates/core/src/pipeline/document.rs
@@ -12,6 +12,7 @@
 use crate::name::Customer;
 use crate::name::Service;
 use crate::number::numbers;
+use crate::pipeline::host::Host;
 use crate::pipeline::model::Model;
 use crate::status;
 use crate::time::Span;
@@ -220,7 +221,7 @@
 pub struct Table {
     /// The document.
     pub document: Document,
-    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    routes: HashMap<Host, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, usize>,
 }
 
@@ -228,9 +229,9 @@
     /// Builds the lookup tables of a document.
     #[must_use]
     pub fn new(document: Document) -> Self {
-        let mut routes: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        let mut routes: HashMap<Host, Vec<Arc<Route>>> = HashMap::new();
         for route in &document.routes {
-            let host = routes.entry(route.host.clone()).or_default();
+            let host = routes.entry(Host::from(&*route.host)).or_default();
             host.push(Arc::new(route.clone()));
         }
         for host in routes.values_mut() {
@@ -250,7 +251,7 @@
         }
     }
 
-    /// Returns the route for a host and path.
+    /// Returns the route for a host and path. A route whose host has no port is for all ports.
     ///
     /// # Examples
     ///
@@ -262,7 +263,9 @@
     /// ```
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = self.routes.get(host)?;
+        let host = Host::from(host);
+        let routes = self.routes.get(&host);
+        let routes = routes.or_else(|| self.routes.get(&host.without_port()))?;
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
--- a/crates/core/src/pipeline/mod.rs
+++ b/crates/core/src/pipeline/mod.rs
@@ -24,6 +24,7 @@
 pub mod feed;
 pub mod framing;
 pub mod hold;
+pub mod host;
 pub mod idle;
 pub mod key;
 pub mod leavers;
