Count of a value that is dropped what is held of it

What was left out for want of room that there was had all keys read again every 6 s, for good.

A read charges what it holds: the key, and the reason in place of a value.

A pause before all keys are read again for an unusable answer is made before that read, not after the watch, where a call for a lease that failed cut it; history-lost is told for lost history only; a first read that met an unusable answer does not tell the store as lost.

--- a/crates/front/src/feed/first.rs
+++ b/crates/front/src/feed/first.rs
@@ -63,7 +63,7 @@
                 }
                 Err(error) => {
                     if failure.is_none() {
-                        event!(Warn, "store-lost", cause = error);
+                        event!(Warn, loss(&error), cause = error);
                     }
                     failure = Some(error);
                 }
@@ -72,6 +72,14 @@
     }
 }
 
+/// Returns the event of a failed call.
+fn loss(error: &kv::Error) -> &'static str {
+    match error {
+        kv::Error::Unusable(_) => "store-answer-unusable",
+        _ => "store-lost",
+    }
+}
+
 /// Records that the read has not ended, with the last failure if there was one.
 fn record_unfinished(
     began: Instant,
--- a/crates/front/src/feed/source.rs
+++ b/crates/front/src/feed/source.rs
@@ -90,7 +90,9 @@
     wants_texts: bool,
     /// When all keys were last read.
     read_at: Instant,
-    /// How soon all keys are read again because an answer could not be used.
+    /// Whether all keys are to be read because an answer could not be used, and how soon that may be done
+    /// again.
+    is_passed_over: bool,
     unusable: Cadence,
 }
 
@@ -110,6 +112,7 @@
             is_forgotten: false,
             wants_texts: false,
             read_at: clock::now(),
+            is_passed_over: false,
             unusable: Cadence::of(UNUSABLE_INTERVAL),
         }
     }
@@ -157,6 +160,10 @@
         if std::mem::take(&mut self.is_whole) {
             return Ok(self.feed.all());
         }
+        if std::mem::take(&mut self.is_passed_over) {
+            let pause = self.unusable.wait(clock::now());
+            tokio::time::sleep(Duration::from_millis(pause.0)).await;
+        }
         let is_known = self.feed.replica.borrow().is_filled()
             && self.feed.belief.borrow().era() == self.store.era()
             && !std::mem::take(&mut self.is_forgotten);
@@ -252,7 +259,7 @@
         let asked_at = clock::now();
         self.metrics.count(counter);
         let mut news = match self.store.follow(ALL_KEYS, after, wait).await {
-            Err(kv::Error::Unusable(cause)) => self.pass_over(after, &cause).await,
+            Err(kv::Error::Unusable(cause)) => return Ok(self.pass_over(after, &cause)),
             answer => answer?,
         };
         self.was_told = false;
@@ -279,11 +286,11 @@
     ///
     /// The next answer would be the same, for as long as the store has this history; the pages of a read
     /// of all keys are smaller.
-    async fn pass_over(&mut self, after: Revision, cause: &str) -> News {
+    fn pass_over(&mut self, after: Revision, cause: &str) -> News {
         self.metrics.count("store_answers_unusable");
         event!(Warn, "store-answer-unusable", revision = after, cause);
-        let pause = self.unusable.wait(clock::now());
-        tokio::time::sleep(Duration::from_millis(pause.0)).await;
+        self.is_forgotten = true;
+        self.is_passed_over = true;
         News::Forgotten
     }
 
--- a/crates/store/src/kv/feed.rs
+++ b/crates/store/src/kv/feed.rs
@@ -41,6 +41,23 @@
     pub revision: Revision,
 }
 
+impl Change {
+    /// Returns how many bytes of the value are held; of one that cannot be read, only the reason is.
+    #[must_use]
+    pub fn value_bytes(&self) -> usize {
+        match &self.value {
+            Some(Value::Text(text) | Value::Unreadable(text)) => text.len(),
+            None => 0,
+        }
+    }
+
+    /// Returns how many bytes are held in all.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        size_of::<Self>() + self.key.len() + self.value_bytes()
+    }
+}
+
 impl TryFrom<Change> for Pair {
     type Error = Error;
 
