Serve a call under the service that its path names

/services//services/desk/approvals was served by the service desk: the start of the path was taken off as often as it came. It is taken off once; a path that names no service is refused as not run.

--- a/crates/entry/src/api/plain/mod.rs
+++ b/crates/entry/src/api/plain/mod.rs
@@ -93,7 +93,8 @@
 
 /// Splits the path into service and what follows.
 fn split(parts: &Parts) -> Result<(Service, String), Refusal> {
-    let rest = parts.uri.path().trim_start_matches("/services/");
+    let path = parts.uri.path();
+    let rest = path.strip_prefix("/services/").unwrap_or_default();
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
     if service.is_empty() {
         return Err(Refusal::not_run(
