Refuse customers whose name no header can have, and callers' own word of who they are

The entry before sidecars left the header with the customer's name out where the name has a control character, and then passed on what the caller itself had put there: a service got any name that the caller chose (from the code; no bundle has such a name).

The check of a bundle refuses such names, so that operators learn of it before it is in force, and a caller's own jujube-customer is always removed.

Red before, green after, one run each: customers_that_no_header_can_name_are_refused. Passed, one run: config of core, configs, calls and odd_paths of programs, all tests of ctl. The removal has no test of its own.

--- a/crates/core/src/bundle/check.rs
+++ b/crates/core/src/bundle/check.rs
@@ -34,10 +34,21 @@
     faults
 }
 
+/// Returns whether the value of a header can be this text, and is read as the same.
+fn fits_header(text: &str) -> bool {
+    const TAB: char = '\t';
+    let is_control = |char: char| char.is_ascii_control() && char != TAB;
+    text.trim_matches([' ', TAB]) == text && !text.contains(is_control)
+}
+
 fn check_customers(bundle: &Bundle, faults: &mut Vec<Fault>) {
     let mut owners = BTreeMap::new();
     for (name, tenant) in &bundle.customers {
         let section = format!("customer {name}");
+        if !fits_header(&name.0) {
+            let what = "expected a name without control characters and without blanks at its ends";
+            faults.push(Fault::new(&section, "-", what));
+        }
         if tenant.weight == 0 {
             faults.push(Fault::new(&section, "weight", "0: expected 1 or more"));
         }
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -111,6 +111,30 @@
     assert_eq!(board.generation(), Generation(0));
 }
 
+/// Guards against calls that reach a service without the name of their customer, because no header can
+/// have it.
+#[test]
+fn customers_that_no_header_can_name_are_refused() {
+    let key = "0".repeat(64);
+    let faults = |name: &str| {
+        let mut bundle = parse(&text(1)).unwrap();
+        let customer = format!("[customer crew]\nkeys = {key}\n");
+        let crew = parse(&format!("{}{customer}", text(1))).unwrap().customers;
+        let crew = crew.into_values().next().unwrap();
+        bundle.customers.insert(name.into(), crew);
+        bundle::check(&bundle)
+    };
+
+    for name in ["crew", "a b", "a\tb", "a:b,c", "\u{e9}", "%0a"] {
+        assert_eq!(faults(name), [], "{name}");
+    }
+    for name in [
+        "a\nb", "a\rb", "a\u{0}b", "a\u{7f}", " crew", "crew ", "\tcrew",
+    ] {
+        assert_eq!(faults(name).len(), 1, "{name:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 200,
--- a/crates/entry/src/api/plain/caller.rs
+++ b/crates/entry/src/api/plain/caller.rs
@@ -112,6 +112,7 @@
         headers.remove(AUTHORIZATION);
         headers.remove(HOST);
         headers.remove(IDEMPOTENT);
+        headers.remove(CUSTOMER);
         if let Ok(customer) = HeaderValue::from_str(&self.customer.0) {
             headers.insert(CUSTOMER, customer);
         }
