Announce an availability zone with a blank so that others can read it

What an entry in a zone such as `a b` announces in the store could not be read by any entry: an announcement is words with blanks between them, and the zone went in as it was, so that its second word stood where the lease is. Entries learn from announcements where others are and whose signatures to trust; how they did without was not run.

The zone is percent-encoded as it is written and decoded as it is read: blanks, control characters, `%` and what is not ASCII. A plain zone is announced as before. An announcement of a zone with `%` or beyond ASCII reads as another zone in entries of an earlier version, until these are replaced.

Tests: front's `announcement`, over any zone. Before: `None` for the zone ` `. After: `announcement` passes, and front's other tests.

--- a/crates/front/src/gossip/peers.rs
+++ b/crates/front/src/gossip/peers.rs
@@ -17,6 +17,13 @@
 use jujube_core::pipeline::share;
 use jujube_core::time::Instant;
 use jujube_store::kv::Value;
+use percent_encoding::AsciiSet;
+use percent_encoding::CONTROLS;
+use percent_encoding::percent_decode_str;
+use percent_encoding::utf8_percent_encode;
+
+/// What is escaped in the words of an announcement: what ends one, and what begins an escape.
+const NO_WORD: &AsciiSet = &CONTROLS.add(b' ').add(b'%');
 
 /// An entry's announcement in the store.
 #[derive(Clone, Debug)]
@@ -43,7 +50,8 @@
     pub fn parse(text: &str) -> Option<Self> {
         let mut words = text.split(' ');
         let address = words.next()?.parse().ok()?;
-        let zone: Zone = words.next()?.into();
+        let zone = percent_decode_str(words.next()?).decode_utf8().ok()?;
+        let zone = Zone::from(zone.as_ref());
         let lease_id = words.next()?.parse().ok()?;
         let key = words.next().and_then(parse_key);
         let place = Location { zone, address };
@@ -60,6 +68,7 @@
         let key = self
             .key
             .map_or_else(String::new, |key| format!(" {}", hex::encode(key)));
+        let zone = utf8_percent_encode(&zone.0, NO_WORD);
         format!("{address} {zone} {}{key}", self.lease_id)
     }
 }
