Refuse settings in which a section comes twice

The platform fills in the template without escaping. A value with a line end and `[store]` made a second section of that name, and only one of the two was read: an entry with such an `Ip` started, told nothing and called the store of the forged section (`store=127.0.0.1:1` on its log).

A section that comes twice is a fault now, as an unknown section and a key that comes twice were. It can't be told which of the two is meant, so the program doesn't start; a process that runs refuses such new settings.

--- a/crates/program/src/settings.rs
+++ b/crates/program/src/settings.rs
@@ -61,9 +61,24 @@
             findings: Vec::new(),
         };
         file.check_end()?;
+        file.check_sections();
         Ok(file)
     }
 
+    /// Records sections that come twice: only one of them would be read.
+    fn check_sections(&mut self) {
+        let mut seen = BTreeSet::new();
+        for name in self.ini.iter().filter_map(|(name, _)| name) {
+            if seen.insert(name) {
+                continue;
+            }
+            self.findings.push(Finding {
+                fault: Fault::new(name, "-", "duplicate section"),
+                replacement: None,
+            });
+        }
+    }
+
     /// Checks that the file is whole, if it says by which section it ends.
     ///
     /// A number that is cut off is still a number, and what is missing may have a default.
