Fill in names as JSON, so that nothing in them ends a setting

The names of a VM and of its availability zone are others' text, and stood in the INI as they were: with a line end they made keys and sections of their own; with a blank they made two fields of a log line; a name of 10 kB was announced under a key that no other entry reads (512 bytes at most).

What is no JSON string is the name as it is, so that settings written by hand stay as they were, unless such a name is itself a JSON string. Only `Reader::name` decodes, and only the entry on the users' platform reads names with it: other programs' settings and bundles are read as before. A name of over 256 bytes is replaced by the address for callers and told, as a missing one is; so are `null` and a placeholder that nobody filled in (the stand-ins of review/ know plain placeholders only). The two lines of the log that show the names write them as one word each.

--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -156,6 +156,14 @@
 /// The longest time that can be set: a year.
 const MAX_SPAN: Span = Span(365 * 24 * 3_600_000);
 
+/// The longest name that can be set, so that it fits into keys, messages and lines of the log.
+pub const MAX_NAME_BYTES: usize = 256;
+
+/// What JSON writes in place of a value that is missing.
+const NO_VALUE: &str = "null";
+/// What begins a placeholder of a template that nobody filled in.
+const PLACEHOLDER: &str = "{{";
+
 /// What an address looks like.
 const EXPECTED_ADDRESS: &str = "an IP number and port, such as `127.0.0.1:7000`";
 
@@ -318,21 +326,29 @@
         self.value(key, expected, default.map(str::to_string))
     }
 
-    /// Reads a name; another one replaces a name that is missing.
+    /// Reads a name, which may be a JSON string; another one replaces a name that is missing or longer than
+    /// [`MAX_NAME_BYTES`].
+    ///
+    /// A platform that fills in settings writes a name as it is, or as JSON. As JSON it is one line whatever
+    /// it holds, and nothing in it ends it or begins another setting.
     ///
     /// # Examples
     ///
     /// ```
     /// # use jujube_core::section::Reader;
-    /// let ini = jujube_core::section::load_plain("name =\n").unwrap();
+    /// let ini = jujube_core::section::load_plain("name = \"a\\nb\"\nzone =\n").unwrap();
     /// let mut reader = Reader::new("entry", ini.general_section());
-    /// assert_eq!(reader.name("name", "a name", "10.0.0.1"), "10.0.0.1");
+    /// assert_eq!(reader.name("name", "a name", "10.0.0.1"), "a\nb");
+    /// assert_eq!(reader.name("zone", "a zone", "10.0.0.1"), "10.0.0.1");
     /// ```
     pub fn name(&mut self, key: &'static str, expected: &str, instead: &str) -> String {
-        if let Some(name) = self.given(key) {
-            return name.to_string();
-        }
-        self.replace(key, format!("missing: expected {expected}"), "", instead);
+        let name = self.given(key).map(decode).unwrap_or_default();
+        let what = match name.len() {
+            0 => format!("missing: expected {expected}"),
+            1..=MAX_NAME_BYTES => return name,
+            bytes => format!("{bytes} bytes: expected {expected} of at most {MAX_NAME_BYTES}"),
+        };
+        self.replace(key, what, &name, instead);
         instead.to_string()
     }
 
@@ -396,6 +412,14 @@
     }
 }
 
+/// Returns what a JSON string stands for, and any other text as it is; nothing if there is no value.
+fn decode(text: &str) -> String {
+    if text == NO_VALUE || text.starts_with(PLACEHOLDER) {
+        return String::new();
+    }
+    serde_json::from_str(text).unwrap_or_else(|_| text.to_string())
+}
+
 /// Truncates a value for an error message, so that invalid input of any length stays readable.
 fn shorten(text: &str) -> String {
     const MAX_SHOWN_CHARS: usize = 40;
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -22,6 +22,7 @@
 use jujube_program::shutdown::Signal;
 use jujube_program::shutdown::Termination;
 use jujube_program::shutdown::Trigger;
+use jujube_program::word::Word;
 use jujube_store::kv::Feed;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -97,8 +98,8 @@
 async fn serve<D: Dialect, F: Feed>(settings: Settings, store: F, mut termination: Termination) {
     log::info!(
         "event=starting name={} zone={} listen={} ready={} metrics={} gossip={} gossip_last_port={}",
-        settings.name,
-        settings.zone,
+        Word(&settings.name),
+        Word(&settings.zone),
         settings.listen,
         settings.ready,
         settings.metrics,
--- a/crates/front/src/sockets.rs
+++ b/crates/front/src/sockets.rs
@@ -11,6 +11,7 @@
 
 use jujube_program::listen;
 use jujube_program::shutdown::Signal;
+use jujube_program::word::Word;
 use jujube_store::kv::Feed;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -45,8 +46,8 @@
     let settings = &state.settings;
     log::info!(
         "event=started name={} zone={} listen={} store={}",
-        settings.name,
-        settings.zone,
+        Word(&settings.name),
+        Word(&settings.zone),
         settings.listen,
         settings.store
     );
