Log the names of loans' entries as one word each

An entry that is named `a b` and a line end in front of `event=forged` made another entry log a line that nobody logged: `event=limit-lent ... to=` has the name that a datagram tells, and it went in as it was. So did `event=limit-borrowed ... from=`.

Both, and the server's name beside them, are `Word`s now.

--- a/crates/front/src/loans.rs
+++ b/crates/front/src/loans.rs
@@ -10,6 +10,7 @@
 use jujube_core::pipeline::limits::Request;
 use jujube_core::pipeline::server::Incarnation;
 use jujube_program::clock;
+use jujube_program::word::Word;
 use tokio::net::UdpSocket;
 
 use crate::gossip::Kind;
@@ -109,7 +110,11 @@
     let lent = load.limits.lend(clock::now(), entry, wanted);
     for (server, share) in reported(&lent) {
         state.metrics.count("limit_loans_lent");
-        log::info!("event=limit-lent server={server} to={entry} share={share:.2}");
+        log::info!(
+            "event=limit-lent server={} to={} share={share:.2}",
+            Word(server),
+            Word(entry)
+        );
     }
     lent
 }
@@ -122,7 +127,11 @@
     drop(load);
     for (server, share) in reported(&borrowed) {
         state.metrics.count("limit_loans_borrowed");
-        log::info!("event=limit-borrowed server={server} from={entry} share={share:.2}");
+        log::info!(
+            "event=limit-borrowed server={} from={} share={share:.2}",
+            Word(server),
+            Word(entry)
+        );
     }
 }
 
