--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -151,7 +151,9 @@
         enabled_escape: false,
         ..ParseOption::default()
     };
-    Ini::load_from_str_opt(text, options).map_err(|error| not_valid(&error))
+    // The library joins the next line to one that ends in a backslash, unless a return stands between.
+    let text = text.replace("\\\n", "\\\r\n");
+    Ini::load_from_str_opt(&text, options).map_err(|error| not_valid(&error))
 }
 
 fn not_valid(error: &ParseError) -> Fault {
@@ -161,11 +163,6 @@
 /// The longest time that can be set: a year.
 const MAX_SPAN: Span = Span(365 * 24 * 3_600_000);
 
-/// What JSON writes in place of a value that is missing.
-const NO_VALUE: &str = "null";
-/// What begins a placeholder of a template that nobody filled in.
-const PLACEHOLDER: &str = "{{";
-
 /// What an address looks like.
 const EXPECTED_ADDRESS: &str = "an IP number and port, such as `127.0.0.1:7000`";
 
@@ -328,32 +325,27 @@
         self.value(key, expected, default.map(str::to_string))
     }
 
-    /// Reads a name, which may be a JSON string; another one replaces a name that is missing, or that does not
-    /// stand for itself in keys of the store.
-    ///
-    /// A platform that fills in settings writes a name as it is, or as JSON. As JSON it is one line whatever
-    /// it holds, and nothing in it ends it or begins another setting.
+    /// Reads a name; another one replaces a name that is missing, or that does not stand for itself in keys
+    /// of the store.
     ///
     /// # Examples
     ///
     /// ```
     /// # use jujube_core::section::Reader;
-    /// let ini = jujube_core::section::load_plain("name = \"a\\nb\"\nzone =\n").unwrap();
+    /// let ini = jujube_core::section::load_plain("name =\n").unwrap();
     /// let mut reader = Reader::new("entry", ini.general_section());
-    /// assert_eq!(reader.name("name", "a name", "10.0.0.1"), "a\nb");
-    /// assert_eq!(reader.name("zone", "a zone", "10.0.0.1"), "10.0.0.1");
+    /// assert_eq!(reader.name("name", "a name", "10.0.0.1"), "10.0.0.1");
     /// ```
     pub fn name(&mut self, key: &'static str, expected: &str, instead: &str) -> String {
-        let name = self.given(key).map(decode).unwrap_or_default();
-        if name.is_empty() {
+        let Some(name) = self.given(key) else {
             self.replace(key, format!("missing: expected {expected}"), "", instead);
             return instead.to_string();
-        }
-        let used = Segment::from(name.as_str()).to_string();
+        };
+        let used = Segment::from(name).to_string();
         if used != name {
-            let shown = shorten(&name);
+            let shown = shorten(name);
             let what = format!("`{shown}`: expected {expected} that fits into a key");
-            self.replace(key, what, &name, &used);
+            self.replace(key, what, name, &used);
         }
         used
     }
@@ -418,14 +410,6 @@
     }
 }
 
-/// Returns what a JSON string stands for, and any other text as it is; nothing if there is no value.
-fn decode(text: &str) -> String {
-    if text == NO_VALUE || text.starts_with(PLACEHOLDER) {
-        return String::new();
-    }
-    serde_json::from_str(text).unwrap_or_else(|_| text.to_string())
-}
-
 /// Truncates a value for an error message, so that invalid input of any length stays readable.
 fn shorten(text: &str) -> String {
     const MAX_SHOWN_CHARS: usize = 40;
