Read keys in the order in which the store tells them

An entry was never ready at a store that has its keys by units of UTF-16 once two keys of others differed beyond ASCII, such as `jujube/` followed by U+1F600 and by U+FF01: it took the second, which comes first by bytes, for a page that does not go on, and read anew without end ("first-read-unfinished ... a-page-after-... -that-ends-at-...", 149 pages in 17 s).

The pages say that the next page begins after the key given in `After`, and name no order. The cursor, and the stand-in with it, assumed that of bytes.

A cursor now holds the orders in which all pages so far went on: bytes and units of UTF-16, which agree on ASCII, with which all needed keys begin. A page that goes on in none of them is an error as before, so a read still ends: all its pages ascend in one and the same order.

That each page goes on is checked against one order for all pages instead of against bytes: as strict, since one ascending order is what ends a read.

--- a/crates/core/src/pipeline/feed/cursor.rs
+++ b/crates/core/src/pipeline/feed/cursor.rs
@@ -36,12 +36,31 @@
     }
 }
 
+/// An order of keys.
+///
+/// The store does not name its own. All agree on ASCII, with which the needed keys begin; beyond it, the
+/// order of bytes is not that of the units of UTF-16, by which some languages compare texts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Order {
+    Bytes,
+    Units,
+}
+
+impl Order {
+    fn is_after(self, key: &str, other: &str) -> bool {
+        match self {
+            Self::Bytes => key > other,
+            Self::Units => key.encode_utf16().gt(other.encode_utf16()),
+        }
+    }
+}
+
 /// A page that the read cannot go on after.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Error {
     /// The page has no keys, and others are to follow.
     Empty,
-    /// The page ends at or before the key after which it was to begin.
+    /// The page ends at or before the key after which it was to begin, in any order of keys.
     Back {
         /// The key after which it was to begin.
         after: String,
@@ -63,7 +82,8 @@
 
 /// Where a read of the store's keys goes on.
 ///
-/// The store tells keys in order, page by page, and others may have any number of keys of any size in
+/// The store tells keys in an order of its own, page by page, and others may have any number of keys of
+/// any size in
 /// it. A read that takes them all is as long as they are many: so it goes on at the next key that is
 /// needed. Each page must end after the one before; a store that misunderstands where the next page is to
 /// begin would be read for ever otherwise.
@@ -85,6 +105,8 @@
 pub struct Cursor<'a> {
     parts: Vec<Part<'a>>,
     after: String,
+    /// The orders in which all pages so far went on.
+    orders: Vec<Order>,
 }
 
 impl<'a> Cursor<'a> {
@@ -96,7 +118,12 @@
         let after = parts
             .first()
             .map_or_else(String::new, |part| before(part.first()));
-        Self { parts, after }
+        let orders = vec![Order::Bytes, Order::Units];
+        Self {
+            parts,
+            after,
+            orders,
+        }
     }
 
     /// Returns the key after which the next page is to begin.
@@ -116,7 +143,9 @@
             return Ok(false);
         }
         let last = last.ok_or(Error::Empty)?;
-        if last <= self.after.as_str() {
+        self.orders
+            .retain(|order| order.is_after(last, &self.after));
+        if self.orders.is_empty() {
             return Err(Error::Back {
                 after: self.after.clone(),
                 last: last.into(),
